Build the whole path thin: from an edited table to an answered request

Cause: the repository was empty. The first milestone is a path that runs end to end, on which everything else can be measured.

Change: module, schemas with generated wire types and settings, the fold of the log, the lease rule, planner, keeper, entry, operators' client, stand-ins and `dw-trial run`, which plays a user's fleet with faults on loopback and compares the endpoints' book with the callers'.

--- /dev/null
+++ b/pkg/fold/renew.go
@@ -0,0 +1,71 @@
+package fold
+
+import (
+	"damsonwinch/pkg/wire"
+)
+
+// rosterMs is the silence, by the log's time, after which a member leaves the
+// roster. Leaving only takes the right to release others, so it is always safe.
+const rosterMs = 60_000
+
+// renew takes the roster places and renewals of one hall.
+func (s State) renew(proposal wire.Proposal, where step) (State, string, error) {
+	for _, member := range proposal.Members {
+		s = s.renewMember(member, where)
+		s = s.renewSender(member, where)
+	}
+	if len(proposal.Members) > 0 {
+		s = s.withoutSilent(proposal.Members[0].Hall, where.at)
+	}
+	return s, "renewed", nil
+}
+
+func (s State) renewMember(renewal wire.Member, where step) State {
+	member, known := s.members.Get(renewal.Node)
+	if !known || member.Keeper != renewal.Keeper {
+		if known && renewal.Keeper < member.Keeper {
+			return s
+		}
+		member = Member{Node: renewal.Node, Hall: renewal.Hall, Keeper: renewal.Keeper, Joined: where.offset}
+	}
+	member.Address = renewal.KeeperAddress
+	member.RenewedAt = where.at
+	s.members = s.members.Set(renewal.Node, member)
+	return s
+}
+
+func (s State) renewSender(renewal wire.Member, where step) State {
+	if renewal.Entry == 0 {
+		return s
+	}
+	key := SenderKey{Node: renewal.Node, Entry: renewal.Entry}
+	sender, known := s.senders.Get(key.String())
+	if known && renewal.Seq <= sender.Seq {
+		return s
+	}
+	sender.Key = key
+	sender.Hall = renewal.Hall
+	sender.Address = renewal.EntryAddress
+	sender.Seq = renewal.Seq
+	sender.Folded = renewal.Folded
+	sender.RenewedAt = where.at
+	sender.Leaving = renewal.Leaving
+	s.senders = s.senders.Set(key.String(), sender)
+	return s
+}
+
+// withoutSilent drops members of a hall that have long said nothing, and
+// senders that hold no box and say nothing.
+func (s State) withoutSilent(hall string, at int) State {
+	for _, member := range s.Members() {
+		if member.Hall == hall && member.RenewedAt < at-rosterMs {
+			s.members = s.members.Delete(member.Node)
+		}
+	}
+	for _, sender := range s.Senders() {
+		if sender.Hall == hall && sender.Boxes == 0 && sender.RenewedAt < at-rosterMs {
+			s.senders = s.senders.Delete(sender.Key.String())
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/follow/follow.go
@@ -0,0 +1,197 @@
+// Package follow keeps a process's copy of the fleet's state: it reads records
+// from the first source that gives them, folds them and passes the result on.
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"damsonwinch"
+	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/invariant"
+	"damsonwinch/pkg/wire"
+)
+
+// Bounds of one reading.
+const (
+	pageRecords  = 500
+	waitMs       = 500
+	readTimeout  = 2 * time.Second
+	skipFor      = 500 * time.Millisecond
+	firstBackoff = 20 * time.Millisecond
+	mostBackoff  = time.Second
+)
+
+// Folded is one record with its verdicts.
+type Folded struct {
+	Record   wire.Entry
+	Verdicts []fold.Verdict
+}
+
+// Update is what a follower passes on after a reading.
+type Update struct {
+	State   fold.State
+	Records []Folded
+	// Restored says that the state was taken from a snapshot, so that records
+	// in between were not seen.
+	Restored bool
+	// Avoid names the boxes that the platform's list shows as leaving or gone;
+	// it is nil when the source doesn't say.
+	Avoid []string
+	// Source names where it came from.
+	Source string
+	// FromLog says that the records come from the log or from a keeper that
+	// reads it.
+	FromLog bool
+	// ReadAt is the follower's time at which the reading was begun.
+	ReadAt time.Time
+}
+
+// Deps is what a follower needs.
+type Deps struct {
+	Clock      damsonwinch.Clock
+	Sources    []damsonwinch.Source
+	Invariants *invariant.Book
+	// Empty is the state before the first record.
+	Empty fold.State
+	// Updates takes what the follower passes on.
+	Updates chan<- Update
+	// WaitMs is how long a reading waits for a first record, 0 for the default.
+	WaitMs int
+}
+
+// Follower reads one stream.
+type Follower struct {
+	deps      Deps
+	state     fold.State
+	skipUntil []time.Time
+}
+
+// New returns a follower that starts at the empty state.
+func New(deps Deps) *Follower {
+	if deps.WaitMs == 0 {
+		deps.WaitMs = waitMs
+	}
+	return &Follower{deps: deps, state: deps.Empty, skipUntil: make([]time.Time, len(deps.Sources))}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstBackoff, mostBackoff
+	for ctx.Err() == nil {
+		if f.readFromAny(ctx) {
+			pause.Reset()
+			continue
+		}
+		select {
+		case <-f.deps.Clock.After(pause.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// readFromAny reads from the first source that answers. A source that failed is
+// passed over for a while, so that a dead one doesn't hold up the living.
+func (f *Follower) readFromAny(ctx context.Context) bool {
+	for i, source := range f.deps.Sources {
+		begun := f.deps.Clock.Now()
+		if begun.Before(f.skipUntil[i]) {
+			continue
+		}
+		update, err := f.readFrom(ctx, source)
+		if err != nil {
+			f.skipUntil[i] = f.deps.Clock.Now().Add(skipFor)
+			continue
+		}
+		update.ReadAt = begun
+		update.Source = source.Name()
+		if len(update.Records) == 0 && !update.FromLog {
+			// It knows no more than we do: another may.
+			f.skipUntil[i] = f.deps.Clock.Now().Add(skipFor)
+		}
+		select {
+		case f.deps.Updates <- update:
+		case <-ctx.Done():
+		}
+		return true
+	}
+	return false
+}
+
+func (f *Follower) readFrom(ctx context.Context, source damsonwinch.Source) (Update, error) {
+	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	reply, err := source.Read(limited, f.state.Offset(), pageRecords, f.deps.WaitMs)
+	if err != nil {
+		return Update{}, err
+	}
+	return f.take(reply)
+}
+
+// take folds a reply. Records below the state's offset are known and a gap is
+// never folded over, so that the state only goes forward.
+func (f *Follower) take(reply wire.ReadReply) (Update, error) {
+	update := Update{Avoid: reply.Avoid, FromLog: reply.LogFresh}
+	if reply.Snapshot != "" {
+		restored, err := f.restore(reply.Snapshot)
+		if err != nil {
+			return update, err
+		}
+		update.Restored = restored
+	}
+	for _, record := range reply.Entries {
+		if record.Offset < f.state.Offset() {
+			continue
+		}
+		if record.Offset > f.state.Offset() {
+			return update, fmt.Errorf("record %d came after %d: records are missing", record.Offset, f.state.Offset()-1)
+		}
+		was := f.state
+		next, verdicts := was.Fold(record)
+		f.deps.Invariants.Check(invariant.ConfigReverted, next.Table().Version() >= was.Table().Version() && next.Offset() > was.Offset(),
+			"record %d took the table from version %d to %d", record.Offset, was.Table().Version(), next.Table().Version())
+		f.state = next
+		update.Records = append(update.Records, Folded{Record: record, Verdicts: verdicts})
+	}
+	update.State = f.state
+	return update, nil
+}
+
+// restore takes a snapshot that is ahead of the state; one that stands at the
+// same offset is compared by its hash.
+func (f *Follower) restore(text string) (bool, error) {
+	var snapshot fold.Snapshot
+	if err := json.Unmarshal([]byte(text), &snapshot); err != nil {
+		return false, fmt.Errorf("read snapshot: %w", err)
+	}
+	if snapshot.Offset < f.state.Offset() {
+		return false, nil
+	}
+	if snapshot.Offset == f.state.Offset() {
+		return false, f.compare(snapshot)
+	}
+	restored, err := f.deps.Empty.WithSnapshot(snapshot)
+	if err != nil {
+		return false, err
+	}
+	f.deps.Invariants.Check(invariant.ConfigReverted, restored.Table().Version() >= f.state.Table().Version(),
+		"snapshot at %d took the table from version %d to %d", snapshot.Offset, f.state.Table().Version(), restored.Table().Version())
+	f.state = restored
+	return true, nil
+}
+
+func (f *Follower) compare(snapshot fold.Snapshot) error {
+	own, err := f.state.Snapshot()
+	if err != nil {
+		return err
+	}
+	f.deps.Invariants.Check(invariant.StateDiverged, own.Hash == snapshot.Hash,
+		"snapshot at %d has hash %s, folding gave %s", snapshot.Offset, snapshot.Hash, own.Hash)
+	return nil
+}
--- /dev/null
+++ b/pkg/follow/source.go
@@ -0,0 +1,78 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+
+	"damsonwinch"
+	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/wire"
+)
+
+// LogName is the name of the source that is the log itself.
+const LogName = "log"
+
+// ReadMethod is the call by which a keeper relays records.
+const ReadMethod = "Keeper.Read"
+
+// LogSource reads the platform's log.
+type LogSource struct {
+	Log damsonwinch.Log
+}
+
+// Name returns LogName.
+func (s LogSource) Name() string {
+	return LogName
+}
+
+// Read returns records of the fleet stream. When they have expired it adds the
+// newest snapshot.
+func (s LogSource) Read(ctx context.Context, from, maximum, waitMs int) (wire.ReadReply, error) {
+	page, err := s.Log.Read(ctx, damsonwinch.StreamFleet, from, maximum, waitMs)
+	if err != nil {
+		return wire.ReadReply{}, err
+	}
+	reply := wire.ReadReply{Entries: page.Records, LogFresh: true}
+	if page.First <= from {
+		return reply, nil
+	}
+	reply.Entries = nil
+	reply.Snapshot, err = s.newestSnapshot(ctx)
+	return reply, err
+}
+
+// newestSnapshot reads the last record of the snapshot stream.
+func (s LogSource) newestSnapshot(ctx context.Context) (string, error) {
+	ends, err := s.Log.Read(ctx, damsonwinch.StreamSnapshots, 0, 1, 0)
+	if err != nil {
+		return "", err
+	}
+	if ends.Next == ends.First {
+		return "", fmt.Errorf("read %s: records have expired and there is no snapshot", damsonwinch.StreamSnapshots)
+	}
+	page, err := s.Log.Read(ctx, damsonwinch.StreamSnapshots, ends.Next-1, 1, 0)
+	if err != nil {
+		return "", err
+	}
+	if len(page.Records) == 0 {
+		return "", fmt.Errorf("read %s: the newest snapshot is not there", damsonwinch.StreamSnapshots)
+	}
+	return page.Records[len(page.Records)-1].Data, nil
+}
+
+// PeerSource reads from a keeper that relays.
+type PeerSource struct {
+	Client *call.Client
+}
+
+// Name returns the keeper's address.
+func (s PeerSource) Name() string {
+	return s.Client.Peer()
+}
+
+// Read asks the keeper for records.
+func (s PeerSource) Read(ctx context.Context, from, maximum, waitMs int) (wire.ReadReply, error) {
+	var reply wire.ReadReply
+	err := s.Client.Do(ctx, ReadMethod, wire.ReadArgs{From: from, Max: maximum, WaitMs: waitMs}, &reply)
+	return reply, err
+}
--- /dev/null
+++ b/pkg/front/dispatch.go
@@ -0,0 +1,308 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"damsonwinch/pkg/pick"
+	"damsonwinch/pkg/queue"
+	"damsonwinch/pkg/send"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/wire"
+)
+
+// report is what a request tells of the box that it was granted.
+type report struct {
+	kind send.Kind
+	// failed says that the answer, or its absence, speaks against the box.
+	failed bool
+	// refused says that the box had no room.
+	refused bool
+	took    time.Duration
+	// unused says that nothing was sent.
+	unused bool
+	// last says that the request is tried no more.
+	last bool
+}
+
+// weights gives the queue the table's shares.
+type weights struct {
+	front *Front
+}
+
+// Service returns a service's share of its pool.
+func (w weights) Service(service string) int {
+	row, _ := w.front.state.Table().Row(service)
+	return row.Weight
+}
+
+// Team returns a team's share of a service.
+func (w weights) Team(service, team string) int {
+	row, _ := w.front.state.Table().Row(service)
+	for _, quota := range row.Quotas {
+		if quota.Team == team {
+			return quota.Weight
+		}
+	}
+	return 1
+}
+
+func (f *Front) queue(pool string) *queue.Queue {
+	if f.queues[pool] == nil {
+		f.queues[pool] = queue.New(weights{front: f})
+	}
+	return f.queues[pool]
+}
+
+func (f *Front) dispatchAll() {
+	for pool, waiting := range f.queues {
+		if waiting.Total() > 0 {
+			f.dispatch(pool)
+		}
+	}
+}
+
+// dispatch starts waiting requests of a pool while boxes have room for them.
+func (f *Front) dispatch(pool string) {
+	now := f.now()
+	if !f.leasing.holder.MaySend(now) {
+		return
+	}
+	waiting := f.queue(pool)
+	for waiting.Total() > 0 {
+		views, names := f.views(pool)
+		free := totalFree(views)
+		if free == 0 && !f.anyOnTrial(pool, now) {
+			return
+		}
+		item, found := waiting.Pop(func(item queue.Item) bool { return f.mayStart(item, pool, free) })
+		if !found {
+			return
+		}
+		f.startItem(item, pool, views, names)
+	}
+}
+
+// view returns what the picker sees of a box.
+func (f *Front) view(box *ownBox) pick.Box {
+	name := box.Info.Name
+	return pick.Box{
+		Name: name, Slots: box.Info.Slots, InUse: box.inUse,
+		Limit: f.learner.Limit(name, box.Info.Slots), Pace: f.learner.Pace(name),
+	}
+}
+
+// views returns the boxes of a pool that take new work from anybody.
+func (f *Front) views(pool string) ([]pick.Box, []string) {
+	var views []pick.Box
+	var names []string
+	for name, box := range f.boxes {
+		if box.Pool == pool && f.open(box, false) {
+			views = append(views, f.view(box))
+			names = append(names, name)
+		}
+	}
+	return views, names
+}
+
+func totalFree(views []pick.Box) int {
+	free := 0
+	for _, view := range views {
+		free += view.Free()
+	}
+	return free
+}
+
+const (
+	urgentMemory      = time.Minute
+	slotsAReserved    = 16
+	leastReservedFrom = 4
+)
+
+// reserve returns the slots kept free for urgent work of a pool that has seen
+// some lately.
+func (f *Front) reserve(pool string) int {
+	seen, known := f.urgent[pool]
+	slots := f.ownSlots(pool)
+	if !known || f.now().Sub(seen) > urgentMemory || slots < leastReservedFrom {
+		return 0
+	}
+	return 1 + slots/slotsAReserved
+}
+
+// mayStart says whether an item may start with the free slots that there are.
+func (f *Front) mayStart(item queue.Item, pool string, free int) bool {
+	row, known := f.state.Table().Row(item.Service)
+	if !known {
+		return false
+	}
+	if f.usage(item.Service).slots+item.Size > max(1, f.shareOf(row.Most, pool)) {
+		return false
+	}
+	if item.Class == wire.ClassUrgent {
+		f.urgent[pool] = f.now()
+	} else if free-item.Size < f.reserve(pool) {
+		return f.trialFor(item, pool, row) != ""
+	}
+	return f.choose(item, pool, row) != ""
+}
+
+// choose returns the box for an item, or "".
+func (f *Front) choose(item queue.Item, pool string, row settings.Row) string {
+	if onTrial := f.trialFor(item, pool, row); onTrial != "" {
+		return onTrial
+	}
+	views, names := f.views(pool)
+	return f.chooseFrom(item, views, names)
+}
+
+func (f *Front) chooseFrom(item queue.Item, views []pick.Box, names []string) string {
+	tried := f.jobs[item.ID].tried
+	fresh, freshNames := views[:0:0], names[:0:0]
+	for i, view := range views {
+		if !tried[names[i]] {
+			fresh, freshNames = append(fresh, view), append(freshNames, names[i])
+		}
+	}
+	at := pick.Choose(fresh, item.Size, f.random)
+	if at < 0 {
+		return ""
+	}
+	return freshNames[at]
+}
+
+// trialFor returns an ejected box that this repeatable request may try.
+func (f *Front) trialFor(item queue.Item, pool string, row settings.Row) string {
+	if !row.Repeatable || item.Class == wire.ClassUrgent || len(f.jobs[item.ID].tried) > 0 {
+		return ""
+	}
+	for name, box := range f.boxes {
+		if box.Pool == pool && f.book.Ejected(name) && f.open(box, true) && item.Size <= box.Info.Slots {
+			return name
+		}
+	}
+	return ""
+}
+
+func (f *Front) anyOnTrial(pool string, now time.Time) bool {
+	for name, box := range f.boxes {
+		if box.Pool == pool && box.inUse == 0 && f.book.OnTrial(name, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// startItem grants an item its box.
+func (f *Front) startItem(item queue.Item, pool string, views []pick.Box, names []string) {
+	row, _ := f.state.Table().Row(item.Service)
+	name := f.trialFor(item, pool, row)
+	if name == "" {
+		name = f.chooseFrom(item, views, names)
+	}
+	box := f.boxes[name]
+	f.checkLeaving(box)
+	box.inUse += item.Size
+	f.usage(item.Service).slots += item.Size
+	granted := f.jobs[item.ID]
+	granted.box, granted.begun = name, f.now()
+	granted.reply <- grant{box: name, address: box.Info.Address, row: row}
+}
+
+// finish takes back a grant and learns from what became of it.
+func (f *Front) finish(m finishMessage) {
+	done := f.jobs[m.id]
+	if done == nil {
+		return
+	}
+	f.forget(done)
+	f.usage(done.item.Service).slots -= done.item.Size
+	box := f.boxes[done.box]
+	if box != nil {
+		box.inUse -= done.item.Size
+		f.learn(done, box, m.report)
+	}
+	if m.report.last {
+		f.book.Done(m.id)
+	}
+	f.dispatch(done.pool)
+}
+
+func (f *Front) learn(done *job, box *ownBox, report report) {
+	name := box.Info.Name
+	if report.kind == send.Broken {
+		row, _ := f.state.Table().Row(done.item.Service)
+		box.mayRunUntil = f.now().Add(milliseconds(row.RunMs) - report.took)
+	}
+	switch {
+	case report.unused:
+	case report.refused:
+		f.learner.Busy(name, box.inUse+done.item.Size)
+	case report.kind == send.Broken && !report.failed:
+		// Its caller left or its time was short: that says nothing of the box.
+	case report.failed:
+		if f.book.Ejected(name) {
+			f.book.Eject(name, f.now())
+			return
+		}
+		f.book.Failed(done.item.ID, name, f.now())
+	default:
+		f.learner.Answered(done.item.Service, name, report.took, box.Info.Slots)
+		f.book.Answered(done.item.ID, name)
+		if f.book.Ejected(name) {
+			f.book.Return(name)
+			f.learner.SlowStart(name)
+		}
+	}
+}
+
+// cancelWaiting takes a request out of its queue; one that has been granted a
+// box is given back by its own goroutine.
+func (f *Front) cancelWaiting(id string) {
+	waiting := f.jobs[id]
+	if waiting == nil || waiting.box != "" {
+		return
+	}
+	f.queue(waiting.pool).Remove(id)
+	f.deps.Metrics.Add("cancelled_waiting", 1)
+	f.refuseJob(waiting, refuse(statusCallerGone, neverRetry, "the caller has gone"))
+}
+
+// expire refuses waiting requests whose deadline has come.
+func (f *Front) expire() {
+	now := f.now()
+	for pool, waiting := range f.queues {
+		for _, item := range waiting.Expired(now) {
+			f.refuseJob(f.jobs[item.ID], refuse(http.StatusServiceUnavailable, f.retryAfter(item.Service, pool),
+				"its deadline came while it waited in the queue of pool %s", pool))
+		}
+	}
+}
+
+const leadRuns = 2
+
+// age lifts work that has waited long.
+func (f *Front) age() {
+	now := f.now()
+	for _, waiting := range f.queues {
+		aged := waiting.Age(now, func(service string) time.Duration { return leadRuns * f.learner.Average(service) })
+		f.deps.Metrics.Add("aged", aged)
+	}
+}
+
+// requeue moves waiting requests whose service has changed its pool.
+func (f *Front) requeue() {
+	for id, waiting := range f.jobs {
+		pool := poolOf(f.state, waiting.item.Service)
+		if waiting.box != "" || pool == waiting.pool {
+			continue
+		}
+		f.queue(waiting.pool).Remove(id)
+		if pool == "" {
+			f.refuseJob(waiting, refuse(http.StatusNotFound, neverRetry, "service %q is no longer in the table", waiting.item.Service))
+			continue
+		}
+		waiting.pool = pool
+		f.queue(pool).Push(waiting.item)
+	}
+}
--- /dev/null
+++ b/pkg/front/leasing.go
@@ -0,0 +1,157 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/lease"
+	"damsonwinch/pkg/wire"
+)
+
+const callTimeout = time.Second
+
+// leasing is the entry's right to send.
+type leasing struct {
+	holder   lease.Holder
+	seq      int
+	next     time.Time
+	renewing bool
+	asking   map[lease.Peer]bool
+}
+
+func newLeasing(terms lease.Terms) leasing {
+	return leasing{holder: lease.New(terms), asking: map[lease.Peer]bool{}}
+}
+
+// renew issues the next renewal when it is time, and asks the hall's members
+// for extensions when the log's lease runs low.
+func (f *Front) renew(ctx context.Context) {
+	now := f.now()
+	f.publishLease(now)
+	if now.Before(f.leasing.next) {
+		return
+	}
+	f.leasing.next = now.Add(milliseconds(f.deps.Settings.RenewMs))
+	f.extend(ctx, now)
+	if f.leasing.renewing {
+		return
+	}
+	f.leasing.seq++
+	f.leasing.holder = f.leasing.holder.WithIssued(f.leasing.seq, now)
+	f.leasing.renewing = true
+	member := f.member()
+	f.group.Go(func() error {
+		var reply wire.RenewReply
+		accepted := f.askKeepers(ctx, "Keeper.Renew", wire.RenewArgs{Member: member}, &reply, func() bool { return reply.Accepted })
+		f.post(renewedMessage{accepted: accepted})
+		return nil
+	})
+}
+
+func (f *Front) member() wire.Member {
+	return wire.Member{
+		Node:         f.key.Node,
+		Hall:         f.deps.Settings.Hall,
+		Entry:        f.key.Entry,
+		EntryAddress: f.deps.Settings.Address,
+		Seq:          f.leasing.seq,
+		Folded:       f.state.Offset(),
+		Leaving:      f.leaving,
+	}
+}
+
+// askKeepers calls one keeper after another until one is satisfied.
+func (f *Front) askKeepers(ctx context.Context, method string, args, reply any, satisfied func() bool) bool {
+	for _, keeper := range f.keepers {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		err := keeper.Do(limited, method, args, reply)
+		cancel()
+		if err == nil && satisfied() {
+			return true
+		}
+	}
+	return false
+}
+
+// readBack takes the lease that the folded state shows, and the hall's roster.
+func (f *Front) readBack() {
+	if sender, known := f.state.Sender(f.key); known {
+		f.leasing.holder = f.leasing.holder.WithReadBack(sender.Seq)
+	}
+	var roster []lease.Peer
+	for _, member := range f.state.Roster(f.deps.Settings.Hall) {
+		roster = append(roster, lease.Peer{Node: member.Node, Keeper: member.Keeper})
+	}
+	f.leasing.holder = f.leasing.holder.WithRoster(roster)
+	f.publishLease(f.now())
+}
+
+// publishLease lets requests read the clock against the lease directly before
+// each send.
+func (f *Front) publishLease(now time.Time) {
+	until := f.leasing.holder.Until(now)
+	f.sendUntil.Store(&until)
+}
+
+// covered says whether the lease holds at this very moment.
+func (f *Front) covered() bool {
+	return f.now().Before(*f.sendUntil.Load())
+}
+
+// extend asks the members of the hall whose promise would run out soon.
+func (f *Front) extend(ctx context.Context, now time.Time) {
+	half := milliseconds(f.deps.Settings.LeaseMs) / 2
+	if f.leasing.holder.ByLog(now.Add(half)) {
+		return
+	}
+	for _, peer := range f.leasing.holder.Wanted(now.Add(half)) {
+		member, known := f.state.Member(peer.Node)
+		if f.leasing.asking[peer] || !known {
+			continue
+		}
+		f.leasing.asking[peer] = true
+		client := f.peer(member.Address)
+		f.group.Go(func() error {
+			f.post(askExtension(ctx, client, peer, f.key.Node, f.key.Entry, now))
+			return nil
+		})
+	}
+}
+
+func askExtension(ctx context.Context, client *call.Client, peer lease.Peer, node string, entry int, asked time.Time) extendedMessage {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply wire.ExtendReply
+	err := client.Do(limited, "Keeper.Extend", wire.ExtendArgs{Node: node, Entry: entry}, &reply)
+	message := extendedMessage{peer: peer, asked: asked}
+	switch {
+	case err != nil:
+		message.ended = call.Refused(err)
+	case reply.Keeper != peer.Keeper:
+		message.ended = true
+	default:
+		message.granted = reply.Granted
+	}
+	return message
+}
+
+func (f *Front) takeExtended(m extendedMessage) {
+	delete(f.leasing.asking, m.peer)
+	switch {
+	case m.granted:
+		f.leasing.holder = f.leasing.holder.WithGrant(m.peer, m.asked)
+		f.deps.Metrics.Add("extensions", 1)
+	case m.ended:
+		f.leasing.holder = f.leasing.holder.WithEnded(m.peer, f.now())
+	}
+	f.publishLease(f.now())
+}
+
+// peer returns the client for an address.
+func (f *Front) peer(address string) *call.Client {
+	if f.peers[address] == nil {
+		f.peers[address] = call.New(address, f.deps.Dial)
+	}
+	return f.peers[address]
+}
--- /dev/null
+++ b/pkg/front/loop.go
@@ -0,0 +1,200 @@
+package front
+
+import (
+	"context"
+	"time"
+
+	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/follow"
+	"damsonwinch/pkg/lease"
+	"damsonwinch/pkg/queue"
+	"damsonwinch/pkg/wire"
+)
+
+// Messages to the task.
+type (
+	// acquireMessage asks for a grant; the reply gets exactly one.
+	acquireMessage struct {
+		item  queue.Item
+		hop   bool
+		tried map[string]bool
+		reply chan<- grant
+	}
+	// cancelMessage takes back a wish that may still wait.
+	cancelMessage struct {
+		id string
+	}
+	// finishMessage gives back what a grant gave.
+	finishMessage struct {
+		id     string
+		report report
+	}
+	// forwardedMessage tells how busy a peer said it was, or that it gave no
+	// answer.
+	forwardedMessage struct {
+		peer fold.SenderKey
+		pool string
+		busy bool
+		lost bool
+	}
+	// retryMessage asks whether the service's budget bears a retry.
+	retryMessage struct {
+		service string
+		reply   chan<- bool
+	}
+	// renewedMessage ends an attempt to renew.
+	renewedMessage struct {
+		accepted bool
+	}
+	// extendedMessage is a hall peer's answer, or that it has ended.
+	extendedMessage struct {
+		peer    lease.Peer
+		asked   time.Time
+		granted bool
+		ended   bool
+	}
+	// peerMessage asks for the client of an address.
+	peerMessage struct {
+		address string
+		reply   chan<- *call.Client
+	}
+	// freeMessage asks for the free slots in a service's pool.
+	freeMessage struct {
+		service string
+		reply   chan<- int
+	}
+	// leaveMessage begins a planned stop.
+	leaveMessage struct{}
+	// standingMessage asks for a summary.
+	standingMessage struct {
+		reply chan<- standing
+	}
+)
+
+// standing sums up an entry, for its planned stop and for tests.
+type standing struct {
+	boxes   int
+	inUse   int
+	waiting int
+	maySend bool
+}
+
+const (
+	tick      = 20 * time.Millisecond
+	ageEvery  = 5  // Ticks.
+	tidyEvery = 50 // Ticks.
+)
+
+// run is the task that owns the entry's state.
+func (f *Front) run(ctx context.Context) error {
+	ticker := f.deps.Clock.NewTicker(tick)
+	defer ticker.Stop()
+	for ticks := 0; ; {
+		select {
+		case <-ctx.Done():
+			f.refuseAll()
+			return nil
+		case update := <-f.updates:
+			f.takeUpdate(update)
+		case message := <-f.inbox:
+			f.take(message)
+		case <-ticker.Chan():
+			ticks++
+			f.takeTick(ctx, ticks)
+		}
+	}
+}
+
+func (f *Front) take(message any) {
+	switch m := message.(type) {
+	case acquireMessage:
+		f.acquire(m)
+	case cancelMessage:
+		f.cancelWaiting(m.id)
+	case finishMessage:
+		f.finish(m)
+	case forwardedMessage:
+		f.takeForwarded(m)
+	case retryMessage:
+		m.reply <- f.spendRetry(m.service)
+	case renewedMessage:
+		f.leasing.renewing = false
+	case extendedMessage:
+		f.takeExtended(m)
+	case peerMessage:
+		m.reply <- f.peer(m.address)
+	case freeMessage:
+		views, _ := f.views(poolOf(f.state, m.service))
+		m.reply <- totalFree(views)
+	case leaveMessage:
+		f.leaving = true
+		f.leasing.next = time.Time{}
+	case standingMessage:
+		m.reply <- f.standing()
+	}
+}
+
+// takeUpdate moves the entry to a newer state.
+func (f *Front) takeUpdate(update follow.Update) {
+	f.takeAvoid(update.Avoid)
+	if update.State.Offset() < f.state.Offset() {
+		return
+	}
+	old := f.state
+	f.state = update.State
+	f.inForce.Store(&update.State)
+	f.readBack()
+	if update.Restored || changesFleet(update.Records) {
+		f.takeFleet(old)
+	}
+	f.deps.Metrics.Put("offset", f.state.Offset())
+	f.deps.Metrics.Put("table_version", f.state.Table().Version())
+	f.dispatchAll()
+}
+
+// changesFleet says whether records did more than renew.
+func changesFleet(records []follow.Folded) bool {
+	for _, folded := range records {
+		for _, verdict := range folded.Verdicts {
+			if verdict.Accepted && verdict.Proposal.Kind != wire.KindRenew {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (f *Front) takeTick(ctx context.Context, ticks int) {
+	f.renew(ctx)
+	f.expire()
+	if ticks%ageEvery == 0 {
+		f.age()
+		f.endDrains(ctx)
+		f.judgeBoxes(ctx)
+	}
+	if ticks%tidyEvery == 0 {
+		f.book.Forget(f.now())
+		f.gauges()
+	}
+	f.dispatchAll()
+}
+
+func (f *Front) gauges() {
+	standing := f.standing()
+	f.deps.Metrics.Put("boxes", standing.boxes)
+	f.deps.Metrics.Put("slots_in_use", standing.inUse)
+	f.deps.Metrics.Put("waiting", standing.waiting)
+	f.deps.Metrics.Put("held_bytes", int(f.held.Load()))
+}
+
+func (f *Front) standing() standing {
+	summary := standing{boxes: len(f.boxes), maySend: f.leasing.holder.MaySend(f.now())}
+	for _, box := range f.boxes {
+		summary.inUse += box.inUse
+	}
+	for _, waiting := range f.queues {
+		summary.waiting += waiting.Total()
+	}
+	return summary
+}
--- /dev/null
+++ b/pkg/keeper/loop.go
@@ -0,0 +1,155 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"damsonwinch/pkg/follow"
+	"damsonwinch/pkg/wire"
+)
+
+// Messages to the loop. Each carries where its answer goes.
+type (
+	readMessage struct {
+		args  wire.ReadArgs
+		reply chan<- wire.ReadReply
+	}
+	renewMessage struct {
+		member wire.Member
+		reply  chan<- bool
+	}
+	extendMessage struct {
+		args  wire.ExtendArgs
+		reply chan<- wire.ExtendReply
+	}
+	proposeMessage struct {
+		proposals []wire.Proposal
+		reply     chan<- bool
+	}
+	statusMessage struct {
+		args  wire.StatusArgs
+		reply chan<- wire.StatusReply
+	}
+	listMessage struct {
+		boxes []wire.ListedBox
+	}
+	appendedMessage struct {
+		number int
+		err    error
+	}
+	forwardedMessage struct {
+		member wire.Member
+		taken  bool
+	}
+	maintainedMessage struct {
+		box string
+		err error
+	}
+	entryEndedMessage struct {
+		entry int
+	}
+)
+
+// run is the task that owns the keeper's state.
+func (k *Keeper) run(ctx context.Context) error {
+	const ticksARenewal = 4
+	ticker := k.deps.Clock.NewTicker(milliseconds(k.deps.Settings.RenewMs) / ticksARenewal)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case update := <-k.updates:
+			k.takeUpdate(update)
+			k.decide(ctx)
+		case message := <-k.inbox:
+			k.take(ctx, message)
+		case <-ticker.Chan():
+			k.answerExpired()
+			k.decide(ctx)
+		}
+		k.flush(ctx)
+	}
+}
+
+func (k *Keeper) take(ctx context.Context, message any) {
+	switch m := message.(type) {
+	case readMessage:
+		k.answerRead(m)
+	case renewMessage:
+		k.takeRenewal(m)
+	case extendMessage:
+		m.reply <- k.extend(m.args)
+	case proposeMessage:
+		k.propose(m.proposals...)
+		m.reply <- true
+	case statusMessage:
+		m.reply <- k.status(m.args)
+	case listMessage:
+		k.list.take(m.boxes, k.now())
+		k.proposeFromList()
+	case appendedMessage:
+		k.takeAppended(m)
+	case forwardedMessage:
+		k.takeForwarded(m)
+	case maintainedMessage:
+		k.takeMaintained(m)
+	case entryEndedMessage:
+		k.roster.ended[m.entry] = true
+	case probedMessage:
+		k.roster.probing = false
+	}
+}
+
+// takeUpdate moves the keeper to a newer state.
+func (k *Keeper) takeUpdate(update follow.Update) {
+	if update.Source == follow.LogName {
+		k.logRead = update.ReadAt
+	}
+	if update.State.Offset() < k.state.Offset() {
+		return
+	}
+	k.state = update.State
+	for _, folded := range update.Records {
+		k.trail.Add(folded.Record, folded.Verdicts)
+		k.countVerdicts(folded)
+	}
+	k.relay.take(update)
+	k.answerWaiting()
+	k.outbox.settle(k.state, update.Records)
+	k.witnessSenders()
+	k.deps.Metrics.Put("offset", k.state.Offset())
+	k.deps.Metrics.Put("table_version", k.state.Table().Version())
+}
+
+func (k *Keeper) countVerdicts(folded follow.Folded) {
+	for _, verdict := range folded.Verdicts {
+		if verdict.Accepted {
+			k.deps.Metrics.Add("accepted_"+string(verdict.Proposal.Kind), 1)
+		} else {
+			k.deps.Metrics.Add("refused_"+string(verdict.Proposal.Kind), 1)
+		}
+	}
+}
+
+// decide puts everything that the keeper wants to say into the outbox.
+func (k *Keeper) decide(ctx context.Context) {
+	k.renewMembers(ctx)
+	if !k.logFresh() || k.outbox.unread(k.state, k.now()) {
+		// What was said last isn't folded yet: deciding now would repeat it.
+		return
+	}
+	k.releaseLost()
+	k.planHall(ctx)
+	k.planFleet()
+	k.writeSnapshot(ctx)
+}
+
+// liveFor is the silence, by the log's time, after which a member is passed
+// over for the work that only one should do.
+func (k *Keeper) liveFor() int {
+	return k.deps.Settings.LeaseMs
+}
+
+// planEvery is the time between two plans on a state that has not changed.
+const planEvery = time.Second
--- /dev/null
+++ b/pkg/lease/witness.go
@@ -0,0 +1,101 @@
+package lease
+
+import (
+	"maps"
+	"time"
+)
+
+// sight is what a witness knows of one sender.
+type sight struct {
+	seq      int
+	read     time.Time
+	promised time.Time
+	// proposed is the renewal upon which the witness has proposed a release;
+	// the proposal may land in the log at any later time.
+	proposed int
+}
+
+// Witness is a keeper's side: what it has promised to senders of its hall, and
+// when it may propose their release. It never changes; its With methods return
+// a new one.
+type Witness struct {
+	terms  Terms
+	sights map[string]sight
+}
+
+// NewWitness returns a witness that has seen nothing. It is not named New
+// because a package has one of those and the holder is the first part.
+func NewWitness(terms Terms) Witness {
+	return Witness{terms: terms, sights: map[string]sight{}}
+}
+
+// WithSeen notes that renewal seq of a sender was read from the log at a time on
+// the witness's clock.
+func (w Witness) WithSeen(sender string, seq int, at time.Time) Witness {
+	known, seen := w.sights[sender]
+	if seen && seq <= known.seq {
+		return w
+	}
+	known.seq, known.read = seq, at
+	return w.with(sender, known)
+}
+
+// WithoutSender forgets a sender that the log has released.
+func (w Witness) WithoutSender(sender string) Witness {
+	if _, known := w.sights[sender]; !known {
+		return w
+	}
+	w.sights = maps.Clone(w.sights)
+	delete(w.sights, sender)
+	return w
+}
+
+// Senders returns the names of the senders that the witness has seen.
+func (w Witness) Senders() []string {
+	names := make([]string, 0, len(w.sights))
+	for name := range w.sights {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Extend answers a sender's wish for an extension. It is denied while a release
+// proposal upon the sender's last known renewal may still land.
+func (w Witness) Extend(sender string, now time.Time) (Witness, bool) {
+	known := w.sights[sender]
+	if known.proposed != 0 && known.proposed >= known.seq {
+		return w, false
+	}
+	known.promised = now.Add(w.terms.Length)
+	return w.with(sender, known), true
+}
+
+// MayRelease says whether the witness has waited out the sender's last renewal
+// and every extension it granted.
+func (w Witness) MayRelease(sender string, now time.Time) bool {
+	known, seen := w.sights[sender]
+	if !seen || known.read.IsZero() {
+		return false
+	}
+	waited := known.read.Add(w.terms.Length + w.terms.Drift)
+	return now.After(waited) && now.After(known.promised.Add(w.terms.Drift))
+}
+
+// WithProposed notes that a release upon the sender's last known renewal is on
+// its way to the log.
+func (w Witness) WithProposed(sender string) Witness {
+	known := w.sights[sender]
+	known.proposed = known.seq
+	return w.with(sender, known)
+}
+
+// Seq returns the sender's last renewal that the witness has read.
+func (w Witness) Seq(sender string) int {
+	return w.sights[sender].seq
+}
+
+func (w Witness) with(sender string, known sight) Witness {
+	w.sights = maps.Clone(w.sights)
+	w.sights[sender] = known
+	return w
+}
--- /dev/null
+++ b/pkg/trial/cluster.go
@@ -0,0 +1,315 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"damsonwinch/pkg/plan"
+	"damsonwinch/pkg/process"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/standin"
+	"damsonwinch/pkg/wire"
+)
+
+// Times of the trial, short so that a run shows much.
+const (
+	leaseMs       = 1500
+	driftMs       = 100
+	renewMs       = 300
+	listMs        = 200
+	stopMs        = 300
+	snapshotEvery = 300
+	rebootTakes   = 300 * time.Millisecond
+	repairAfter   = 3 * time.Second
+	platformHall  = "platform"
+	callerHall    = "callers"
+	loopback      = "127.0.0.1:0"
+)
+
+// Node is one entry box with its two processes.
+type Node struct {
+	Name   string
+	Hall   string
+	keeper settings.Keeper
+	entry  settings.Entry
+
+	mutex         sync.Mutex
+	keeperProcess *process.Keeper
+	entryProcess  *process.Entry
+	stopped       bool
+}
+
+// Cluster is a user's whole fleet on loopback.
+type Cluster struct {
+	User      User
+	Seed      uint64
+	Platform  *standin.Platform
+	Network   *standin.Network
+	Endpoints map[string]*standin.Endpoint
+	Book      *standin.Book
+	Nodes     []*Node
+	clock     clockwork.Clock
+	logger    logrus.FieldLogger
+	harm      *harmBook
+}
+
+// harmBook collects the breaches that the programs themselves report.
+type harmBook struct {
+	mutex    sync.Mutex
+	breaches map[string]int
+	details  []string
+}
+
+func (h *harmBook) breach(name, detail string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.breaches[name]++
+	h.details = append(h.details, name+": "+detail)
+}
+
+// NewCluster starts the stand-ins and all nodes.
+func NewCluster(user User, seed uint64, logger logrus.FieldLogger) (*Cluster, error) {
+	c := &Cluster{
+		User: user, Seed: seed, Network: standin.NewNetwork(), Endpoints: map[string]*standin.Endpoint{}, Book: standin.NewBook(),
+		clock: clockwork.NewRealClock(), logger: logger, harm: &harmBook{breaches: map[string]int{}},
+	}
+	if err := c.startPlatform(); err != nil {
+		return nil, err
+	}
+	if err := c.startEndpoints(); err != nil {
+		return nil, err
+	}
+	if err := c.planNodes(); err != nil {
+		return nil, err
+	}
+	for _, node := range c.Nodes {
+		if err := c.StartNode(node); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *Cluster) startPlatform() error {
+	log := standin.New(c.clock, c.Seed, 0)
+	c.Platform = standin.NewPlatform(c.clock, log, func(ctx context.Context, box string) error {
+		return c.Endpoints[box].Reboot(ctx, rebootTakes)
+	})
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return fmt.Errorf("listen for the platform: %w", err)
+	}
+	c.User.Fleet.Platform = listener.Addr().String()
+	c.Network.Place(listener.Addr().String(), platformHall)
+	c.Platform.Serve(listener)
+	return nil
+}
+
+func (c *Cluster) startEndpoints() error {
+	for _, hall := range c.User.Fleet.Halls {
+		for number := range hall.Boxes {
+			listener, err := net.Listen("tcp", loopback)
+			if err != nil {
+				return fmt.Errorf("listen for an endpoint: %w", err)
+			}
+			info := BoxOf(hall.Name, number, c.User.Fleet, listener.Addr().String())
+			c.Network.Place(info.Address, hall.Name)
+			c.Endpoints[info.Name] = standin.NewEndpoint(info.Name, c.clock, listener, c.Book, c.poolOf)
+			c.Platform.Put(wire.ListedBox{Info: info})
+		}
+	}
+	return nil
+}
+
+// BoxOf describes the numbered box of a hall as the platform's list does.
+func BoxOf(hall string, number int, fleet settings.Fleet, address string) wire.BoxInfo {
+	return wire.BoxInfo{
+		Name: fmt.Sprintf("%s-box-%02d", hall, number+1), Hall: hall, Rack: fmt.Sprintf("rack-%02d", number/fleet.RackBoxes+1),
+		Address: address, Slots: fleet.BoxSlots,
+	}
+}
+
+func (c *Cluster) poolOf(service string) string {
+	for _, row := range c.User.Table.Services {
+		if row.Service == service {
+			return row.Row.Pool
+		}
+	}
+	return service
+}
+
+// planNodes chooses every node's addresses before any starts, because each is
+// told of the others.
+func (c *Cluster) planNodes() error {
+	for _, hall := range c.User.Fleet.Halls {
+		for number := range hall.Entries {
+			node := &Node{Name: fmt.Sprintf("%s-entry-%d", hall.Name, number+1), Hall: hall.Name}
+			addresses, err := freeAddresses(5)
+			if err != nil {
+				return err
+			}
+			for _, address := range addresses {
+				c.Network.Place(address, hall.Name)
+			}
+			node.keeper = settings.Keeper{
+				Node: node.Name, Hall: hall.Name, Halls: c.hallNames(), Address: addresses[0], DebugAddress: addresses[1],
+				Platform: c.User.Fleet.Platform, LeaseMs: leaseMs, DriftMs: driftMs, RenewMs: renewMs, ListMs: listMs, SnapshotEvery: snapshotEvery,
+			}
+			node.entry = settings.Entry{
+				Node: node.Name, Hall: hall.Name, Halls: c.hallNames(), Address: addresses[2], HttpAddress: addresses[3], DebugAddress: addresses[4],
+				Platform: c.User.Fleet.Platform, LeaseMs: leaseMs, RenewMs: renewMs, StopMs: stopMs,
+			}
+			c.Nodes = append(c.Nodes, node)
+		}
+	}
+	for _, node := range c.Nodes {
+		c.introduce(node)
+	}
+	return nil
+}
+
+func (c *Cluster) hallNames() []string {
+	var names []string
+	for _, hall := range c.User.Fleet.Halls {
+		names = append(names, hall.Name)
+	}
+	return names
+}
+
+// introduce tells a node of its peers, those of its own hall first.
+func (c *Cluster) introduce(node *Node) {
+	own := settings.Peer{Node: node.Name, Hall: node.Hall, Address: node.keeper.Address}
+	node.entry.Keepers = []settings.Peer{own}
+	for _, near := range []bool{true, false} {
+		for _, other := range c.Nodes {
+			if other == node || (other.Hall == node.Hall) != near {
+				continue
+			}
+			peer := settings.Peer{Node: other.Name, Hall: other.Hall, Address: other.keeper.Address}
+			node.keeper.Peers = append(node.keeper.Peers, peer)
+			if near {
+				node.entry.Keepers = append(node.entry.Keepers, peer)
+			}
+		}
+	}
+}
+
+// freeAddresses finds ports that nobody uses now.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return nil, fmt.Errorf("find a free port: %w", err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (c *Cluster) env(node *Node) process.Env {
+	return process.Env{Clock: c.clock, Dial: c.Network.Dialer(node.Hall), Logger: c.logger, Breach: c.harm.breach, Seed: c.Seed}
+}
+
+// StartNode starts a node's keeper and entry.
+func (c *Cluster) StartNode(node *Node) error {
+	c.Platform.Put(wire.ListedBox{
+		Info:     wire.BoxInfo{Name: node.Name, Hall: node.Hall, Rack: "entry", Address: node.entry.Address, Slots: 1},
+		EntryBox: true,
+	})
+	if err := c.StartKeeper(node); err != nil {
+		return err
+	}
+	return c.StartEntry(node)
+}
+
+// StartKeeper starts a node's keeper.
+func (c *Cluster) StartKeeper(node *Node) error {
+	started, err := process.NewKeeper(node.keeper, plan.Options{RepairAfter: repairAfter}, c.env(node))
+	if err != nil {
+		return err
+	}
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	node.keeperProcess = started
+	return nil
+}
+
+// StartEntry starts a node's entry.
+func (c *Cluster) StartEntry(node *Node) error {
+	started, err := process.NewEntry(node.entry, c.env(node))
+	if err != nil {
+		return err
+	}
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	node.entryProcess, node.stopped = started, false
+	return nil
+}
+
+// StopEntry ends a node's entry as planned. The balancer sends it no callers
+// from then on.
+func (c *Cluster) StopEntry(ctx context.Context, node *Node) error {
+	node.mutex.Lock()
+	node.stopped = true
+	entry := node.entryProcess
+	node.mutex.Unlock()
+	return entry.Stop(ctx)
+}
+
+// StopKeeper ends a node's keeper.
+func (c *Cluster) StopKeeper(node *Node) error {
+	return node.keeperProcess.Close()
+}
+
+// KillEntry ends a node's entry at once, as a crash does.
+func (c *Cluster) KillEntry(node *Node) error {
+	node.mutex.Lock()
+	node.stopped = true
+	entry := node.entryProcess
+	node.mutex.Unlock()
+	return entry.Close()
+}
+
+// Open returns the HTTP addresses to which the balancer sends callers.
+func (c *Cluster) Open() []string {
+	var addresses []string
+	for _, node := range c.Nodes {
+		node.mutex.Lock()
+		if !node.stopped {
+			addresses = append(addresses, node.entry.HttpAddress)
+		}
+		node.mutex.Unlock()
+	}
+	return addresses
+}
+
+// Close ends every process and stand-in.
+func (c *Cluster) Close() error {
+	var first error
+	keep := func(err error) {
+		if first == nil {
+			first = err
+		}
+	}
+	for _, node := range c.Nodes {
+		if !node.stopped {
+			keep(node.entryProcess.Close())
+		}
+	}
+	for _, node := range c.Nodes {
+		keep(node.keeperProcess.Close())
+	}
+	for _, endpoint := range c.Endpoints {
+		endpoint.Close()
+	}
+	c.Platform.Close()
+	return first
+}
--- /dev/null
+++ b/pkg/trial/report.go
@@ -0,0 +1,116 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"damsonwinch/pkg/wire"
+)
+
+// Report is what a run came to. The counts of harm come from the endpoints' and
+// the callers' own books.
+type Report struct {
+	Users             string `json:"users"`
+	Seed              uint64 `json:"seed"`
+	Requests          int    `json:"requests"`
+	Answered          int    `json:"answered"`
+	NotRun            int    `json:"not_run"`
+	Unknown           int    `json:"unknown"`
+	RunTwice          int    `json:"run_twice"`
+	NotRunButRan      int    `json:"not_run_but_ran"`
+	WrongAnswer       int    `json:"wrong_answer"`
+	CutInFlight       int    `json:"cut_in_flight"`
+	PoolOverlap       int    `json:"pool_overlap"`
+	BelowFloor        int    `json:"below_floor"`
+	ConfigReverted    int    `json:"config_reverted"`
+	SentToLeaving     int    `json:"sent_to_leaving"`
+	Violations        int    `json:"violations"`
+	BoxesMoved        int    `json:"boxes_moved"`
+	BoxesMaintained   int    `json:"boxes_maintained"`
+	TableRolloutMsMax int    `json:"table_rollout_ms_max"`
+	LogAppends        int    `json:"log_appends"`
+
+	details []string
+	reasons map[string]int
+}
+
+// Harm counts everything that must never happen.
+func (r Report) Harm() int {
+	return r.RunTwice + r.NotRunButRan + r.WrongAnswer + r.CutInFlight + r.PoolOverlap + r.BelowFloor + r.ConfigReverted +
+		r.SentToLeaving + r.Violations
+}
+
+// report compares the books.
+func (r *run) report() Report {
+	overlaps, cut, late := r.cluster.Book.Harm()
+	o := r.observer
+	report := Report{
+		Users: r.options.User, Seed: r.options.Seed, CutInFlight: cut, PoolOverlap: overlaps, SentToLeaving: late,
+		BelowFloor: o.belowFloor, ConfigReverted: o.reverted, BoxesMoved: o.moved, BoxesMaintained: o.maintained,
+		TableRolloutMsMax: int(o.rolloutMax.Milliseconds()), LogAppends: r.cluster.Platform.Log.Appends(), reasons: map[string]int{},
+	}
+	for _, count := range r.cluster.breaches() {
+		report.Violations += count
+	}
+	report.details = r.cluster.harm.details
+	if r.callers != nil {
+		for _, line := range r.callers.lines() {
+			report.add(line, r.cluster.Book.Runs(line.nonce))
+		}
+	}
+	return report
+}
+
+// add counts one line of the callers' book against the endpoints' book.
+func (r *Report) add(line called, runs int) {
+	r.Requests++
+	switch line.outcome {
+	case wire.OutcomeAnswered:
+		r.Answered++
+	case wire.OutcomeNotRun:
+		r.NotRun++
+		if runs > 0 {
+			r.NotRunButRan++
+			r.details = append(r.details, "told not run and ran: "+line.nonce+" "+line.reason)
+		}
+	default:
+		r.Unknown++
+	}
+	if line.wrong {
+		r.WrongAnswer++
+	}
+	if !line.repeatable && runs > 1 {
+		r.RunTwice++
+		r.details = append(r.details, "ran twice: "+line.nonce)
+	}
+	if line.reason != "" {
+		r.reasons[fmt.Sprintf("%s %d", line.outcome, line.status)]++
+	}
+}
+
+// Write prints the report for a person and ends with one line of JSON.
+func (r Report) Write(out io.Writer) error {
+	lines := []string{
+		"",
+		fmt.Sprintf("requests   %d: %d answered, %d not run, %d unknown", r.Requests, r.Answered, r.NotRun, r.Unknown),
+		fmt.Sprintf("fleet      %d boxes moved between pools, %d maintained", r.BoxesMoved, r.BoxesMaintained),
+		fmt.Sprintf("table      in force everywhere within %d ms", r.TableRolloutMsMax),
+		fmt.Sprintf("log        %d appends", r.LogAppends),
+		fmt.Sprintf("harm       %d", r.Harm()),
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.reasons)) {
+		lines = append(lines, fmt.Sprintf("           %d times %s", r.reasons[reason], reason))
+	}
+	for _, detail := range r.details {
+		lines = append(lines, "           "+detail)
+	}
+	for _, line := range lines {
+		if _, err := fmt.Fprintln(out, line); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintln(out, text(r))
+	return err
+}
--- /dev/null
+++ b/schema/generate.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Writes pkg/wire and pkg/settings from the schemas beside this file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+generate() { (cd tools && go tool go-jsonschema --only-models --tags json -p "$1" -o "../pkg/$1/$1.gen.go" "../schema/$1.json"); }
+generate wire
+generate settings
+gofmt -w pkg/wire pkg/settings
