Reboot a box once, send waiting requests on, keep boxes in their hall

Cause 1: boxes were ejected during waves although nothing was made to fail. A keeper forgot that it had rebooted a box as soon as the reboot ended, before "back" was folded, and rebooted it again while it served. Two keepers that both thought they led a hall could do the same. Ruled out: the endpoints' stale connections (the failures stopped with the second reboot). Change: a record "carry" gives one maintenance to one keeper, which reboots once and alone may say "back".

Cause 2: a planned stop took 20 to 31 s. Requests waiting at an entry whose boxes had been handed over waited for their deadline beside free boxes elsewhere. Change: waiting requests are sent on when the entry can no longer send to their pool; the stop waits for heirs only while there are some.

Cause 3: boxes of a hall whose entries were starting went to another hall's sender and stayed. Change: a hall's boxes are adopted only after they have stood still for a lease; misplaced and unevenly held boxes are handed over.

--- a/pkg/check/check.go
+++ b/pkg/check/check.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -47,8 +49,9 @@
 
 // Checker holds the compiled schemas.
 type Checker struct {
-	schemas map[string]*jsonschema.Schema
-	printer *message.Printer
+	schemas  map[string]*jsonschema.Schema
+	compiler *jsonschema.Compiler
+	printer  *message.Printer
 }
 
 // New compiles the schema of every checked definition.
@@ -63,7 +66,7 @@
 	if err := compiler.AddResource(schemaURL, document); err != nil {
 		return nil, fmt.Errorf("add settings schema: %w", err)
 	}
-	checker := &Checker{schemas: map[string]*jsonschema.Schema{}, printer: message.NewPrinter(language.English)}
+	checker := &Checker{schemas: map[string]*jsonschema.Schema{}, compiler: compiler, printer: message.NewPrinter(language.English)}
 	for _, name := range []string{Keeper, Entry, Table, Fleet, Row, Deployment} {
 		compiled, err := compiler.Compile(schemaURL + "#/$defs/" + name)
 		if err != nil {
@@ -118,7 +121,7 @@
 		}
 	case *kind.AdditionalProperties:
 		for _, unknown := range what.Properties {
-			found = append(found, Fault{Path: with(path, unknown), Problem: "unknown key; see the documented keys of this file"})
+			found = append(found, Fault{Path: with(path, unknown), Problem: "unknown key; allowed: " + c.keysOf(invalid.SchemaURL)})
 		}
 	default:
 		found = append(found, Fault{Path: path, Problem: invalid.ErrorKind.LocalizedString(c.printer)})
@@ -126,17 +129,25 @@
 	return found
 }
 
+// keysOf names the keys that the schema at a place allows.
+func (c *Checker) keysOf(url string) string {
+	found, err := c.compiler.Compile(url)
+	if err != nil {
+		return "those of the documentation"
+	}
+	return strings.Join(slices.Sorted(maps.Keys(found.Properties)), ", ")
+}
+
 func with(path []string, last string) []string {
 	return append(append([]string{}, path...), last)
 }
 
-// Decode checks JSON text and, if it has no fault, decodes it.
+// Decode checks JSON text and decodes what can be decoded of it. The value is
+// whole only if there is no fault.
 func (c *Checker) Decode(definition string, text []byte, into any) []Fault {
-	if faults := c.JSON(definition, text); len(faults) > 0 {
-		return faults
-	}
-	if err := json.Unmarshal(text, into); err != nil {
+	faults := c.JSON(definition, text)
+	if err := json.Unmarshal(text, into); err != nil && len(faults) == 0 {
 		return []Fault{{Problem: err.Error()}}
 	}
-	return nil
+	return faults
 }
--- a/pkg/check/file.go
+++ b/pkg/check/file.go
@@ -38,6 +38,8 @@
 	plain := root.Clone()
 	plain.Standardize()
 	faults := append(duplicates(root, nil), c.Decode(definition, plain.Pack(), into)...)
+	// What could be decoded is looked at even if some of it is wrong, so that
+	// one reading shows every fault.
 	faults = append(faults, crossCheck(into)...)
 	if len(faults) == 0 {
 		return nil
--- /dev/null
+++ b/pkg/command/control_explain.go
@@ -0,0 +1,172 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/operator"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/wire"
+)
+
+func (c *control) explain() *cobra.Command {
+	root := &cobra.Command{Use: "explain", Short: "Tell how a box or a service came to its present state", Args: cobra.NoArgs}
+	root.AddCommand(&cobra.Command{
+		Use:   "box NAME",
+		Short: "Tell the records that led to a box's state",
+		Args:  exactly(1),
+		RunE:  func(cmd *cobra.Command, args []string) error { return c.explainBox(cmd, args[0]) },
+	}, &cobra.Command{
+		Use:   "service NAME",
+		Short: "Tell what a service has and the edits and changes that led to it",
+		Args:  exactly(1),
+		RunE:  func(cmd *cobra.Command, args []string) error { return c.explainService(cmd, args[0]) },
+	})
+	return root
+}
+
+// boxStory is the answer of dwctl explain box.
+type boxStory struct {
+	Box   fold.Box         `json:"box"`
+	Chain []wire.AuditLine `json:"chain"`
+}
+
+func (c *control) explainBox(cmd *cobra.Command, name string) error {
+	return c.ask(cmd, func(ctx context.Context, client *operator.Client) error {
+		state, err := client.State(ctx)
+		if err != nil {
+			return err
+		}
+		box, known := state.Box(name)
+		if !known {
+			return fmt.Errorf("box %s is not enrolled; 'dwctl status' shows the pools", name)
+		}
+		reply, err := client.Status(ctx, wire.StatusArgs{})
+		if err != nil {
+			return err
+		}
+		story := boxStory{Box: box, Chain: auditFilter{box: name}.lines(reply.Audit)}
+		return c.print(cmd, story, append(boxLines(box), auditLines(story.Chain)...))
+	})
+}
+
+func boxLines(box fold.Box) []string {
+	lines := []string{
+		fmt.Sprintf("%s is in pool %s, %s and %s, since %s.", box.Info.Name, box.Pool, box.Phase, box.Health, moment(box.Since)),
+		fmt.Sprintf("It stands in hall %s, %s, with %d slots; it was last maintained at %s.", box.Info.Hall, box.Info.Rack, box.Info.Slots, moment(box.MaintainedAt)),
+	}
+	switch {
+	case box.Sender.None():
+		lines = append(lines, "No entry sends to it.")
+	default:
+		lines = append(lines, fmt.Sprintf("Entry %s sends to it.", box.Sender.Node))
+	}
+	if box.Phase == fold.Draining {
+		lines = append(lines, fmt.Sprintf("It goes to pool %s when its last request has ended (maintenance: %v).", box.Target, box.Maintain))
+	}
+	return append(lines, "Record by record:")
+}
+
+// serviceStory is the answer of dwctl explain service.
+type serviceStory struct {
+	Service  string           `json:"service"`
+	Row      settings.Row     `json:"row"`
+	Pool     poolStatus       `json:"pool"`
+	Boxes    []fold.Box       `json:"boxes"`
+	Edits    []wire.AuditLine `json:"edits"`
+	Changes  []wire.AuditLine `json:"changes"`
+	Headroom int              `json:"headroom"`
+}
+
+func (c *control) explainService(cmd *cobra.Command, name string) error {
+	return c.ask(cmd, func(ctx context.Context, client *operator.Client) error {
+		state, err := client.State(ctx)
+		if err != nil {
+			return err
+		}
+		row, known := state.Table().Row(name)
+		if !known {
+			return fmt.Errorf("service %s is not in the table; it has %v", name, state.Table().Services())
+		}
+		reply, err := client.Status(ctx, wire.StatusArgs{})
+		if err != nil {
+			return err
+		}
+		story := storyOf(name, row, state, reply.Audit)
+		return c.print(cmd, story, story.lines())
+	})
+}
+
+func storyOf(name string, row settings.Row, state fold.State, trail []wire.AuditLine) serviceStory {
+	pool := state.Pool(row.Pool)
+	story := serviceStory{
+		Service: name, Row: row, Headroom: state.Headroom(row.Pool), Edits: auditFilter{service: name}.lines(trail),
+		Pool: poolStatus{Pool: row.Pool, Boxes: pool.Boxes, Down: pool.Down, Slots: pool.Slots, Needed: state.Table().Needed(row.Pool), Headroom: state.Headroom(row.Pool)},
+	}
+	for _, box := range state.Boxes() {
+		if box.Pool != row.Pool {
+			continue
+		}
+		story.Boxes = append(story.Boxes, box)
+		for _, line := range trail {
+			if line.Offset == box.ChangedBy && about(line, box.Info.Name) {
+				story.Changes = append(story.Changes, line)
+			}
+		}
+	}
+	return story
+}
+
+func (s serviceStory) lines() []string {
+	lines := []string{
+		fmt.Sprintf("%s runs in pool %s with weight %d; it keeps %d slots and %d spare, and may use %d.",
+			s.Service, s.Row.Pool, s.Row.Weight, s.Row.Floor, s.Row.Spare, s.Row.Most),
+		fmt.Sprintf("The pool has %d boxes with %d usable slots; %d boxes are down, %d may be.", s.Pool.Boxes, s.Pool.Slots, s.Pool.Down, s.Row.Down),
+		fmt.Sprintf("With its worst rack lost, the pool has %d slots above what its services need.", s.Headroom),
+		"Edits of its row:",
+	}
+	lines = append(lines, auditLines(s.Edits)...)
+	lines = append(lines, "The last change of each box of its pool:")
+	return append(lines, auditLines(s.Changes)...)
+}
+
+func (c *control) plan() *cobra.Command {
+	return &cobra.Command{
+		Use:   "plan",
+		Short: "Show what would be done next, and what waits and why (a dry run)",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return c.ask(cmd, func(ctx context.Context, client *operator.Client) error {
+				reply, err := client.Status(ctx, wire.StatusArgs{AuditFrom: -1, WithPlan: true})
+				if err != nil {
+					return err
+				}
+				answer := planAnswer{Planned: reply.Planned, Waits: reply.Waits}
+				return c.print(cmd, answer, answer.lines())
+			})
+		},
+	}
+}
+
+// planAnswer is the answer of dwctl plan.
+type planAnswer struct {
+	Planned []wire.Proposal `json:"planned"`
+	Waits   []string        `json:"waits"`
+}
+
+func (p planAnswer) lines() []string {
+	var lines []string
+	for _, proposal := range p.Planned {
+		lines = append(lines, fmt.Sprintf("would %s %s: %s", proposal.Kind, proposal.Change.Box, proposal.Cause))
+	}
+	for _, wait := range p.Waits {
+		lines = append(lines, "waits: "+wait)
+	}
+	if len(lines) == 0 {
+		return []string{"nothing to do: every pool has what its services need and no box is due"}
+	}
+	return lines
+}
--- /dev/null
+++ b/pkg/command/daemon.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"damsonwinch/pkg/check"
+	"damsonwinch/pkg/plan"
+	"damsonwinch/pkg/process"
+	"damsonwinch/pkg/settings"
+)
+
+// stopTimeout bounds a planned stop.
+const stopTimeout = 2 * time.Minute
+
+// Keeper returns the command line of dw-keeper.
+func Keeper() *cobra.Command {
+	root := newRoot("dw-keeper", "Follow the platform's log and decide moves and waves for this box's hall")
+	var file string
+	root.RunE = func(cmd *cobra.Command, _ []string) error {
+		var config settings.Keeper
+		if err := readSettings(check.Keeper, file, &config); err != nil {
+			return err
+		}
+		env := newEnv(cmd)
+		keeper, err := process.NewKeeper(config, plan.Options{}, env)
+		if err != nil {
+			return err
+		}
+		env.Logger.WithField("node", config.Node).Info("keeper has started")
+		<-cmd.Context().Done()
+		return keeper.Close()
+	}
+	addSettingsFlag(root, &file)
+	root.AddCommand(checkSettings(check.Keeper, func() any { return &settings.Keeper{} }))
+	return root
+}
+
+// Entry returns the command line of dw-entry.
+func Entry() *cobra.Command {
+	root := newRoot("dw-entry", "Take callers' requests and send them to endpoints")
+	root.Long += "\n\nA first SIGTERM or interrupt begins a planned stop, which ends when nothing is in flight."
+	var file string
+	root.RunE = func(cmd *cobra.Command, _ []string) error {
+		var config settings.Entry
+		if err := readSettings(check.Entry, file, &config); err != nil {
+			return err
+		}
+		env := newEnv(cmd)
+		entry, err := process.NewEntry(config, env)
+		if err != nil {
+			return err
+		}
+		env.Logger.WithField("node", config.Node).Info("entry has started")
+		<-cmd.Context().Done()
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		return entry.Stop(ctx)
+	}
+	addSettingsFlag(root, &file)
+	root.AddCommand(checkSettings(check.Entry, func() any { return &settings.Entry{} }))
+	return root
+}
+
+func addSettingsFlag(root *cobra.Command, file *string) {
+	root.Flags().StringVar(file, "settings", "", "settings file, JSON with comments (required)")
+	// The flag was added in the line above, so that it can be marked.
+	_ = root.MarkFlagRequired("settings")
+}
+
+// newEnv returns what a real process finds around it.
+func newEnv(cmd *cobra.Command) process.Env {
+	logger := newLogger(cmd.ErrOrStderr(), logrus.InfoLevel)
+	clock := clockwork.NewRealClock()
+	return process.Env{
+		Clock:  clock,
+		Dial:   (&net.Dialer{}).DialContext,
+		Logger: logger,
+		Breach: func(name, detail string) { logger.WithField("invariant", name).Error(detail) },
+		Seed:   uint64(clock.Now().UnixNano()),
+	}
+}
--- /dev/null
+++ b/pkg/command/standins.go
@@ -0,0 +1,128 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"damsonwinch/pkg/check"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/standin"
+	"damsonwinch/pkg/trial"
+	"damsonwinch/pkg/wire"
+)
+
+const rebootTimeout = time.Minute
+
+func trialPlatform() *cobra.Command {
+	return &cobra.Command{
+		Use:   "platform FLEET-FILE",
+		Short: "Serve the stand-in platform: its log, its list and its box control",
+		Args:  exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var fleet settings.Fleet
+			if err := readSettings(check.Fleet, args[0], &fleet); err != nil {
+				return err
+			}
+			listener, err := net.Listen("tcp", fleet.Platform)
+			if err != nil {
+				return fmt.Errorf("listen at %s: %w", fleet.Platform, err)
+			}
+			boxes, err := trial.Boxes(fleet)
+			if err != nil {
+				return err
+			}
+			platform := newPlatform(fleet, boxes)
+			platform.Serve(listener)
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "platform at %s lists %d boxes\n", fleet.Platform, len(boxes))
+			<-cmd.Context().Done()
+			platform.Close()
+			return nil
+		},
+	}
+}
+
+func newPlatform(fleet settings.Fleet, boxes []wire.BoxInfo) *standin.Platform {
+	clock := clockwork.NewRealClock()
+	addresses := map[string]string{}
+	platform := standin.NewPlatform(clock, standin.New(clock, 1, 0), func(ctx context.Context, box string) error {
+		return askReboot(ctx, addresses[box])
+	})
+	for _, info := range boxes {
+		addresses[info.Name] = info.Address
+		platform.Put(wire.ListedBox{Info: info})
+	}
+	for _, info := range trial.EntryBoxes(fleet) {
+		platform.Put(wire.ListedBox{Info: info, EntryBox: true})
+	}
+	return platform
+}
+
+// askReboot asks a stand-in endpoint in another process to reboot.
+func askReboot(ctx context.Context, address string) error {
+	limited, cancel := context.WithTimeout(ctx, rebootTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(limited, http.MethodPost, "http://"+address+"/reboot", nil)
+	if err != nil {
+		return fmt.Errorf("reboot %s: %w", address, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("reboot %s: %w", address, err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("reboot %s: status %d", address, response.StatusCode)
+	}
+	return nil
+}
+
+func trialEndpoints() *cobra.Command {
+	return &cobra.Command{
+		Use:   "endpoints FLEET-FILE",
+		Short: "Serve the stand-in endpoints of a fleet",
+		Args:  exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var fleet settings.Fleet
+			if err := readSettings(check.Fleet, args[0], &fleet); err != nil {
+				return err
+			}
+			boxes, err := trial.Boxes(fleet)
+			if err != nil {
+				return err
+			}
+			endpoints, err := serveEndpoints(boxes)
+			if err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%d endpoints from %s on\n", len(endpoints), fleet.Endpoints)
+			<-cmd.Context().Done()
+			for _, endpoint := range endpoints {
+				endpoint.Close()
+			}
+			return nil
+		},
+	}
+}
+
+func serveEndpoints(boxes []wire.BoxInfo) ([]*standin.Endpoint, error) {
+	clock, book := clockwork.NewRealClock(), standin.NewBook()
+	var endpoints []*standin.Endpoint
+	for _, info := range boxes {
+		if _, err := netip.ParseAddrPort(info.Address); err != nil {
+			return nil, fmt.Errorf("address of %s: %w", info.Name, err)
+		}
+		listener, err := net.Listen("tcp", info.Address)
+		if err != nil {
+			return nil, fmt.Errorf("listen at %s: %w", info.Address, err)
+		}
+		endpoints = append(endpoints, standin.NewEndpoint(info.Name, clock, listener, book, func(service string) string { return service }))
+	}
+	return endpoints, nil
+}
--- a/pkg/fold/box.go
+++ b/pkg/fold/box.go
@@ -25,6 +25,8 @@
 	// Target is the pool a draining box goes to; its own for maintenance only.
 	Target   string `json:"target,omitempty"`
 	Maintain bool   `json:"maintain,omitempty"`
+	// Carrier is the keeper that carries out the maintenance.
+	Carrier Carrier `json:"carrier"`
 	// MaintainedAt and Since are the log's times, in milliseconds since 1970,
 	// of the end of the last maintenance and of the last change.
 	MaintainedAt int `json:"maintained_at"`
@@ -38,11 +40,22 @@
 	ChangedBy int `json:"changed_by"`
 }
 
+// Carrier names one incarnation of a keeper.
+type Carrier struct {
+	Node   string `json:"node,omitempty"`
+	Keeper int    `json:"keeper,omitempty"`
+}
+
 // Usable says whether the box counts for its pool's availability.
 func (b Box) Usable() bool {
 	return b.Phase == Serving && b.Health == wire.HealthUp && !b.Sender.None()
 }
 
+// counts says whether the box isn't down. A free one needs no sender.
+func (b Box) counts() bool {
+	return b.Usable() || (b.Pool == FreePool && b.Lent())
+}
+
 // Lent says whether the box takes new work when its sender has any.
 func (b Box) Lent() bool {
 	return b.Phase == Serving && b.Health == wire.HealthUp
--- a/pkg/fold/fold.go
+++ b/pkg/fold/fold.go
@@ -3,14 +3,17 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 
+	"damsonwinch/pkg/table"
 	"damsonwinch/pkg/wire"
 )
 
 // Verdict is what became of one proposal.
 type Verdict struct {
 	Proposal wire.Proposal
-	// Subject is the box, node or service that the proposal is about.
+	// Subject names the boxes, the node or the rows that the proposal is about,
+	// with a space between them.
 	Subject  string
 	Accepted bool
 	// Reason says why it was refused, or what it did.
@@ -135,6 +138,8 @@
 		return s.withdraw(box, where)
 	case wire.KindEmpty:
 		return s.empty(box, change, where)
+	case wire.KindCarry:
+		return s.carry(box, where)
 	case wire.KindBack:
 		return s.back(box, where)
 	case wire.KindHealth:
@@ -150,11 +155,13 @@
 	case proposal.Release != nil:
 		return proposal.Release.Node
 	case proposal.Edit != nil:
-		return "table"
-	case len(proposal.Boxes) == 1:
-		return proposal.Boxes[0].Name
+		return strings.Join(table.Rows(*proposal.Edit), " ")
 	}
-	return ""
+	names := make([]string, 0, len(proposal.Boxes))
+	for _, box := range proposal.Boxes {
+		names = append(names, box.Name)
+	}
+	return strings.Join(names, " ")
 }
 
 func author(proposal wire.Proposal, batch wire.Batch) string {
--- a/pkg/fold/life.go
+++ b/pkg/fold/life.go
@@ -96,12 +96,31 @@
 	return s.withBox(box), fmt.Sprintf("%s is empty and now in pool %s, %s", box.Info.Name, box.Pool, box.Phase), nil
 }
 
+// carry gives a maintenance to the keeper that asks. Only one may reboot a box:
+// a second reboot would end while the box already serves again. A carrier that
+// has left the roster is replaced.
+func (s State) carry(box Box, where step) (State, string, error) {
+	if box.Phase != Maintenance {
+		return s, "", refuse("box %s is %s, not in maintenance", box.Info.Name, box.Phase)
+	}
+	if member, known := s.members.Get(box.Carrier.Node); known && member.Keeper == box.Carrier.Keeper {
+		return s, "", refuse("%s carries out the maintenance of %s", box.Carrier.Node, box.Info.Name)
+	}
+	box = box.moved(where.offset, where.at)
+	box.Carrier = Carrier{Node: where.batch.Node, Keeper: where.batch.Incarnation}
+	return s.withBox(box), fmt.Sprintf("%s carries out the maintenance of %s", where.batch.Node, box.Info.Name), nil
+}
+
 // back ends a maintenance.
 func (s State) back(box Box, where step) (State, string, error) {
 	if box.Phase != Maintenance {
 		return s, "", refuse("box %s is %s, not in maintenance", box.Info.Name, box.Phase)
 	}
+	if box.Carrier != (Carrier{Node: where.batch.Node, Keeper: where.batch.Incarnation}) {
+		return s, "", refuse("the maintenance of %s is carried out by %s", box.Info.Name, box.Carrier.Node)
+	}
 	box = box.moved(where.offset, where.at)
+	box.Carrier = Carrier{}
 	box.Phase, box.Health, box.MaintainedAt = Serving, wire.HealthUp, where.at
 	return s.withBox(box), fmt.Sprintf("%s serves pool %s again", box.Info.Name, box.Pool), nil
 }
--- a/pkg/fold/pool.go
+++ b/pkg/fold/pool.go
@@ -54,7 +54,7 @@
 
 func (p Pool) changed(box Box, sign int) Pool {
 	p.Boxes += sign
-	if !box.Usable() {
+	if !box.counts() {
 		p.Down += sign
 		return p
 	}
--- a/pkg/front/admit.go
+++ b/pkg/front/admit.go
@@ -36,6 +36,7 @@
 type job struct {
 	item  queue.Item
 	tried map[string]bool
+	hop   bool
 	reply chan<- grant
 	box   string // Empty while it waits.
 	pool  string
@@ -86,7 +87,7 @@
 // refuse checks the limits that hold before a request may wait.
 func (f *Front) refuse(item queue.Item, row settings.Row) *refusal {
 	if !f.mayWait(row.Pool) {
-		return refuse(http.StatusServiceUnavailable, noSenderRetry, "no box of pool %s can be sent to from here now", row.Pool)
+		return f.noSender(row.Pool)
 	}
 	for _, quota := range row.Quotas {
 		if quota.Team != item.Team {
@@ -101,6 +102,10 @@
 	return nil
 }
 
+func (f *Front) noSender(pool string) *refusal {
+	return refuse(http.StatusServiceUnavailable, noSenderRetry, "no box of pool %s can be sent to from here now", pool)
+}
+
 // mayWait says whether this entry sends to a box of the pool and may.
 func (f *Front) mayWait(pool string) bool {
 	if !f.leasing.holder.MaySend(f.now()) {
@@ -174,7 +179,7 @@
 }
 
 func (f *Front) enqueue(m acquireMessage, row settings.Row) {
-	f.jobs[m.item.ID] = &job{item: m.item, tried: m.tried, reply: m.reply, pool: row.Pool}
+	f.jobs[m.item.ID] = &job{item: m.item, tried: m.tried, hop: m.hop, reply: m.reply, pool: row.Pool}
 	f.usage(m.item.Service).teams[m.item.Team]++
 	f.queue(row.Pool).Push(m.item)
 }
--- a/pkg/front/boxes.go
+++ b/pkg/front/boxes.go
@@ -16,7 +16,9 @@
 	// mayRunUntil is when the last attempt that broke off has surely ended on
 	// the endpoint.
 	mayRunUntil time.Time
-	// givenUp says that a hand-over is on its way and the box gets no new work.
+	// givenUp says that a hand-over may be on its way. The box gets no new work
+	// until its epoch changes: the log may take the hand-over at any later time,
+	// and the heir would drain a box on which requests of ours still run.
 	givenUp bool
 	// asked is when a record about the box was last proposed.
 	asked time.Time
@@ -81,7 +83,7 @@
 	f.deps.Invariants.Check(invariant.PoolOverlap, own.Pool == box.Pool || own.inUse == 0,
 		"box %s went from pool %s to %s with %d requests in flight", box.Info.Name, own.Pool, box.Pool, own.inUse)
 	if own.Epoch != box.Epoch {
-		own.asked = time.Time{}
+		own.asked, own.givenUp = time.Time{}, false
 	}
 	if own.Health != wire.HealthUp && box.Health == wire.HealthUp && f.book.Ejected(box.Info.Name) {
 		// It was maintained, or another judged it: begin slowly.
@@ -165,7 +167,10 @@
 	now := f.now()
 	var proposals []wire.Proposal
 	for _, box := range f.boxes {
-		if box.inUse > 0 || now.Before(box.mayRunUntil) || now.Sub(box.asked) < askAgain {
+		if now.Sub(box.asked) < askAgain {
+			continue
+		}
+		if box.inUse > 0 || now.Before(box.mayRunUntil) {
 			continue
 		}
 		if box.Phase == fold.Draining && f.state.At() >= box.HeldUntil {
@@ -173,9 +178,7 @@
 			proposals = append(proposals, f.proposal(wire.KindEmpty, box, "its last request has ended"))
 		}
 	}
-	if f.leaving {
-		proposals = append(proposals, f.handovers(now)...)
-	}
+	proposals = append(proposals, f.handovers(now)...)
 	f.propose(ctx, proposals)
 }
 
--- a/pkg/front/dispatch.go
+++ b/pkg/front/dispatch.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"damsonwinch/pkg/fold"
 	"damsonwinch/pkg/pick"
 	"damsonwinch/pkg/queue"
 	"damsonwinch/pkg/send"
@@ -225,6 +226,9 @@
 	if m.report.last {
 		f.book.Done(m.id)
 	}
+	if box != nil && box.Phase == fold.Draining && box.inUse == 0 {
+		f.endDrains(f.ctx)
+	}
 	f.dispatch(done.pool)
 }
 
--- a/pkg/front/http.go
+++ b/pkg/front/http.go
@@ -62,6 +62,10 @@
 	w.Header().Set(HeaderID, id)
 	service := mux.Vars(r)["service"]
 	row, known := f.rowOf(service)
+	if f.inForce.Load().Table().Version() == 0 {
+		f.writeRefusal(w, id, refuse(http.StatusServiceUnavailable, noSenderRetry, "this entry has no table yet"))
+		return
+	}
 	if !known {
 		f.writeRefusal(w, id, refuse(http.StatusNotFound, neverRetry, "service %q is not in the table", service))
 		return
--- a/pkg/front/loop.go
+++ b/pkg/front/loop.go
@@ -78,6 +78,8 @@
 	inUse   int
 	waiting int
 	maySend bool
+	// heirs counts the senders that could take its boxes.
+	heirs int
 }
 
 const (
@@ -147,6 +149,7 @@
 	f.readBack()
 	if update.Restored || changesFleet(update.Records) {
 		f.takeFleet(old)
+		f.endDrains(f.ctx)
 	}
 	f.deps.Metrics.Put("offset", f.state.Offset())
 	f.deps.Metrics.Put("table_version", f.state.Table().Version())
@@ -168,6 +171,7 @@
 func (f *Front) takeTick(ctx context.Context, ticks int) {
 	f.renew(ctx)
 	f.expire()
+	f.reroute()
 	if ticks%ageEvery == 0 {
 		f.age()
 		f.endDrains(ctx)
@@ -189,7 +193,7 @@
 }
 
 func (f *Front) standing() standing {
-	summary := standing{boxes: len(f.boxes), maySend: f.leasing.holder.MaySend(f.now())}
+	summary := standing{boxes: len(f.boxes), maySend: f.leasing.holder.MaySend(f.now()), heirs: len(f.heirs())}
 	for _, box := range f.boxes {
 		summary.inUse += box.inUse
 	}
--- a/pkg/front/route.go
+++ b/pkg/front/route.go
@@ -73,6 +73,29 @@
 	return chosen
 }
 
+// reroute sends waiting requests on when this entry can't send to any box of
+// their pool any more: its boxes went to others, or its lease ran out. Without
+// this they would wait for their deadline beside boxes that are free elsewhere.
+func (f *Front) reroute() {
+	for id, waiting := range f.jobs {
+		if waiting.box != "" || f.mayWait(waiting.pool) {
+			continue
+		}
+		row, _ := f.state.Table().Row(waiting.item.Service)
+		chosen := f.chooseRoute(waiting.pool, waiting.tried)
+		switch {
+		case waiting.hop:
+			f.queue(waiting.pool).Remove(id)
+			f.refuseJob(waiting, f.noSender(waiting.pool))
+		case chosen != nil:
+			f.queue(waiting.pool).Remove(id)
+			f.forget(waiting)
+			f.deps.Metrics.Add("rerouted", 1)
+			waiting.reply <- grant{forward: chosen.key, address: chosen.address, row: row}
+		}
+	}
+}
+
 // takeForwarded learns from what a sender told of its free slots.
 func (f *Front) takeForwarded(m forwardedMessage) {
 	for i := range f.routes[m.pool] {
--- a/pkg/keeper/carry.go
+++ b/pkg/keeper/carry.go
@@ -15,14 +15,14 @@
 // maintainTimeout bounds one attempt at a reboot.
 const maintainTimeout = 10 * time.Minute
 
-// planHall gives boxes senders and carries out the hall's maintenance.
-func (k *Keeper) planHall(ctx context.Context) {
+// planHall gives boxes senders and takes on the hall's maintenance.
+func (k *Keeper) planHall() {
 	for _, hall := range k.deps.Settings.Halls {
 		if !k.leadsHall(hall) {
 			continue
 		}
-		k.propose(plan.Senders(k.state, hall, k.liveSenders())...)
-		k.maintain(ctx, hall)
+		k.propose(plan.Senders(k.state, hall, k.liveSenders(), k.state.At()-k.liveFor())...)
+		k.maintain(hall)
 	}
 }
 
@@ -36,43 +36,82 @@
 	return live
 }
 
-// maintain starts the maintenance of boxes that have become empty for it.
-func (k *Keeper) maintain(ctx context.Context, hall string) {
+// carried is how far this keeper is with a box's maintenance.
+type carried int
+
+const (
+	carriedRunning carried = iota + 1
+	carriedDone
+)
+
+// maintain takes on the maintenance of a hall's empty boxes and carries it out
+// once the log has given it to this keeper.
+func (k *Keeper) maintain(hall string) {
 	for _, box := range k.state.Boxes() {
-		name := box.Info.Name
-		if box.Phase != fold.Maintenance || box.Info.Hall != hall || k.carrying[name] {
+		if box.Info.Hall != hall || box.Phase != fold.Maintenance {
 			continue
 		}
-		k.carrying[name] = true
-		k.deps.Metrics.Add("maintenance_started", 1)
-		k.group.Go(func() error {
-			limited, cancel := context.WithTimeout(ctx, maintainTimeout)
-			defer cancel()
-			err := k.deps.Boxes.Maintain(limited, name)
-			k.send(ctx, maintainedMessage{box: name, err: err})
-			return nil
-		})
+		if member, known := k.state.Member(box.Carrier.Node); !known || member.Keeper != box.Carrier.Keeper {
+			k.proposeStep(wire.KindCarry, box, "it is empty for maintenance")
+		}
 	}
 }
 
-// takeMaintained puts a box back to work. One that failed stays in maintenance
-// and is tried again; its wave halts meanwhile.
+// carryOut reboots the boxes whose maintenance is this keeper's, each once, and
+// puts them back to work.
+func (k *Keeper) carryOut(ctx context.Context) {
+	mine := map[string]bool{}
+	for _, box := range k.state.Boxes() {
+		if box.Phase != fold.Maintenance || box.Carrier != k.carrier() {
+			continue
+		}
+		name := box.Info.Name
+		mine[name] = true
+		switch k.carrying[name] {
+		case carriedRunning:
+		case carriedDone:
+			k.proposeStep(wire.KindBack, box, "maintenance has ended")
+		default:
+			k.carrying[name] = carriedRunning
+			k.reboot(ctx, name)
+		}
+	}
+	for name, how := range k.carrying {
+		if how == carriedDone && !mine[name] {
+			delete(k.carrying, name)
+		}
+	}
+}
+
+func (k *Keeper) carrier() fold.Carrier {
+	return fold.Carrier{Node: k.node(), Keeper: k.incarnation}
+}
+
+func (k *Keeper) proposeStep(kind wire.Kind, box fold.Box, cause string) {
+	k.propose(wire.Proposal{Kind: kind, Cause: cause, Change: &wire.BoxChange{Box: box.Info.Name, Epoch: box.Epoch}})
+}
+
+func (k *Keeper) reboot(ctx context.Context, name string) {
+	k.deps.Metrics.Add("maintenance_started", 1)
+	k.group.Go(func() error {
+		limited, cancel := context.WithTimeout(ctx, maintainTimeout)
+		defer cancel()
+		err := k.deps.Boxes.Maintain(limited, name)
+		k.send(ctx, maintainedMessage{box: name, err: err})
+		return nil
+	})
+}
+
+// takeMaintained notes the end of a reboot. One that failed is tried again; its
+// wave halts meanwhile.
 func (k *Keeper) takeMaintained(message maintainedMessage) {
-	delete(k.carrying, message.box)
 	if message.err != nil {
+		delete(k.carrying, message.box)
 		k.deps.Metrics.Add("maintenance_failures", 1)
 		k.deps.Logger.WithError(message.err).WithField("box", message.box).Warn("maintenance failed; it is tried again")
 		return
 	}
-	box, known := k.state.Box(message.box)
-	if !known || box.Phase != fold.Maintenance {
-		return
-	}
-	k.propose(wire.Proposal{
-		Kind:   wire.KindBack,
-		Cause:  "maintenance has ended",
-		Change: &wire.BoxChange{Box: message.box, Epoch: box.Epoch},
-	})
+	k.carrying[message.box] = carriedDone
 }
 
 // planFleet decides moves and waves, when this keeper leads the fleet.
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -70,7 +70,7 @@
 	roster   roster
 	outbox   outbox
 	list     listView
-	carrying map[string]bool
+	carrying map[string]carried
 	logRead  time.Time
 	plannedAt
 }
@@ -98,7 +98,7 @@
 		state:       deps.Empty,
 		trail:       audit.New(auditLines),
 		witness:     lease.NewWitness(terms(deps.Settings)),
-		carrying:    map[string]bool{},
+		carrying:    map[string]carried{},
 	}
 	k.roster = newRoster()
 	k.outbox = newOutbox(k.incarnation)
--- a/pkg/keeper/loop.go
+++ b/pkg/keeper/loop.go
@@ -140,7 +140,8 @@
 		return
 	}
 	k.releaseLost()
-	k.planHall(ctx)
+	k.planHall()
+	k.carryOut(ctx)
 	k.planFleet()
 	k.writeSnapshot(ctx)
 }
--- a/pkg/keeper/watch.go
+++ b/pkg/keeper/watch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"damsonwinch/pkg/fold"
@@ -92,15 +94,16 @@
 	}
 }
 
-// proposeFromList enrolls new boxes of the keeper's hall and records which are
-// leaving or gone.
+// proposeFromList enrolls new boxes of the halls that this keeper leads and
+// records which are leaving or gone.
 func (k *Keeper) proposeFromList() {
-	if !k.logFresh() || !k.leadsHall(k.deps.Settings.Hall) {
+	if !k.logFresh() {
 		return
 	}
+	led := k.ledHalls()
 	var added []wire.BoxInfo
 	for _, listed := range k.list.boxes {
-		if listed.EntryBox || listed.Info.Hall != k.deps.Settings.Hall {
+		if listed.EntryBox || !led[listed.Info.Hall] {
 			continue
 		}
 		box, known := k.state.Box(listed.Info.Name)
@@ -111,9 +114,18 @@
 		k.proposeHealth(box, listedHealth(listed))
 	}
 	if len(added) > 0 {
+		slices.SortFunc(added, func(a, b wire.BoxInfo) int { return strings.Compare(a.Name, b.Name) })
 		k.propose(wire.Proposal{Kind: wire.KindEnroll, Boxes: added, Cause: "the platform's list shows them"})
 	}
-	k.proposeGone()
+	k.proposeGone(led)
+}
+
+func (k *Keeper) ledHalls() map[string]bool {
+	led := map[string]bool{}
+	for _, hall := range k.deps.Settings.Halls {
+		led[hall] = k.leadsHall(hall)
+	}
+	return led
 }
 
 func listedHealth(listed wire.ListedBox) wire.Health {
@@ -139,12 +151,11 @@
 	})
 }
 
-func (k *Keeper) proposeGone() {
-	if !k.list.shows(k.deps.Settings.Hall) {
-		return
-	}
+// proposeGone records which boxes the list shows no more. A hall of which it
+// shows nothing is cut off from the platform rather than gone.
+func (k *Keeper) proposeGone(led map[string]bool) {
 	for _, box := range k.state.Boxes() {
-		if box.Info.Hall != k.deps.Settings.Hall {
+		if !led[box.Info.Hall] || !k.list.shows(box.Info.Hall) {
 			continue
 		}
 		if _, listed := k.list.boxes[box.Info.Name]; !listed {
--- a/pkg/plan/senders.go
+++ b/pkg/plan/senders.go
@@ -11,10 +11,12 @@
 
 // Senders proposes a sender for each box of a hall that has none. Live are the
 // senders that renew. When the hall has none of its own, another hall's take
-// its boxes.
-func Senders(state fold.State, hall string, live []fold.Sender) []wire.Proposal {
+// the boxes that have stood still since before adopt, in milliseconds since
+// 1970: a hall whose entries are only starting keeps its boxes.
+func Senders(state fold.State, hall string, live []fold.Sender, adopt int) []wire.Proposal {
 	candidates := inHall(live, hall)
-	if len(candidates) == 0 {
+	adopting := len(candidates) == 0
+	if adopting {
 		candidates = live
 	}
 	if len(candidates) == 0 {
@@ -23,7 +25,7 @@
 	held := heldBy(state)
 	var proposals []wire.Proposal
 	for _, box := range state.Boxes() {
-		if box.Info.Hall != hall || box.Pool == fold.FreePool || !box.Sender.None() {
+		if box.Info.Hall != hall || box.Pool == fold.FreePool || !box.Sender.None() || (adopting && box.Since > adopt) {
 			continue
 		}
 		chosen := leastLoaded(candidates, held, box.Pool)
--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -114,6 +114,7 @@
 	e := &Endpoint{Name: name, clock: clock, book: book, poolOf: poolOf, listener: listener, inFlight: map[string]int{}}
 	router := mux.NewRouter()
 	router.HandleFunc("/run/{service}", e.run).Methods(http.MethodPost)
+	router.HandleFunc("/reboot", e.reboot).Methods(http.MethodPost)
 	e.server = &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
 	e.group.Go(func() error { return e.server.Serve(listener) })
 	return e
@@ -171,6 +172,14 @@
 	return ctx.Err()
 }
 
+// rebootTakes is the length of a reboot that a stand-in platform in another
+// process asks for.
+const rebootTakes = 2 * time.Second
+
+func (e *Endpoint) reboot(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, e.Reboot(r.Context(), rebootTakes))
+}
+
 var errBroken = errors.New("the endpoint breaks off")
 
 func (e *Endpoint) run(w http.ResponseWriter, r *http.Request) {
--- a/pkg/table/edit.go
+++ b/pkg/table/edit.go
@@ -20,6 +20,39 @@
 	return wire.Edit{Base: base, Cells: []wire.Cell{{Row: row, Column: column, Value: strconv.Itoa(value)}}}
 }
 
+// DeploymentName stands for the table's line without a service.
+const DeploymentName = "deployment"
+
+// Rows returns the names of the rows that an edit touches, in order.
+func Rows(edit wire.Edit) []string {
+	names := slices.Clone(edit.Remove)
+	for _, cell := range edit.Cells {
+		name := cell.Row
+		if name == "" {
+			name = DeploymentName
+		}
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Words returns an edit's changes in words.
+func Words(edit wire.Edit) string {
+	const most = 40
+	var changes []string
+	for _, cell := range edit.Cells {
+		changes = append(changes, cellName(cell.Row, cell.Column)+"="+cell.Value)
+	}
+	for _, service := range edit.Remove {
+		changes = append(changes, service+" taken away")
+	}
+	if over := len(changes) - most; over > 0 {
+		changes = append(changes[:most], fmt.Sprintf("and %d more", over))
+	}
+	return strings.Join(changes, ", ")
+}
+
 // Refusal is an edit refused whole, with every reason.
 type Refusal struct {
 	Reasons []string
@@ -91,7 +124,7 @@
 
 func cellName(row, column string) string {
 	if row == "" {
-		return "deployment." + column
+		return DeploymentName + "." + column
 	}
 	return row + "." + column
 }
--- a/pkg/trial/cluster.go
+++ b/pkg/trial/cluster.go
@@ -149,7 +149,7 @@
 func (c *Cluster) planNodes() error {
 	for _, hall := range c.User.Fleet.Halls {
 		for number := range hall.Entries {
-			node := &Node{Name: fmt.Sprintf("%s-entry-%d", hall.Name, number+1), Hall: hall.Name}
+			node := &Node{Name: entryName(hall.Name, number), Hall: hall.Name}
 			addresses, err := freeAddresses(5)
 			if err != nil {
 				return err
@@ -283,7 +283,7 @@
 	var addresses []string
 	for _, node := range c.Nodes {
 		node.mutex.Lock()
-		if !node.stopped {
+		if !node.stopped && node.entryProcess.Metrics.Count("table_version") > 0 {
 			addresses = append(addresses, node.entry.HttpAddress)
 		}
 		node.mutex.Unlock()
--- a/pkg/trial/users.go
+++ b/pkg/trial/users.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/wire"
 )
 
 // User is one of the organisations that the trial plays.
@@ -103,3 +105,34 @@
 		line{"office", "office", 1, 32, 8, dayDeadlineMs, true},
 	)
 }
+
+// Boxes describes the endpoint boxes of a fleet, on consecutive ports.
+func Boxes(fleet settings.Fleet) ([]wire.BoxInfo, error) {
+	first, err := netip.ParseAddrPort(fleet.Endpoints)
+	if err != nil {
+		return nil, fmt.Errorf("address of the first endpoint: %w", err)
+	}
+	var boxes []wire.BoxInfo
+	for _, hall := range fleet.Halls {
+		for number := range hall.Boxes {
+			address := netip.AddrPortFrom(first.Addr(), first.Port()+uint16(len(boxes)))
+			boxes = append(boxes, BoxOf(hall.Name, number, fleet, address.String()))
+		}
+	}
+	return boxes, nil
+}
+
+// EntryBoxes describes the entry boxes of a fleet as the platform's list does.
+func EntryBoxes(fleet settings.Fleet) []wire.BoxInfo {
+	var boxes []wire.BoxInfo
+	for _, hall := range fleet.Halls {
+		for number := range hall.Entries {
+			boxes = append(boxes, wire.BoxInfo{Name: entryName(hall.Name, number), Hall: hall.Name, Rack: "entry", Slots: 1})
+		}
+	}
+	return boxes
+}
+
+func entryName(hall string, number int) string {
+	return fmt.Sprintf("%s-entry-%d", hall, number+1)
+}
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -278,16 +278,15 @@
 
 const KindAssign Kind = "assign"
 const KindBack Kind = "back"
+const KindCarry Kind = "carry"
 const KindDrain Kind = "drain"
 const KindEdit Kind = "edit"
 const KindEmpty Kind = "empty"
 const KindEnroll Kind = "enroll"
 const KindHandover Kind = "handover"
 const KindHealth Kind = "health"
-const KindJoin Kind = "join"
 const KindRelease Kind = "release"
 const KindRenew Kind = "renew"
-const KindResign Kind = "resign"
 const KindWithdraw Kind = "withdraw"
 
 // ListedBox is one line of the platform's lagging list.
