--- a/pkg/fold/release.go
+++ b/pkg/fold/release.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"damsonwinch/pkg/lease"
 	"damsonwinch/pkg/wire"
 )
 
@@ -44,7 +45,7 @@
 	}
 	// The sender asks for extensions by the roster it folded. A writer that
 	// joined after that isn't asked, so it may not rely on its own waiting.
-	qualified := writer.Hall == sender.Hall && writer.Joined < sender.Folded
+	qualified := writer.Hall == sender.Hall && lease.Bound(writer.Joined, sender.Folded)
 	switch release.How {
 	case wire.ReleaseHowTime:
 		if !qualified {
