Prove outcomes, keys, stops and cuts in stories; free what restarts left behind

The new keeper couldn't know of its predecessor's entry, is not bound by its promises, and the platform's list goes on showing the box. Change: a keeper takes an entry of its own box for ended when a later one has registered at the same address, and releases it after it has waited out lease and drift.

--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -193,7 +193,7 @@
 		b.outbox = append(b.outbox, m.claim)
 	case recordsMessage:
 		for _, record := range m.records {
-			b.takeClaims(b.ledger.fold(record))
+			b.takeRecord(record)
 		}
 	case appendedMessage:
 		b.takeAppended(m)
@@ -224,6 +224,16 @@
 	return Verdict{State: Taken, Outcome: held.outcome, Status: held.status}
 }
 
+func (b *Book) takeRecord(record wire.Entry) {
+	claims := b.ledger.fold(record)
+	for _, claim := range claims {
+		if claim.Outcome != "" {
+			b.deps.Metrics.Add("claim_outcomes", 1)
+		}
+	}
+	b.takeClaims(claims)
+}
+
 // takeClaims decides the wishes for keys that a folded record names.
 func (b *Book) takeClaims(claims []wire.Claim) {
 	for _, claim := range claims {
--- /dev/null
+++ b/pkg/fold/random_test.go
@@ -0,0 +1,160 @@
+package fold
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/wire"
+)
+
+const (
+	randomSeeds   = 40
+	randomRecords = 400
+	randomBoxes   = 24
+)
+
+// TestRandomProposalsKeepTheInvariants folds records that any mix of honest,
+// late, stale and confused writers might append.
+func TestRandomProposalsKeepTheInvariants(t *testing.T) {
+	accepted := map[wire.Kind]int{}
+	for seed := range uint64(randomSeeds) {
+		random := rand.New(rand.NewPCG(seed, seed))
+		state := randomFleet(t)
+		for range randomRecords {
+			was := state
+			batch := randomBatch(random, state)
+			data, err := json.Marshal(batch)
+			assert.NilError(t, err)
+			record := wire.Entry{Offset: state.Offset(), At: state.At() + random.IntN(2000), Data: string(data)}
+			next, verdicts := state.Fold(record)
+			state = next
+			for _, verdict := range verdicts {
+				if verdict.Accepted {
+					accepted[verdict.Proposal.Kind]++
+				}
+			}
+			checkState(t, seed, was, state, verdicts)
+		}
+		snapshotTwice(t, state)
+	}
+	for _, kind := range []wire.Kind{wire.KindDrain, wire.KindEmpty, wire.KindBack, wire.KindRelease, wire.KindHandover, wire.KindEdit, wire.KindWithdraw} {
+		assert.Assert(t, accepted[kind] > 0, "no %s was accepted, the run shows nothing of it", kind)
+	}
+}
+
+func randomFleet(t *testing.T) State {
+	state := emptyState(t)
+	var boxes []wire.BoxInfo
+	for number := range randomBoxes {
+		boxes = append(boxes, wire.BoxInfo{Name: fmt.Sprintf("b%02d", number), Hall: fmt.Sprintf("h%d", number%2), Rack: fmt.Sprintf("r%d", number/4), Slots: 4 + number%3})
+	}
+	cells := cellsOf([]string{
+		`deployment.pools=["one","two"]`, "deployment.moves=1", "deployment.rollout=1", "deployment.buffer=1",
+		`s.pool="one"`, "s.weight=1", "s.floor=8", "s.most=60", "s.spare=2", "s.down=4", "s.queue=5", "s.deadline_ms=900", "s.run_ms=500", "s.repeatable=true",
+		`u.pool="two"`, "u.weight=1", "u.floor=6", "u.most=60", "u.spare=0", "u.down=3", "u.queue=5", "u.deadline_ms=900", "u.run_ms=500", "u.repeatable=false",
+	})
+	batch := wire.Batch{Id: "0", Node: "n0", Incarnation: 1, Number: 1, Proposals: []wire.Proposal{
+		{Kind: wire.KindEnroll, Boxes: boxes}, {Kind: wire.KindEdit, Author: "ana", Edit: &wire.Edit{Cells: cells}},
+	}}
+	data, err := json.Marshal(batch)
+	assert.NilError(t, err)
+	state, _ = state.Fold(wire.Entry{Offset: 0, At: 1, Data: string(data)})
+	assert.Equal(t, state.Table().Version(), 1)
+	return state
+}
+
+func randomBatch(random *rand.Rand, state State) wire.Batch {
+	node := random.IntN(4)
+	last, _ := state.writers.Get(fmt.Sprintf("n%d", node))
+	batch := wire.Batch{Id: "r", Node: fmt.Sprintf("n%d", node), Incarnation: max(1, last.Incarnation+random.IntN(20)/19), Number: last.Number + 1 - random.IntN(10)/9}
+	for range 1 + random.IntN(4) {
+		batch.Proposals = append(batch.Proposals, randomProposal(random, state, batch, node))
+	}
+	return batch
+}
+
+func randomProposal(random *rand.Rand, state State, batch wire.Batch, node int) wire.Proposal {
+	boxes := state.Boxes()
+	box := boxes[random.IntN(len(boxes))]
+	change := &wire.BoxChange{Box: box.Info.Name, Epoch: box.Epoch - random.IntN(8)/7, Node: box.Sender.Node, Entry: box.Sender.Entry}
+	kinds := []wire.Kind{
+		wire.KindDrain, wire.KindDrain, wire.KindEmpty, wire.KindEmpty, wire.KindWithdraw, wire.KindCarry, wire.KindBack,
+		wire.KindHealth, wire.KindAssign, wire.KindAssign, wire.KindHandover, wire.KindRenew, wire.KindRenew, wire.KindRelease, wire.KindEdit,
+	}
+	kind := kinds[random.IntN(len(kinds))]
+	sender := fmt.Sprintf("n%d", random.IntN(4))
+	switch kind {
+	case wire.KindDrain:
+		change.Pool = []string{"", "one", "two", "one", "two", FreePool}[random.IntN(6)]
+		change.Maintain = random.IntN(3) == 0
+	case wire.KindAssign:
+		change.Node, change.Entry = sender, 1+random.IntN(2)
+	case wire.KindHandover:
+		change.ToNode, change.ToEntry = sender, 1+random.IntN(2)
+	case wire.KindHealth:
+		change.Health = []wire.Health{wire.HealthUp, wire.HealthUp, wire.HealthUp, wire.HealthDown, wire.HealthGone}[random.IntN(5)]
+	case wire.KindRenew:
+		seq := 1 + state.Offset()
+		return wire.Proposal{Kind: kind, Members: []wire.Member{{Node: batch.Node, Hall: fmt.Sprintf("h%d", node%2), Keeper: batch.Incarnation, Entry: 1 + random.IntN(2), Seq: seq, Folded: max(0, state.Offset()-random.IntN(20))}}}
+	case wire.KindRelease:
+		known, _ := state.Sender(SenderKey{Node: sender, Entry: 1})
+		how := []wire.ReleaseHow{wire.ReleaseHowTime, wire.ReleaseHowEnded, wire.ReleaseHowList}[random.IntN(3)]
+		return wire.Proposal{Kind: kind, Release: &wire.Release{Node: sender, Entry: 1, Seq: known.Seq, How: how}}
+	case wire.KindEdit:
+		cell := wire.Cell{Row: "s", Column: "floor", Value: fmt.Sprint(random.IntN(30))}
+		return wire.Proposal{Kind: kind, Author: "rui", Edit: &wire.Edit{Base: max(0, state.Table().Version()-random.IntN(2)), Cells: []wire.Cell{cell}}}
+	}
+	return wire.Proposal{Kind: kind, Change: change}
+}
+
+// checkState recomputes from the boxes alone what the state keeps sums of.
+func checkState(t *testing.T, seed uint64, was, state State, verdicts []Verdict) {
+	t.Helper()
+	total, slots := 0, 0
+	for _, pool := range []string{"one", "two", FreePool} {
+		wanted := Pool{}
+		for _, box := range state.Boxes() {
+			if box.Pool == pool {
+				wanted = wanted.with(box)
+			}
+		}
+		kept := state.Pool(pool)
+		assert.Equal(t, fmt.Sprint(kept), fmt.Sprint(wanted), "seed %d, record %d: pool %s", seed, state.Offset()-1, pool)
+		total += kept.Boxes
+	}
+	assert.Equal(t, total, randomBoxes, "seed %d: a box is in two pools or in none", seed)
+	for _, box := range state.Boxes() {
+		slots += box.capacity()
+	}
+	assert.Equal(t, state.Slots(), slots, "seed %d", seed)
+	assert.Assert(t, state.Table().Version() >= was.Table().Version(), "seed %d: the table went back", seed)
+	checkMoves(t, seed, was, state, verdicts)
+}
+
+// checkMoves checks that a box leaves its pool only by way of empty, and that a
+// record of one drain leaves its pool its budget.
+func checkMoves(t *testing.T, seed uint64, was, state State, verdicts []Verdict) {
+	t.Helper()
+	for _, box := range state.Boxes() {
+		before, _ := was.Box(box.Info.Name)
+		if before.Pool == box.Pool || before.Pool == FreePool {
+			continue
+		}
+		emptied := false
+		for _, verdict := range verdicts {
+			emptied = emptied || (verdict.Accepted && verdict.Proposal.Kind == wire.KindEmpty && verdict.Subject == box.Info.Name)
+		}
+		assert.Assert(t, emptied && before.Phase == Draining, "seed %d: %s went from %s to %s without having been emptied", seed, box.Info.Name, before.Pool, box.Pool)
+	}
+	if len(verdicts) != 1 || !verdicts[0].Accepted || verdicts[0].Proposal.Kind != wire.KindDrain {
+		return
+	}
+	drained, _ := was.Box(verdicts[0].Subject)
+	if drained.Usable() && drained.Pool != FreePool {
+		assert.Assert(t, state.Headroom(drained.Pool) >= 0, "seed %d, record %d: the drain broke the budget", seed, state.Offset()-1)
+	}
+}
--- a/pkg/keeper/lost.go
+++ b/pkg/keeper/lost.go
@@ -52,7 +52,7 @@
 		return "", false
 	}
 	qualified := sender.Hall == member.Hall && lease.Bound(member.Joined, sender.Folded)
-	if sender.Key.Node == k.node() && k.roster.ended[sender.Key.Entry] {
+	if sender.Key.Node == k.node() && k.hasEnded(sender.Key.Entry) {
 		if qualified || k.witness.MayRelease(sender.Key.String(), k.now()) {
 			return wire.ReleaseHowEnded, true
 		}
@@ -68,6 +68,12 @@
 	return wire.ReleaseHowList, dropped && waited && k.leadsHall(sender.Hall)
 }
 
+// hasEnded says whether an entry of this box has ended: its address refused a
+// connection, or a later process has taken the address.
+func (k *Keeper) hasEnded(entry int) bool {
+	return k.roster.ended[entry] || entry < k.roster.own.Entry
+}
+
 func (k *Keeper) proposeRelease(sender fold.Sender, how wire.ReleaseHow) {
 	k.witness = k.witness.WithProposed(sender.Key.String())
 	k.propose(wire.Proposal{
--- a/pkg/standin/endpoint.go
+++ b/pkg/standin/endpoint.go
@@ -34,6 +34,7 @@
 	FaultHang        Fault = "hang"         // Never answers.
 	FaultOther       Fault = "other"        // Answers as to another request.
 	FaultMore        Fault = "more"         // Sends more than it declared.
+	FaultLong        Fault = "long"         // Answers with more than any limit allows.
 	FaultBusy        Fault = "busy"         // Says that it has no room.
 )
 
@@ -269,6 +270,9 @@
 func (e *Endpoint) answer(w http.ResponseWriter, body []byte, fault Fault) {
 	text := AnswerTo(body)
 	switch fault {
+	case FaultLong:
+		const longAnswer = 1 << 21
+		text = strings.Repeat("x", longAnswer)
 	case FaultOther:
 		w.Header().Set(send.HeaderRequest, "another")
 	case FaultHalf:
--- /dev/null
+++ b/pkg/trial/boxes_test.go
@@ -0,0 +1,128 @@
+package trial
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/standin"
+	"damsonwinch/pkg/wire"
+)
+
+const (
+	storyCallers = 12
+	storyWait    = 30 * time.Second
+)
+
+// TestABadBoxIsEjectedAndRepaired: a box that fails everything is taken out,
+// replaced from the free pool, and nearly every repeatable request is answered.
+func TestABadBoxIsEjectedAndRepaired(t *testing.T) {
+	s := startStory(t, smallUser())
+	bad := s.firstBox()
+	s.cluster.Endpoints[bad].SetFault(standin.FaultFailAll)
+	load := startCallers(s.cluster, storyCallers)
+	s.await("the box is in the free pool", func() bool {
+		box, _ := s.run.observer.present().Box(bad)
+		return box.Pool == fold.FreePool
+	})
+	load.stop()
+	count, failed := 0, 0
+	for _, line := range load.lines() {
+		if line.repeatable {
+			count++
+			if line.status != http.StatusOK {
+				failed++
+			}
+		}
+	}
+	assert.Assert(t, failed*1000 <= count, "%d of %d repeatable requests failed", failed, count)
+	assert.Assert(t, s.run.observer.formed())
+}
+
+// TestABadJobEjectsNoBox: a request that fails everywhere is stopped, and no box
+// is blamed for it.
+func TestABadJobEjectsNoBox(t *testing.T) {
+	s := startStory(t, smallUser())
+	const jobs = 30
+	for range jobs {
+		got := s.call("view", standin.Work{Nonce: s.nonce(), Poison: true}, nil)
+		assert.Equal(t, got.status, http.StatusInternalServerError, got.body)
+	}
+	assert.Equal(t, s.cluster.Nodes[0].entryProcess.Metrics.Count("ejections"), 0)
+	got := s.call("view", standin.Work{Nonce: s.nonce(), WorkMs: 1}, nil)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+}
+
+// TestALeavingBoxGetsNoNewWork, not even while the log is down.
+func TestALeavingBoxGetsNoNewWork(t *testing.T) {
+	s := startStory(t, smallUser())
+	load := startCallers(s.cluster, storyCallers)
+	s.cluster.Platform.Log.SetFaults(standin.Faults{Down: true})
+	leaving := s.firstBox()
+	s.cluster.Endpoints[leaving].Leave()
+	s.cluster.Platform.SetLeaving(leaving, true)
+	s.run.wait(context.Background(), 3*time.Second)
+	load.stop()
+	_, _, late := s.cluster.Book.Harm()
+	assert.Equal(t, late, 0)
+	assert.Assert(t, len(load.lines()) > 0)
+}
+
+// TestABurstOfCancellationsLeavesTheQueue: callers that go while they wait free
+// their places at once.
+func TestABurstOfCancellationsLeavesTheQueue(t *testing.T) {
+	s := startStory(t, smallUser())
+	s.setFault(standin.FaultHang, everyBox)
+	ctx, cancel := context.WithCancel(context.Background())
+	const burst = 300
+	entry := s.cluster.Nodes[0].entryProcess
+	for range burst {
+		body := standin.Work{Nonce: s.nonce(), WorkMs: 1}
+		s.spawn(func() { s.abandon(ctx, "view", body) })
+	}
+	s.await("many wait", func() bool { return entry.Metrics.Count("waiting") > 100 })
+	cancel()
+	s.await("none waits", func() bool { return entry.Metrics.Count("waiting") == 0 })
+	s.heal()
+	got := s.call("view", standin.Work{Nonce: s.nonce(), WorkMs: 1}, nil)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+}
+
+// TestAWaveCutsNothing maintains every box under load.
+func TestAWaveCutsNothing(t *testing.T) {
+	s := startStory(t, smallUser())
+	load := startCallers(s.cluster, storyCallers)
+	s.run.options.Seconds = 100
+	assert.NilError(t, s.run.wave(context.Background()))
+	load.stop()
+	assert.Equal(t, s.run.observer.due(), 0)
+	overlaps, cut, _ := s.cluster.Book.Harm()
+	assert.Equal(t, overlaps+cut, 0)
+	for _, line := range load.lines() {
+		assert.Equal(t, line.outcome, wire.OutcomeAnswered, "%+v", line)
+	}
+}
+
+// TestAWaveHaltsWhenBoxesDoNotComeBack and says which.
+func TestAWaveHaltsWhenBoxesDoNotComeBack(t *testing.T) {
+	s := startStory(t, smallUser())
+	s.cluster.SetReboot(func(ctx context.Context, _ string) error {
+		<-ctx.Done()
+		return ctx.Err()
+	})
+	s.run.options.Seconds = 1
+	assert.NilError(t, s.run.wave(context.Background()))
+	s.await("the wave is halted", func() bool { return len(s.waits("halted")) > 0 })
+	down := 0
+	for _, box := range s.run.observer.present().Boxes() {
+		if box.Phase == fold.Maintenance && box.Pool != fold.FreePool {
+			down++
+		}
+	}
+	assert.Equal(t, down, 1)
+	assert.Assert(t, s.run.observer.present().Headroom("clerks") >= 0)
+}
--- a/pkg/trial/cluster.go
+++ b/pkg/trial/cluster.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"damsonwinch"
+	"damsonwinch/pkg/fold"
 	"damsonwinch/pkg/plan"
 	"damsonwinch/pkg/process"
 	"damsonwinch/pkg/settings"
@@ -24,9 +28,10 @@
 	renewMs       = 300
 	listMs        = 200
 	stopMs        = 300
-	snapshotEvery = 300
+	snapshotEvery = 50
 	rebootTakes   = 300 * time.Millisecond
 	repairAfter   = 3 * time.Second
+	backAfter     = 4 * time.Second
 	platformHall  = "platform"
 	callerHall    = "callers"
 	loopback      = "127.0.0.1:0"
@@ -57,6 +62,26 @@
 	clock     clockwork.Clock
 	logger    logrus.FieldLogger
 	harm      *harmBook
+	reboot    atomic.Pointer[func(ctx context.Context, box string) error]
+}
+
+// Snapshotted returns the offset of the newest snapshot in the log, 0 if none.
+func (c *Cluster) Snapshotted() int {
+	newest := 0
+	for _, record := range c.Platform.Log.Peek(damsonwinch.StreamSnapshots, 0, mostSnapshots) {
+		var snapshot fold.Snapshot
+		if json.Unmarshal([]byte(record.Data), &snapshot) == nil {
+			newest = max(newest, snapshot.Offset)
+		}
+	}
+	return newest
+}
+
+const mostSnapshots = 1000
+
+// SetReboot changes what the platform's maintenance of a box does.
+func (c *Cluster) SetReboot(reboot func(ctx context.Context, box string) error) {
+	c.reboot.Store(&reboot)
 }
 
 // harmBook collects the breaches that the programs themselves report.
@@ -98,8 +123,9 @@
 
 func (c *Cluster) startPlatform() error {
 	log := standin.New(c.clock, c.Seed, 0)
+	c.SetReboot(func(ctx context.Context, box string) error { return c.Endpoints[box].Reboot(ctx, rebootTakes) })
 	c.Platform = standin.NewPlatform(c.clock, log, func(ctx context.Context, box string) error {
-		return c.Endpoints[box].Reboot(ctx, rebootTakes)
+		return (*c.reboot.Load())(ctx, box)
 	})
 	listener, err := net.Listen("tcp", loopback)
 	if err != nil {
@@ -232,7 +258,7 @@
 
 // StartKeeper starts a node's keeper.
 func (c *Cluster) StartKeeper(node *Node) error {
-	started, err := process.NewKeeper(node.keeper, plan.Options{RepairAfter: repairAfter}, c.env(node))
+	started, err := process.NewKeeper(node.keeper, plan.Options{RepairAfter: repairAfter, BackAfter: backAfter}, c.env(node))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/trial/faults_test.go
@@ -0,0 +1,180 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/front"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/standin"
+)
+
+// smallUser has one hall, five boxes in racks of their own and two services: one
+// that may be repeated and one that may not.
+func smallUser() User {
+	table := tableOf(settings.Deployment{Pools: []string{"clerks"}, Moves: 1, Rollout: 1, Buffer: 1, MaintainDays: 42},
+		line{"view", "clerks", 1, 8, 0, 3000, true},
+		line{"pay", "clerks", 1, 8, 0, 3000, false},
+	)
+	for i := range table.Services {
+		table.Services[i].Row.RunMs = 600
+		table.Services[i].Row.AnswerKb = 8
+		table.Services[i].Row.RequestKb = 4
+		table.Services[i].Row.Quotas = []settings.Quota{{Team: "small", Weight: 1, Most: 1}}
+	}
+	fleet := settings.Fleet{Halls: []settings.Hall{hall("north", 5, 1)}, RackBoxes: 1, BoxSlots: 8}
+	return User{Name: "small", Fleet: fleet, Table: table}
+}
+
+// story is a small fleet and a caller.
+type story struct {
+	t       *testing.T
+	cluster *Cluster
+	run     *run
+	client  *http.Client
+	count   int
+}
+
+func startStory(t *testing.T, user User) *story {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	cluster, err := NewCluster(user, 1, logger)
+	assert.NilError(t, err)
+	watching, err := startObserver(cluster)
+	assert.NilError(t, err)
+	s := &story{t: t, cluster: cluster, client: &http.Client{Timeout: time.Minute}}
+	s.run = &run{options: Options{Progress: io.Discard, Seconds: 1}, cluster: cluster, observer: watching, began: cluster.clock.Now()}
+	t.Cleanup(func() {
+		watching.stop()
+		s.client.CloseIdleConnections()
+		assert.NilError(t, cluster.Close())
+		assert.Equal(t, len(cluster.breaches()), 0, "%v", cluster.harm.details)
+	})
+	assert.NilError(t, s.run.publish(context.Background()))
+	return s
+}
+
+// told is what a caller was told, beside what the endpoints saw.
+type told struct {
+	outcome string
+	status  int
+	body    string
+	retry   string
+	nonce   string
+}
+
+func (s *story) call(service string, work standin.Work, header map[string]string) told {
+	s.t.Helper()
+	body, err := json.Marshal(work)
+	assert.NilError(s.t, err)
+	return s.callRaw(service, body, header, work.Nonce)
+}
+
+func (s *story) callRaw(service string, body []byte, header map[string]string, nonce string) told {
+	s.t.Helper()
+	address := s.cluster.Nodes[0].entry.HttpAddress
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/run/"+service, bytes.NewReader(body))
+	assert.NilError(s.t, err)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := s.client.Do(request)
+	assert.NilError(s.t, err)
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	assert.NilError(s.t, err)
+	return told{outcome: response.Header.Get(front.HeaderOutcome), status: response.StatusCode, body: string(answer),
+		retry: response.Header.Get("Retry-After"), nonce: nonce}
+}
+
+func (s *story) nonce() string {
+	s.count++
+	return fmt.Sprintf("n%d", s.count)
+}
+
+// setFault makes the first so many boxes of the pool, or all, do wrong.
+func (s *story) setFault(fault standin.Fault, boxes int) {
+	for _, box := range s.run.observer.present().Boxes() {
+		if box.Pool == "free" {
+			continue
+		}
+		if boxes == 0 {
+			return
+		}
+		boxes--
+		s.cluster.Endpoints[box.Info.Name].SetFault(fault)
+	}
+}
+
+func (s *story) heal() {
+	for _, endpoint := range s.cluster.Endpoints {
+		endpoint.SetFault(standin.FaultNone)
+	}
+}
+
+const everyBox = 100
+
+// TestFaultsOfEndpoints tells, for each fault of every box, what the caller is
+// told, what the endpoints' book says and what the next try with the same key
+// gets. A repeatable request comes first, then one that isn't.
+func TestFaultsOfEndpoints(t *testing.T) {
+	datadriven.RunTest(t, "testdata/faults", func(t *testing.T, d *datadriven.TestData) string {
+		// A fleet a row, so that no row sees the ejections of another.
+		s := startStory(t, smallUser())
+		var fault string
+		boxes, services := everyBox, []string{"view", "pay"}
+		d.ScanArgs(t, "fault", &fault)
+		if d.HasArg("boxes") {
+			d.ScanArgs(t, "boxes", &boxes)
+			// Chance decides which box a request goes to, so that only one which is
+			// tried again has a certain outcome.
+			services = services[:1]
+		}
+		var lines strings.Builder
+		for _, service := range services {
+			s.setFault(standin.Fault(fault), boxes)
+			nonce := s.nonce()
+			work := standin.Work{Nonce: nonce, WorkMs: 50}
+			header := map[string]string{front.HeaderKey: nonce}
+			first := s.call(service, work, header)
+			s.heal()
+			fmt.Fprintf(&lines, "%s: %s %d", service, first.outcome, first.status)
+			if first.status == http.StatusOK {
+				assert.Equal(t, first.body, standin.AnswerTo(mustJSON(t, work)))
+			}
+			if service == "pay" {
+				fmt.Fprintf(&lines, ", ran at most once: %v", s.cluster.Book.Runs(nonce) <= 1)
+				second := s.settled(service, work, header)
+				fmt.Fprintf(&lines, "; again with the key: %s %d", second.outcome, second.status)
+				assert.Assert(t, s.cluster.Book.Runs(nonce) <= 1, "it ran %d times", s.cluster.Book.Runs(nonce))
+			}
+			lines.WriteString("\n")
+		}
+		return lines.String()
+	})
+}
+
+// settled tries a key again until the log knows the first try's outcome.
+func (s *story) settled(service string, work standin.Work, header map[string]string) told {
+	s.run.until(context.Background(), 5*time.Second, func() bool {
+		return s.cluster.Nodes[0].entryProcess.Metrics.Count("claim_outcomes") > 0
+	})
+	return s.call(service, work, header)
+}
+
+func mustJSON(t *testing.T, value any) []byte {
+	text, err := json.Marshal(value)
+	assert.NilError(t, err)
+	return text
+}
--- /dev/null
+++ b/pkg/trial/keys_test.go
@@ -0,0 +1,109 @@
+package trial
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/front"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/standin"
+)
+
+// TestOneKeyAtTwoEntriesRunsOnce sends each key to two entries at the same
+// instant, many times over.
+func TestOneKeyAtTwoEntriesRunsOnce(t *testing.T) {
+	user := smallUser()
+	user.Fleet.Halls = []settings.Hall{hall("north", 5, 1), hall("south", 5, 1)}
+	s := startStory(t, user)
+	const keys = 30
+	for range keys {
+		nonce := s.nonce()
+		var both errgroup.Group
+		answers := make([]told, 2)
+		for i, node := range s.cluster.Nodes {
+			both.Go(func() error {
+				answers[i] = s.callAt(node, "pay", standin.Work{Nonce: nonce, WorkMs: 1}, map[string]string{front.HeaderKey: nonce})
+				return nil
+			})
+		}
+		assert.NilError(t, both.Wait())
+		assert.Equal(t, s.cluster.Book.Runs(nonce), 1, "%+v", answers)
+		statuses := []int{answers[0].status, answers[1].status}
+		assert.Assert(t, statuses[0] == http.StatusOK || statuses[1] == http.StatusOK, "%+v", answers)
+		assert.Assert(t, statuses[0] == http.StatusConflict || statuses[1] == http.StatusConflict, "%+v", answers)
+	}
+}
+
+// TestAKeyWhileTheLogIsDown is told "not run" and runs upon the next try.
+func TestAKeyWhileTheLogIsDown(t *testing.T) {
+	s := startStory(t, smallUser())
+	header := map[string]string{front.HeaderKey: "k"}
+	work := standin.Work{Nonce: s.nonce(), WorkMs: 1}
+	s.cluster.Platform.Log.SetFaults(standin.Faults{Down: true})
+
+	first := s.call("pay", work, header)
+
+	assert.Equal(t, first.outcome, "not-run")
+	assert.Equal(t, first.status, http.StatusServiceUnavailable)
+	assert.Assert(t, first.retry != "")
+	assert.Equal(t, s.cluster.Book.Runs(work.Nonce), 0)
+	s.cluster.Platform.Log.SetFaults(standin.Faults{})
+	second := s.call("pay", work, header)
+	assert.Equal(t, second.status, http.StatusOK, second.body)
+	assert.Equal(t, s.cluster.Book.Runs(work.Nonce), 1)
+}
+
+// TestAClaimThatLandsAfterNotRunWasTold must not send the request after all, nor
+// block its key for good.
+func TestAClaimThatLandsAfterNotRunWasTold(t *testing.T) {
+	s := startStory(t, smallUser())
+	header := map[string]string{front.HeaderKey: "k"}
+	work := standin.Work{Nonce: s.nonce(), WorkMs: 1}
+	s.cluster.Platform.Log.SetFaults(standin.Faults{Late: 1, LateBy: 4 * time.Second})
+	first := s.call("pay", work, header)
+	assert.Equal(t, first.outcome, "not-run")
+	s.cluster.Platform.Log.SetFaults(standin.Faults{})
+
+	landed := s.run.until(context.Background(), 20*time.Second, func() bool {
+		return len(s.cluster.Platform.Log.Peek(damsonwinch.StreamClaims, 0, 10)) >= 2
+	})
+
+	assert.Assert(t, landed, "the late claim and its release did not land")
+	assert.Equal(t, s.cluster.Book.Runs(work.Nonce), 0)
+	second := s.call("pay", work, header)
+	assert.Equal(t, second.status, http.StatusOK, second.body)
+	assert.Equal(t, s.cluster.Book.Runs(work.Nonce), 1)
+}
+
+// TestAClaimWhoseAnswerIsLostRuns because it is read back from the log.
+func TestAClaimWhoseAnswerIsLostRuns(t *testing.T) {
+	s := startStory(t, smallUser())
+	s.cluster.Platform.Log.SetFaults(standin.Faults{LoseAnswers: 1})
+	work := standin.Work{Nonce: s.nonce(), WorkMs: 1}
+
+	first := s.call("pay", work, map[string]string{front.HeaderKey: "k"})
+
+	assert.Equal(t, first.status, http.StatusOK, first.body)
+	assert.Equal(t, s.cluster.Book.Runs(work.Nonce), 1)
+}
+
+// TestAKeyWithAnotherBody is refused: the key belongs to the first request.
+func TestAKeyWithAnotherBody(t *testing.T) {
+	s := startStory(t, smallUser())
+	header := map[string]string{front.HeaderKey: "k"}
+	first := s.call("pay", standin.Work{Nonce: s.nonce(), WorkMs: 1}, header)
+	assert.Equal(t, first.status, http.StatusOK, first.body)
+	other := standin.Work{Nonce: s.nonce(), WorkMs: 1}
+
+	second := s.call("pay", other, header)
+
+	assert.Equal(t, second.status, http.StatusUnprocessableEntity)
+	assert.Equal(t, second.outcome, "not-run")
+	assert.Equal(t, s.cluster.Book.Runs(other.Nonce), 0)
+}
--- /dev/null
+++ b/pkg/trial/story_test.go
@@ -0,0 +1,86 @@
+package trial
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/standin"
+	"damsonwinch/pkg/wire"
+)
+
+// spawn runs something beside the story; the story's end waits for it.
+func (s *story) spawn(do func()) {
+	done := make(chan struct{})
+	s.t.Cleanup(func() { <-done })
+	go func() {
+		defer close(done)
+		do()
+	}()
+}
+
+// await fails the test if a condition doesn't come to hold.
+func (s *story) await(what string, holds func() bool) {
+	s.t.Helper()
+	assert.Assert(s.t, s.run.until(context.Background(), storyWait, holds), "it never came to pass that "+what)
+}
+
+func (s *story) firstBox() string {
+	for _, box := range s.run.observer.present().Boxes() {
+		if box.Pool != fold.FreePool {
+			return box.Info.Name
+		}
+	}
+	s.t.Fatal("no box is in a pool")
+	return ""
+}
+
+// callAt calls one entry.
+func (s *story) callAt(node *Node, service string, work standin.Work, header map[string]string) told {
+	request, err := http.NewRequest(http.MethodPost, "http://"+node.entry.HttpAddress+"/v1/run/"+service, bytes.NewReader(mustJSON(s.t, work)))
+	assert.NilError(s.t, err)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := s.client.Do(request)
+	assert.NilError(s.t, err)
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	assert.NilError(s.t, err)
+	return told{status: response.StatusCode, body: string(answer)}
+}
+
+// abandon calls until the context ends.
+func (s *story) abandon(ctx context.Context, service string, work standin.Work) {
+	address := s.cluster.Nodes[0].entry.HttpAddress
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/run/"+service, bytes.NewReader(mustJSON(s.t, work)))
+	assert.NilError(s.t, err)
+	if response, err := s.client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
+// waits returns what the plan of the first keeper waits for, of what holds a
+// word.
+func (s *story) waits(word string) []string {
+	client, err := s.run.operator("test", 0)
+	assert.NilError(s.t, err)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	status, err := client.Status(ctx, wire.StatusArgs{AuditFrom: -1, WithPlan: true})
+	assert.NilError(s.t, err)
+	var found []string
+	for _, wait := range status.Waits {
+		if strings.Contains(wait, word) {
+			found = append(found, wait)
+		}
+	}
+	return found
+}
