--- a/pkg/plan/census.go
+++ b/pkg/plan/census.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"damsonwinch/pkg/fold"
 	"damsonwinch/pkg/wire"
@@ -12,58 +11,86 @@
 type census struct {
 	name  string
 	boxes []fold.Box
-	// slots counts boxes that serve or will again without another move.
+	// slots counts boxes that serve or will again without another move, racks
+	// and halls the same by their numbers.
 	slots  int
-	racks  map[string]int
-	halls  map[string]int
+	racks  []int
+	halls  []int
+	worst  int // The most slots in one rack.
 	broken []fold.Box
 	absent []fold.Box // In maintenance for too long.
 }
 
-func newCensus(name string) *census {
-	return &census{name: name, racks: map[string]int{}, halls: map[string]int{}}
-}
-
-func (c *census) add(box fold.Box) {
+func (c *census) add(box fold.Box, at place) {
 	c.slots += box.Info.Slots
-	c.racks[rackOf(box)] += box.Info.Slots
-	c.halls[box.Info.Hall] += box.Info.Slots
+	c.racks[at.rack] += box.Info.Slots
+	c.halls[at.hall] += box.Info.Slots
+	c.worst = max(c.worst, c.racks[at.rack])
 }
 
-func (c *census) remove(box fold.Box) {
+func (c *census) remove(box fold.Box, at place) {
 	c.slots -= box.Info.Slots
-	c.racks[rackOf(box)] -= box.Info.Slots
-	c.halls[box.Info.Hall] -= box.Info.Slots
+	c.racks[at.rack] -= box.Info.Slots
+	c.halls[at.hall] -= box.Info.Slots
+	c.worst = slices.Max(c.racks)
+}
+
+// place is a box's rack and hall by their numbers.
+type place struct {
+	rack int
+	hall int
+}
+
+// atlas numbers racks and halls, so that the planner compares numbers in place of
+// names.
+type atlas struct {
+	racks map[rackName]place
+	halls map[string]int
+}
+
+type rackName struct {
+	hall string
+	rack string
 }
 
-func (c *census) worstRack() int {
-	worst := 0
-	for _, slots := range c.racks {
-		worst = max(worst, slots)
+func newAtlas(boxes []fold.Box) atlas {
+	a := atlas{racks: map[rackName]place{}, halls: map[string]int{}}
+	for _, box := range boxes {
+		name := rackName{box.Info.Hall, box.Info.Rack}
+		if _, known := a.racks[name]; known {
+			continue
+		}
+		if _, known := a.halls[name.hall]; !known {
+			a.halls[name.hall] = len(a.halls)
+		}
+		a.racks[name] = place{rack: len(a.racks), hall: a.halls[name.hall]}
 	}
-	return worst
+	return a
 }
 
-func rackOf(box fold.Box) string {
-	return box.Info.Hall + "/" + box.Info.Rack
+func (a atlas) place(box fold.Box) place {
+	return a.racks[rackName{box.Info.Hall, box.Info.Rack}]
 }
 
 // count takes the census of every pool and shelves the free boxes.
 func (p *planner) count() {
+	p.boxes = p.state.Boxes()
+	p.atlas = newAtlas(p.boxes)
 	p.census = map[string]*census{}
-	p.free = newShelf()
+	p.free = newShelf(len(p.atlas.racks))
 	for _, pool := range p.measures().Pools {
-		p.census[pool] = newCensus(pool)
+		p.pool(pool)
 	}
-	for _, box := range p.state.Boxes() {
+	for _, box := range p.boxes {
 		p.countBox(box)
 	}
 }
 
 func (p *planner) countBox(box fold.Box) {
+	at := p.atlas.place(box)
 	if box.Pool == fold.FreePool {
 		if box.Phase == fold.Serving && box.Health == wire.HealthUp {
-			p.free.put(box)
+			p.free.put(box, at)
 		}
 		return
 	}
@@ -78,11 +105,11 @@
 	}
 	if box.Phase == fold.Draining && box.Target != box.Pool {
 		if box.Target != fold.FreePool {
-			p.pool(box.Target).add(box)
+			p.pool(box.Target).add(box, at)
 		}
 		return
 	}
-	home.add(box)
+	home.add(box, at)
 	if box.Phase == fold.Serving {
 		home.boxes = append(home.boxes, box)
 	}
@@ -90,7 +117,7 @@
 
 func (p *planner) pool(name string) *census {
 	if p.census[name] == nil {
-		p.census[name] = newCensus(name)
+		p.census[name] = &census{name: name, racks: make([]int, len(p.atlas.racks)), halls: make([]int, len(p.atlas.halls))}
 	}
 	return p.census[name]
 }
@@ -112,59 +139,3 @@
 	slices.Sort(names)
 	return names
 }
-
-// shelf holds free boxes by their racks.
-type shelf struct {
-	racks map[string][]fold.Box
-	names []string
-}
-
-func newShelf() *shelf {
-	return &shelf{racks: map[string][]fold.Box{}}
-}
-
-func (s *shelf) put(box fold.Box) {
-	rack := rackOf(box)
-	if _, known := s.racks[rack]; !known {
-		at, _ := slices.BinarySearch(s.names, rack)
-		s.names = slices.Insert(s.names, at, rack)
-	}
-	s.racks[rack] = append(s.racks[rack], box)
-}
-
-// take removes and returns the free box that spreads a pool best: from the rack
-// and then the hall where the pool has least, and there the one that was
-// maintained longest ago.
-func (s *shelf) take(into *census) (fold.Box, bool) {
-	best := ""
-	for _, rack := range s.names {
-		if len(s.racks[rack]) > 0 && (best == "" || into.prefers(rack, best)) {
-			best = rack
-		}
-	}
-	if best == "" {
-		return fold.Box{}, false
-	}
-	boxes := s.racks[best]
-	oldest := 0
-	for i, box := range boxes {
-		if box.MaintainedAt < boxes[oldest].MaintainedAt {
-			oldest = i
-		}
-	}
-	taken := boxes[oldest]
-	s.racks[best] = slices.Delete(slices.Clone(boxes), oldest, oldest+1)
-	return taken, true
-}
-
-func (c *census) prefers(rack, other string) bool {
-	if c.racks[rack] != c.racks[other] {
-		return c.racks[rack] < c.racks[other]
-	}
-	return c.halls[hallOf(rack)] < c.halls[hallOf(other)]
-}
-
-func hallOf(rack string) string {
-	hall, _, _ := strings.Cut(rack, "/")
-	return hall
-}
--- a/pkg/plan/grow.go
+++ b/pkg/plan/grow.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/table"
 )
 
 // evictBroken sends boxes that are lost to the free pool, so that they no
@@ -30,7 +31,7 @@
 	if needed == 0 {
 		return 0
 	}
-	return needed + pool.worstRack() + p.reserve(pool)
+	return needed + pool.worst + p.reserve(pool)
 }
 
 // reserve returns the slots that a pool keeps so that boxes can be maintained
@@ -38,15 +39,17 @@
 // more; the table's weights decide.
 func (p *planner) reserve(pool *census) int {
 	slots := p.boxSlots(pool)
-	return slots * p.together(pool, slots)
+	return slots * Together(p.state.Table(), pool.name, slots)
 }
 
-// together returns how many boxes of a pool are maintained at once.
-func (p *planner) together(pool *census, slots int) int {
-	measures := p.measures()
-	boxes := (p.state.Table().Needed(pool.name) + slots - 1) / slots
+// Together returns how many boxes of a pool should be maintained at once: more
+// end a wave in fewer rounds and hold back more slots, and the table's weights
+// say which is dearer.
+func Together(table table.Table, pool string, slots int) int {
+	measures := table.Deployment()
+	boxes := (table.Needed(pool) + slots - 1) / slots
 	best, least := 1, 0
-	for at := 1; at <= max(1, p.state.Table().DownLimit(pool.name)); at++ {
+	for at := 1; at <= max(1, table.DownLimit(pool)); at++ {
 		rounds := (boxes + at + at) / at
 		cost := measures.Rollout*rounds + measures.Buffer*at
 		if at == 1 || cost < least {
@@ -75,8 +78,9 @@
 func (p *planner) growPools() {
 	for _, name := range p.byShortage() {
 		pool := p.census[name]
+		level := p.level(pool)
 		for pool.slots < p.wanted(pool) {
-			if !p.growFromFree(pool) && !p.growFromDonor(pool) {
+			if !p.growFromFree(pool, level) && !p.growFromDonor(pool) {
 				p.wait(fmt.Sprintf("pool %s has %d slots of %d wanted and no box can be spared", name, pool.slots, p.wanted(pool)))
 				break
 			}
@@ -97,17 +101,17 @@
 	return pool.slots - p.wanted(pool)
 }
 
-func (p *planner) growFromFree(pool *census) bool {
-	box, found := p.free.take(pool)
+func (p *planner) growFromFree(pool *census, level int) bool {
+	box, at, found := p.free.take(pool, level)
 	if !found {
 		return false
 	}
 	cause := fmt.Sprintf("pool %s has %d slots of %d wanted", pool.name, pool.slots, p.wanted(pool))
 	if err := p.drain(box, pool.name, p.due(box), cause); err != nil {
 		p.wait(fmt.Sprintf("%s can't go to pool %s: %v", box.Info.Name, pool.name, err))
-		return p.growFromFree(pool)
+		return p.growFromFree(pool, level)
 	}
-	pool.add(box)
+	pool.add(box, at)
 	return true
 }
 
@@ -138,7 +142,7 @@
 func (p *planner) moveOne(donor, receiver *census) bool {
 	candidates := slices.Clone(donor.boxes)
 	slices.SortStableFunc(candidates, func(a, b fold.Box) int {
-		if difference := receiver.racks[rackOf(a)] - receiver.racks[rackOf(b)]; difference != 0 {
+		if difference := receiver.racks[p.atlas.place(a).rack] - receiver.racks[p.atlas.place(b).rack]; difference != 0 {
 			return difference
 		}
 		return a.MaintainedAt - b.MaintainedAt
@@ -147,9 +151,10 @@
 		cause := fmt.Sprintf("pool %s has %d slots of %d wanted, pool %s can miss %d",
 			receiver.name, receiver.slots, p.wanted(receiver), donor.name, p.surplus(donor))
 		if p.drain(box, receiver.name, p.due(box) && p.state.InWindow(donor.name, p.state.At()), cause) == nil {
-			donor.remove(box)
+			at := p.atlas.place(box)
+			donor.remove(box, at)
 			donor.boxes = without(donor.boxes, box)
-			receiver.add(box)
+			receiver.add(box, at)
 			return true
 		}
 	}
@@ -182,12 +187,12 @@
 func (p *planner) freeOne(pool *census) bool {
 	candidates := slices.Clone(pool.boxes)
 	slices.SortStableFunc(candidates, func(a, b fold.Box) int {
-		return pool.racks[rackOf(b)] - pool.racks[rackOf(a)]
+		return pool.racks[p.atlas.place(b).rack] - pool.racks[p.atlas.place(a).rack]
 	})
 	for _, box := range candidates {
 		cause := fmt.Sprintf("pool %s has %d slots, %d are wanted", pool.name, pool.slots, p.wanted(pool))
 		if p.drain(box, fold.FreePool, false, cause) == nil {
-			pool.remove(box)
+			pool.remove(box, p.atlas.place(box))
 			pool.boxes = without(pool.boxes, box)
 			return true
 		}
--- a/pkg/plan/plan.go
+++ b/pkg/plan/plan.go
@@ -49,6 +49,8 @@
 // planner carries one run: the state as it would be after what is planned.
 type planner struct {
 	state   fold.State
+	boxes   []fold.Box // As they stood when the run began.
+	atlas   atlas
 	census  map[string]*census
 	free    *shelf
 	options Options
@@ -58,8 +60,8 @@
 // New returns the plan for the fleet's pools and waves.
 func New(state fold.State, options Options) Plan {
 	p := &planner{state: state, options: options.withDefaults()}
-	p.withdrawDrains()
 	p.count()
+	p.withdrawDrains()
 	p.evictBroken()
 	p.growPools()
 	p.returnSurplus()
--- a/pkg/plan/wave.go
+++ b/pkg/plan/wave.go
@@ -63,20 +63,24 @@
 	return due
 }
 
-// mostFreeAtOnce bounds the free boxes in maintenance, which are the reserve
-// for repairs.
-const mostFreeAtOnce = 4
+// Free boxes are the reserve for repairs: a part of them stays out of
+// maintenance.
+const (
+	freeParts       = 4
+	leastFreeAtOnce = 1
+)
 
 func (p *planner) maintainFree() {
 	under := 0
-	for _, box := range p.state.Boxes() {
+	for _, box := range p.boxes {
 		if box.Pool == fold.FreePool && box.Phase == fold.Maintenance {
 			under++
 		}
 	}
-	for _, rack := range p.free.names {
-		for _, box := range p.free.racks[rack] {
-			if under >= mostFreeAtOnce {
+	most := max(leastFreeAtOnce, p.free.count/freeParts)
+	for _, boxes := range p.free.racks {
+		for _, box := range boxes {
+			if under >= most {
 				return
 			}
 			if box.Health == wire.HealthUp && p.due(box) && p.drain(box, fold.FreePool, true, "maintenance of a free box") == nil {
--- a/pkg/plan/withdraw.go
+++ b/pkg/plan/withdraw.go
@@ -10,7 +10,7 @@
 // withdrawDrains takes back drains of pools that have since fallen below their
 // floors: a failure that nobody asked for counts against the same budget.
 func (p *planner) withdrawDrains() {
-	for _, box := range p.state.Boxes() {
+	for _, box := range p.boxes {
 		if box.Phase != fold.Draining || box.Health != wire.HealthUp || box.Pool == fold.FreePool {
 			continue
 		}
--- a/pkg/table/edit.go
+++ b/pkg/table/edit.go
@@ -198,38 +198,3 @@
 	}
 	return reasons
 }
-
-// Needed returns the slots that a pool must keep at every moment: the floors
-// and spare of its services.
-func (t Table) Needed(pool string) int {
-	needed := 0
-	for _, row := range t.rows {
-		if row.Pool == pool {
-			needed += row.Floor + row.Spare
-		}
-	}
-	return needed
-}
-
-// Floor returns the slots that the services of a pool keep, without spare.
-func (t Table) Floor(pool string) int {
-	floor := 0
-	for _, row := range t.rows {
-		if row.Pool == pool {
-			floor += row.Floor
-		}
-	}
-	return floor
-}
-
-// DownLimit returns how many boxes of a pool may be down at once: the least of
-// its services' limits, or 0 if no service uses it.
-func (t Table) DownLimit(pool string) int {
-	limit := 0
-	for _, row := range t.rows {
-		if row.Pool == pool && (limit == 0 || row.Down < limit) {
-			limit = row.Down
-		}
-	}
-	return limit
-}
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -34,6 +34,7 @@
 	rows       map[string]settings.Row
 	names      []string
 	lines      map[string]line
+	sums       map[string]sums
 }
 
 // New returns the empty table, version 0.
@@ -121,6 +122,7 @@
 		reasons = append(reasons, t.decodeLine(name)...)
 	}
 	t.names = slices.Sorted(maps.Keys(t.rows))
+	t.sumPools()
 	return reasons
 }
 
