Hold boxes in the state by pointer

Cause: a record folded into 5,800 boxes allocated 32 KB, because the sorted map copies a node of 32 whole boxes. Change: the map holds pointers to values that never change.

--- a/pkg/fold/budget.go
+++ b/pkg/fold/budget.go
@@ -116,7 +116,7 @@
 
 // WithDrain returns the state as it would be after a drain, for plans.
 func (s State) WithDrain(name, target string, maintain bool) (State, error) {
-	box, known := s.boxes.Get(name)
+	box, known := s.Box(name)
 	if !known {
 		return s, refuse("box %s is not enrolled", name)
 	}
--- a/pkg/fold/edit.go
+++ b/pkg/fold/edit.go
@@ -27,7 +27,7 @@
 		if info.Name == "" || info.Slots < 1 || info.Hall == "" {
 			return s, "", refuse("box %q needs a name, a hall and slots", info.Name)
 		}
-		box, known := s.boxes.Get(info.Name)
+		box, known := s.Box(info.Name)
 		if known && box.Info == info {
 			continue
 		}
@@ -43,7 +43,7 @@
 		}
 		box = box.moved(where.offset, where.at)
 		box.Info = info
-		s.boxes = s.boxes.Set(info.Name, box)
+		s.boxes = s.boxes.Set(info.Name, &box)
 		s = s.withShare(box)
 		added++
 	}
--- a/pkg/fold/fold.go
+++ b/pkg/fold/fold.go
@@ -120,7 +120,7 @@
 // change applies the proposals that are about one box at one epoch.
 func (s State) change(proposal wire.Proposal, where step) (State, string, error) {
 	change := *proposal.Change
-	box, known := s.boxes.Get(change.Box)
+	box, known := s.Box(change.Box)
 	if !known {
 		return s, "", refuse("box %s is not enrolled", change.Box)
 	}
--- a/pkg/fold/snapshot.go
+++ b/pkg/fold/snapshot.go
@@ -75,7 +75,7 @@
 	for node, last := range from.Writers {
 		next.writers = next.writers.Set(node, last)
 	}
-	next.boxes, next.pools = immutable.NewSortedMap[string, Box](nil), immutable.NewSortedMap[string, Pool](nil)
+	next.boxes, next.pools = immutable.NewSortedMap[string, *Box](nil), immutable.NewSortedMap[string, Pool](nil)
 	for _, box := range from.Boxes {
 		next = next.withBox(box)
 	}
--- a/pkg/fold/state.go
+++ b/pkg/fold/state.go
@@ -15,11 +15,13 @@
 // State is the fleet after a number of records. It never changes; Fold returns
 // a new one that shares most of its parts with the old.
 type State struct {
-	offset  int
-	at      int
-	table   table.Table
-	slots   int
-	boxes   *immutable.SortedMap[string, Box]
+	offset int
+	at     int
+	table  table.Table
+	slots  int
+	// boxes holds pointers to values that never change: the map copies a node of
+	// 32 entries for each record, which whole boxes would make 13 KB.
+	boxes   *immutable.SortedMap[string, *Box]
 	pools   *immutable.SortedMap[string, Pool]
 	members *immutable.SortedMap[string, Member]
 	senders *immutable.SortedMap[string, Sender]
@@ -36,7 +38,7 @@
 func New(empty table.Table) State {
 	return State{
 		table:   empty,
-		boxes:   immutable.NewSortedMap[string, Box](nil),
+		boxes:   immutable.NewSortedMap[string, *Box](nil),
 		pools:   immutable.NewSortedMap[string, Pool](nil),
 		members: immutable.NewSortedMap[string, Member](nil),
 		senders: immutable.NewSortedMap[string, Sender](nil),
@@ -67,7 +69,11 @@
 
 // Box returns a box by its name.
 func (s State) Box(name string) (Box, bool) {
-	return s.boxes.Get(name)
+	box, known := s.boxes.Get(name)
+	if !known {
+		return Box{}, false
+	}
+	return *box, true
 }
 
 // Boxes returns all boxes in order of their names.
@@ -75,7 +81,7 @@
 	found := make([]Box, 0, s.boxes.Len())
 	for entries := s.boxes.Iterator(); !entries.Done(); {
 		_, box, _ := entries.Next()
-		found = append(found, box)
+		found = append(found, *box)
 	}
 	return found
 }
@@ -131,9 +137,9 @@
 // follow from it.
 func (s State) withBox(box Box) State {
 	if old, known := s.boxes.Get(box.Info.Name); known {
-		s = s.withoutShare(old)
+		s = s.withoutShare(*old)
 	}
-	s.boxes = s.boxes.Set(box.Info.Name, box)
+	s.boxes = s.boxes.Set(box.Info.Name, &box)
 	return s.withShare(box)
 }
 
