Measure a request's way under load beside a plain gateway

Cause: no figure stood for cost, overload and bad boxes. Change: `dw-trial load`: processor time and latency of a call through an entry against a direct one, 100, 150 and 200% of 400 slots open loop over 3,000 connections, and one box in ten failing everything, each also through a plain gateway (in turn, no classes, no ejection). Urgent work takes the place of the work that would be served last when a queue is full.

--- a/pkg/command/measure.go
+++ b/pkg/command/measure.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"text/tabwriter"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
 
+	"damsonwinch/pkg/loadtest"
 	"damsonwinch/pkg/planbench"
 )
 
@@ -40,6 +42,43 @@
 	return cmd
 }
 
+const (
+	usualConnections = 3000
+	usualPhase       = 5 * time.Second
+)
+
+func trialLoad() *cobra.Command {
+	options := loadtest.Options{}
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Measure a request's way under load and faults, beside a plain gateway",
+		Long:  "Offers load open loop to a fleet on loopback. The last line is a JSON object with the goals.",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			options.Progress = cmd.ErrOrStderr()
+			options.Logger = newLogger(cmd.ErrOrStderr(), quietLevel)
+			options.Clock = clockwork.NewRealClock()
+			report, err := loadtest.Run(cmd.Context(), options)
+			if err != nil {
+				return err
+			}
+			line, err := json.Marshal(report)
+			if err != nil {
+				return err
+			}
+			for _, goal := range report.Verdicts {
+				_, _ = fmt.Fprintf(cmd.OutOrStdout(), "%-60s %8.3f measured %8.3f met %v\n", goal.Goal, goal.Limit, goal.Measured, goal.Met)
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), string(line))
+			return err
+		},
+	}
+	cmd.Flags().Uint64Var(&options.Seed, "seed", 1, "seed of the arrivals")
+	cmd.Flags().IntVar(&options.Connections, "connections", usualConnections, "connections at most")
+	cmd.Flags().DurationVar(&options.Phase, "phase", usualPhase, "length of each of the eight phases")
+	return cmd
+}
+
 func writePlanBench(cmd *cobra.Command, results []planbench.Result) error {
 	const padding = 2
 	out := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, padding, ' ', 0)
--- a/pkg/front/admit.go
+++ b/pkg/front/admit.go
@@ -9,6 +9,7 @@
 	"damsonwinch/pkg/limit"
 	"damsonwinch/pkg/queue"
 	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/wire"
 )
 
 // refusal is why a request is not run.
@@ -198,7 +199,12 @@
 	if f.queue(row.Pool).Len(waiting.item.Service) <= room {
 		return
 	}
-	f.queue(row.Pool).Remove(id)
+	if last, found := f.queue(row.Pool).Last(waiting.item.Service); found && last.ID != id && waiting.item.Class == wire.ClassUrgent {
+		// Urgent work takes the place of the work that would be served last.
+		f.deps.Metrics.Add("displaced", 1)
+		waiting = f.jobs[last.ID]
+	}
+	f.queue(row.Pool).Remove(waiting.item.ID)
 	f.refuseJob(waiting, refuse(http.StatusTooManyRequests, f.retryAfter(waiting.item.Service, row.Pool),
 		"%d requests of service %s wait here already, its share of the limit of %d", room, waiting.item.Service, row.Queue))
 }
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -161,6 +161,27 @@
 	}
 }
 
+// Last returns the request of a service that would be served last: the newest of
+// its lowest rank's longest line.
+func (q *Queue) Last(service string) (Item, bool) {
+	line := q.services[service]
+	if line == nil {
+		return Item{}, false
+	}
+	for rank := rankCount - 1; rank > rankUrgent; rank-- {
+		var longest *team
+		for _, name := range line.ranks[rank].order {
+			if waiting := line.ranks[rank].teams[name]; longest == nil || waiting.items.Len() > longest.items.Len() {
+				longest = waiting
+			}
+		}
+		if longest != nil {
+			return longest.items.Back().Value.(Item), true
+		}
+	}
+	return Item{}, false
+}
+
 // Pop removes and returns the next request that may start.
 func (q *Queue) Pop(accepts Accepts) (Item, bool) {
 	for rank := range rankCount {
--- a/pkg/trial/run.go
+++ b/pkg/trial/run.go
@@ -122,6 +122,22 @@
 	return operator.New(address, r.cluster.Network.Dialer(callerHall), r.cluster.clock, empty, author), nil
 }
 
+// StartFormed starts a fleet and returns once its table is in force and its
+// pools are formed.
+func StartFormed(ctx context.Context, user User, seed uint64, logger logrus.FieldLogger) (*Cluster, error) {
+	cluster, err := NewCluster(user, seed, logger)
+	if err != nil {
+		return nil, err
+	}
+	watching, err := startObserver(cluster)
+	if err != nil {
+		return nil, err
+	}
+	defer watching.stop()
+	forming := &run{options: Options{Progress: io.Discard}, cluster: cluster, observer: watching, began: cluster.clock.Now()}
+	return cluster, forming.publish(ctx)
+}
+
 // edit publishes a changed table in an operator's name. While no keeper has
 // read the log yet it is tried again.
 func (r *run) edit(ctx context.Context, author string, node int, change func(*settings.Table)) error {
