Leave out of renewals what the log has; plan only upon changes

Cause: worked out for 96 entry boxes, renewals alone would bring each keeper about 7 KB/s (limit 5), and a keeper looked at all 5,800 boxes upon every record and tick. Change: a renewal leaves out hall and addresses that the log has already; hall and fleet are planned when a record did more than renew, or after two renewal intervals.

--- a/pkg/fold/renew.go
+++ b/pkg/fold/renew.go
@@ -15,7 +15,7 @@
 		s = s.renewSender(member, where)
 	}
 	if len(proposal.Members) > 0 {
-		s = s.withoutSilent(proposal.Members[0].Hall, where.at)
+		s = s.withoutSilent(s.hallOf(proposal.Members[0].Node), where.at)
 	}
 	return s, "renewed", nil
 }
@@ -26,9 +26,9 @@
 		if known && renewal.Keeper < member.Keeper {
 			return s
 		}
-		member = Member{Node: renewal.Node, Hall: renewal.Hall, Keeper: renewal.Keeper, Joined: where.offset}
+		member = Member{Node: renewal.Node, Hall: orKnown(renewal.Hall, member.Hall), Keeper: renewal.Keeper, Joined: where.offset}
 	}
-	member.Address = renewal.KeeperAddress
+	member.Address = orKnown(renewal.KeeperAddress, member.Address)
 	member.RenewedAt = where.at
 	s.members = s.members.Set(renewal.Node, member)
 	return s
@@ -38,6 +38,7 @@
 	if renewal.Entry == 0 {
 		return s
 	}
+	renewal.Hall = orKnown(renewal.Hall, s.hallOf(renewal.Node))
 	key := SenderKey{Node: renewal.Node, Entry: renewal.Entry}
 	sender, known := s.senders.Get(key.String())
 	if known && renewal.Seq <= sender.Seq {
@@ -45,7 +46,7 @@
 	}
 	sender.Key = key
 	sender.Hall = renewal.Hall
-	sender.Address = renewal.EntryAddress
+	sender.Address = orKnown(renewal.EntryAddress, sender.Address)
 	sender.Seq = renewal.Seq
 	sender.Folded = renewal.Folded
 	sender.RenewedAt = where.at
@@ -54,6 +55,20 @@
 	return s
 }
 
+// orKnown returns what a renewal says, or else what the log has already: most
+// renewals leave out what doesn't change.
+func orKnown(said, known string) string {
+	if said == "" {
+		return known
+	}
+	return said
+}
+
+func (s State) hallOf(node string) string {
+	member, _ := s.members.Get(node)
+	return member.Hall
+}
+
 // withoutSilent drops members of a hall that have long said nothing, and
 // senders that hold no box and say nothing.
 func (s State) withoutSilent(hall string, at int) State {
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -32,6 +32,16 @@
 	Verdicts []fold.Verdict
 }
 
+// ChangesFleet says whether the record did more than renew.
+func (f Folded) ChangesFleet() bool {
+	for _, verdict := range f.Verdicts {
+		if verdict.Accepted && verdict.Proposal.Kind != wire.KindRenew {
+			return true
+		}
+	}
+	return false
+}
+
 // Update is what a follower passes on after a reading.
 type Update struct {
 	State   fold.State
--- a/pkg/front/loop.go
+++ b/pkg/front/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"damsonwinch/pkg/call"
@@ -9,7 +10,6 @@
 	"damsonwinch/pkg/follow"
 	"damsonwinch/pkg/lease"
 	"damsonwinch/pkg/queue"
-	"damsonwinch/pkg/wire"
 )
 
 // Messages to the task.
@@ -147,7 +147,7 @@
 	f.state = update.State
 	f.inForce.Store(&update.State)
 	f.readBack()
-	if update.Restored || changesFleet(update.Records) {
+	if update.Restored || slices.ContainsFunc(update.Records, follow.Folded.ChangesFleet) {
 		f.takeFleet(old)
 		f.endDrains(f.ctx)
 	}
@@ -156,18 +156,6 @@
 	f.dispatchAll()
 }
 
-// changesFleet says whether records did more than renew.
-func changesFleet(records []follow.Folded) bool {
-	for _, folded := range records {
-		for _, verdict := range folded.Verdicts {
-			if verdict.Accepted && verdict.Proposal.Kind != wire.KindRenew {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (f *Front) takeTick(ctx context.Context, ticks int) {
 	f.renew(ctx)
 	f.expire()
--- a/pkg/keeper/carry.go
+++ b/pkg/keeper/carry.go
@@ -119,12 +119,7 @@
 	if !k.leadsFleet() || k.state.Table().Version() == 0 {
 		return
 	}
-	now := k.now()
-	if k.plannedAt.offset == k.state.Offset() && now.Sub(k.plannedAt.time) < planEvery {
-		return
-	}
 	made := plan.New(k.state, k.deps.Plan)
-	k.plannedAt = plannedAt{offset: k.state.Offset(), time: now, waits: made.Waits}
 	k.deps.Metrics.Add("plans", 1)
 	k.propose(made.Proposals...)
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -72,14 +72,10 @@
 	list     listView
 	carrying map[string]carried
 	logRead  time.Time
-	plannedAt
-}
-
-// plannedAt remembers when and on what the last plan was made.
-type plannedAt struct {
-	offset int
-	time   time.Time
-	waits  []string
+	// changed says that the fleet has changed since the last plan, made at
+	// planned.
+	changed bool
+	planned time.Time
 }
 
 // New starts a keeper. Its incarnation is its start time, so that a later
--- a/pkg/keeper/loop.go
+++ b/pkg/keeper/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"damsonwinch/pkg/follow"
 	"damsonwinch/pkg/wire"
@@ -94,6 +93,7 @@
 		k.takeForwarded(m)
 	case maintainedMessage:
 		k.takeMaintained(m)
+		k.changed = true
 	case entryEndedMessage:
 		k.roster.ended[m.entry] = true
 	case probedMessage:
@@ -110,7 +110,9 @@
 		return
 	}
 	k.state = update.State
+	k.changed = k.changed || update.Restored
 	for _, folded := range update.Records {
+		k.changed = k.changed || folded.ChangesFleet()
 		k.trail.Add(folded.Record, folded.Verdicts)
 		k.countVerdicts(folded)
 	}
@@ -140,17 +142,32 @@
 		return
 	}
 	k.releaseLost()
+	if !k.somethingToPlan() {
+		return
+	}
 	k.planHall()
 	k.carryOut(ctx)
 	k.planFleet()
 	k.writeSnapshot(ctx)
 }
 
+// somethingToPlan says whether the fleet has changed since the last plan, beside
+// renewals, or enough time has passed. Each plan looks at every box.
+func (k *Keeper) somethingToPlan() bool {
+	now := k.now()
+	if !k.changed && now.Sub(k.planned) < planRenewals*milliseconds(k.deps.Settings.RenewMs) {
+		return false
+	}
+	k.changed, k.planned = false, now
+	return true
+}
+
 // liveFor is the silence, by the log's time, after which a member is passed
 // over for the work that only one should do.
 func (k *Keeper) liveFor() int {
 	return k.deps.Settings.LeaseMs
 }
 
-// planEvery is the time between two plans on a state that has not changed.
-const planEvery = time.Second
+// planRenewals is the time, in renewal intervals, between two plans on a fleet
+// that has not changed.
+const planRenewals = 2
--- a/pkg/keeper/members.go
+++ b/pkg/keeper/members.go
@@ -63,9 +63,27 @@
 		members = append(members, member)
 	}
 	k.roster.received = map[string]wire.Member{}
+	for i, member := range members {
+		members[i] = k.withoutKnown(member)
+	}
 	k.propose(wire.Proposal{Kind: wire.KindRenew, Members: members})
 }
 
+// withoutKnown leaves out of a renewal what the log has already. Every keeper
+// reads every renewal, so that their size is most of what control costs.
+func (k *Keeper) withoutKnown(renewal wire.Member) wire.Member {
+	member, known := k.state.Member(renewal.Node)
+	sender, sends := k.state.Sender(fold.SenderKey{Node: renewal.Node, Entry: renewal.Entry})
+	if !known || member.Keeper != renewal.Keeper || member.Address != renewal.KeeperAddress {
+		return renewal
+	}
+	if renewal.Entry != 0 && (!sends || sender.Address != renewal.EntryAddress) {
+		return renewal
+	}
+	renewal.Hall, renewal.KeeperAddress, renewal.EntryAddress = "", "", ""
+	return renewal
+}
+
 // ownMember returns the keeper's own place with its entry's last renewal.
 func (k *Keeper) ownMember() wire.Member {
 	member := k.roster.own
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -325,8 +325,8 @@
 	// Offset the entry had folded when it issued this renewal.
 	Folded int `json:"folded"`
 
-	// Hall corresponds to the JSON schema field "hall".
-	Hall string `json:"hall"`
+	// Empty, like the addresses, where the log has it already.
+	Hall string `json:"hall,omitempty,omitzero"`
 
 	// Incarnation of its keeper.
 	Keeper int `json:"keeper"`
