--- a/pkg/audit/audit.go
+++ b/pkg/audit/audit.go
@@ -18,11 +18,11 @@
 	return &Trail{most: most}
 }
 
-// Add notes the verdicts of one record. Accepted renewals are left out: they
-// change nothing that an operator asks about.
+// Add notes the verdicts of one record. Accepted renewals and
+// checkpoints are left out: they change nothing that an operator asks about.
 func (t *Trail) Add(record wire.Entry, verdicts []fold.Verdict) {
 	for i, verdict := range verdicts {
-		if verdict.Accepted && verdict.Proposal.Kind == wire.KindRenew {
+		if kind := verdict.Proposal.Kind; verdict.Accepted && (kind == wire.KindRenew || kind == wire.KindCheckpoint) {
 			continue
 		}
 		t.lines = append(t.lines, line(record, i, verdict))
--- /dev/null
+++ b/pkg/check/check_test.go
@@ -0,0 +1,53 @@
+package check
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/settings"
+)
+
+// TestFaultsOfFiles checks scripted files and prints every fault with its place.
+func TestFaultsOfFiles(t *testing.T) {
+	checker, err := New()
+	assert.NilError(t, err)
+	datadriven.RunTest(t, "testdata/faults", func(t *testing.T, d *datadriven.TestData) string {
+		name := filepath.Join(t.TempDir(), "file")
+		assert.NilError(t, os.WriteFile(name, []byte(d.Input), 0o600))
+		into := map[string]any{Keeper: &settings.Keeper{}, Entry: &settings.Entry{}, Table: &settings.Table{}, Fleet: &settings.Fleet{}}
+		err := checker.File(d.Cmd, name, into[d.Cmd])
+		if err == nil {
+			return "no fault\n"
+		}
+		var faults *FileError
+		assert.Assert(t, errors.As(err, &faults), err)
+		return strings.ReplaceAll(err.Error(), name, "FILE") + "\n"
+	})
+}
+
+// TestExamplesHaveNoFault keeps the examples true.
+func TestExamplesHaveNoFault(t *testing.T) {
+	checker, err := New()
+	assert.NilError(t, err)
+	files, err := filepath.Glob("../../examples/*/*.jsonc")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 20, "%d examples", len(files))
+	for _, file := range files {
+		definition, into := Keeper, any(&settings.Keeper{})
+		switch base := filepath.Base(file); {
+		case strings.HasPrefix(base, "entry"):
+			definition, into = Entry, &settings.Entry{}
+		case strings.HasPrefix(base, "table"):
+			definition, into = Table, &settings.Table{}
+		case strings.HasPrefix(base, "fleet"):
+			definition, into = Fleet, &settings.Fleet{}
+		}
+		assert.NilError(t, checker.File(definition, file, into))
+	}
+}
--- a/pkg/check/file.go
+++ b/pkg/check/file.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -47,11 +49,25 @@
 	return &FileError{Lines: place(name, text, root, faults)}
 }
 
-// place words each fault with the file's name and the line of its field.
+// placed is a fault with its line.
+type placed struct {
+	Fault
+	line int
+}
+
+// place words the faults with the file's name and the line of each field, in the
+// order of the file.
 func place(name string, text []byte, root hujson.Value, faults []Fault) []string {
-	lines := make([]string, 0, len(faults))
+	found := make([]placed, 0, len(faults))
 	for _, fault := range faults {
-		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s", name, lineOf(text, root, fault.Path), fault.Field(), fault.Problem))
+		found = append(found, placed{Fault: fault, line: lineOf(text, root, fault.Path)})
+	}
+	slices.SortStableFunc(found, func(a, b placed) int {
+		return cmp.Or(a.line-b.line, strings.Compare(a.Field(), b.Field()), strings.Compare(a.Problem, b.Problem))
+	})
+	lines := make([]string, 0, len(found))
+	for _, fault := range found {
+		lines = append(lines, fmt.Sprintf("%s:%d: %s: %s", name, fault.line, fault.Field(), fault.Problem))
 	}
 	return lines
 }
--- a/pkg/command/trial.go
+++ b/pkg/command/trial.go
@@ -35,6 +35,9 @@
 			if options.Seconds < leastSeconds || options.Seconds > mostSeconds {
 				return usage(fmt.Errorf("--seconds is %d; allowed: %d to %d", options.Seconds, leastSeconds, mostSeconds))
 			}
+			if _, err := trial.NewUser(options.User); err != nil {
+				return usage(err)
+			}
 			options.Progress = cmd.ErrOrStderr()
 			options.Logger = newLogger(cmd.ErrOrStderr(), quietLevel)
 			report, err := trial.Run(cmd.Context(), options)
--- a/pkg/fold/fold.go
+++ b/pkg/fold/fold.go
@@ -110,6 +110,8 @@
 		return s.renew(proposal, where)
 	case wire.KindRelease:
 		return s.release(proposal, where)
+	case wire.KindCheckpoint:
+		return s, "checkpoint", nil
 	}
 	if proposal.Change == nil {
 		return s, "", refuse("a %q proposal needs a change", proposal.Kind)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -35,7 +35,8 @@
 // ChangesFleet says whether the record did more than renew.
 func (f Folded) ChangesFleet() bool {
 	for _, verdict := range f.Verdicts {
-		if verdict.Accepted && verdict.Proposal.Kind != wire.KindRenew {
+		kind := verdict.Proposal.Kind
+		if verdict.Accepted && kind != wire.KindRenew && kind != wire.KindCheckpoint {
 			return true
 		}
 	}
@@ -49,6 +50,9 @@
 	// Restored says that the state was taken from a snapshot, so that records
 	// in between were not seen.
 	Restored bool
+	// Checkpoint is the state's snapshot at the newest offset that is one, if the
+	// records have passed one.
+	Checkpoint *fold.Snapshot
 	// Avoid names the boxes that the platform's list shows as leaving or gone;
 	// it is nil when the source doesn't say.
 	Avoid []string
@@ -70,6 +74,8 @@
 	Empty fold.State
 	// Updates takes what the follower passes on.
 	Updates chan<- Update
+	// CheckpointEvery is the number of records between two checkpoints, 0 for none.
+	CheckpointEvery int
 	// WaitMs is how long a reading waits for a first record, 0 for the default.
 	WaitMs int
 }
@@ -79,6 +85,8 @@
 	deps      Deps
 	state     fold.State
 	skipUntil []time.Time
+	// checkpoints holds the hashes of the newest ones by their offsets.
+	checkpoints map[int]string
 }
 
 // New returns a follower that starts at the empty state.
@@ -86,7 +94,7 @@
 	if deps.WaitMs == 0 {
 		deps.WaitMs = waitMs
 	}
-	return &Follower{deps: deps, state: deps.Empty, skipUntil: make([]time.Time, len(deps.Sources))}
+	return &Follower{deps: deps, state: deps.Empty, skipUntil: make([]time.Time, len(deps.Sources)), checkpoints: map[int]string{}}
 }
 
 // Run follows until the context ends.
@@ -168,24 +176,24 @@
 			"record %d took the table from version %d to %d", record.Offset, was.Table().Version(), next.Table().Version())
 		f.state = next
 		update.Records = append(update.Records, Folded{Record: record, Verdicts: verdicts})
+		f.compareCheckpoints(verdicts)
+		if err := f.takeCheckpoint(&update); err != nil {
+			return update, err
+		}
 	}
 	update.State = f.state
 	return update, nil
 }
 
-// restore takes a snapshot that is ahead of the state; one that stands at the
-// same offset is compared by its hash.
+// restore takes a snapshot that is ahead of the state.
 func (f *Follower) restore(text string) (bool, error) {
 	var snapshot fold.Snapshot
 	if err := json.Unmarshal([]byte(text), &snapshot); err != nil {
 		return false, fmt.Errorf("read snapshot: %w", err)
 	}
-	if snapshot.Offset < f.state.Offset() {
+	if snapshot.Offset <= f.state.Offset() {
 		return false, nil
 	}
-	if snapshot.Offset == f.state.Offset() {
-		return false, f.compare(snapshot)
-	}
 	restored, err := f.deps.Empty.WithSnapshot(snapshot)
 	if err != nil {
 		return false, err
@@ -195,13 +203,3 @@
 	f.state = restored
 	return true, nil
 }
-
-func (f *Follower) compare(snapshot fold.Snapshot) error {
-	own, err := f.state.Snapshot()
-	if err != nil {
-		return err
-	}
-	f.deps.Invariants.Check(invariant.StateDiverged, own.Hash == snapshot.Hash,
-		"snapshot at %d has hash %s, folding gave %s", snapshot.Offset, snapshot.Hash, own.Hash)
-	return nil
-}
--- a/pkg/keeper/carry.go
+++ b/pkg/keeper/carry.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"damsonwinch"
 	"damsonwinch/pkg/fold"
 	"damsonwinch/pkg/plan"
 	"damsonwinch/pkg/wire"
@@ -124,34 +123,6 @@
 	k.propose(made.Proposals...)
 }
 
-// writeSnapshot keeps the state in the log before its records expire.
-func (k *Keeper) writeSnapshot(ctx context.Context) {
-	if !k.leadsFleet() || k.relay.snapshotAt+k.deps.Settings.SnapshotEvery > k.state.Offset() {
-		return
-	}
-	k.relay.snapshotAt = k.state.Offset()
-	snapshot, err := k.state.Snapshot()
-	if err != nil {
-		k.deps.Logger.WithError(err).Error("snapshot can't be written")
-		return
-	}
-	text, err := json.Marshal(snapshot)
-	if err != nil {
-		k.deps.Logger.WithError(err).Error("snapshot can't be written")
-		return
-	}
-	k.group.Go(func() error {
-		limited, cancel := context.WithTimeout(ctx, appendTimeout)
-		defer cancel()
-		if _, err := k.deps.Log.Append(limited, damsonwinch.StreamSnapshots, string(text)); err != nil {
-			k.deps.Metrics.Add("snapshot_failures", 1)
-			return nil
-		}
-		k.deps.Metrics.Add("snapshots", 1)
-		return nil
-	})
-}
-
 // status returns what the keeper has in force.
 func (k *Keeper) status(args wire.StatusArgs) wire.StatusReply {
 	reply := wire.StatusReply{
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -131,6 +131,8 @@
 		Invariants: k.deps.Invariants,
 		Empty:      k.deps.Empty,
 		Updates:    k.updates,
+
+		CheckpointEvery: k.deps.Settings.SnapshotEvery,
 	})
 	k.group.Go(func() error { return follower.Run(ctx) })
 	k.group.Go(func() error { return k.pollList(ctx) })
--- a/pkg/keeper/loop.go
+++ b/pkg/keeper/loop.go
@@ -61,6 +61,9 @@
 			return nil
 		case update := <-k.updates:
 			k.takeUpdate(update)
+			if update.Checkpoint != nil {
+				k.writeSnapshot(ctx, *update.Checkpoint)
+			}
 			k.decide(ctx)
 		case message := <-k.inbox:
 			k.take(ctx, message)
@@ -148,7 +151,6 @@
 	k.planHall()
 	k.carryOut(ctx)
 	k.planFleet()
-	k.writeSnapshot(ctx)
 }
 
 // somethingToPlan says whether the fleet has changed since the last plan, beside
--- a/pkg/keeper/outbox.go
+++ b/pkg/keeper/outbox.go
@@ -74,7 +74,7 @@
 	case a.Release != nil && b.Release != nil:
 		return *a.Release == *b.Release
 	}
-	return a.Kind == wire.KindRenew || a.Kind == wire.KindEnroll
+	return a.Kind == wire.KindRenew || a.Kind == wire.KindEnroll || a.Kind == wire.KindCheckpoint
 }
 
 // settle notes which operators' proposals were folded.
--- a/pkg/keeper/relay.go
+++ b/pkg/keeper/relay.go
@@ -16,8 +16,6 @@
 	first   int
 	entries []wire.Entry
 	waiting []waitingRead
-	// snapshotAt is the offset of the last snapshot that this keeper wrote.
-	snapshotAt int
 }
 
 type waitingRead struct {
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -126,6 +126,16 @@
 	Value string `json:"value"`
 }
 
+// Checkpoint says what hash the state has at an offset, so that whoever folded
+// alike can compare.
+type Checkpoint struct {
+	// Hash corresponds to the JSON schema field "hash".
+	Hash string `json:"hash"`
+
+	// Offset corresponds to the JSON schema field "offset".
+	Offset int `json:"offset"`
+}
+
 // Claim is one record of the claims stream: a key taken by an entry, or the
 // outcome of a taken key.
 type Claim struct {
@@ -279,6 +289,7 @@
 const KindAssign Kind = "assign"
 const KindBack Kind = "back"
 const KindCarry Kind = "carry"
+const KindCheckpoint Kind = "checkpoint"
 const KindDrain Kind = "drain"
 const KindEdit Kind = "edit"
 const KindEmpty Kind = "empty"
@@ -364,6 +375,9 @@
 	// Change corresponds to the JSON schema field "change".
 	Change *BoxChange `json:"change,omitempty,omitzero"`
 
+	// Checkpoint corresponds to the JSON schema field "checkpoint".
+	Checkpoint *Checkpoint `json:"checkpoint,omitempty,omitzero"`
+
 	// Edit corresponds to the JSON schema field "edit".
 	Edit *Edit `json:"edit,omitempty,omitzero"`
 
