Assert budgets, leases and answers where they are decided

Cause: three invariants had counters and no check: below_floor, wrong_answer, sent_without_lease. Change: a follower checks the headroom after an accepted drain, an entry its lease when it grants a box, and a forwarded answer carries its request's id.

--- a/pkg/capacity/rules.go
+++ b/pkg/capacity/rules.go
@@ -90,7 +90,7 @@
 		{Row: Row{Role: "keeper", Cause: "folding", Formula: "records x fold + renewals x fold(members)", Unit: "% of a core", Limit: limitCPU, Mechanism: "pkg/fold/fold.go"}, value: folds},
 		{Row: Row{Role: "keeper", Cause: "looking at its hall's boxes", Formula: "plans x 6 passes", Unit: "% of a core", Limit: limitCPU, Mechanism: "only upon changes, pkg/keeper/loop.go"}, value: scans},
 		{Row: Row{Role: "keeper", Cause: "planning the fleet, on one node at a time", Formula: "plans x plan(boxes)", Unit: "% of a core", Limit: limitCPU, Mechanism: "the eldest keeper, pkg/keeper/carry.go"}, value: planning},
-		{Row: Row{Role: "node", Cause: "control in all, on the node that plans", Formula: "keeper's three rows, and folding and one pass a change in the entry", Unit: "% of a core", Limit: limitCPU, Mechanism: "timers of 10 and 20 ms in pkg/claim and pkg/front come on top: see below"},
+		{Row: Row{Role: "node", Cause: "control in all, on the node that plans", Formula: "keeper's three rows, and folding and one pass a change in the entry", Unit: "% of a core", Limit: limitCPU, Mechanism: "ticks follow the work, pkg/pace/pace.go"},
 			value: func(d Demand) float64 {
 				return 2*folds(d) + scans(d) + planning(d) + d.records()*b.at(slopeScan, size(d))*perCent
 			}},
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -176,6 +176,7 @@
 			"record %d took the table from version %d to %d", record.Offset, was.Table().Version(), next.Table().Version())
 		f.state = next
 		update.Records = append(update.Records, Folded{Record: record, Verdicts: verdicts})
+		f.checkBudgets(was, verdicts)
 		f.compareCheckpoints(verdicts)
 		if err := f.takeCheckpoint(&update); err != nil {
 			return update, err
@@ -203,3 +204,19 @@
 	f.state = restored
 	return true, nil
 }
+
+// checkBudgets asserts that an accepted drain of a usable box leaves its pool's
+// services what they need. It looks at records with one proposal, because other
+// proposals of a record may change the pool after the drain.
+func (f *Follower) checkBudgets(was fold.State, verdicts []fold.Verdict) {
+	for _, verdict := range verdicts {
+		if !verdict.Accepted || verdict.Proposal.Kind != wire.KindDrain {
+			continue
+		}
+		box, _ := was.Box(verdict.Proposal.Change.Box)
+		if box.Usable() && box.Pool != fold.FreePool && len(verdicts) == 1 {
+			f.deps.Invariants.Check(invariant.BelowFloor, f.state.Headroom(box.Pool) >= 0,
+				"the drain of %s leaves pool %s a headroom of %d", box.Info.Name, box.Pool, f.state.Headroom(box.Pool))
+		}
+	}
+}
--- a/pkg/front/dispatch.go
+++ b/pkg/front/dispatch.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/invariant"
 	"damsonwinch/pkg/pick"
 	"damsonwinch/pkg/queue"
 	"damsonwinch/pkg/send"
@@ -203,6 +204,7 @@
 	}
 	box := f.boxes[name]
 	f.checkLeaving(box)
+	f.deps.Invariants.Check(invariant.SentWithoutLease, f.leasing.holder.MaySend(f.now()), "request %s got box %s outside the lease", item.ID, name)
 	box.inUse += item.Size
 	f.usage(item.Service).slots += item.Size
 	granted := f.jobs[item.ID]
--- a/pkg/front/request.go
+++ b/pkg/front/request.go
@@ -241,6 +241,10 @@
 	var reply wire.ForwardReply
 	err := t.front.callPeer(ctx, granted.address, args, &reply)
 	t.front.post(forwardedMessage{peer: granted.forward, pool: granted.row.Pool, busy: reply.Free == 0, lost: err != nil})
+	if err == nil && reply.Id != t.request.ID {
+		t.front.deps.Invariants.Check(invariant.WrongAnswer, false, "%s answered %q to request %s", granted.address, reply.Id, t.request.ID)
+		err = &call.Error{Step: ServiceName + ".Forward", Peer: granted.address, Sent: true, Err: send.ErrOther}
+	}
 	if err != nil {
 		return t.forwardFailed(ctx, granted, err)
 	}
--- a/pkg/front/service.go
+++ b/pkg/front/service.go
@@ -17,7 +17,7 @@
 	f := s.front
 	release, refused := f.hold(len(args.Body))
 	if refused != nil {
-		*reply = wire.ForwardReply{Outcome: wire.OutcomeNotRun, Status: refused.status, Reason: refused.reason}
+		*reply = wire.ForwardReply{Id: args.Id, Outcome: wire.OutcomeNotRun, Status: refused.status, Reason: refused.reason}
 		return nil
 	}
 	defer release()
@@ -30,7 +30,7 @@
 		Deadline: f.now().Add(milliseconds(args.BudgetMs)), Size: args.Size, Body: []byte(args.Body), Hop: true,
 	})
 	*reply = wire.ForwardReply{
-		Outcome: outcome.Outcome, Status: outcome.Status, Reason: outcome.Reason, ContentType: outcome.ContentType,
+		Id: args.Id, Outcome: outcome.Outcome, Status: outcome.Status, Reason: outcome.Reason, ContentType: outcome.ContentType,
 		Box: outcome.Box, RetryAfterMs: int(outcome.RetryAfter.Milliseconds()), Body: string(outcome.Body),
 		Free: f.freeSlots(args.Service),
 	}
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -264,6 +264,9 @@
 	// Free slots the sender has in the pool after this request.
 	Free int `json:"free,omitempty,omitzero"`
 
+	// The request's id, so that no other request's outcome is taken for it.
+	Id string `json:"id,omitempty,omitzero"`
+
 	// Outcome corresponds to the JSON schema field "outcome".
 	Outcome Outcome `json:"outcome"`
 
