--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"syscall"
 	"time"
@@ -74,7 +75,8 @@
 	return c.peer
 }
 
-// Do makes one call and waits for it until the context ends. A call past its
+// Do makes one call and waits for it until the context ends. The reply, a
+// pointer, is written only if there is no error. A call past its
 // deadline closes the connection, since net/rpc can't take a call back; its
 // error says that it may have been carried out.
 func (c *Client) Do(ctx context.Context, method string, args, reply any) error {
@@ -82,9 +84,16 @@
 	if err != nil {
 		return &Error{Step: method, Peer: c.peer, Err: err}
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// The answer is decoded into a value of its own: one that comes after the
+	// deadline would otherwise be written into what the caller has moved on with,
+	// perhaps the reply of another peer.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
+		if call.Error == nil {
+			reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		}
 		return c.finish(client, method, call.Error)
 	case <-ctx.Done():
 		c.drop(client)
--- /dev/null
+++ b/pkg/call/call_test.go
@@ -0,0 +1,80 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// gate answers a call when it is opened.
+type gate struct {
+	entered chan struct{}
+	open    chan struct{}
+	left    chan struct{}
+}
+
+// Ask waits for the gate if its argument is above 0, and returns the argument.
+func (g *gate) Ask(number int, reply *int) error {
+	if number > 0 {
+		g.entered <- struct{}{}
+		<-g.open
+		defer close(g.left)
+	}
+	*reply = number
+	return nil
+}
+
+func serveGate(t *testing.T) (*gate, *Client, *Server) {
+	g := &gate{entered: make(chan struct{}), open: make(chan struct{}), left: make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := Serve(listener, "Gate", g)
+	assert.NilError(t, err)
+	client := New(listener.Addr().String(), (&net.Dialer{}).DialContext)
+	return g, client, server
+}
+
+// TestALateAnswerIsNotWritten into what the caller goes on with.
+func TestALateAnswerIsNotWritten(t *testing.T) {
+	g, client, server := serveGate(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	reply := -1
+	failed := make(chan error, 1)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		failed <- client.Do(ctx, "Gate.Ask", 7, &reply)
+	}()
+	<-g.entered
+	cancel()
+
+	err := <-failed
+	<-done
+
+	assert.Assert(t, errors.Is(err, context.Canceled))
+	assert.Assert(t, MaySent(err))
+	close(g.open)
+	<-g.left
+	assert.Equal(t, reply, -1)
+	assert.NilError(t, client.Do(context.Background(), "Gate.Ask", 0, &reply))
+	assert.Equal(t, reply, 0)
+	client.Close()
+	server.Close()
+}
+
+// TestARefusedConnectionWasNotSent tells an ended peer from a silent one.
+func TestARefusedConnectionWasNotSent(t *testing.T) {
+	_, client, server := serveGate(t)
+	server.Close()
+	reply := 0
+	err := client.Do(context.Background(), "Gate.Ask", 1, &reply)
+	assert.Assert(t, Refused(err), "%v", err)
+	assert.Assert(t, !MaySent(err))
+	var failed *Error
+	assert.Assert(t, errors.As(err, &failed))
+	assert.Equal(t, failed.Step, "Gate.Ask")
+	assert.Equal(t, failed.Peer, client.Peer())
+}
--- a/pkg/trial/report.go
+++ b/pkg/trial/report.go
@@ -46,6 +46,8 @@
 func (r *run) report() Report {
 	overlaps, cut, late := r.cluster.Book.Harm()
 	o := r.observer
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
 	report := Report{
 		Users: r.options.User, Seed: r.options.Seed, CutInFlight: cut, PoolOverlap: overlaps, SentToLeaving: late,
 		BelowFloor: o.belowFloor, ConfigReverted: o.reverted, BoxesMoved: o.moved, BoxesMaintained: o.maintained,
