Say once what stood twice: calls' answers, operators' questions, medians

Cause: the keeper's five calls, dwctl's subcommands and two tests repeated the same steps; capacity and planbench each had a median.

--- a/pkg/capacity/slopes.go
+++ b/pkg/capacity/slopes.go
@@ -54,7 +54,6 @@
 }
 
 const (
-	runs    = 7
 	mega    = 1 << 20
 	smallBy = 10
 )
@@ -109,7 +108,7 @@
 		return err
 	}
 	note := func(name string, value float64) { into[name] = append(into[name], value) }
-	note(slopeFull, milliseconds(clock, fleet.Plan))
+	note(slopeFull, planbench.MedianMs(clock, fleet.Plan))
 	fleet.Settle()
 	note(slopeMemory, (heap()-before)/mega)
 	snapshot, err := fleet.State().Snapshot()
@@ -121,12 +120,12 @@
 	if err != nil {
 		return err
 	}
-	note(slopeRestore, milliseconds(clock, func() { _, err = empty.WithSnapshot(snapshot) }))
+	note(slopeRestore, planbench.MedianMs(clock, func() { _, err = empty.WithSnapshot(snapshot) }))
 	if err != nil {
 		return err
 	}
-	note(slopePlan, milliseconds(clock, fleet.Plan))
-	note(slopeScan, milliseconds(clock, func() { fleet.State().Boxes() }))
+	note(slopePlan, planbench.MedianMs(clock, fleet.Plan))
+	note(slopeScan, planbench.MedianMs(clock, func() { fleet.State().Boxes() }))
 	note(slopeFold, foldTime(clock, fleet.State(), boxRecord(fleet.State())))
 	note(slopeList, kilobytes(listOf(fleet.State())))
 	runtime.KeepAlive(fleet)
@@ -149,18 +148,6 @@
 	return float64(len(text)) / 1024
 }
 
-// milliseconds returns the median time of a piece of work.
-func milliseconds(clock damsonwinch.Clock, do func()) float64 {
-	var times []float64
-	for range runs {
-		begun := clock.Now()
-		do()
-		times = append(times, float64(clock.Since(begun))/float64(time.Millisecond))
-	}
-	slices.Sort(times)
-	return times[len(times)/2]
-}
-
 func listOf(state fold.State) []wire.ListedBox {
 	var listed []wire.ListedBox
 	for _, box := range state.Boxes() {
@@ -184,7 +171,7 @@
 	}
 	const together = 200
 	record := wire.Entry{Offset: state.Offset(), At: state.At(), Data: string(data)}
-	took := milliseconds(clock, func() {
+	took := planbench.MedianMs(clock, func() {
 		for range together {
 			state.Fold(record)
 		}
--- a/pkg/command/control_table.go
+++ b/pkg/command/control_table.go
@@ -47,7 +47,7 @@
 		Short: "Show which cells a table file would change",
 		Args:  exactly(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			edit, err := c.editOf(cmd.Context(), args[0])
+			edit, err := c.editOf(cmd, args[0])
 			if err != nil {
 				return err
 			}
@@ -57,23 +57,21 @@
 }
 
 // editOf compares a file with the table in force.
-func (c *control) editOf(ctx context.Context, file string) (wire.Edit, error) {
+func (c *control) editOf(cmd *cobra.Command, file string) (wire.Edit, error) {
 	wanted, err := readTable(file)
 	if err != nil {
 		return wire.Edit{}, err
 	}
-	client, err := c.client()
-	if err != nil {
-		return wire.Edit{}, err
-	}
-	defer client.Close()
-	limited, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	state, err := client.State(limited)
-	if err != nil {
-		return wire.Edit{}, err
-	}
-	return state.Table().Edits(wanted)
+	var edit wire.Edit
+	err = c.ask(cmd, func(ctx context.Context, client *operator.Client) error {
+		state, err := client.State(ctx)
+		if err != nil {
+			return err
+		}
+		edit, err = state.Table().Edits(wanted)
+		return err
+	})
+	return edit, err
 }
 
 func editLines(edit wire.Edit) []string {
@@ -103,7 +101,7 @@
 			"A cell that somebody else has set meanwhile is refused with the cell, who set it and when.",
 		Args: exactly(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			edit, err := c.editOf(cmd.Context(), args[0])
+			edit, err := c.editOf(cmd, args[0])
 			if err != nil {
 				return err
 			}
@@ -118,22 +116,17 @@
 }
 
 func (c *control) publish(cmd *cobra.Command, edit wire.Edit, cause string) error {
-	client, err := c.client()
-	if err != nil {
-		return err
-	}
-	defer client.Close()
-	limited, cancel := context.WithTimeout(cmd.Context(), c.timeout)
-	defer cancel()
-	line, err := client.Edit(limited, edit, cause)
-	var refused *operator.RefusedError
-	if errors.As(err, &refused) {
-		return &ExitError{Code: ExitRefused, Err: err}
-	}
-	if err != nil {
-		return err
-	}
-	return c.print(cmd, line, []string{fmt.Sprintf("accepted as record %d: %s", line.Offset, line.Reason)})
+	return c.ask(cmd, func(ctx context.Context, client *operator.Client) error {
+		line, err := client.Edit(ctx, edit, cause)
+		var refused *operator.RefusedError
+		if errors.As(err, &refused) {
+			return &ExitError{Code: ExitRefused, Err: err}
+		}
+		if err != nil {
+			return err
+		}
+		return c.print(cmd, line, []string{fmt.Sprintf("accepted as record %d: %s", line.Offset, line.Reason)})
+	})
 }
 
 func (c *control) tableShow() *cobra.Command {
@@ -142,22 +135,17 @@
 		Short: "Show the table in force, as a table file",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			client, err := c.client()
-			if err != nil {
-				return err
-			}
-			defer client.Close()
-			limited, cancel := context.WithTimeout(cmd.Context(), c.timeout)
-			defer cancel()
-			state, err := client.State(limited)
-			if err != nil {
-				return err
-			}
-			text, err := check.Text(state.Table().File())
-			if err != nil {
-				return err
-			}
-			return c.print(cmd, state.Table().File(), []string{fmt.Sprintf("// version %d", state.Table().Version()), text})
+			return c.ask(cmd, func(ctx context.Context, client *operator.Client) error {
+				state, err := client.State(ctx)
+				if err != nil {
+					return err
+				}
+				text, err := check.Text(state.Table().File())
+				if err != nil {
+					return err
+				}
+				return c.print(cmd, state.Table().File(), []string{fmt.Sprintf("// version %d", state.Table().Version()), text})
+			})
 		},
 	}
 }
--- a/pkg/keeper/loop.go
+++ b/pkg/keeper/loop.go
@@ -7,27 +7,27 @@
 	"damsonwinch/pkg/wire"
 )
 
-// Messages to the loop. Each carries where its answer goes.
+// Messages to the loop. Each carries what takes its answer.
 type (
 	readMessage struct {
 		args  wire.ReadArgs
-		reply chan<- wire.ReadReply
+		reply func(wire.ReadReply)
 	}
 	renewMessage struct {
 		member wire.Member
-		reply  chan<- bool
+		reply  func(bool)
 	}
 	extendMessage struct {
 		args  wire.ExtendArgs
-		reply chan<- wire.ExtendReply
+		reply func(wire.ExtendReply)
 	}
 	proposeMessage struct {
 		proposals []wire.Proposal
-		reply     chan<- bool
+		reply     func(bool)
 	}
 	statusMessage struct {
 		args  wire.StatusArgs
-		reply chan<- wire.StatusReply
+		reply func(wire.StatusReply)
 	}
 	listMessage struct {
 		hall  string
@@ -82,12 +82,12 @@
 	case renewMessage:
 		k.takeRenewal(m)
 	case extendMessage:
-		m.reply <- k.extend(m.args)
+		m.reply(k.extend(m.args))
 	case proposeMessage:
 		k.propose(m.proposals...)
-		m.reply <- true
+		m.reply(true)
 	case statusMessage:
-		m.reply <- k.status(m.args)
+		m.reply(k.status(m.args))
 	case listMessage:
 		k.takeList(m)
 	case appendedMessage:
--- a/pkg/keeper/members.go
+++ b/pkg/keeper/members.go
@@ -37,7 +37,7 @@
 	} else if k.logFresh() {
 		k.roster.received[member.Node] = member
 	}
-	message.reply <- k.logFresh()
+	message.reply(k.logFresh())
 }
 
 // renewMembers says once a renewal interval who is there. One keeper says it
--- a/pkg/keeper/relay.go
+++ b/pkg/keeper/relay.go
@@ -68,12 +68,12 @@
 	entries, held := k.relay.from(message.args.From, message.args.Max)
 	switch {
 	case !held:
-		message.reply <- k.snapshotReply()
+		message.reply(k.snapshotReply())
 	case len(entries) == 0 && message.args.WaitMs > 0:
 		until := k.now().Add(milliseconds(message.args.WaitMs))
 		k.relay.waiting = append(k.relay.waiting, waitingRead{message: message, until: until})
 	default:
-		message.reply <- k.readReply(entries)
+		message.reply(k.readReply(entries))
 	}
 }
 
@@ -109,6 +109,6 @@
 // answerExpired tells readers whose time is over that there is nothing new.
 func (k *Keeper) answerExpired() {
 	for _, read := range k.relay.expired(k.now()) {
-		read.message.reply <- k.readReply([]wire.Entry{})
+		read.message.reply(k.readReply([]wire.Entry{}))
 	}
 }
--- a/pkg/planbench/month.go
+++ b/pkg/planbench/month.go
@@ -36,7 +36,7 @@
 const (
 	twoYears   = "two-years"
 	mostRounds = 400
-	repeats    = 5
+	repeats    = 7
 	// playedBoxes is the largest fleet whose wave is played one box at a time.
 	playedBoxes = 500
 )
@@ -262,18 +262,19 @@
 	if err := b.start(boxes, table); err != nil {
 		return err
 	}
-	result.PlanMs = median(clock, func() { plan.New(b.state, plan.Options{}) })
+	result.PlanMs = MedianMs(clock, func() { plan.New(b.state, plan.Options{}) })
 	runtime.ReadMemStats(&after)
 	result.PeakMb = float64(after.HeapAlloc-min(before.HeapAlloc, after.HeapAlloc)) / (1 << 20)
 	b.settle(mostRounds)
 	if err := b.edit(func(wanted *settings.Table) { wanted.Services[0].Row.Floor += b.boxSlots() }); err != nil {
 		return err
 	}
-	result.IncrementalMs = median(clock, func() { plan.New(b.state, plan.Options{}) })
+	result.IncrementalMs = MedianMs(clock, func() { plan.New(b.state, plan.Options{}) })
 	return nil
 }
 
-func median(clock damsonwinch.Clock, do func()) float64 {
+// MedianMs returns the median time of a piece of work, in milliseconds.
+func MedianMs(clock damsonwinch.Clock, do func()) float64 {
 	var times []float64
 	for range repeats {
 		begun := clock.Now()
--- a/pkg/trial/faults_test.go
+++ b/pkg/trial/faults_test.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -83,19 +82,7 @@
 
 func (s *story) callRaw(service string, body []byte, header map[string]string, nonce string) told {
 	s.t.Helper()
-	address := s.cluster.Nodes[0].entry.HttpAddress
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/run/"+service, bytes.NewReader(body))
-	assert.NilError(s.t, err)
-	for name, value := range header {
-		request.Header.Set(name, value)
-	}
-	response, err := s.client.Do(request)
-	assert.NilError(s.t, err)
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	assert.NilError(s.t, err)
-	return told{outcome: response.Header.Get(front.HeaderOutcome), status: response.StatusCode, body: string(answer),
-		retry: response.Header.Get("Retry-After"), nonce: nonce}
+	return s.callAt(s.cluster.Nodes[0], service, body, header, nonce)
 }
 
 func (s *story) nonce() string {
--- a/pkg/trial/keys_test.go
+++ b/pkg/trial/keys_test.go
@@ -28,7 +28,7 @@
 		answers := make([]told, 2)
 		for i, node := range s.cluster.Nodes {
 			both.Go(func() error {
-				answers[i] = s.callAt(node, "pay", standin.Work{Nonce: nonce, WorkMs: 1}, map[string]string{front.HeaderKey: nonce})
+				answers[i] = s.callAt(node, "pay", mustJSON(t, standin.Work{Nonce: nonce, WorkMs: 1}), map[string]string{front.HeaderKey: nonce}, nonce)
 				return nil
 			})
 		}
--- a/pkg/trial/story_test.go
+++ b/pkg/trial/story_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/front"
 	"damsonwinch/pkg/standin"
 	"damsonwinch/pkg/wire"
 )
@@ -42,8 +43,8 @@
 }
 
 // callAt calls one entry.
-func (s *story) callAt(node *Node, service string, work standin.Work, header map[string]string) told {
-	request, err := http.NewRequest(http.MethodPost, "http://"+node.entry.HttpAddress+"/v1/run/"+service, bytes.NewReader(mustJSON(s.t, work)))
+func (s *story) callAt(node *Node, service string, body []byte, header map[string]string, nonce string) told {
+	request, err := http.NewRequest(http.MethodPost, "http://"+node.entry.HttpAddress+"/v1/run/"+service, bytes.NewReader(body))
 	assert.NilError(s.t, err)
 	for name, value := range header {
 		request.Header.Set(name, value)
@@ -53,7 +54,8 @@
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
 	assert.NilError(s.t, err)
-	return told{status: response.StatusCode, body: string(answer)}
+	return told{outcome: response.Header.Get(front.HeaderOutcome), status: response.StatusCode, body: string(answer),
+		retry: response.Header.Get("Retry-After"), nonce: nonce}
 }
 
 // abandon calls until the context ends.
