Let a hall cut from the platform follow the log through other halls

Cause: a story (a cut in one direction) never saw an edit in force at the cut hall. The follower began each pass at the log, waited 2 s for it, then read from a peer of its own hall that knew no more, and began again: it never came to the other halls' keepers. Ruled out: the relay (other halls' keepers had the records at once). Change: a peer that knows no more is followed by the next in the same pass; only the first is waited for; a source that fails is passed over for longer each time. More stories: a list that wrongly drops boxes, a rack lost during a wave, a pause between grant and send.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -21,7 +21,9 @@
 	pageRecords  = 500
 	waitMs       = 500
 	readTimeout  = 2 * time.Second
-	skipFor      = 500 * time.Millisecond
+	firstSkip    = 500 * time.Millisecond
+	mostSkip     = 4 * time.Second
+	mostFailures = 8
 	firstBackoff = 20 * time.Millisecond
 	mostBackoff  = time.Second
 )
@@ -85,6 +87,7 @@
 	deps      Deps
 	state     fold.State
 	skipUntil []time.Time
+	failures  []int
 	// checkpoints holds the hashes of the newest ones by their offsets.
 	checkpoints map[int]string
 }
@@ -94,7 +97,8 @@
 	if deps.WaitMs == 0 {
 		deps.WaitMs = waitMs
 	}
-	return &Follower{deps: deps, state: deps.Empty, skipUntil: make([]time.Time, len(deps.Sources)), checkpoints: map[int]string{}}
+	return &Follower{deps: deps, state: deps.Empty, skipUntil: make([]time.Time, len(deps.Sources)),
+		failures: make([]int, len(deps.Sources)), checkpoints: map[int]string{}}
 }
 
 // Run follows until the context ends.
@@ -114,38 +118,52 @@
 	return nil
 }
 
-// readFromAny reads from the first source that answers. A source that failed is
-// passed over for a while, so that a dead one doesn't hold up the living.
+// readFromAny reads from the first source that has something new or that reads
+// the log itself. One that failed is passed over for a while, so that a dead one
+// doesn't hold up the living; one that knows no more than we do is followed by
+// the next in the same pass, because only another may have heard more.
 func (f *Follower) readFromAny(ctx context.Context) bool {
+	answered, wait := false, f.deps.WaitMs
 	for i, source := range f.deps.Sources {
 		begun := f.deps.Clock.Now()
 		if begun.Before(f.skipUntil[i]) {
 			continue
 		}
-		update, err := f.readFrom(ctx, source)
+		update, err := f.readFrom(ctx, source, wait)
 		if err != nil {
-			f.skipUntil[i] = f.deps.Clock.Now().Add(skipFor)
+			f.passOver(i)
 			continue
 		}
+		f.failures[i] = 0
+		answered = true
 		update.ReadAt = begun
 		update.Source = source.Name()
-		if len(update.Records) == 0 && !update.FromLog {
-			// It knows no more than we do: another may.
-			f.skipUntil[i] = f.deps.Clock.Now().Add(skipFor)
-		}
 		select {
 		case f.deps.Updates <- update:
 		case <-ctx.Done():
+			return true
+		}
+		if len(update.Records) > 0 || update.Restored || update.FromLog {
+			return true
 		}
-		return true
+		// Only the first is waited for: a hall's members would add up to more than
+		// a change may take to be in force.
+		wait = 0
 	}
-	return false
+	return answered
+}
+
+// passOver leaves out a source that failed, for longer each time.
+func (f *Follower) passOver(source int) {
+	pause := min(mostSkip, firstSkip<<min(f.failures[source], mostFailures))
+	f.failures[source]++
+	f.skipUntil[source] = f.deps.Clock.Now().Add(pause)
 }
 
-func (f *Follower) readFrom(ctx context.Context, source damsonwinch.Source) (Update, error) {
+func (f *Follower) readFrom(ctx context.Context, source damsonwinch.Source, wait int) (Update, error) {
 	limited, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	reply, err := source.Read(limited, f.state.Offset(), pageRecords, f.deps.WaitMs)
+	reply, err := source.Read(limited, f.state.Offset(), pageRecords, wait)
 	if err != nil {
 		return Update{}, err
 	}
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
@@ -127,3 +129,47 @@
 
 	assert.ErrorContains(t, err, "records are missing")
 }
+
+// scripted is a source that answers as it is told.
+type scripted struct {
+	name  string
+	reply wire.ReadReply
+	err   error
+	asked int
+	waits []int
+}
+
+// Name returns the source's name.
+func (s *scripted) Name() string { return s.name }
+
+// Read answers as the test has set.
+func (s *scripted) Read(_ context.Context, _, _, waitMs int) (wire.ReadReply, error) {
+	s.asked++
+	s.waits = append(s.waits, waitMs)
+	return s.reply, s.err
+}
+
+// TestAPeerThatKnowsNoMoreIsFollowedByTheNext: a hall that can't reach the log
+// has peers that can't either, and others that can. Each pass gets to those.
+func TestAPeerThatKnowsNoMoreIsFollowedByTheNext(t *testing.T) {
+	r := newReader(t, newLog())
+	text, err := json.Marshal(enroll(1))
+	assert.NilError(t, err)
+	dead := &scripted{name: LogName, err: errors.New("cut off")}
+	idle := &scripted{name: "same hall"}
+	fresh := &scripted{name: "other hall", reply: wire.ReadReply{Entries: []wire.Entry{{Offset: 0, Data: string(text)}}, LogFresh: true}}
+	last := &scripted{name: "not needed"}
+	r.updates = make(chan Update, 4)
+	r.follower.deps.Updates = r.updates
+	r.follower.deps.WaitMs = 500
+	r.follower.deps.Sources = []damsonwinch.Source{dead, idle, fresh, last}
+	r.follower.skipUntil, r.follower.failures = make([]time.Time, 4), make([]int, 4)
+
+	assert.Assert(t, r.follower.readFromAny(context.Background()))
+
+	assert.Equal(t, len((<-r.updates).Records), 0)
+	assert.Equal(t, len((<-r.updates).Records), 1)
+	assert.Equal(t, last.asked, 0)
+	assert.DeepEqual(t, idle.waits, []int{500})
+	assert.DeepEqual(t, fresh.waits, []int{0})
+}
--- a/pkg/front/request_test.go
+++ b/pkg/front/request_test.go
@@ -1,11 +1,15 @@
 package front
 
 import (
+	"context"
 	"net/http"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"damsonwinch/pkg/invariant"
 	"damsonwinch/pkg/wire"
 )
 
@@ -21,3 +25,26 @@
 	answered := Outcome{Outcome: wire.OutcomeAnswered, Status: http.StatusOK}
 	assert.Equal(t, sent.honest(answered).Outcome, wire.OutcomeAnswered)
 }
+
+// TestAPauseBetweenGrantAndSend: the process stood still after it was granted a
+// box, and its lease ran out meanwhile. Nothing may be sent.
+func TestAPauseBetweenGrantAndSend(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := &Front{deps: Deps{Clock: clock, Invariants: invariant.New(func(name, detail string) { t.Fatal(name, detail) })}, ctx: ctx, inbox: make(chan any, 1)}
+	until := clock.Now().Add(time.Second)
+	f.sendUntil.Store(&until)
+	waiting := &trip{front: f, request: Request{ID: "r", Deadline: clock.Now().Add(time.Minute)}, tried: map[string]bool{}}
+	assert.Assert(t, f.covered())
+	clock.Advance(time.Second)
+
+	// Without the check this would panic: the entry has nothing to send with.
+	outcome, final := waiting.attempt(ctx, grant{box: "b", address: "127.0.0.1:1"})
+
+	assert.Equal(t, outcome.Outcome, wire.OutcomeNotRun)
+	assert.Assert(t, !final, "another sender may still take it")
+	assert.Assert(t, !waiting.sent)
+	given := (<-f.inbox).(finishMessage)
+	assert.Assert(t, given.report.unused)
+}
--- a/pkg/trial/cut_test.go
+++ b/pkg/trial/cut_test.go
@@ -8,8 +8,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"damsonwinch/pkg/fold"
 	"damsonwinch/pkg/settings"
 	"damsonwinch/pkg/standin"
+	"damsonwinch/pkg/wire"
 )
 
 func twoHalls() User {
@@ -100,3 +102,72 @@
 		return s.call("view", standin.Work{Nonce: s.nonce(), WorkMs: 1}, nil).status == http.StatusOK
 	})
 }
+
+// TestACutInOneDirection: a hall that can't reach the platform follows the log
+// through the other hall's keepers, so that an edit is in force there too.
+func TestACutInOneDirection(t *testing.T) {
+	s := startStory(t, twoHalls())
+	s.cluster.Network.Cut("north", platformHall)
+	const south = 2
+
+	assert.NilError(t, s.run.edit(context.Background(), "ana", south, func(wanted *settings.Table) { wanted.Services[0].Row.Queue++ }))
+
+	s.await("the edit is in force at the cut hall", s.run.inForceEverywhere)
+	got := s.call("view", standin.Work{Nonce: s.nonce(), WorkMs: 1}, nil)
+	assert.Equal(t, got.status, http.StatusOK, got.body)
+	s.cluster.Network.Heal()
+}
+
+// TestAListThatIsWrong drops an entry box and an endpoint box that live. The
+// entry keeps its boxes, because it renews; the endpoint box is replaced without
+// harm, and comes back.
+func TestAListThatIsWrong(t *testing.T) {
+	s := startStory(t, twoHalls())
+	s.await("the hall's entries have boxes", func() bool { return s.holds(0) > 0 && s.holds(1) > 0 })
+	load := startCallers(s.cluster, storyCallers)
+	dropped := s.firstBox()
+	info, _ := s.run.observer.present().Box(dropped)
+	s.cluster.Platform.Remove(dropped)
+	s.cluster.Platform.Remove(s.cluster.Nodes[0].Name)
+
+	s.await("the box is replaced", func() bool {
+		box, _ := s.run.observer.present().Box(dropped)
+		return box.Pool == fold.FreePool && s.run.observer.formed()
+	})
+	s.run.wait(context.Background(), longerThanTheLease)
+	assert.Assert(t, s.holds(0) > 0, "a living entry lost its boxes")
+	s.cluster.Platform.Put(wire.ListedBox{Info: info.Info})
+	s.await("the box is up again", func() bool {
+		box, _ := s.run.observer.present().Box(dropped)
+		return box.Health == wire.HealthUp
+	})
+	load.stop()
+	for _, line := range load.lines() {
+		assert.Equal(t, line.outcome, wire.OutcomeAnswered, "%+v", line)
+	}
+}
+
+// TestARackLostDuringAWave: the boxes are replaced, the wave goes on within the
+// budget, and the pool is formed again.
+func TestARackLostDuringAWave(t *testing.T) {
+	user := smallUser()
+	user.Fleet.Halls = []settings.Hall{hall("north", 10, 2)}
+	user.Fleet.RackBoxes = 2
+	s := startStory(t, user)
+	load := startCallers(s.cluster, storyCallers)
+	now := s.cluster.clock.Now().UnixMilli()
+	assert.NilError(t, s.run.edit(context.Background(), "ana", 0, func(wanted *settings.Table) { wanted.Deployment.MaintainBefore = int(now) }))
+	lost, _ := s.run.observer.present().Box(s.firstBox())
+	for _, box := range s.run.observer.present().Boxes() {
+		if box.Info.Rack == lost.Info.Rack {
+			s.cluster.Endpoints[box.Info.Name].SetFault(standin.FaultRefuse)
+			s.cluster.Platform.Remove(box.Info.Name)
+		}
+	}
+
+	s.await("the others are maintained and the pool is formed", func() bool { return s.run.observer.due() == 0 && s.run.observer.formed() })
+
+	load.stop()
+	overlaps, cut, _ := s.cluster.Book.Harm()
+	assert.Equal(t, overlaps+cut, 0)
+}
