Give a box that stays after all work again; bound what is remembered

An entry took "no box is leaving" for "the keeper doesn't say", because gob writes an empty list as none: a box that was marked as leaving alone and unmarked got no work until another one left. The holder remembered every renewal of an outage. Change: the reply says whether the list was read; 64 renewals are remembered. Tests start goroutines through a group, as the code does.

--- a/pkg/call/call_test.go
+++ b/pkg/call/call_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"testing"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
 
@@ -42,17 +43,12 @@
 	g, client, server := serveGate(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	reply := -1
-	failed := make(chan error, 1)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		failed <- client.Do(ctx, "Gate.Ask", 7, &reply)
-	}()
+	var asking errgroup.Group
+	asking.Go(func() error { return client.Do(ctx, "Gate.Ask", 7, &reply) })
 	<-g.entered
 	cancel()
 
-	err := <-failed
-	<-done
+	err := asking.Wait()
 
 	assert.Assert(t, errors.Is(err, context.Canceled))
 	assert.Assert(t, MaySent(err))
--- a/pkg/fold/random_test.go
+++ b/pkg/fold/random_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"damsonwinch/pkg/check"
+	"damsonwinch/pkg/table"
 	"damsonwinch/pkg/wire"
 )
 
@@ -158,3 +160,28 @@
 		assert.Assert(t, state.Headroom(drained.Pool) >= 0, "seed %d, record %d: the drain broke the budget", seed, state.Offset()-1)
 	}
 }
+
+// FuzzFold: no record, however broken, may stop a process or take the state back.
+func FuzzFold(f *testing.F) {
+	for _, kind := range []wire.Kind{
+		wire.KindEdit, wire.KindEnroll, wire.KindRenew, wire.KindRelease, wire.KindAssign, wire.KindHandover, wire.KindDrain,
+		wire.KindWithdraw, wire.KindEmpty, wire.KindCarry, wire.KindBack, wire.KindHealth, wire.KindCheckpoint, "unknown",
+	} {
+		f.Add(fmt.Sprintf(`{"id":"1","node":"a","proposals":[{"kind":%q}]}`, kind))
+		f.Add(fmt.Sprintf(`{"id":"1","node":"a","proposals":[{"kind":%q,"change":{"box":"b","epoch":-1},"edit":{"base":0,"cells":[{"row":"","column":"pools","value":"["}]},"members":[{}],"boxes":[{"name":"b","hall":"h","slots":1}],"release":{}}]}`, kind))
+	}
+	f.Add("")
+	f.Add(`{"proposals":null}`)
+	checker, err := check.New()
+	assert.NilError(f, err)
+	f.Fuzz(func(t *testing.T, data string) {
+		state := New(table.New(checker))
+		for range 2 {
+			next, _ := state.Fold(wire.Entry{Offset: state.Offset(), At: 5, Data: data})
+			assert.Equal(t, next.Offset(), state.Offset()+1)
+			state = next
+		}
+		_, err := state.Snapshot()
+		assert.NilError(t, err)
+	})
+}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -55,9 +55,10 @@
 	// Checkpoint is the state's snapshot at the newest offset that is one, if the
 	// records have passed one.
 	Checkpoint *fold.Snapshot
-	// Avoid names the boxes that the platform's list shows as leaving or gone;
-	// it is nil when the source doesn't say.
-	Avoid []string
+	// Avoid names the boxes that the platform's list shows as leaving, if the
+	// source has read it, which AvoidKnown says.
+	Avoid      []string
+	AvoidKnown bool
 	// Source names where it came from.
 	Source string
 	// FromLog says that the records come from the log or from a keeper that
@@ -173,7 +174,7 @@
 // take folds a reply. Records below the state's offset are known and a gap is
 // never folded over, so that the state only goes forward.
 func (f *Follower) take(reply wire.ReadReply) (Update, error) {
-	update := Update{Avoid: reply.Avoid, FromLog: reply.LogFresh}
+	update := Update{Avoid: reply.Avoid, AvoidKnown: reply.AvoidKnown, FromLog: reply.LogFresh}
 	if reply.Snapshot != "" {
 		restored, err := f.restore(reply.Snapshot)
 		if err != nil {
--- a/pkg/front/boxes.go
+++ b/pkg/front/boxes.go
@@ -128,9 +128,6 @@
 
 // takeAvoid notes which boxes the platform's list shows as leaving.
 func (f *Front) takeAvoid(names []string) {
-	if names == nil {
-		return
-	}
 	avoid := make(map[string]time.Time, len(names))
 	for _, name := range names {
 		since, known := f.avoid[name]
--- a/pkg/front/loop.go
+++ b/pkg/front/loop.go
@@ -155,7 +155,9 @@
 
 // takeUpdate moves the entry to a newer state.
 func (f *Front) takeUpdate(update follow.Update) {
-	f.takeAvoid(update.Avoid)
+	if update.AvoidKnown {
+		f.takeAvoid(update.Avoid)
+	}
 	if update.State.Offset() < f.state.Offset() {
 		return
 	}
--- a/pkg/keeper/relay.go
+++ b/pkg/keeper/relay.go
@@ -91,7 +91,7 @@
 }
 
 func (k *Keeper) readReply(entries []wire.Entry) wire.ReadReply {
-	return wire.ReadReply{Entries: entries, Avoid: k.list.avoid(), LogFresh: k.logFresh()}
+	return wire.ReadReply{Entries: entries, Avoid: k.list.avoid(), AvoidKnown: k.list.known(), LogFresh: k.logFresh()}
 }
 
 func (k *Keeper) snapshotReply() wire.ReadReply {
@@ -103,7 +103,9 @@
 	if err != nil {
 		return wire.ReadReply{}
 	}
-	return wire.ReadReply{Entries: []wire.Entry{}, Snapshot: string(text), Avoid: k.list.avoid(), LogFresh: k.logFresh()}
+	reply := k.readReply([]wire.Entry{})
+	reply.Snapshot = string(text)
+	return reply
 }
 
 // answerExpired tells readers whose time is over that there is nothing new.
--- a/pkg/keeper/watch.go
+++ b/pkg/keeper/watch.go
@@ -63,6 +63,11 @@
 	return false
 }
 
+// known says whether the list was read at all.
+func (l *listView) known() bool {
+	return len(l.halls) > 0
+}
+
 // avoid names the endpoint boxes that must get no new work.
 func (l *listView) avoid() []string {
 	names := []string{}
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -42,9 +42,14 @@
 func (h Holder) WithIssued(seq int, at time.Time) Holder {
 	h.issued = maps.Clone(h.issued)
 	h.issued[seq] = at
+	delete(h.issued, seq-mostIssued)
 	return h
 }
 
+// mostIssued bounds the renewals that are remembered while the log takes none.
+// To forget an old one only shortens the lease.
+const mostIssued = 64
+
 // WithReadBack notes that renewal seq was read back from the log, by the
 // sender itself or through a peer.
 func (h Holder) WithReadBack(seq int) Holder {
--- a/pkg/trial/boxes_test.go
+++ b/pkg/trial/boxes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/front"
 	"damsonwinch/pkg/standin"
 	"damsonwinch/pkg/wire"
 )
@@ -72,6 +74,27 @@
 	assert.Assert(t, len(load.lines()) > 0)
 }
 
+// TestABoxThatStaysAfterAllGetsWorkAgain: the list marked it as leaving and takes
+// that back, when no other box leaves.
+func TestABoxThatStaysAfterAllGetsWorkAgain(t *testing.T) {
+	s := startStory(t, smallUser())
+	s.cluster.Platform.Log.SetFaults(standin.Faults{Down: true})
+	boxes := s.run.observer.present().Boxes()
+	for _, leaving := range []bool{true, false} {
+		for _, box := range boxes {
+			s.cluster.Platform.SetLeaving(box.Info.Name, leaving)
+		}
+		wanted := http.StatusOK
+		if leaving {
+			wanted = http.StatusServiceUnavailable
+		}
+		s.await(fmt.Sprintf("the answer is %d", wanted), func() bool {
+			header := map[string]string{front.HeaderDeadline: "100"}
+			return s.call("view", standin.Work{Nonce: s.nonce(), WorkMs: 1}, header).status == wanted
+		})
+	}
+}
+
 // TestABurstOfCancellationsLeavesTheQueue: callers that go while they wait free
 // their places at once.
 func TestABurstOfCancellationsLeavesTheQueue(t *testing.T) {
--- a/pkg/trial/faults_test.go
+++ b/pkg/trial/faults_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"damsonwinch/pkg/front"
@@ -43,6 +44,7 @@
 	run     *run
 	client  *http.Client
 	count   int
+	beside  errgroup.Group
 }
 
 func startStory(t *testing.T, user User) *story {
@@ -55,6 +57,7 @@
 	s := &story{t: t, cluster: cluster, client: &http.Client{Timeout: time.Minute}}
 	s.run = &run{options: Options{Progress: io.Discard, Seconds: 1}, cluster: cluster, observer: watching, began: cluster.clock.Now()}
 	t.Cleanup(func() {
+		assert.NilError(t, s.beside.Wait())
 		watching.stop()
 		s.client.CloseIdleConnections()
 		assert.NilError(t, cluster.Close())
--- a/pkg/trial/story_test.go
+++ b/pkg/trial/story_test.go
@@ -18,12 +18,10 @@
 
 // spawn runs something beside the story; the story's end waits for it.
 func (s *story) spawn(do func()) {
-	done := make(chan struct{})
-	s.t.Cleanup(func() { <-done })
-	go func() {
-		defer close(done)
+	s.beside.Go(func() error {
 		do()
-	}()
+		return nil
+	})
 }
 
 // await fails the test if a condition doesn't come to hold.
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -426,6 +426,10 @@
 	// Boxes the platform's list shows as leaving or gone.
 	Avoid []string `json:"avoid,omitempty,omitzero"`
 
+	// The keeper has read the list, so that an empty avoid says that no box leaves:
+	// the codec can't tell an empty list from none.
+	AvoidKnown bool `json:"avoid_known,omitempty,omitzero"`
+
 	// Entries corresponds to the JSON schema field "entries".
 	Entries []Entry `json:"entries"`
 
