Keep what follows from the state alone between requests

A profile showed 12% of the samples in our own code: every request looked at all boxes several times, divided its limits anew, and chose its box twice. Change: boxes and slots by pool and shares of limits are kept until the fleet changes; the box is chosen once.

--- a/pkg/front/admit.go
+++ b/pkg/front/admit.go
@@ -112,8 +112,8 @@
 	if !f.leasing.holder.MaySend(f.now()) {
 		return false
 	}
-	for _, box := range f.boxes {
-		if box.Pool == pool && box.Phase == fold.Serving {
+	for _, box := range f.inPool(pool) {
+		if box.Phase == fold.Serving {
 			return true
 		}
 	}
@@ -123,10 +123,8 @@
 // largest returns the slots of the pool's largest box, at any sender.
 func (f *Front) largest(pool string) int {
 	largest := 0
-	for _, box := range f.boxes {
-		if box.Pool == pool {
-			largest = max(largest, box.Info.Slots)
-		}
+	for _, box := range f.inPool(pool) {
+		largest = max(largest, box.Info.Slots)
 	}
 	if largest > 0 {
 		return largest
@@ -139,9 +137,7 @@
 	return largest
 }
 
-// shareOf returns this entry's part of a limit on a pool, by the slots that each
-// sender has there.
-func (f *Front) shareOf(total int, pool string) int {
+func (f *Front) computeShare(total int, pool string) int {
 	weights := []int{f.ownSlots(pool)}
 	index := 0
 	for _, other := range f.routes[pool] {
@@ -162,16 +158,6 @@
 	return limit.Share(total, weights, index)
 }
 
-func (f *Front) ownSlots(pool string) int {
-	slots := 0
-	for _, box := range f.boxes {
-		if box.Pool == pool && box.Lent() {
-			slots += box.Info.Slots
-		}
-	}
-	return slots
-}
-
 func (f *Front) usage(service string) *usage {
 	if f.running[service] == nil {
 		f.running[service] = &usage{teams: map[string]int{}}
--- a/pkg/front/boxes.go
+++ b/pkg/front/boxes.go
@@ -66,6 +66,7 @@
 	}
 	f.keepBusy(routes)
 	f.routes = routes
+	f.cache = newCache()
 	if f.state.Table().Version() != old.Table().Version() {
 		f.requeue()
 	}
--- a/pkg/front/dispatch.go
+++ b/pkg/front/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"damsonwinch/pkg/fold"
@@ -72,16 +73,20 @@
 	}
 	waiting := f.queue(pool)
 	for waiting.Total() > 0 {
-		views, names := f.views(pool)
+		views := f.views(pool)
 		free := totalFree(views)
 		if free == 0 && !f.anyOnTrial(pool, now) {
 			return
 		}
-		item, found := waiting.Pop(func(item queue.Item) bool { return f.mayStart(item, pool, free) })
+		choices := map[string]string{}
+		item, found := waiting.Pop(func(item queue.Item) bool {
+			choices[item.ID] = f.choose(item, pool, views, free)
+			return choices[item.ID] != ""
+		})
 		if !found {
 			return
 		}
-		f.startItem(item, pool, views, names)
+		f.startItem(item, choices[item.ID])
 	}
 }
 
@@ -95,16 +100,15 @@
 }
 
 // views returns the boxes of a pool that take new work from anybody.
-func (f *Front) views(pool string) ([]pick.Box, []string) {
-	var views []pick.Box
-	var names []string
-	for name, box := range f.boxes {
-		if box.Pool == pool && f.open(box, false) {
+func (f *Front) views(pool string) []pick.Box {
+	boxes := f.inPool(pool)
+	views := make([]pick.Box, 0, len(boxes))
+	for _, box := range boxes {
+		if f.open(box, false) {
 			views = append(views, f.view(box))
-			names = append(names, name)
 		}
 	}
-	return views, names
+	return views
 }
 
 func totalFree(views []pick.Box) int {
@@ -132,45 +136,29 @@
 	return 1 + slots/slotsAReserved
 }
 
-// mayStart says whether an item may start with the free slots that there are.
-func (f *Front) mayStart(item queue.Item, pool string, free int) bool {
+// choose returns the box on which an item may start now, or "".
+func (f *Front) choose(item queue.Item, pool string, views []pick.Box, free int) string {
 	row, known := f.state.Table().Row(item.Service)
-	if !known {
-		return false
+	if !known || f.usage(item.Service).slots+item.Size > max(1, f.shareOf(row.Most, pool)) {
+		return ""
 	}
-	if f.usage(item.Service).slots+item.Size > max(1, f.shareOf(row.Most, pool)) {
-		return false
+	if onTrial := f.trialFor(item, pool, row); onTrial != "" {
+		return onTrial
 	}
 	if item.Class == wire.ClassUrgent {
 		f.urgent[pool] = f.now()
 	} else if free-item.Size < f.reserve(pool) {
-		return f.trialFor(item, pool, row) != ""
-	}
-	return f.choose(item, pool, row) != ""
-}
-
-// choose returns the box for an item, or "".
-func (f *Front) choose(item queue.Item, pool string, row settings.Row) string {
-	if onTrial := f.trialFor(item, pool, row); onTrial != "" {
-		return onTrial
+		return ""
 	}
-	views, names := f.views(pool)
-	return f.chooseFrom(item, views, names)
-}
-
-func (f *Front) chooseFrom(item queue.Item, views []pick.Box, names []string) string {
 	tried := f.jobs[item.ID].tried
-	fresh, freshNames := views[:0:0], names[:0:0]
-	for i, view := range views {
-		if !tried[names[i]] {
-			fresh, freshNames = append(fresh, view), append(freshNames, names[i])
-		}
+	if len(tried) > 0 {
+		views = slices.DeleteFunc(slices.Clone(views), func(view pick.Box) bool { return tried[view.Name] })
 	}
-	at := pick.Choose(fresh, item.Size, f.random)
+	at := pick.Choose(views, item.Size, f.random)
 	if at < 0 {
 		return ""
 	}
-	return freshNames[at]
+	return views[at].Name
 }
 
 // trialFor returns an ejected box that this repeatable request may try.
@@ -178,8 +166,9 @@
 	if !row.Repeatable || item.Class == wire.ClassUrgent || len(f.jobs[item.ID].tried) > 0 {
 		return ""
 	}
-	for name, box := range f.boxes {
-		if box.Pool == pool && f.book.Ejected(name) && f.open(box, true) && item.Size <= box.Info.Slots {
+	for _, box := range f.inPool(pool) {
+		name := box.Info.Name
+		if f.book.Ejected(name) && f.open(box, true) && item.Size <= box.Info.Slots {
 			return name
 		}
 	}
@@ -187,8 +176,8 @@
 }
 
 func (f *Front) anyOnTrial(pool string, now time.Time) bool {
-	for name, box := range f.boxes {
-		if box.Pool == pool && box.inUse == 0 && f.book.OnTrial(name, now) {
+	for _, box := range f.inPool(pool) {
+		if box.inUse == 0 && f.book.OnTrial(box.Info.Name, now) {
 			return true
 		}
 	}
@@ -196,12 +185,8 @@
 }
 
 // startItem grants an item its box.
-func (f *Front) startItem(item queue.Item, pool string, views []pick.Box, names []string) {
+func (f *Front) startItem(item queue.Item, name string) {
 	row, _ := f.state.Table().Row(item.Service)
-	name := f.trialFor(item, pool, row)
-	if name == "" {
-		name = f.chooseFrom(item, views, names)
-	}
 	box := f.boxes[name]
 	f.checkLeaving(box)
 	f.deps.Invariants.Check(invariant.SentWithoutLease, f.leasing.holder.MaySend(f.now()), "request %s got box %s outside the lease", item.ID, name)
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -99,6 +99,7 @@
 	budgets map[string]float64
 	peers   map[string]*call.Client
 	urgent  map[string]time.Time
+	cache   cache
 }
 
 // New starts an entry. Its incarnation is its start time, so that a later
@@ -154,6 +155,7 @@
 		budgets: map[string]float64{},
 		peers:   map[string]*call.Client{},
 		urgent:  map[string]time.Time{},
+		cache:   newCache(),
 	}
 }
 
--- a/pkg/front/loop.go
+++ b/pkg/front/loop.go
@@ -143,8 +143,7 @@
 	case peerMessage:
 		m.reply <- f.peer(m.address)
 	case freeMessage:
-		views, _ := f.views(poolOf(f.state, m.service))
-		m.reply <- totalFree(views)
+		m.reply <- totalFree(f.views(poolOf(f.state, m.service)))
 	case leaveMessage:
 		f.leaving = true
 		f.leasing.next = time.Time{}
--- a/pkg/front/route.go
+++ b/pkg/front/route.go
@@ -37,8 +37,8 @@
 	if !f.mayWait(pool) || f.queue(pool).Total() > 0 {
 		return false
 	}
-	for _, box := range f.boxes {
-		if box.Pool == pool && f.open(box, false) && f.view(box).Free() >= size {
+	for _, box := range f.inPool(pool) {
+		if f.open(box, false) && f.view(box).Free() >= size {
 			return true
 		}
 	}
