Prove a keyed request whose entry is replaced, and the bound on memory

Change: a story in which an entry ends while it runs a keyed request (the next try is told unknown and doesn't run), and a test of the bound.

--- a/pkg/front/request_test.go
+++ b/pkg/front/request_test.go
@@ -10,6 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch/pkg/invariant"
+	"damsonwinch/pkg/metrics"
+	"damsonwinch/pkg/settings"
 	"damsonwinch/pkg/wire"
 )
 
@@ -48,3 +50,21 @@
 	given := (<-f.inbox).(finishMessage)
 	assert.Assert(t, given.report.unused)
 }
+
+// TestMemoryIsBounded refuses what an entry may not hold, and takes it once there
+// is room again.
+func TestMemoryIsBounded(t *testing.T) {
+	const kilobytes = 64
+	f := &Front{deps: Deps{Settings: settings.Entry{QueueKb: kilobytes}, Metrics: metrics.New()}}
+	release, refused := f.hold(kilobytes*bytesAKilobyte - 10)
+	assert.Assert(t, refused == nil)
+
+	_, refused = f.hold(11)
+
+	assert.Equal(t, refused.status, http.StatusTooManyRequests)
+	assert.Assert(t, refused.retryAfter > 0)
+	assert.Equal(t, f.held.Load(), int64(kilobytes*bytesAKilobyte-10))
+	release()
+	_, refused = f.hold(11)
+	assert.Assert(t, refused == nil)
+}
--- a/pkg/trial/keys_test.go
+++ b/pkg/trial/keys_test.go
@@ -107,3 +107,22 @@
 	assert.Equal(t, second.outcome, "not-run")
 	assert.Equal(t, s.cluster.Book.Runs(other.Nonce), 0)
 }
+
+// TestAnEntryReplacedInTheMiddleOfAKeyedRequest: the next try, at another entry,
+// is told that the outcome isn't known, and does not run.
+func TestAnEntryReplacedInTheMiddleOfAKeyedRequest(t *testing.T) {
+	user := smallUser()
+	user.Fleet.Halls = []settings.Hall{hall("north", 5, 1), hall("south", 5, 1)}
+	s := startStory(t, user)
+	work := standin.Work{Nonce: s.nonce(), WorkMs: 400}
+	header := map[string]string{front.HeaderKey: "k"}
+	s.spawn(func() { s.tryCall(s.cluster.Nodes[0], "pay", mustJSON(t, work), header) })
+	s.await("the request runs", func() bool { return s.cluster.Book.Runs(work.Nonce) == 1 })
+	assert.NilError(t, s.cluster.KillEntry(s.cluster.Nodes[0]))
+
+	second := s.callAt(s.cluster.Nodes[1], "pay", mustJSON(t, work), header, work.Nonce)
+
+	assert.Equal(t, second.status, http.StatusConflict, second.body)
+	assert.Equal(t, second.outcome, "unknown")
+	assert.Equal(t, s.cluster.Book.Runs(work.Nonce), 1)
+}
--- a/pkg/trial/story_test.go
+++ b/pkg/trial/story_test.go
@@ -40,20 +40,30 @@
 	return ""
 }
 
-// callAt calls one entry.
+// callAt calls one entry, which must answer.
 func (s *story) callAt(node *Node, service string, body []byte, header map[string]string, nonce string) told {
+	s.t.Helper()
+	response, err := s.tryCall(node, service, body, header)
+	assert.NilError(s.t, err)
+	response.nonce = nonce
+	return response
+}
+
+// tryCall calls one entry, which may end meanwhile.
+func (s *story) tryCall(node *Node, service string, body []byte, header map[string]string) (told, error) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+node.entry.HttpAddress+"/v1/run/"+service, bytes.NewReader(body))
 	assert.NilError(s.t, err)
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
 	response, err := s.client.Do(request)
-	assert.NilError(s.t, err)
+	if err != nil {
+		return told{}, err
+	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(response.Body)
-	assert.NilError(s.t, err)
 	return told{outcome: response.Header.Get(front.HeaderOutcome), status: response.StatusCode, body: string(answer),
-		retry: response.Header.Get("Retry-After"), nonce: nonce}
+		retry: response.Header.Get("Retry-After")}, err
 }
 
 // abandon calls until the context ends.
