--- a/pkg/capacity/rows.go
+++ b/pkg/capacity/rows.go
@@ -57,8 +57,6 @@
 	limitCPU     = 1.2   // Per cent of a core a node.
 	limitBytes   = 5.0   // KB a second a node.
 	limitAppends = 100.0 // A second for everybody.
-	limitInForce = 5.0   // Seconds.
-	limitUrgent  = 7.1   // Seconds.
 	secondsADay  = 86_400
 	noLimit      = 0.0
 )
--- a/pkg/capacity/rules.go
+++ b/pkg/capacity/rules.go
@@ -29,11 +29,28 @@
 	}
 }
 
+// causeRow is the row of one cause of records, which every keeper reads.
+func causeRow(cause, formula, mechanism string, records func(Demand) float64) rule {
+	return rule{
+		Row:   Row{Role: "keeper", Cause: cause, Formula: formula, Unit: "KB/s", Limit: limitBytes, Mechanism: mechanism},
+		value: func(d Demand) float64 { return records(d) * boxRecordBytes / bytesAKilobyte },
+	}
+}
+
+// Records a second of each cause.
+func (d Demand) editRecords() float64 { return d.EditsADay / secondsADay }
+
+func (d Demand) failureRecords() float64 { return d.FailuresADay * 2 * recordsAMove / secondsADay }
+
+func (d Demand) restartRecords() float64 { return d.RestartsADay * recordsARestart / secondsADay }
+
+func (d Demand) moveRecords() float64 {
+	return (d.MovesADay*recordsAMove + float64(d.Sizes.Boxes)/d.MaintainDays*recordsAMaintenance) / secondsADay
+}
+
 // records are the records a second other than renewals and claims.
 func (d Demand) records() float64 {
-	aDay := d.EditsADay + d.RestartsADay*recordsARestart + d.FailuresADay*2*recordsAMove + d.MovesADay*recordsAMove +
-		float64(d.Sizes.Boxes)/d.MaintainDays*recordsAMaintenance
-	return aDay / secondsADay
+	return d.editRecords() + d.failureRecords() + d.restartRecords() + d.moveRecords()
 }
 
 // renewals are the renewal records a second, one a hall and interval.
@@ -53,9 +70,19 @@
 	claimBytes := func(d Demand) float64 { return d.KeysASecond * b.at(slopeClaimBytes, 1) / bytesAKilobyte }
 	return []rule{
 		{Row: Row{Role: "keeper", Cause: "renewals read", Formula: "halls / renew x renewal(members a hall)", Unit: "KB/s", Limit: limitBytes, Mechanism: "one writer a hall, pkg/keeper/members.go"}, value: renewBytes},
-		{Row: Row{Role: "keeper", Cause: "edits, moves, waves, failures and restarts read", Formula: "records x 330 B", Unit: "KB/s", Limit: limitBytes, Mechanism: "pkg/follow/follow.go"}, value: otherBytes},
+		causeRow("table edits read", "edits x 330 B", "cells, not tables, pkg/table/edit.go", Demand.editRecords),
+		causeRow("health and failures read", "failures x 2 records x 330 B", "pkg/front/health.go, pkg/keeper/watch.go", Demand.failureRecords),
+		causeRow("moves and waves read", "(moves x 2 + boxes / days x 4) x 330 B", "pkg/fold/life.go", Demand.moveRecords),
+		causeRow("restarts read", "restarts x 6 records x 330 B", "hand-overs in batches, pkg/front/handover.go", Demand.restartRecords),
 		{Row: Row{Role: "entry", Cause: "claims read", Formula: "keys x claim", Unit: "KB/s", Limit: limitBytes, Mechanism: "every entry follows the claims stream, pkg/claim/claim.go"}, value: claimBytes},
-		{Row: Row{Role: "node", Cause: "the log in all", Formula: "the three rows above", Unit: "KB/s", Limit: limitBytes, Mechanism: "every keeper reads the whole log"},
+		{Row: Row{Role: "entry", Cause: "relay from its keeper, on the same box", Formula: "the log without claims", Unit: "KB/s", Limit: limitBytes, Mechanism: "long polls, pkg/keeper/relay.go"},
+			value: func(d Demand) float64 { return renewBytes(d) + otherBytes(d) }},
+		{Row: Row{Role: "keeper", Cause: "relay to one hall that is cut from the platform", Formula: "the log without claims, a keeper there", Unit: "KB/s", Limit: limitBytes, Mechanism: "pkg/keeper/relay.go, pkg/follow/follow.go"},
+			value: func(d Demand) float64 { return d.membersAHall() * (renewBytes(d) + otherBytes(d)) },
+			note:  "MISSED while a hall is cut: all of it may read from one keeper; spreading them is NOT BUILT"},
+		{Row: Row{Role: "command line", Cause: "one dwctl status", Formula: "snapshot(boxes)", Unit: "KB", Mechanism: "pkg/operator/operator.go"},
+			value: func(d Demand) float64 { return b.at(slopeSnapshot, float64(d.Sizes.Boxes)) }},
+		{Row: Row{Role: "node", Cause: "the log in all", Formula: "renewals, the four causes and claims", Unit: "KB/s", Limit: limitBytes, Mechanism: "every keeper reads the whole log"},
 			value: func(d Demand) float64 { return renewBytes(d) + otherBytes(d) + claimBytes(d) }},
 		{Row: Row{Role: "keeper", Cause: "readings of the platform's list", Formula: "unchanged 0.2 KB / interval + changes x list(boxes / halls)", Unit: "KB/s", Limit: limitBytes, Mechanism: "a hall's list with its tag, sent only when changed, pkg/platform/platform.go"},
 			value: func(d Demand) float64 {
@@ -104,9 +131,5 @@
 		{Row: Row{Role: "keeper", Cause: "regions apart for an hour: records to catch up", Formula: "3600 (renewals + records)", Unit: "records", Mechanism: "pages of 500, pkg/follow/follow.go"},
 			value: func(d Demand) float64 { return 3600 * (d.renewals() + d.records()) },
 			note:  "worked out; the read comes as a burst over the 5 KB/s, and a jump to a snapshot is NOT BUILT"},
-		{Row: Row{Role: "all", Cause: "a change in force at every site", Formula: "append spacing + relay; not measured across regions", Unit: "s", Limit: limitInForce, Mechanism: "long polls, pkg/keeper/relay.go"},
-			value: func(Demand) float64 { return 0.05 + 0.02 + 4*0.05 }},
-		{Row: Row{Role: "entry", Cause: "urgent work started at 150% offered load", Formula: "measured by dw-trial load at 400 slots", Unit: "s", Limit: limitUrgent, Mechanism: "pkg/queue/queue.go, pkg/front/dispatch.go"},
-			value: func(Demand) float64 { return 0.03 }, note: "measured at today's size only"},
 	}
 }
