Keep a released sender released, and promise nothing to one unknown

A keeper dropped what it knew of a sender when it folded its release; a cut-off sender that had not read its release and then asked that keeper was granted an extension, as one not heard of yet. And a renewal that landed late made a released sender anew, to which keepers grant. In both, two entries may send to one box. The search had not seen it because its model kept what the code forgot: the model was stronger than the code. The model forgets as the code does.

--- a/pkg/fold/release.go
+++ b/pkg/fold/release.go
@@ -33,6 +33,8 @@
 		}
 	}
 	s.senders = s.senders.Delete(key.String())
+	newest, _ := s.released.Get(key.Node)
+	s.released = s.released.Set(key.Node, max(newest, key.Entry))
 	return s, fmt.Sprintf("%d boxes of %s are free for another sender", freed, key), nil
 }
 
--- a/pkg/fold/renew.go
+++ b/pkg/fold/renew.go
@@ -44,6 +44,10 @@
 	if known && renewal.Seq <= sender.Seq {
 		return s
 	}
+	if newest, _ := s.released.Get(renewal.Node); !known && renewal.Entry <= newest {
+		// It was released: it must come back as another incarnation.
+		return s
+	}
 	sender.Key = key
 	sender.Hall = renewal.Hall
 	sender.Address = orKnown(renewal.EntryAddress, sender.Address)
--- a/pkg/fold/snapshot.go
+++ b/pkg/fold/snapshot.go
@@ -25,6 +25,8 @@
 	Members []Member          `json:"members"`
 	Senders []Sender          `json:"senders"`
 	Writers map[string]writer `json:"writers"`
+	// Released is the newest released entry of each node.
+	Released map[string]int `json:"released"`
 }
 
 // Snapshot returns the state's snapshot. Equal states have equal snapshots.
@@ -38,7 +40,14 @@
 		node, last, _ := entries.Next()
 		writers[node] = last
 	}
-	text, err := json.Marshal(image{At: s.at, Table: table, Boxes: s.Boxes(), Members: s.Members(), Senders: s.Senders(), Writers: writers})
+	released := map[string]int{}
+	for entries := s.released.Iterator(); !entries.Done(); {
+		node, entry, _ := entries.Next()
+		released[node] = entry
+	}
+	text, err := json.Marshal(image{
+		At: s.at, Table: table, Boxes: s.Boxes(), Members: s.Members(), Senders: s.Senders(), Writers: writers, Released: released,
+	})
 	if err != nil {
 		return Snapshot{}, fmt.Errorf("write state: %w", err)
 	}
@@ -75,6 +84,9 @@
 	for node, last := range from.Writers {
 		next.writers = next.writers.Set(node, last)
 	}
+	for node, entry := range from.Released {
+		next.released = next.released.Set(node, entry)
+	}
 	next.boxes, next.pools = immutable.NewSortedMap[string, *Box](nil), immutable.NewSortedMap[string, Pool](nil)
 	for _, box := range from.Boxes {
 		next = next.withBox(box)
--- a/pkg/fold/state.go
+++ b/pkg/fold/state.go
@@ -26,6 +26,10 @@
 	members *immutable.SortedMap[string, Member]
 	senders *immutable.SortedMap[string, Sender]
 	writers *immutable.SortedMap[string, writer]
+	// released holds, by node, the newest entry that was released. A released
+	// sender that is cut off doesn't know it; if a late renewal made it a sender
+	// again, its hall would extend a lease on boxes that others have by now.
+	released *immutable.SortedMap[string, int]
 }
 
 // writer remembers the newest batch of a keeper, to refuse late copies.
@@ -43,6 +47,8 @@
 		members: immutable.NewSortedMap[string, Member](nil),
 		senders: immutable.NewSortedMap[string, Sender](nil),
 		writers: immutable.NewSortedMap[string, writer](nil),
+
+		released: immutable.NewSortedMap[string, int](nil),
 	}
 }
 
--- a/pkg/front/leasing.go
+++ b/pkg/front/leasing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/fold"
 	"damsonwinch/pkg/lease"
 	"damsonwinch/pkg/wire"
 )
@@ -17,7 +18,9 @@
 	seq      int
 	next     time.Time
 	renewing bool
-	asking   map[lease.Peer]bool
+	// registered says that the log has shown this sender.
+	registered bool
+	asking     map[lease.Peer]bool
 }
 
 func newLeasing(terms lease.Terms) leasing {
@@ -76,8 +79,13 @@
 
 // readBack takes the lease that the folded state shows, and the hall's roster.
 func (f *Front) readBack() {
-	if sender, known := f.state.Sender(f.key); known {
+	sender, known := f.state.Sender(f.key)
+	switch {
+	case known:
+		f.leasing.registered = true
 		f.leasing.holder = f.leasing.holder.WithReadBack(sender.Seq)
+	case f.leasing.registered:
+		f.rejoin()
 	}
 	var roster []lease.Peer
 	for _, member := range f.state.Roster(f.deps.Settings.Hall) {
@@ -87,6 +95,15 @@
 	f.publishLease(f.now())
 }
 
+// rejoin makes the entry a new sender after its release: the old one's boxes are
+// others' now, and its lease must never be extended again.
+func (f *Front) rejoin() {
+	f.deps.Logger.WithField("entry", f.key.Entry).Warn("this sender was released; the entry comes back as another")
+	f.deps.Metrics.Add("rejoined", 1)
+	f.key.Entry = max(f.key.Entry+1, int(f.now().UnixNano()))
+	f.leasing = newLeasing(lease.Terms{Length: milliseconds(f.deps.Settings.LeaseMs)})
+}
+
 // publishLease lets requests read the clock against the lease directly before
 // each send.
 func (f *Front) publishLease(now time.Time) {
@@ -111,20 +128,20 @@
 			continue
 		}
 		f.leasing.asking[peer] = true
-		client := f.peer(member.Address)
+		client, key := f.peer(member.Address), f.key
 		f.group.Go(func() error {
-			f.post(askExtension(ctx, client, peer, f.key.Node, f.key.Entry, now))
+			f.post(askExtension(ctx, client, peer, key, now))
 			return nil
 		})
 	}
 }
 
-func askExtension(ctx context.Context, client *call.Client, peer lease.Peer, node string, entry int, asked time.Time) extendedMessage {
+func askExtension(ctx context.Context, client *call.Client, peer lease.Peer, key fold.SenderKey, asked time.Time) extendedMessage {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply wire.ExtendReply
-	err := client.Do(limited, "Keeper.Extend", wire.ExtendArgs{Node: node, Entry: entry}, &reply)
-	message := extendedMessage{peer: peer, asked: asked}
+	err := client.Do(limited, "Keeper.Extend", wire.ExtendArgs{Node: key.Node, Entry: key.Entry}, &reply)
+	message := extendedMessage{key: key, peer: peer, asked: asked}
 	switch {
 	case err != nil:
 		message.ended = call.Refused(err)
@@ -137,6 +154,10 @@
 }
 
 func (f *Front) takeExtended(m extendedMessage) {
+	if m.key != f.key {
+		// It was granted to the sender that this entry was before its release.
+		return
+	}
 	delete(f.leasing.asking, m.peer)
 	switch {
 	case m.granted:
--- /dev/null
+++ b/pkg/front/leasing_test.go
@@ -0,0 +1,52 @@
+package front
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/fold"
+	"damsonwinch/pkg/lease"
+	"damsonwinch/pkg/metrics"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/table"
+	"damsonwinch/pkg/wire"
+)
+
+func foldOne(t *testing.T, state fold.State, proposal wire.Proposal) fold.State {
+	data, err := json.Marshal(wire.Batch{Id: "x", Node: "a", Incarnation: 1, Number: state.Offset() + 1, Proposals: []wire.Proposal{proposal}})
+	assert.NilError(t, err)
+	next, verdicts := state.Fold(wire.Entry{Offset: state.Offset(), Data: string(data)})
+	assert.Assert(t, verdicts[0].Accepted, verdicts[0].Reason)
+	return next
+}
+
+// TestAReleasedEntryComesBackAsAnother, and a promise to the sender that it was
+// gives it nothing.
+func TestAReleasedEntryComesBackAsAnother(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	clock := clockwork.NewFakeClock()
+	f := &Front{deps: Deps{Clock: clock, Metrics: metrics.New(), Logger: logger, Settings: settings.Entry{Node: "a", Hall: "north", LeaseMs: 1000}}}
+	f.loop = f.newLoop()
+	f.key = fold.SenderKey{Node: "a", Entry: 11}
+	old := f.key
+	f.leasing.holder = f.leasing.holder.WithIssued(1, clock.Now())
+	renewal := wire.Member{Node: "a", Hall: "north", Keeper: 1, Entry: 11, Seq: 1}
+	f.state = foldOne(t, fold.New(table.Table{}), wire.Proposal{Kind: wire.KindRenew, Members: []wire.Member{renewal}})
+	f.readBack()
+	assert.Assert(t, f.covered())
+
+	f.state = foldOne(t, f.state, wire.Proposal{Kind: wire.KindRelease, Release: &wire.Release{Node: "a", Entry: 11, Seq: 1, How: wire.ReleaseHowEnded}})
+	f.readBack()
+
+	assert.Assert(t, f.key.Entry > old.Entry)
+	assert.Assert(t, !f.covered())
+	f.takeExtended(extendedMessage{key: old, peer: lease.Peer{Node: "a", Keeper: 1}, asked: clock.Now().Add(time.Millisecond), granted: true})
+	assert.Assert(t, !f.covered())
+}
--- a/pkg/front/loop.go
+++ b/pkg/front/loop.go
@@ -50,6 +50,7 @@
 	}
 	// extendedMessage is a hall peer's answer, or that it has ended.
 	extendedMessage struct {
+		key     fold.SenderKey
 		peer    lease.Peer
 		asked   time.Time
 		granted bool
--- a/pkg/lease/exhaustive_test.go
+++ b/pkg/lease/exhaustive_test.go
@@ -30,13 +30,15 @@
 // rules are the parts of the rule that the search can leave out, to show that it
 // finds the hole that each of them closes.
 type rules struct {
-	boundByFolded   bool // Qualify by what the sender had folded, not by its record.
-	endedWhileBound bool // Take an ended peer as harmless only while it was bound.
-	denyAfterRelase bool // Deny extensions while a release may still land.
+	boundByFolded    bool // Qualify by what the sender had folded, not by its record.
+	endedWhileBound  bool // Take an ended peer as harmless only while it was bound.
+	denyAfterRelease bool // Deny extensions while a release may still land.
+	denyUnknown      bool // Deny extensions to a sender that the log doesn't show.
+	stayReleased     bool // A late renewal doesn't make a released sender anew.
 }
 
 func wholeRule() rules {
-	return rules{boundByFolded: true, endedWhileBound: true, denyAfterRelase: true}
+	return rules{boundByFolded: true, endedWhileBound: true, denyAfterRelease: true, denyUnknown: true, stayReleased: true}
 }
 
 // record is one entry of the log, or of the appends still on their way.
@@ -85,6 +87,7 @@
 	lastOffset int
 	members    map[int]member
 	released   bool
+	listed     bool // The log shows the sender.
 }
 
 type member struct {
@@ -136,12 +139,13 @@
 	case 'j':
 		w.members[r.keeper] = member{inc: r.inc, joined: offset}
 	case 'r':
-		if !w.released && r.seq > w.lastSeq {
+		if (!w.released || !searchRules.stayReleased) && r.seq > w.lastSeq {
+			w.listed = true
 			w.lastSeq, w.lastFolded, w.lastOffset = r.seq, r.folded, offset
 		}
 	case 'x':
 		if m := w.members[r.keeper]; m.inc == r.inc && r.seq == w.lastSeq && w.qualified(m) {
-			w.released = true
+			w.released, w.listed = true, false
 		}
 	}
 }
@@ -181,6 +185,10 @@
 	}
 	keeper := &w.keepers[k]
 	keeper.read = len(w.log)
+	if !seen.listed {
+		keeper.witness = keeper.witness.WithoutSender("s")
+		return
+	}
 	keeper.witness = keeper.witness.WithSeen("s", seen.lastSeq, at(w.now+keeper.skew))
 }
 
@@ -188,7 +196,7 @@
 func (w world) key() string {
 	b := make([]byte, 0, 128)
 	b = add(b, w.now, w.senderSeq, w.folded, w.lastSeq, w.lastFolded, w.lastOffset, len(w.log), len(w.flying))
-	b = append(b, flag(w.knows), flag(w.released))
+	b = append(b, flag(w.knows), flag(w.released), flag(w.listed))
 	flying := slices.SortedFunc(slices.Values(w.flying), func(a, b record) int { return cmp.Compare(a.weight(), b.weight()) })
 	for _, r := range append(append([]record{}, w.log...), flying...) {
 		b = add(append(b, r.kind), r.keeper, r.inc, r.seq, r.folded)
@@ -316,7 +324,7 @@
 		do(func(n *world) {
 			kept := &n.keepers[k]
 			n.flying = append(n.flying, release)
-			if searchRules.denyAfterRelase {
+			if searchRules.denyAfterRelease {
 				kept.witness = kept.witness.WithProposed("s")
 			}
 		})
@@ -331,6 +339,8 @@
 	switch {
 	case !keeper.alive || keeper.inc != inc:
 		answer.ended = true
+	case len(keeper.witness.sights) == 0 && !searchRules.denyUnknown:
+		answer.granted = true
 	default:
 		keeper.witness, answer.granted = keeper.witness.Extend("s", at(w.now+keeper.skew))
 	}
@@ -383,13 +393,15 @@
 
 func TestEachPartOfTheRuleClosesAHole(t *testing.T) {
 	const most = 400_000
-	for name, without := range map[string]rules{
-		"a member that joined late":                  {endedWhileBound: true, denyAfterRelase: true},
-		"a peer that ended after its promise":        {boundByFolded: true, denyAfterRelase: true},
-		"a promise beside a release that is landing": {boundByFolded: true, endedWhileBound: true},
+	for name, leaveOut := range map[string]func(*rules){
+		"a member that joined late":                  func(r *rules) { r.boundByFolded = false },
+		"a peer that ended after its promise":        func(r *rules) { r.endedWhileBound = false },
+		"a promise beside a release that is landing": func(r *rules) { r.denyAfterRelease = false },
+		"a promise to a sender already released":     func(r *rules) { r.denyUnknown = false },
+		"a late renewal of a released sender":        func(r *rules) { r.stayReleased = false },
 	} {
 		t.Run(name, func(t *testing.T) {
-			searchRules = without
+			leaveOut(&searchRules)
 			defer func() { searchRules = wholeRule() }()
 			states, found := search(1, most)
 			t.Logf("%d states", states)
--- a/pkg/lease/witness.go
+++ b/pkg/lease/witness.go
@@ -60,10 +60,11 @@
 }
 
 // Extend answers a sender's wish for an extension. It is denied while a release
-// proposal upon the sender's last known renewal may still land.
+// proposal upon the sender's last known renewal may still land, and to a sender
+// that the log doesn't show: it may have been released without knowing it.
 func (w Witness) Extend(sender string, now time.Time) (Witness, bool) {
-	known := w.sights[sender]
-	if known.proposed != 0 && known.proposed >= known.seq {
+	known, seen := w.sights[sender]
+	if !seen || known.proposed != 0 && known.proposed >= known.seq {
 		return w, false
 	}
 	known.promised = now.Add(w.terms.Length)
