Give boxes only to senders that somebody in their hall could release

Lost at that moment, no member of its hall was bound to it, so that none might release it, and the list went on showing the box. Change: senders are given boxes, by a keeper or by hand-over, once a member on another box is bound to them; a sender renews again as soon as it is in the log.

--- a/pkg/fold/release.go
+++ b/pkg/fold/release.go
@@ -79,6 +79,21 @@
 	return false
 }
 
+// Releasable says whether somebody on another box of the sender's hall could
+// release it by waiting. A sender that has not yet folded its hall's roster is
+// nobody's to release; given boxes, they would stand still if it were lost.
+func (s State) Releasable(sender Sender) bool {
+	if !s.hasPeers(sender) {
+		return true
+	}
+	for _, member := range s.Roster(sender.Hall) {
+		if member.Node != sender.Key.Node && lease.Bound(member.Joined, sender.Folded) {
+			return true
+		}
+	}
+	return false
+}
+
 // freed returns a box without its lost sender. Requests that the sender left
 // behind may run on, so the box can't be emptied before they have ended.
 func (s State) freed(box Box, where step) Box {
--- /dev/null
+++ b/pkg/fold/release_test.go
@@ -0,0 +1,36 @@
+package fold
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/wire"
+)
+
+// TestASenderIsReleasableOnceItHasFoldedItsHall: a box lost soon after its start
+// must not leave boxes behind that nobody in its hall may free.
+func TestASenderIsReleasableOnceItHasFoldedItsHall(t *testing.T) {
+	state := emptyState(t)
+	renew := func(members ...wire.Member) {
+		data, err := json.Marshal(wire.Batch{Id: "x", Node: "a", Proposals: []wire.Proposal{{Kind: wire.KindRenew, Members: members}}})
+		assert.NilError(t, err)
+		state, _ = state.Fold(wire.Entry{Offset: state.Offset(), Data: string(data)})
+	}
+	releasable := func() bool {
+		sender, known := state.Sender(SenderKey{Node: "a", Entry: 11})
+		assert.Assert(t, known)
+		return state.Releasable(sender)
+	}
+	own := wire.Member{Node: "a", Hall: "north", Keeper: 1, Entry: 11, Seq: 1}
+	renew(own)
+	assert.Assert(t, releasable(), "alone in its hall it waits for nobody")
+
+	renew(wire.Member{Node: "b", Hall: "north", Keeper: 2})
+	assert.Assert(t, !releasable())
+
+	own.Seq, own.Folded = 2, state.Offset()
+	renew(own)
+	assert.Assert(t, releasable())
+}
--- a/pkg/front/handover.go
+++ b/pkg/front/handover.go
@@ -119,7 +119,7 @@
 	var heirs []fold.Sender
 	for _, sender := range f.state.Senders() {
 		fresh := sender.RenewedAt >= f.state.At()-f.deps.Settings.LeaseMs
-		if sender.Key != f.key && !sender.Leaving && fresh {
+		if sender.Key != f.key && !sender.Leaving && fresh && f.state.Releasable(sender) {
 			heirs = append(heirs, sender)
 		}
 	}
--- a/pkg/front/leasing.go
+++ b/pkg/front/leasing.go
@@ -82,6 +82,11 @@
 	sender, known := f.state.Sender(f.key)
 	switch {
 	case known:
+		if !f.leasing.registered {
+			// The next renewal says that the hall's roster is folded: only then is
+			// this sender given boxes.
+			f.leasing.next = time.Time{}
+		}
 		f.leasing.registered = true
 		f.leasing.holder = f.leasing.holder.WithReadBack(sender.Seq)
 	case f.leasing.registered:
--- a/pkg/keeper/carry.go
+++ b/pkg/keeper/carry.go
@@ -28,7 +28,7 @@
 func (k *Keeper) liveSenders() []fold.Sender {
 	var live []fold.Sender
 	for _, sender := range k.state.Senders() {
-		if sender.RenewedAt >= k.state.At()-k.liveFor() && !sender.Leaving {
+		if sender.RenewedAt >= k.state.At()-k.liveFor() && !sender.Leaving && k.state.Releasable(sender) {
 			live = append(live, sender)
 		}
 	}
