--- /dev/null
+++ b/endpoint.go
@@ -0,0 +1,206 @@
+package damsonwinch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Resources is room on a box, or what a task needs of it.
+type Resources struct {
+	// CPU is in thousandths of a core.
+	CPU int
+	// MemoryMB is in mebibytes.
+	MemoryMB int
+	// GPU counts accelerators.
+	GPU int
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(other Resources) Resources {
+	return Resources{CPU: r.CPU + other.CPU, MemoryMB: r.MemoryMB + other.MemoryMB, GPU: r.GPU + other.GPU}
+}
+
+// Minus returns the difference.
+func (r Resources) Minus(other Resources) Resources {
+	return Resources{CPU: r.CPU - other.CPU, MemoryMB: r.MemoryMB - other.MemoryMB, GPU: r.GPU - other.GPU}
+}
+
+// Holds says whether a need fits into this room.
+func (r Resources) Holds(need Resources) bool {
+	return need.CPU <= r.CPU && need.MemoryMB <= r.MemoryMB && need.GPU <= r.GPU
+}
+
+// Endpoint is one life of the program that runs tasks on a box. A box that
+// restarts has a new endpoint.
+type Endpoint struct {
+	ID      string
+	Box     string
+	Address string
+	// Pool is the service whose tasks it runs.
+	Pool     string
+	Zone     string
+	Labels   []string
+	Capacity Resources
+	// Draining says that it will end on its own and takes no new work.
+	Draining bool
+	// Remaining is the least time until it ends, when it drains.
+	Remaining time.Duration
+	// Offset is where the store has this entry.
+	Offset int
+}
+
+// TaskID names a task.
+type TaskID struct {
+	Job string
+	// Round counts the times that a repeated job runs, from 0.
+	Round int
+	Phase int
+	Index int
+}
+
+// String returns the name as logs show it.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Phase, t.Index)
+}
+
+// Run is one attempt at a task, as an endpoint knows it.
+type Run struct {
+	Task TaskID
+	// Attempt rises with each start of the task, from 1.
+	Attempt int
+}
+
+// StartOrder asks an endpoint to run a task.
+type StartOrder struct {
+	Run
+	// Spec is the client's text that tells the endpoint what to do.
+	Spec string
+	// Token is the fencing token of the cell's owner.
+	Token int
+	// Until is the endpoint's clock, in milliseconds, at which a start that is
+	// late is refused; what runs is leased at least until then.
+	Until int
+	// Checkpoint is where an earlier attempt left off, or empty.
+	Checkpoint string
+	// Ticket is the advice service's permission, where the queue needs one.
+	Ticket string
+}
+
+// StopOrder asks an endpoint to end a run.
+type StopOrder struct {
+	Run
+	Token int
+}
+
+// PaceOrder sets the share of its speed at which a run works.
+type PaceOrder struct {
+	Run
+	Token   int
+	Percent int
+}
+
+// LookOrder asks an endpoint for what runs and what has ended, and prolongs the
+// lease of all that runs there.
+type LookOrder struct {
+	Token int
+	// Seen is the number of the last end that is safely recorded; the endpoint
+	// forgets it and those before.
+	Seen int
+	// Until prolongs the lease, on the endpoint's clock in milliseconds; 0 leaves
+	// it as it is.
+	Until int
+	// Wait is how long the endpoint waits for an end before it answers.
+	Wait time.Duration
+}
+
+// Running is a run that an endpoint has in hand.
+type Running struct {
+	Run
+	Checkpoint string
+	// Percent is how much of its work is done; a lasting task is at work at 100.
+	Percent int
+	// Load is the tail latency in milliseconds of a task that serves users, and
+	// the CPU in use, in thousandths of a core, of any other.
+	Load int
+}
+
+// Ending says how a run ended.
+type Ending string
+
+// The endings of a run.
+const (
+	EndedDone    Ending = "done"
+	EndedFailed  Ending = "failed"
+	EndedStopped Ending = "stopped"
+	// EndedLapsed is the end of a run whose lease ran out.
+	EndedLapsed Ending = "lapsed"
+	// EndedBroken is the end of a gang's member after another member's.
+	EndedBroken Ending = "broken"
+	// EndedAlone is the end of a gang's member that waited in vain for the others.
+	EndedAlone Ending = "alone"
+)
+
+// Finished is a run that has ended on an endpoint.
+type Finished struct {
+	Run
+	// Number rises by one with each end within one life of an endpoint.
+	Number     int
+	How        Ending
+	Checkpoint string
+}
+
+// Look is an endpoint's answer to a look.
+type Look struct {
+	// Clock is the endpoint's steady clock in milliseconds.
+	Clock    int
+	Running  []Running
+	Finished []Finished
+}
+
+// Refusals of an endpoint: in each case it has done nothing.
+var (
+	// ErrOldToken says that the endpoint has seen a newer owner's token.
+	ErrOldToken = errors.New("the endpoint follows a newer owner")
+	// ErrOldRun says that a newer attempt, or a stop of this one, came before.
+	ErrOldRun = errors.New("the endpoint has seen a newer attempt or a stop")
+	// ErrLate says that the order came after its deadline.
+	ErrLate = errors.New("the order came too late")
+	// ErrNoRoom says that the task doesn't fit the endpoint now.
+	ErrNoRoom = errors.New("the endpoint has no room")
+	// ErrNoTicket says that the advice's permission is missing or has ended.
+	ErrNoTicket = errors.New("the endpoint wants another ticket")
+	// ErrOtherLife says that another life answers at the address.
+	ErrOtherLife = errors.New("another endpoint answers at this address")
+	// ErrUnhealthy says that the endpoint is unwell.
+	ErrUnhealthy = errors.New("the endpoint is unwell")
+	// ErrInvalid says that the endpoint can't make sense of the order.
+	ErrInvalid = errors.New("the endpoint refuses the order as invalid")
+)
+
+// EndpointControl gives orders to endpoints. An error that is none of the
+// refusals leaves open whether the order was carried out, now or later.
+type EndpointControl interface {
+	// Start returns the endpoint's clock in milliseconds.
+	Start(ctx context.Context, at Endpoint, order StartOrder) (int, error)
+	// Stop asks for the end of a run; the end is listed once it has ended.
+	Stop(ctx context.Context, at Endpoint, order StopOrder) error
+	// Pace sets how fast a run works.
+	Pace(ctx context.Context, at Endpoint, order PaceOrder) error
+	// Look asks what runs and prolongs leases.
+	Look(ctx context.Context, at Endpoint, order LookOrder) (Look, error)
+}
+
+// Permit is the advice service's permission for a phase of a job on an endpoint.
+type Permit struct {
+	Endpoint string
+	Ticket   string
+}
+
+// Advisor tells which endpoints may run a phase of a job, where a queue's policy
+// asks for that.
+type Advisor interface {
+	// Advise returns the permits among the named endpoints and how long they hold.
+	Advise(ctx context.Context, job string, round, phase int, endpoints []string) ([]Permit, time.Duration, error)
+}
--- /dev/null
+++ b/pkg/cell/cell.go
@@ -0,0 +1,128 @@
+// Package cell decides for the owner of a cell: which task starts where, what is
+// recorded before it is told, and what a new owner may take for granted. It is
+// pure: events and the time go in, effects come out.
+//
+// A cell is a pool's endpoints with the jobs of the queues that lead there. Three
+// rules hold all the rest:
+//   - A start is ordered only after its record is in the cell's stream, so that a
+//     later owner knows every run that may exist, and where.
+//   - An end is forgotten by its endpoint only after its record is in the stream.
+//   - A client is told only what is in the stream.
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// Cell is the owner's view of one cell.
+type Cell struct {
+	options Options
+	token   int
+	queues  map[string]damsonwinch.Queue
+	jobs    map[string]*job
+	// order holds the jobs that have not ended, in order of acceptance.
+	order []*job
+	// open holds the phases with tasks that may start, the most urgent first.
+	open      []*phase
+	endpoints map[string]*endpoint
+	// ranked holds the endpoints in order of their IDs, so that choices do not
+	// depend on the order of a map.
+	ranked []*endpoint
+	// step counts events. Looks and answers of different connections overtake
+	// each other; steps tell what was sent before what was known.
+	step    int
+	now     time.Time
+	commits commits
+	effects Effects
+	stats   Stats
+}
+
+// New returns an empty cell for an owner with a fencing token. It orders nothing
+// before Load has been called.
+func New(options Options, token int) *Cell {
+	return &Cell{
+		options: options, token: token,
+		queues:    map[string]damsonwinch.Queue{},
+		jobs:      map[string]*job{},
+		endpoints: map[string]*endpoint{},
+		commits:   newCommits(),
+	}
+}
+
+// begin notes an event and the time at which it came.
+func (c *Cell) begin(now time.Time) {
+	c.now = now
+	c.step++
+}
+
+// Configure takes the queues in force. Queues that have gone are remembered for
+// the jobs that still run.
+func (c *Cell) Configure(now time.Time, queues []damsonwinch.Queue) {
+	c.begin(now)
+	for _, queue := range queues {
+		c.queues[queue.Name] = queue
+	}
+}
+
+// Tick lets time pass.
+func (c *Cell) Tick(now time.Time) {
+	c.begin(now)
+	c.openRounds()
+	c.expireLeases()
+	c.retryOrders()
+	c.forgetJobs()
+	c.settle()
+}
+
+// settle does what follows from an event: new starts, looks and a commit.
+func (c *Cell) settle() {
+	c.place()
+	c.lookAround()
+	c.flush()
+}
+
+// Take returns the effects that have come up since the last call.
+func (c *Cell) Take() Effects {
+	taken := c.effects
+	c.effects = Effects{}
+	return taken
+}
+
+// sortOpen keeps the open phases in order of urgency.
+func (c *Cell) addOpen(p *phase) {
+	at, _ := slices.BinarySearchFunc(c.open, p, comparePhases)
+	c.open = slices.Insert(c.open, at, p)
+}
+
+func (c *Cell) removeOpen(p *phase) {
+	if at := slices.Index(c.open, p); at >= 0 {
+		c.open = slices.Delete(c.open, at, at+1)
+	}
+}
+
+// Pending counts a queue's recorded jobs none of whose tasks has begun.
+func (c *Cell) Pending(queue string) int {
+	count := 0
+	for _, j := range c.order {
+		if j.queue == queue && j.recorded && !j.begun && !j.ended() {
+			count++
+		}
+	}
+	return count
+}
+
+// Show returns what may be told of a job.
+func (c *Cell) Show(id string) (wire.JobState, bool) {
+	j, known := c.jobs[id]
+	if !known || !j.recorded {
+		return "", false
+	}
+	if j.shown == wire.JobStateQueued && j.begun {
+		return wire.JobStateRunning, true
+	}
+	return j.shown, true
+}
--- /dev/null
+++ b/pkg/cell/commit.go
@@ -0,0 +1,232 @@
+package cell
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// commits holds what waits for the stream.
+type commits struct {
+	dirty map[string]bool
+	// dropped are keys that the stream is to forget.
+	dropped []string
+	// marks are records about endpoints.
+	marks []damsonwinch.Record
+	// ends says that ends were taken in that no record may mention, such as those
+	// of jobs that nobody knows; they too are forgotten only after a commit.
+	ends    bool
+	starts  []*run
+	replies []Reply
+	// released are withdrawals that may be told once they are recorded.
+	number  int
+	sent    *sentCommit
+	startAt time.Time
+}
+
+// sentCommit is the append on its way.
+type sentCommit struct {
+	number  int
+	starts  []*run
+	replies []Reply
+	shown   map[*job]wire.JobState
+	seen    map[*endpoint]int
+}
+
+func newCommits() commits {
+	return commits{dirty: map[string]bool{}}
+}
+
+// touch notes that a job's record is out of date.
+func (c *Cell) touch(j *job) {
+	c.commits.dirty[j.id] = true
+}
+
+// drop makes the stream forget a job.
+func (c *Cell) drop(j *job) {
+	c.commits.dropped = append(c.commits.dropped, j.id)
+}
+
+func (c *Cell) reply(ticket int, reply wire.JobReply) {
+	c.effects.Replies = append(c.effects.Replies, Reply{Ticket: ticket, Reply: reply})
+}
+
+// replyRecorded answers a call once the stream holds the job as it is now.
+func (c *Cell) replyRecorded(j *job, ticket int, reply wire.JobReply) {
+	switch {
+	case c.commits.dirty[j.id]:
+		c.commits.replies = append(c.commits.replies, Reply{Ticket: ticket, Reply: reply})
+	case c.commits.sent != nil && j.shown != j.state, c.commits.sent != nil && !j.recorded:
+		c.commits.sent.replies = append(c.commits.sent.replies, Reply{Ticket: ticket, Reply: reply})
+	default:
+		c.reply(ticket, reply)
+	}
+}
+
+// pendingCommit says whether anything waits for the stream.
+func (c *Cell) pendingCommit() bool {
+	w := &c.commits
+	return len(w.dirty) > 0 || len(w.dropped) > 0 || len(w.marks) > 0 || w.ends
+}
+
+// flush begins the next append, unless one is on its way or the last was just now.
+func (c *Cell) flush() {
+	w := &c.commits
+	if w.sent != nil || !c.pendingCommit() || c.now.Sub(w.startAt) < c.options.CommitGap {
+		return
+	}
+	w.number++
+	w.startAt = c.now
+	sent := &sentCommit{number: w.number, starts: w.starts, replies: w.replies, shown: map[*job]wire.JobState{}, seen: map[*endpoint]int{}}
+	records := c.compose(sent)
+	for _, e := range c.ranked {
+		if e.seen > e.recorded {
+			sent.seen[e] = e.seen
+		}
+	}
+	clear(w.dirty)
+	w.dropped, w.marks, w.ends, w.starts, w.replies = nil, nil, false, nil, nil
+	w.sent = sent
+	c.stats.Commits++
+	if len(records) == 0 {
+		c.finish(sent)
+		return
+	}
+	c.effects.Commit = &Commit{Number: sent.number, Records: records}
+}
+
+// compose returns the records of all that is out of date in the stream.
+func (c *Cell) compose(sent *sentCommit) []damsonwinch.Record {
+	w := &c.commits
+	records := w.marks
+	ids := make([]string, 0, len(w.dirty))
+	for id := range w.dirty {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		j := c.jobs[id]
+		if j == nil {
+			continue
+		}
+		sent.shown[j] = j.state
+		records = append(records, c.jobRecords(j)...)
+	}
+	for _, key := range w.dropped {
+		records = append(records, damsonwinch.Record{Key: key})
+	}
+	return records
+}
+
+// Committed takes note that the stream holds an append.
+func (c *Cell) Committed(now time.Time, number int) {
+	c.begin(now)
+	defer c.settle()
+	if sent := c.commits.sent; sent != nil && sent.number == number {
+		c.finish(sent)
+	}
+}
+
+// finish does what waited for an append.
+func (c *Cell) finish(sent *sentCommit) {
+	c.commits.sent = nil
+	for j, state := range sent.shown {
+		j.recorded, j.shown = true, state
+	}
+	for e, seen := range sent.seen {
+		e.recorded = max(e.recorded, seen)
+	}
+	for _, r := range sent.starts {
+		c.sendStart(r)
+	}
+	c.effects.Replies = append(c.effects.Replies, sent.replies...)
+}
+
+// Outstanding returns the replies that can't be given any more when the owner
+// ends: whether their calls took effect is open.
+func (c *Cell) Outstanding() []Reply {
+	found := c.commits.replies
+	if c.commits.sent != nil {
+		found = append(found, c.commits.sent.replies...)
+	}
+	return found
+}
+
+// Wake returns when Tick should be called next.
+func (c *Cell) Wake(now time.Time) time.Time {
+	if c.commits.sent == nil && c.pendingCommit() {
+		return c.commits.startAt.Add(c.options.CommitGap)
+	}
+	if len(c.order) > 0 {
+		return now.Add(busyTick)
+	}
+	return now.Add(idleTick)
+}
+
+// Times between ticks: retries and leases are looked after at this grain.
+const (
+	busyTick = 50 * time.Millisecond
+	idleTick = 250 * time.Millisecond
+)
+
+// specSuffix marks the key of a job's text, which is written once.
+const specSuffix = "/spec"
+
+func (c *Cell) jobRecords(j *job) []damsonwinch.Record {
+	var records []damsonwinch.Record
+	if !j.specSaved && !j.ended() {
+		j.specSaved = true
+		records = append(records, damsonwinch.Record{Key: j.id + specSuffix, Value: encode(j.spec)})
+	}
+	record := wire.JobRecord{
+		Queue: j.queue, State: j.state, AcceptedMs: j.acceptedMs, EndedMs: j.endedMs,
+		Priority: j.priority, MostAttempts: j.mostAttempts, DueMs: j.dueMs,
+	}
+	if j.ended() && j.specSaved && j.runs == 0 {
+		// Nothing of it can run any more.
+		j.specSaved = false
+		records = append(records, damsonwinch.Record{Key: j.id + specSuffix})
+	}
+	if !j.ended() || j.runs > 0 {
+		record.Tasks = taskRecords(j)
+	}
+	return append(records, damsonwinch.Record{Key: j.id, Value: encode(record)})
+}
+
+// taskRecords returns the records of the tasks that have begun.
+func taskRecords(j *job) []wire.TaskRecord {
+	var found []wire.TaskRecord
+	for _, r := range j.rounds {
+		for _, p := range r.phases {
+			for _, t := range p.tasks {
+				if t.attempt == 0 && !t.done {
+					continue
+				}
+				record := wire.TaskRecord{
+					Round: r.number, Phase: p.number, Index: t.index, Attempt: t.attempt, Failed: t.failed, Done: t.done,
+				}
+				if !t.done {
+					record.Saved = t.saved
+				}
+				for _, running := range t.runs {
+					record.Runs = append(record.Runs, wire.RunRecord{Attempt: running.attempt, Endpoint: running.at.info.ID})
+				}
+				found = append(found, record)
+			}
+		}
+	}
+	return found
+}
+
+// encode writes a record's value. Plain structs of strings and numbers can't fail
+// to encode.
+func encode(value any) []byte {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return text
+}
--- /dev/null
+++ b/pkg/cell/effects.go
@@ -0,0 +1,96 @@
+package cell
+
+import (
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// Effects are what the owner has to do after an event.
+type Effects struct {
+	// Commit is the next append, nil for none. Committed or Close follows.
+	Commit *Commit
+	Starts []Start
+	Stops  []Stop
+	Looks  []Look
+	// Replies answer clients' calls by the tickets they came with.
+	Replies []Reply
+	// Deposed says that a newer owner has been at an endpoint.
+	Deposed bool
+	// AskBoxes asks for the platform's list of boxes: an endpoint is silent.
+	AskBoxes bool
+	// Notes are decisions and changes of belief for the log.
+	Notes []Note
+}
+
+// Commit is one append to the cell's stream.
+type Commit struct {
+	Number  int
+	Records []damsonwinch.Record
+}
+
+// Start is an order to an endpoint.
+type Start struct {
+	At    damsonwinch.Endpoint
+	Order damsonwinch.StartOrder
+}
+
+// Stop is an order to an endpoint.
+type Stop struct {
+	At    damsonwinch.Endpoint
+	Order damsonwinch.StopOrder
+}
+
+// Look is a question to an endpoint.
+type Look struct {
+	At     damsonwinch.Endpoint
+	Order  damsonwinch.LookOrder
+	Number int
+}
+
+// Reply answers a client's call.
+type Reply struct {
+	Ticket int
+	Reply  wire.JobReply
+}
+
+// Note is a decision or a change of belief, for the log.
+type Note struct {
+	What     string
+	Job      string
+	Task     string
+	Endpoint string
+	Why      string
+}
+
+// Stats counts what a cell has done.
+type Stats struct {
+	Accepted  int
+	Completed int
+	Failed    int
+	Cancelled int
+	Starts    int
+	Reruns    int
+	Refusals  int
+	Commits   int
+	Looks     int
+	Lapsed    int
+}
+
+// Stats returns the counters.
+func (c *Cell) Stats() Stats {
+	return c.stats
+}
+
+func (c *Cell) note(what string, r *run, why string) {
+	c.effects.Notes = append(c.effects.Notes, Note{
+		What: what, Job: r.task.phase.round.job.id, Task: r.order().Task.String(), Endpoint: r.at.info.ID, Why: why,
+	})
+}
+
+func (c *Cell) noteJob(what string, j *job, why string) {
+	c.effects.Notes = append(c.effects.Notes, Note{What: what, Job: j.id, Why: why})
+}
+
+func (c *Cell) noteEndpoint(what string, e *endpoint, why string) {
+	c.effects.Notes = append(c.effects.Notes, Note{What: what, Endpoint: e.info.ID, Why: why})
+}
--- /dev/null
+++ b/pkg/cell/endpoint.go
@@ -0,0 +1,203 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"damsonwinch"
+)
+
+// endpoint is a life of the program that runs tasks, as the owner knows it.
+type endpoint struct {
+	info damsonwinch.Endpoint
+	// listed says that the registry has its entry now.
+	listed bool
+	// attached says that it has answered a look under this owner's token: older
+	// owners can't order there any more, and all its runs are known.
+	attached bool
+	// gone says that this life has ended for certain.
+	gone bool
+	// withdrawn says that it gets no more work, since its box is to be moved or
+	// maintained.
+	withdrawn bool
+	withdraw  withdrawal
+	runs      map[damsonwinch.Run]*run
+	used      damsonwinch.Resources
+	lastBusy  time.Time
+	// clockSample is its clock, in milliseconds, in an answer that came at clockAt.
+	clockSample int
+	clockAt     time.Time
+	// leaseBound is when all that runs there has lapsed for certain, unless the
+	// endpoint is heard of before.
+	leaseBound time.Time
+	looks      looks
+	// wantLook asks for a look that doesn't wait.
+	wantLook bool
+	// seen is the highest end that has been taken into the state, and recorded the
+	// highest one in the stream.
+	seen     int
+	recorded int
+	// silent says that the last look was not answered.
+	silent     bool
+	pauseUntil time.Time
+}
+
+// usable says whether new work may be ordered there.
+func (e *endpoint) usable() bool {
+	return e.listed && e.attached && !e.gone && !e.withdrawn && !e.silent && !e.info.Draining
+}
+
+// free returns the room that is left.
+func (e *endpoint) free() damsonwinch.Resources {
+	return e.info.Capacity.Minus(e.used)
+}
+
+// clock returns the endpoint's clock as it should be now, in milliseconds.
+func (e *endpoint) clock(now time.Time) int {
+	return e.clockSample + int(now.Sub(e.clockAt).Milliseconds())
+}
+
+// hasLabel says whether a task that asks for a label may run there.
+func (e *endpoint) hasLabel(label string) bool {
+	return label == "" || slices.Contains(e.info.Labels, label)
+}
+
+// sortedRuns returns the runs in an order that doesn't depend on the map's.
+func (e *endpoint) sortedRuns() []*run {
+	if len(e.runs) == 0 {
+		return nil
+	}
+	found := make([]*run, 0, len(e.runs))
+	for _, r := range e.runs {
+		found = append(found, r)
+	}
+	slices.SortFunc(found, func(a, b *run) int {
+		x, y := a.order(), b.order()
+		return cmp.Or(cmp.Compare(x.Task.Job, y.Task.Job), cmp.Compare(x.Task.Round, y.Task.Round), cmp.Compare(x.Task.Phase, y.Task.Phase),
+			cmp.Compare(x.Task.Index, y.Task.Index), cmp.Compare(x.Attempt, y.Attempt))
+	})
+	return found
+}
+
+// endpointOf returns the endpoint of an ID, made known if need be.
+func (c *Cell) endpointOf(id string) *endpoint {
+	if known := c.endpoints[id]; known != nil {
+		return known
+	}
+	e := &endpoint{info: damsonwinch.Endpoint{ID: id}, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now}
+	// An older owner may have prolonged leases until it noticed that it was one.
+	e.leaseBound = c.now.Add(c.options.TokenGrace + slack(c.options.MostLease))
+	c.endpoints[id] = e
+	at, _ := slices.BinarySearchFunc(c.ranked, e, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	c.ranked = slices.Insert(c.ranked, at, e)
+	return e
+}
+
+func slack(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) * clockSlack)
+}
+
+// leaseMargin is added to every bound of a lease, for rounding and scheduling.
+const leaseMargin = 200 * time.Millisecond
+
+// prolong notes that an order may keep runs alive until a moment of the
+// endpoint's clock.
+func (c *Cell) prolong(e *endpoint, until int) {
+	left := time.Duration(until-e.clockSample) * time.Millisecond
+	bound := e.clockAt.Add(slack(left) + leaseMargin)
+	if bound.After(e.leaseBound) {
+		e.leaseBound = bound
+	}
+}
+
+// SetEndpoints takes the cell's endpoints as the registry has them now.
+func (c *Cell) SetEndpoints(now time.Time, listed []damsonwinch.Endpoint) {
+	c.begin(now)
+	defer c.settle()
+	present := make(map[string]bool, len(listed))
+	for _, info := range listed {
+		present[info.ID] = true
+		e := c.endpointOf(info.ID)
+		if info.Draining && !e.info.Draining {
+			c.noteEndpoint("endpoint drains", e, "")
+		}
+		if !e.listed && !e.gone {
+			c.noteEndpoint("endpoint listed", e, info.Address)
+		}
+		e.info, e.listed = info, true
+	}
+	for _, e := range c.ranked {
+		if e.listed && !present[e.info.ID] {
+			e.listed = false
+			c.noteEndpoint("endpoint unlisted", e, "")
+		}
+	}
+	c.sweepEndpoints()
+}
+
+// sweepEndpoints forgets endpoints that are neither listed nor hold a run.
+func (c *Cell) sweepEndpoints() {
+	c.ranked = slices.DeleteFunc(c.ranked, func(e *endpoint) bool {
+		if e.listed || len(e.runs) > 0 {
+			return false
+		}
+		delete(c.endpoints, e.info.ID)
+		c.dropEndpoint(e)
+		return true
+	})
+}
+
+// SetBoxes takes the platform's list of boxes, which tells lives that have ended
+// from those that are only out of reach.
+func (c *Cell) SetBoxes(now time.Time, boxes []damsonwinch.Box) {
+	c.begin(now)
+	defer c.settle()
+	alive := make(map[string]bool, len(boxes))
+	for _, box := range boxes {
+		if box.State == damsonwinch.BoxUp {
+			alive[box.Endpoint] = true
+		}
+	}
+	for _, e := range slices.Clone(c.ranked) {
+		// An endpoint that was listed only after the boxes were asked for is not
+		// missing: it must have been silent before.
+		if !alive[e.info.ID] && !e.gone && (e.silent || !e.attached) && len(e.runs) > 0 {
+			c.lose(e, "the platform's list of boxes does not have it")
+		}
+	}
+	c.sweepEndpoints()
+}
+
+// lose takes note that a life has ended: all that ran there is gone.
+func (c *Cell) lose(e *endpoint, why string) {
+	if !e.gone {
+		c.noteEndpoint("endpoint lost", e, why)
+	}
+	e.gone = true
+	for _, r := range e.sortedRuns() {
+		if r.state == runIntended {
+			// The commit takes it back.
+			r.stopping = true
+			continue
+		}
+		c.again(r)
+	}
+}
+
+// expireLeases takes back runs on endpoints out of reach once their leases must
+// have run out.
+func (c *Cell) expireLeases() {
+	for _, e := range c.ranked {
+		if len(e.runs) == 0 || e.gone || (e.attached && !e.silent) || !c.now.After(e.leaseBound) {
+			continue
+		}
+		c.noteEndpoint("leases lapsed", e, "out of reach")
+		for _, r := range e.sortedRuns() {
+			if r.state != runIntended {
+				c.stats.Lapsed++
+				c.again(r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/cell/job.go
@@ -0,0 +1,206 @@
+package cell
+
+import (
+	"cmp"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// job is a job as its owner knows it.
+type job struct {
+	id         string
+	queue      string
+	spec       wire.JobSpec
+	acceptedMs int
+	dueMs      int
+	endedMs    int
+	priority   int
+	// mostAttempts is the queue's limit when the job came; a newer one of the
+	// queue goes before it.
+	mostAttempts int
+	// state is what the owner has decided, and shown what the stream holds.
+	state wire.JobState
+	shown wire.JobState
+	// recorded says that the stream holds the job.
+	recorded bool
+	// begun says that a task has started.
+	begun  bool
+	rounds []*round
+	// runs counts attempts that may be running.
+	runs int
+	// specSaved says that the stream holds, or is being given, the job's text.
+	specSaved bool
+}
+
+// ended says whether the job's end is decided.
+func (j *job) ended() bool {
+	return j.state == wire.JobStateCompleted || j.state == wire.JobStateFailed || j.state == wire.JobStateCancelled
+}
+
+// round is one time that a job's phases run.
+type round struct {
+	job    *job
+	number int
+	phases []*phase
+	// left counts phases that are not done.
+	left int
+}
+
+// phase is a set of like tasks of a round.
+type phase struct {
+	round  *round
+	number int
+	spec   *wire.Phase
+	tasks  []*task
+	// waitsFor counts earlier phases that are not done.
+	waitsFor int
+	// left counts tasks that are not done.
+	left int
+	// ready holds the tasks that may start now, in order.
+	ready []*task
+	// open says that the phase stands among the cell's open ones.
+	open bool
+}
+
+func (p *phase) job() *job {
+	return p.round.job
+}
+
+func (p *phase) need() damsonwinch.Resources {
+	need := damsonwinch.Resources{CPU: p.spec.Cpu, MemoryMB: p.spec.MemoryMb, GPU: p.spec.Gpu}
+	if p.spec.Fills {
+		// It lives on what others leave.
+		need.CPU = 0
+	}
+	return need
+}
+
+// task is one task of a phase.
+type task struct {
+	phase *phase
+	index int
+	// attempt is the highest that has been used.
+	attempt int
+	// failed counts attempts that ended as failed.
+	failed int
+	done   bool
+	ready  bool
+	// saved is the newest known checkpoint.
+	saved string
+	runs  []*run
+	// avoid names the endpoint where the task failed last.
+	avoid string
+}
+
+func (t *task) id() damsonwinch.TaskID {
+	return damsonwinch.TaskID{Job: t.phase.round.job.id, Round: t.phase.round.number, Phase: t.phase.number, Index: t.index}
+}
+
+// find returns the task's run of an attempt, or nil.
+func (t *task) find(attempt int) *run {
+	for _, r := range t.runs {
+		if r.attempt == attempt {
+			return r
+		}
+	}
+	return nil
+}
+
+// comparePhases orders phases by urgency: priority, then the time by which the
+// job should be done, then age.
+func comparePhases(a, b *phase) int {
+	return cmp.Or(
+		cmp.Compare(a.job().priority, b.job().priority),
+		cmp.Compare(a.job().dueMs, b.job().dueMs),
+		cmp.Compare(a.job().acceptedMs, b.job().acceptedMs),
+		cmp.Compare(a.job().id, b.job().id),
+		cmp.Compare(a.round.number, b.round.number),
+		cmp.Compare(a.number, b.number),
+	)
+}
+
+// newRound returns a round with all its phases closed.
+func newRound(j *job, number int) *round {
+	r := &round{job: j, number: number, left: len(j.spec.Phases)}
+	for at := range j.spec.Phases {
+		spec := &j.spec.Phases[at]
+		p := &phase{round: r, number: at, spec: spec, waitsFor: len(spec.After), left: spec.Count}
+		p.tasks = make([]*task, spec.Count)
+		for index := range p.tasks {
+			p.tasks[index] = &task{phase: p, index: index}
+		}
+		r.phases = append(r.phases, p)
+	}
+	return r
+}
+
+// startRound opens the phases of a round that wait for nothing.
+func (c *Cell) startRound(j *job, number int) *round {
+	r := newRound(j, number)
+	j.rounds = append(j.rounds, r)
+	for _, p := range r.phases {
+		if p.waitsFor == 0 {
+			c.openPhase(p)
+		}
+	}
+	return r
+}
+
+// openPhase makes a phase's tasks ready.
+func (c *Cell) openPhase(p *phase) {
+	for _, t := range p.tasks {
+		if !t.done && len(t.runs) == 0 {
+			c.makeReady(t)
+		}
+	}
+}
+
+// makeReady puts a task among those that may start.
+func (c *Cell) makeReady(t *task) {
+	p := t.phase
+	if t.ready || t.done || p.waitsFor > 0 || p.job().ended() {
+		return
+	}
+	t.ready = true
+	p.ready = append(p.ready, t)
+	if !p.open {
+		p.open = true
+		c.addOpen(p)
+	}
+}
+
+// closePhase takes a phase from the open ones.
+func (c *Cell) closePhase(p *phase) {
+	if p.open {
+		p.open = false
+		c.removeOpen(p)
+	}
+	for _, t := range p.ready {
+		t.ready = false
+	}
+	p.ready = nil
+}
+
+// rounds returns how many rounds a job has in all.
+func (j *job) roundsInAll() int {
+	return max(1, j.spec.Rounds)
+}
+
+// roundDue returns when a round falls due.
+func (j *job) roundDue(number int) time.Time {
+	if j.spec.Rounds == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(int64(j.spec.FirstMs + number*j.spec.EveryMs))
+}
+
+// openRounds starts the rounds that have fallen due.
+func (c *Cell) openRounds() {
+	for _, j := range c.order {
+		for !j.ended() && len(j.rounds) < j.roundsInAll() && !c.now.Before(j.roundDue(len(j.rounds))) {
+			c.startRound(j, len(j.rounds))
+		}
+	}
+}
--- /dev/null
+++ b/pkg/cell/look.go
@@ -0,0 +1,210 @@
+package cell
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"damsonwinch"
+)
+
+// looks are the questions to an endpoint that are on their way: at most one that
+// waits for an end, and one that doesn't.
+type looks struct {
+	next    int
+	waiting *sentLook
+	quick   *sentLook
+	// answered is the step at which the newest answered look was sent.
+	answered int
+	lastAt   time.Time
+}
+
+type sentLook struct {
+	number int
+	step   int
+}
+
+// lookAround sends the looks that are due.
+func (c *Cell) lookAround() {
+	for _, e := range c.ranked {
+		if e.gone || e.info.Address == "" || (!e.listed && len(e.runs) == 0) {
+			continue
+		}
+		c.lookAt(e)
+	}
+}
+
+func (c *Cell) lookAt(e *endpoint) {
+	since := c.now.Sub(e.looks.lastAt)
+	switch {
+	case e.silent:
+		if e.looks.quick == nil && since >= c.options.RetryLook {
+			c.sendLook(e, 0)
+		}
+	case !e.attached, e.wantLook:
+		if e.looks.quick == nil {
+			c.sendLook(e, 0)
+		}
+	case e.looks.waiting != nil:
+	case e.seen > e.recorded:
+		// The endpoint would repeat the ends at once; they are not recorded yet.
+		// While the store is away, leases need prolonging all the same.
+		if e.looks.quick == nil && since >= c.options.RetryLook {
+			c.sendLook(e, 0)
+		}
+	case len(e.runs) > 0:
+		c.sendLook(e, c.options.LookWait)
+	case since >= c.options.IdleLook:
+		c.sendLook(e, 0)
+	}
+}
+
+func (c *Cell) sendLook(e *endpoint, wait time.Duration) {
+	e.looks.next++
+	e.looks.lastAt = c.now
+	sent := &sentLook{number: e.looks.next, step: c.step}
+	if wait > 0 {
+		e.looks.waiting = sent
+	} else {
+		e.looks.quick = sent
+		e.wantLook = false
+	}
+	order := damsonwinch.LookOrder{Token: c.token, Seen: e.recorded, Wait: wait}
+	if e.attached && !e.silent {
+		order.Until = e.clock(c.now) + int(c.options.MostLease.Milliseconds())
+		c.prolong(e, order.Until)
+	}
+	c.stats.Looks++
+	c.effects.Looks = append(c.effects.Looks, Look{At: e.info, Order: order, Number: sent.number})
+}
+
+// take removes and returns the look of a number.
+func (l *looks) take(number int) *sentLook {
+	for _, place := range []**sentLook{&l.waiting, &l.quick} {
+		if sent := *place; sent != nil && sent.number == number {
+			*place = nil
+			return sent
+		}
+	}
+	return nil
+}
+
+// Looked takes the answer to a look.
+func (c *Cell) Looked(now time.Time, endpointID string, number int, look damsonwinch.Look, err error) {
+	c.begin(now)
+	defer c.settle()
+	e := c.endpoints[endpointID]
+	if e == nil {
+		return
+	}
+	sent := e.looks.take(number)
+	if sent == nil || e.gone {
+		return
+	}
+	if err != nil {
+		c.lookFailed(e, err)
+		return
+	}
+	if sent.step < e.looks.answered {
+		// A later look has been answered; this one is out of date.
+		return
+	}
+	e.looks.answered = sent.step
+	if e.silent {
+		c.noteEndpoint("endpoint answers again", e, "")
+	}
+	e.silent = false
+	e.clockSample, e.clockAt = look.Clock, c.now
+	c.takeEnds(e, look.Finished)
+	c.takeRunning(e, look.Running, sent.step)
+	e.attached = true
+}
+
+func (c *Cell) lookFailed(e *endpoint, err error) {
+	switch {
+	case errors.Is(err, damsonwinch.ErrOtherLife):
+		c.lose(e, "another life answers at its address")
+	case errors.Is(err, damsonwinch.ErrOldToken):
+		c.effects.Deposed = true
+	default:
+		if !e.silent {
+			c.noteEndpoint("endpoint silent", e, err.Error())
+		}
+		e.silent = true
+		if len(e.runs) > 0 {
+			c.effects.AskBoxes = true
+		}
+	}
+}
+
+// takeEnds takes the ends that are new into the state, in order.
+func (c *Cell) takeEnds(e *endpoint, ends []damsonwinch.Finished) {
+	slices.SortFunc(ends, func(a, b damsonwinch.Finished) int { return a.Number - b.Number })
+	for _, end := range ends {
+		if end.Number <= e.seen {
+			continue
+		}
+		e.seen = end.Number
+		c.commits.ends = true
+		c.finished(e, end)
+	}
+}
+
+// takeRunning compares what runs with what should.
+func (c *Cell) takeRunning(e *endpoint, rows []damsonwinch.Running, sentAt int) {
+	listed := make(map[damsonwinch.Run]bool, len(rows))
+	for _, row := range rows {
+		listed[row.Run] = true
+		r := e.runs[row.Run]
+		if r == nil {
+			c.stopStray(e, row.Run)
+			continue
+		}
+		c.seenRunning(r, row)
+	}
+	for _, r := range e.sortedRuns() {
+		if !listed[r.order()] && c.mustBeListed(r, sentAt) {
+			c.note("run is not there", r, "")
+			c.again(r)
+		}
+	}
+}
+
+// mustBeListed says whether a look sent at a step would have shown a run that
+// exists.
+func (c *Cell) mustBeListed(r *run, sentAt int) bool {
+	switch r.state {
+	case runSuspect:
+		// This owner's token has kept out later orders of earlier owners.
+		return true
+	case runConfirmed:
+		return sentAt >= r.knownAt
+	case runUncertain:
+		// Once the endpoint has taken the stop, the attempt can't begin any more.
+		return r.stopped && sentAt >= r.knownAt
+	}
+	return false
+}
+
+func (c *Cell) seenRunning(r *run, row damsonwinch.Running) {
+	r.percent = row.Percent
+	if row.Checkpoint != "" {
+		r.task.saved = row.Checkpoint
+	}
+	if r.state == runIntended || r.state == runConfirmed {
+		return
+	}
+	uncertain := r.state == runUncertain
+	r.state, r.knownAt = runConfirmed, c.step
+	if r.task.phase.job().ended() || r.task.done {
+		c.stop(r, "its job has ended")
+	} else if uncertain && r.stopping && r.stopSent.IsZero() {
+		r.stopping = false
+	}
+}
+
+// stopStray ends a run that belongs to nothing that should run.
+func (c *Cell) stopStray(e *endpoint, stray damsonwinch.Run) {
+	c.effects.Notes = append(c.effects.Notes, Note{What: "stop stray run", Job: stray.Task.Job, Task: stray.Task.String(), Endpoint: e.info.ID})
+	c.effects.Stops = append(c.effects.Stops, Stop{At: e.info, Order: damsonwinch.StopOrder{Run: stray, Token: c.token}})
+}
--- /dev/null
+++ b/pkg/cell/place.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"slices"
+
+	"damsonwinch"
+)
+
+// place starts the tasks that may start, the most urgent first, as far as there
+// is room.
+func (c *Cell) place() {
+	var full []damsonwinch.Resources
+	for _, p := range slices.Clone(c.open) {
+		if exceedsAny(p, full) {
+			continue
+		}
+		if p.spec.Gang {
+			c.placeGang(p)
+		} else if !c.placeTasks(p) && unconstrained(p) {
+			full = append(full, p.need())
+		}
+		if len(p.ready) == 0 && p.open {
+			c.closePhase(p)
+		}
+	}
+}
+
+// exceedsAny says whether a phase's tasks need at least what already found no
+// room, so that looking again is in vain.
+func exceedsAny(p *phase, full []damsonwinch.Resources) bool {
+	need := p.need()
+	for _, missed := range full {
+		if need.CPU >= missed.CPU && need.MemoryMB >= missed.MemoryMB && need.GPU >= missed.GPU {
+			return true
+		}
+	}
+	return false
+}
+
+// unconstrained says that only room decides where a phase's tasks may run.
+func unconstrained(p *phase) bool {
+	return p.spec.Label == "" && p.spec.MostPerBox == 0
+}
+
+// placeTasks places a phase's tasks one by one. It says whether all found room.
+func (c *Cell) placeTasks(p *phase) bool {
+	waiting := p.ready
+	p.ready = nil
+	for at, t := range waiting {
+		e := c.choose(t)
+		if e == nil {
+			p.ready = append(p.ready, waiting[at:]...)
+			return false
+		}
+		t.ready = false
+		c.intend(t, e)
+	}
+	return true
+}
+
+// choose returns the endpoint that suits a task best, or nil. Work is packed on
+// few boxes, so that others stay empty and can be given away or maintained.
+func (c *Cell) choose(t *task) *endpoint {
+	var best *endpoint
+	bestScore := 0
+	for _, e := range c.ranked {
+		if !c.allowed(t, e) {
+			continue
+		}
+		score := c.score(t, e)
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+// allowed says whether a task may be started at an endpoint now.
+func (c *Cell) allowed(t *task, e *endpoint) bool {
+	p := t.phase
+	if !e.usable() || c.now.Before(e.pauseUntil) || !e.free().Holds(p.need()) || !e.hasLabel(p.spec.Label) {
+		return false
+	}
+	return p.spec.MostPerBox == 0 || onEndpoint(p, e) < p.spec.MostPerBox
+}
+
+// onEndpoint counts a phase's runs at an endpoint.
+func onEndpoint(p *phase, e *endpoint) int {
+	count := 0
+	for _, t := range p.tasks {
+		for _, r := range t.runs {
+			if r.at == e {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Weights of a choice, in thousandths of a core of packing.
+const (
+	scoreRack  = 1_000_000
+	scoreAvoid = -4_000_000
+)
+
+func (c *Cell) score(t *task, e *endpoint) int {
+	score := e.used.CPU
+	if rack := t.phase.spec.Rack; rack != "" && slices.Contains(e.info.Labels, rack) {
+		score += scoreRack
+	}
+	if t.avoid == e.info.ID {
+		score += scoreAvoid
+	}
+	return score
+}
--- /dev/null
+++ b/pkg/cell/run.go
@@ -0,0 +1,337 @@
+package cell
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// runState is how much is known of an attempt.
+type runState int
+
+const (
+	// runIntended waits for its record before it is ordered.
+	runIntended runState = iota
+	// runOrdered has been ordered and not been answered yet.
+	runOrdered
+	// runConfirmed is known to have been on its endpoint.
+	runConfirmed
+	// runUncertain has been ordered, and the answer was lost.
+	runUncertain
+	// runSuspect was recorded by an earlier owner; its endpoint has not been
+	// asked yet.
+	runSuspect
+)
+
+// run is one attempt at a task that may exist.
+type run struct {
+	task    *task
+	attempt int
+	at      *endpoint
+	state   runState
+	// knownAt is the step after which the endpoint must list the run: a look sent
+	// later that doesn't list it shows that it isn't there.
+	knownAt int
+	// stopping says that it is to end.
+	stopping bool
+	// stopSent is when the stop was last ordered, and stopped that the endpoint
+	// has taken it: the attempt can't begin any more.
+	stopSent time.Time
+	stopped  bool
+	percent  int
+	since    time.Time
+}
+
+func (r *run) order() damsonwinch.Run {
+	return damsonwinch.Run{Task: r.task.id(), Attempt: r.attempt}
+}
+
+// intend reserves room for a new attempt; it is ordered once it is recorded.
+func (c *Cell) intend(t *task, at *endpoint) {
+	t.attempt++
+	r := &run{task: t, attempt: t.attempt, at: at, since: c.now}
+	c.attach(r)
+	t.phase.job().begun = true
+	if t.attempt > 1 {
+		c.stats.Reruns++
+	}
+	c.touch(t.phase.job())
+	c.commits.starts = append(c.commits.starts, r)
+}
+
+// attach ties a run to its task and endpoint.
+func (c *Cell) attach(r *run) {
+	r.task.runs = append(r.task.runs, r)
+	r.at.runs[r.order()] = r
+	r.at.used = r.at.used.Plus(r.task.phase.need())
+	r.task.phase.job().runs++
+}
+
+// resolve takes away a run that is known not to exist any more.
+func (c *Cell) resolve(r *run) {
+	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
+	delete(r.at.runs, r.order())
+	r.at.used = r.at.used.Minus(r.task.phase.need())
+	r.task.phase.job().runs--
+	r.at.lastBusy = c.now
+	c.touch(r.task.phase.job())
+}
+
+// again resolves a run that came to nothing and makes its task ready.
+func (c *Cell) again(r *run) {
+	c.resolve(r)
+	if len(r.task.runs) == 0 {
+		c.makeReady(r.task)
+	}
+}
+
+// sendStart orders a recorded run.
+func (c *Cell) sendStart(r *run) {
+	if r.task.phase.job().ended() || r.stopping || !r.at.usable() {
+		c.again(r)
+		return
+	}
+	r.state = runOrdered
+	r.since = c.now
+	until := r.at.clock(c.now) + int(c.options.StartLate.Milliseconds())
+	c.prolong(r.at, until)
+	c.stats.Starts++
+	c.effects.Starts = append(c.effects.Starts, Start{At: r.at.info, Order: damsonwinch.StartOrder{
+		Run: r.order(), Spec: r.task.phase.job().spec.Text, Token: c.token, Until: until, Checkpoint: r.task.saved,
+	}})
+}
+
+// Started takes the answer to a start.
+func (c *Cell) Started(now time.Time, endpointID string, which damsonwinch.Run, err error) {
+	c.begin(now)
+	defer c.settle()
+	r := c.findRun(endpointID, which)
+	if r == nil || r.state != runOrdered {
+		return
+	}
+	switch {
+	case err == nil:
+		r.state, r.knownAt = runConfirmed, c.step
+		if r.stopping {
+			c.stop(r, "asked for before it began")
+		}
+	case refusedStart(err):
+		c.refused(r, err)
+	default:
+		r.state = runUncertain
+		c.note("start unanswered", r, err.Error())
+		r.at.wantLook = true
+		c.stop(r, "its start was not answered")
+	}
+}
+
+func refusedStart(err error) bool {
+	for _, refusal := range []error{
+		damsonwinch.ErrOldToken, damsonwinch.ErrOldRun, damsonwinch.ErrLate, damsonwinch.ErrNoRoom, damsonwinch.ErrNoTicket,
+		damsonwinch.ErrOtherLife, damsonwinch.ErrUnhealthy, damsonwinch.ErrInvalid,
+	} {
+		if errors.Is(err, refusal) {
+			return true
+		}
+	}
+	return false
+}
+
+// refused takes back a run that its endpoint has turned away.
+func (c *Cell) refused(r *run, err error) {
+	c.stats.Refusals++
+	c.note("start refused", r, err.Error())
+	switch {
+	case errors.Is(err, damsonwinch.ErrOtherLife):
+		c.again(r)
+		c.lose(r.at, "another life answers at its address")
+		return
+	case errors.Is(err, damsonwinch.ErrNoRoom), errors.Is(err, damsonwinch.ErrUnhealthy):
+		// Its own count of room or its health differs from what is known here.
+		r.at.pauseUntil = c.now.Add(refusalPause)
+	}
+	r.task.avoid = r.at.info.ID
+	c.again(r)
+}
+
+// refusalPause keeps an endpoint that turned a task away from being asked again
+// at once; several looks come back within it.
+const refusalPause = 300 * time.Millisecond
+
+// stop asks for the end of a run.
+func (c *Cell) stop(r *run, why string) {
+	if r.state == runIntended {
+		// It has not been ordered; sendStart or the commit takes it back.
+		r.stopping = true
+		return
+	}
+	if r.stopping && r.stopped {
+		return
+	}
+	if !r.stopping {
+		c.note("stop", r, why)
+	}
+	r.stopping = true
+	if r.state == runOrdered {
+		// The answer to the start is on its way; a stop that overtakes it would
+		// still hold, but the answer tells more.
+		return
+	}
+	c.sendStop(r)
+}
+
+func (c *Cell) sendStop(r *run) {
+	r.stopSent = c.now
+	c.effects.Stops = append(c.effects.Stops, Stop{At: r.at.info, Order: damsonwinch.StopOrder{Run: r.order(), Token: c.token}})
+}
+
+// Stopped takes the answer to a stop.
+func (c *Cell) Stopped(now time.Time, endpointID string, which damsonwinch.Run, err error) {
+	c.begin(now)
+	defer c.settle()
+	r := c.findRun(endpointID, which)
+	if r == nil {
+		return
+	}
+	switch {
+	case err == nil:
+		r.stopped, r.knownAt = true, c.step
+		r.at.wantLook = true
+	case errors.Is(err, damsonwinch.ErrOtherLife):
+		c.lose(r.at, "another life answers at its address")
+	}
+}
+
+// retryStop is the time after which an unanswered stop is sent again.
+const retryStop = 400 * time.Millisecond
+
+// retryOrders sends stops again that nobody has answered.
+func (c *Cell) retryOrders() {
+	for _, e := range c.ranked {
+		for _, r := range e.sortedRuns() {
+			if r.stopping && !r.stopped && r.state != runIntended && r.state != runOrdered && r.state != runSuspect &&
+				c.now.Sub(r.stopSent) >= retryStop {
+				c.sendStop(r)
+			}
+		}
+	}
+}
+
+func (c *Cell) findRun(endpointID string, which damsonwinch.Run) *run {
+	e := c.endpoints[endpointID]
+	if e == nil {
+		return nil
+	}
+	return e.runs[which]
+}
+
+// finished takes note of a run's end.
+func (c *Cell) finished(e *endpoint, end damsonwinch.Finished) {
+	t := c.findTask(end.Task)
+	if t == nil {
+		return
+	}
+	r := e.runs[end.Run]
+	if r == nil {
+		// An earlier look, or an earlier owner, has taken note of it, or its lease
+		// was taken to have run out. Only its success still tells something new.
+		if end.How == damsonwinch.EndedDone && !t.done && !t.phase.spec.Lasting {
+			c.complete(t)
+		}
+		return
+	}
+	if end.Checkpoint != "" {
+		t.saved = end.Checkpoint
+	}
+	c.resolve(r)
+	c.learn(r, end.How)
+	switch {
+	case end.How == damsonwinch.EndedDone && !t.phase.spec.Lasting:
+		c.complete(t)
+	case end.How == damsonwinch.EndedFailed && !t.phase.spec.Lasting:
+		c.note("run failed", r, "")
+		c.fail(t, r)
+	case len(t.runs) == 0:
+		c.makeReady(t)
+	}
+}
+
+// fail counts a failed attempt, and ends the job with the last one.
+func (c *Cell) fail(t *task, r *run) {
+	t.failed++
+	t.avoid = r.at.info.ID
+	j := t.phase.job()
+	if !j.ended() && t.failed >= c.attemptsOf(j) {
+		c.stats.Failed++
+		c.end(j, wire.JobStateFailed, "task "+t.id().String()+" has failed too often")
+		return
+	}
+	if len(t.runs) == 0 {
+		c.makeReady(t)
+	}
+}
+
+// complete notes that a task is done, and what follows from that.
+func (c *Cell) complete(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	p := t.phase
+	for _, copied := range slices.Clone(t.runs) {
+		c.stop(copied, "another attempt is done")
+	}
+	p.left--
+	c.touch(p.job())
+	if p.left == 0 {
+		c.completePhase(p)
+	}
+}
+
+// completePhase opens the phases that waited for this one, and ends the job with
+// its last phase.
+func (c *Cell) completePhase(p *phase) {
+	c.closePhase(p)
+	r := p.round
+	r.left--
+	for _, later := range r.phases {
+		for _, waited := range later.spec.After {
+			if waited == p.number {
+				later.waitsFor--
+			}
+		}
+		if later.waitsFor == 0 && later.left > 0 && !later.open {
+			c.openPhase(later)
+		}
+	}
+	j := r.job
+	if r.left > 0 || j.ended() || len(j.rounds) < j.roundsInAll() {
+		return
+	}
+	for _, other := range j.rounds {
+		if other.left > 0 {
+			return
+		}
+	}
+	c.stats.Completed++
+	c.end(j, wire.JobStateCompleted, "all tasks are done")
+}
+
+func (c *Cell) findTask(id damsonwinch.TaskID) *task {
+	j := c.jobs[id.Job]
+	if j == nil || id.Round < 0 || id.Round >= len(j.rounds) {
+		return nil
+	}
+	r := j.rounds[id.Round]
+	if id.Phase < 0 || id.Phase >= len(r.phases) {
+		return nil
+	}
+	p := r.phases[id.Phase]
+	if id.Index < 0 || id.Index >= len(p.tasks) {
+		return nil
+	}
+	return p.tasks[id.Index]
+}
--- /dev/null
+++ b/pkg/cell/submit.go
@@ -0,0 +1,106 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	jobs "damsonwinch/pkg/job"
+	"damsonwinch/pkg/wire"
+)
+
+// Submit takes a job. The reply comes as an effect with the ticket, once the
+// stream holds the job.
+func (c *Cell) Submit(now time.Time, args wire.JobArgs, ticket int) {
+	c.begin(now)
+	defer c.settle()
+	if known, exists := c.jobs[args.Id]; exists {
+		// The client didn't hear the answer to an earlier call.
+		c.replyRecorded(known, ticket, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
+		return
+	}
+	if err := jobs.Check(*args.Spec); err != nil {
+		c.reply(ticket, wire.JobReply{Outcome: wire.JobOutcomeInvalid, Reason: err.Error()})
+		return
+	}
+	j := c.newJob(args)
+	c.jobs[j.id] = j
+	c.order = append(c.order, j)
+	c.stats.Accepted++
+	c.touch(j)
+	c.openRounds()
+	c.replyRecorded(j, ticket, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
+}
+
+func (c *Cell) newJob(args wire.JobArgs) *job {
+	j := &job{
+		id: args.Id, queue: args.Queue, spec: *args.Spec, acceptedMs: args.ReceivedMs,
+		state: wire.JobStateQueued, shown: wire.JobStateQueued,
+	}
+	queue := c.queues[args.Queue]
+	j.priority, j.mostAttempts = queue.Priority, queue.MostAttempts
+	objective := time.Duration(queue.Extension*float64(jobs.Chain(j.spec))) + queue.Target
+	j.dueMs = j.acceptedMs + int(objective.Milliseconds())
+	return j
+}
+
+// attemptsOf returns how many failures of a task fail the job.
+func (c *Cell) attemptsOf(j *job) int {
+	if queue, known := c.queues[j.queue]; known && queue.MostAttempts > 0 {
+		return queue.MostAttempts
+	}
+	return max(1, j.mostAttempts)
+}
+
+// Cancel ends a job for good. The reply comes as an effect, once the stream holds
+// the end.
+func (c *Cell) Cancel(now time.Time, id string, ticket int) {
+	c.begin(now)
+	defer c.settle()
+	j, known := c.jobs[id]
+	if !known {
+		c.reply(ticket, wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob})
+		return
+	}
+	if !j.ended() {
+		c.stats.Cancelled++
+		c.end(j, wire.JobStateCancelled, "a client cancelled it")
+	}
+	c.replyRecorded(j, ticket, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
+}
+
+// end decides a job's end and stops what still runs of it.
+func (c *Cell) end(j *job, state wire.JobState, why string) {
+	j.state = state
+	j.endedMs = int(c.now.UnixMilli())
+	for _, r := range j.rounds {
+		for _, p := range r.phases {
+			c.closePhase(p)
+			for _, t := range p.tasks {
+				for _, running := range slices.Clone(t.runs) {
+					c.stop(running, "its job has ended")
+				}
+			}
+		}
+	}
+	c.noteJob("job "+string(state), j, why)
+	c.touch(j)
+}
+
+// forgetJobs drops ended jobs that nobody will ask for any more.
+func (c *Cell) forgetJobs() {
+	keep := c.order[:0]
+	for _, j := range c.order {
+		if !j.ended() || j.runs > 0 || j.shown != j.state {
+			keep = append(keep, j)
+		}
+	}
+	clear(c.order[len(keep):])
+	c.order = keep
+	limit := int(c.now.Add(-c.options.KeepEnded).UnixMilli())
+	for id, j := range c.jobs {
+		if j.ended() && j.runs == 0 && j.shown == j.state && j.endedMs < limit {
+			delete(c.jobs, id)
+			c.drop(j)
+		}
+	}
+}
--- a/pkg/check/check.go
+++ b/pkg/check/check.go
@@ -27,6 +27,7 @@
 	Fleet      = "Fleet"
 	Row        = "Row"
 	Deployment = "Deployment"
+	Node       = "Node"
 )
 
 const schemaURL = "settings.json"
@@ -67,7 +68,7 @@
 		return nil, fmt.Errorf("add settings schema: %w", err)
 	}
 	checker := &Checker{schemas: map[string]*jsonschema.Schema{}, compiler: compiler, printer: message.NewPrinter(language.English)}
-	for _, name := range []string{Keeper, Entry, Table, Fleet, Row, Deployment} {
+	for _, name := range []string{Keeper, Entry, Table, Fleet, Row, Deployment, Node} {
 		compiled, err := compiler.Compile(schemaURL + "#/$defs/" + name)
 		if err != nil {
 			return nil, fmt.Errorf("compile schema of %s: %w", name, err)
--- /dev/null
+++ b/pkg/command/node.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"damsonwinch/pkg/check"
+	"damsonwinch/pkg/process"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/platform"
+)
+
+// stopShare is the part of the time between being told to stop and being killed
+// that a planned stop may take.
+const stopShare = 0.7
+
+// Node returns the command line of dw-node.
+func Node() *cobra.Command {
+	root := newRoot("dw-node", "Take clients' jobs, run them on the pools' boxes and plan moves and maintenance")
+	root.Long += "\n\nWithout --settings, the file is the one that the platform names in " + platform.SettingsVariable + "."
+	var file string
+	root.RunE = func(cmd *cobra.Command, _ []string) error {
+		if file == "" {
+			file = os.Getenv(platform.SettingsVariable)
+		}
+		var config settings.Node
+		if err := readSettings(check.Node, file, &config); err != nil {
+			return err
+		}
+		env := newEnv(cmd)
+		running, err := process.NewNode(config, env)
+		if err != nil {
+			return err
+		}
+		env.Logger.WithField("node", config.Node).Info("node has started")
+		<-cmd.Context().Done()
+		env.Logger.Info("node stops as planned")
+		limit := time.Duration(stopShare * config.Bounds.GraceS * float64(time.Second))
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		return running.Stop(ctx)
+	}
+	root.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
+	root.AddCommand(checkSettings(check.Node, func() any { return &settings.Node{} }))
+	return root
+}
--- /dev/null
+++ b/pkg/intake/router.go
@@ -0,0 +1,176 @@
+// Package intake brings clients' calls on jobs to the owners of their cells, on
+// this node or another, and serves such calls of other nodes.
+package intake
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/metrics"
+	"damsonwinch/pkg/ownership"
+	"damsonwinch/pkg/wire"
+)
+
+// Times of a call that waits for an owner.
+const (
+	// holdTime is how long a call waits for a cell that has no owner. A takeover is
+	// over in about a second; a client that is told to come back does so later.
+	holdTime = 500 * time.Millisecond
+	// retryPause stands between two tries.
+	retryPause = 40 * time.Millisecond
+	// retryAfterMs tells a client when to come back after a refusal.
+	retryAfterMs = 500
+)
+
+// Cells knows the cells' owners.
+type Cells interface {
+	// Local returns the cell's owner if it is on this node.
+	Local(cell string) (damsonwinch.Jobs, bool)
+	// View returns what is believed of all cells.
+	View() ownership.View
+	// Suspect hints that a node's process has ended.
+	Suspect(node string)
+}
+
+// Deps are what a router works with.
+type Deps struct {
+	Cells   Cells
+	Dial    damsonwinch.Dial
+	Clock   damsonwinch.Clock
+	Metrics *metrics.Set
+}
+
+// Router sends each call to the owner of its cell.
+type Router struct {
+	deps Deps
+	// The lock guards only the table of connections, which calls of many clients
+	// share.
+	mutex sync.Mutex
+	peers map[string]*call.Client
+}
+
+var _ damsonwinch.Jobs = (*Router)(nil)
+
+// New returns a router.
+func New(deps Deps) *Router {
+	return &Router{deps: deps, peers: map[string]*call.Client{}}
+}
+
+// Close closes the connections to other nodes.
+func (r *Router) Close() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, peer := range r.peers {
+		peer.Close()
+	}
+}
+
+// method is one of the calls on jobs: its name between nodes, and the local call.
+type method struct {
+	name  string
+	local func(jobs damsonwinch.Jobs, ctx context.Context, args wire.JobArgs) wire.JobReply
+}
+
+var (
+	submit  = method{"Jobs.Submit", damsonwinch.Jobs.Submit}
+	show    = method{"Jobs.Show", damsonwinch.Jobs.Show}
+	cancel  = method{"Jobs.Cancel", damsonwinch.Jobs.Cancel}
+	pending = method{"Jobs.Pending", damsonwinch.Jobs.Pending}
+)
+
+// Submit implements damsonwinch.Jobs.
+func (r *Router) Submit(ctx context.Context, args wire.JobArgs) wire.JobReply {
+	return r.route(ctx, submit, args)
+}
+
+// Show implements damsonwinch.Jobs.
+func (r *Router) Show(ctx context.Context, args wire.JobArgs) wire.JobReply {
+	return r.route(ctx, show, args)
+}
+
+// Cancel implements damsonwinch.Jobs.
+func (r *Router) Cancel(ctx context.Context, args wire.JobArgs) wire.JobReply {
+	return r.route(ctx, cancel, args)
+}
+
+// Pending implements damsonwinch.Jobs.
+func (r *Router) Pending(ctx context.Context, args wire.JobArgs) wire.JobReply {
+	return r.route(ctx, pending, args)
+}
+
+// route tries a call until the owner has answered it or it has waited long
+// enough. Owners take a job or a cancel of the same ID but once, so a try whose
+// outcome is open may be repeated; but then "refused" can no longer be told.
+func (r *Router) route(ctx context.Context, m method, args wire.JobArgs) wire.JobReply {
+	until := r.deps.Clock.Now().Add(holdTime)
+	open := false
+	for {
+		reply, maySent := r.try(ctx, m, args)
+		open = open || maySent
+		if reply.Outcome != wire.JobOutcomeRefused && reply.Outcome != wire.JobOutcomeUnknown {
+			return reply
+		}
+		if ctx.Err() != nil || (!open && r.deps.Clock.Now().After(until)) {
+			return r.giveUp(reply, open)
+		}
+		r.deps.Metrics.Add("route_retries", 1)
+		if !r.sleep(ctx) {
+			return r.giveUp(reply, open)
+		}
+	}
+}
+
+func (r *Router) giveUp(reply wire.JobReply, open bool) wire.JobReply {
+	if open {
+		r.deps.Metrics.Add("calls_unknown", 1)
+		return wire.JobReply{Outcome: wire.JobOutcomeUnknown, Reason: reply.Reason}
+	}
+	r.deps.Metrics.Add("calls_refused", 1)
+	reply.RetryAfterMs = retryAfterMs
+	return reply
+}
+
+// try makes one try and says whether it may have had an effect.
+func (r *Router) try(ctx context.Context, m method, args wire.JobArgs) (wire.JobReply, bool) {
+	if local, here := r.deps.Cells.Local(args.Cell); here {
+		reply := m.local(local, ctx, args)
+		return reply, reply.Outcome == wire.JobOutcomeUnknown
+	}
+	claim, known := r.deps.Cells.View().Owner(args.Cell)
+	if !known {
+		return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "the cell has no owner now"}, false
+	}
+	var reply wire.JobReply
+	err := r.peer(claim.Address).Do(ctx, m.name, args, &reply)
+	if err == nil {
+		return reply, reply.Outcome == wire.JobOutcomeUnknown
+	}
+	if call.Refused(err) {
+		r.deps.Cells.Suspect(claim.Node)
+	}
+	r.deps.Metrics.Add("forward_failures", 1)
+	return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: err.Error()}, call.MaySent(err)
+}
+
+func (r *Router) peer(address string) *call.Client {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.peers[address] == nil {
+		r.peers[address] = call.New(address, r.deps.Dial)
+	}
+	return r.peers[address]
+}
+
+func (r *Router) sleep(ctx context.Context) bool {
+	timer := r.deps.Clock.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
--- /dev/null
+++ b/pkg/intake/service.go
@@ -0,0 +1,63 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// ServiceName is the name of the calls on jobs between nodes.
+const ServiceName = "Jobs"
+
+// serviceTimeout bounds a call of another node, whose own deadline net/rpc does
+// not carry: no client of the users waits longer.
+const serviceTimeout = 3 * time.Second
+
+// Service answers other nodes' calls for the cells that this node owns. It never
+// sends a call on.
+type Service struct {
+	cells Cells
+	// context ends the calls when the node does: net/rpc gives its methods none.
+	context context.Context
+}
+
+// NewService returns a service whose calls end with a context.
+func NewService(ctx context.Context, cells Cells) *Service {
+	return &Service{cells: cells, context: ctx}
+}
+
+// Submit hands in a job.
+func (s *Service) Submit(args wire.JobArgs, reply *wire.JobReply) error {
+	return s.answer(submit, args, reply)
+}
+
+// Show tells a job's state.
+func (s *Service) Show(args wire.JobArgs, reply *wire.JobReply) error {
+	return s.answer(show, args, reply)
+}
+
+// Cancel ends a job.
+func (s *Service) Cancel(args wire.JobArgs, reply *wire.JobReply) error {
+	return s.answer(cancel, args, reply)
+}
+
+// Pending counts a queue's jobs that have not begun.
+func (s *Service) Pending(args wire.JobArgs, reply *wire.JobReply) error {
+	return s.answer(pending, args, reply)
+}
+
+func (s *Service) answer(m method, args wire.JobArgs, reply *wire.JobReply) error {
+	ctx, cancel := context.WithTimeout(s.context, serviceTimeout)
+	defer cancel()
+	local, here := s.cells.Local(args.Cell)
+	if !here {
+		*reply = wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "this node does not own the cell"}
+		return nil
+	}
+	*reply = m.local(local, ctx, args)
+	return nil
+}
+
+var _ damsonwinch.Jobs = (*Router)(nil)
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,417 @@
+// Package node runs one node of the system: it follows the platform's streams,
+// owns the cells that are its own and serves clients and other nodes.
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"damsonwinch"
+	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/intake"
+	"damsonwinch/pkg/metrics"
+	"damsonwinch/pkg/owner"
+	"damsonwinch/pkg/ownership"
+)
+
+// Platform is what a node needs of the platform's adapter.
+type Platform struct {
+	Store     damsonwinch.Store
+	Endpoints damsonwinch.EndpointControl
+	Fleet     damsonwinch.Fleet
+	Advisor   damsonwinch.Advisor
+	// OperatorStream holds the operator's configuration and waves.
+	OperatorStream damsonwinch.Stream
+	// DecodeOperator reads a record of it; what it doesn't hold is nil.
+	DecodeOperator func(damsonwinch.Record) (*damsonwinch.Configuration, *damsonwinch.Wave, error)
+	// EndpointStream holds the endpoints' entries.
+	EndpointStream damsonwinch.Stream
+	// DecodeEndpoint reads one of them; without a pool, it has gone.
+	DecodeEndpoint func(damsonwinch.Record) (damsonwinch.Endpoint, error)
+}
+
+// Deps are what a node works with.
+type Deps struct {
+	Platform Platform
+	Clock    damsonwinch.Clock
+	Dial     damsonwinch.Dial
+	Logger   logrus.FieldLogger
+	Metrics  *metrics.Set
+	// CallListener takes the calls of other nodes.
+	CallListener net.Listener
+	// Configured is told each configuration that comes into force.
+	Configured func(damsonwinch.Configuration)
+}
+
+// Options say who the node is and by which times it decides.
+type Options struct {
+	Self       ownership.Member
+	Cells      cell.Options
+	TTL        time.Duration
+	Partitions int
+	FirstStart bool
+}
+
+// Node is a running node.
+type Node struct {
+	deps      Deps
+	options   Options
+	ownership *ownership.Ownership
+	router    *intake.Router
+	calls     *call.Server
+	inbox     chan any
+	group     *errgroup.Group
+	ctx       context.Context // Ends with the node's tasks.
+	cancel    context.CancelFunc
+	view      atomic.Pointer[ownership.View]
+	// owners is replaced whole by the node's task and read by all calls.
+	owners atomic.Pointer[map[string]*owner.Owner]
+	// version is that of the configuration in force, 0 before the first.
+	version atomic.Int64
+	state   state
+}
+
+// state is what the node's task knows.
+type state struct {
+	configuration damsonwinch.Configuration
+	endpoints     map[string]damsonwinch.Endpoint
+	// ended holds, by cell, the claim whose owner has ended by itself; it is not
+	// to be owned by that claim again.
+	ended    map[string]int
+	stopping bool
+}
+
+// Messages to the node's task.
+type (
+	viewChanged     struct{}
+	operatorRecords struct{ records []damsonwinch.Record }
+	endpointRecords struct {
+		records  []damsonwinch.Record
+		snapshot bool
+	}
+	ownerEnded struct {
+		cell  string
+		owner *owner.Owner
+	}
+	stopOwners struct{ done chan<- struct{} }
+)
+
+// inboxSize lets the feeds go on while the task is at work.
+const inboxSize = 64
+
+// New starts a node.
+func New(deps Deps, options Options) (*Node, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	n := &Node{
+		deps: deps, options: options, inbox: make(chan any, inboxSize), group: group, ctx: ctx, cancel: cancel,
+		state: state{endpoints: map[string]damsonwinch.Endpoint{}, ended: map[string]int{}},
+	}
+	n.view.Store(&ownership.View{})
+	n.owners.Store(&map[string]*owner.Owner{})
+	n.router = intake.New(intake.Deps{Cells: n, Dial: deps.Dial, Clock: deps.Clock, Metrics: deps.Metrics})
+	calls, err := call.Serve(deps.CallListener, intake.ServiceName, intake.NewService(ctx, n))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	n.calls = calls
+	n.ownership = ownership.New(ownership.Deps{
+		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, Changed: n.viewChanged,
+	}, ownership.Options{Self: options.Self, TTL: options.TTL, Partitions: options.Partitions, FirstStart: options.FirstStart})
+	group.Go(n.run)
+	group.Go(n.followOperator)
+	group.Go(n.followEndpoints)
+	return n, nil
+}
+
+// Jobs takes clients' calls.
+func (n *Node) Jobs() damsonwinch.Jobs {
+	return n.router
+}
+
+// Ready says whether the node should be given clients.
+func (n *Node) Ready() bool {
+	if n.version.Load() == 0 {
+		return false
+	}
+	return n.deps.Clock.Now().Sub(n.View().ConfirmedAt) < readyTime
+}
+
+// readyTime is how long ago the store may have answered last: a node that is cut
+// off from it sends its clients elsewhere.
+const readyTime = 3 * time.Second
+
+// View implements intake.Cells.
+func (n *Node) View() ownership.View {
+	return *n.view.Load()
+}
+
+// Local implements intake.Cells.
+func (n *Node) Local(cell string) (damsonwinch.Jobs, bool) {
+	found, here := (*n.owners.Load())[cell]
+	return found, here
+}
+
+// Suspect implements intake.Cells.
+func (n *Node) Suspect(node string) {
+	n.ownership.Suspect(node)
+}
+
+func (n *Node) viewChanged(view ownership.View) {
+	n.view.Store(&view)
+	// A message that is waiting already will see the newest view.
+	select {
+	case n.inbox <- viewChanged{}:
+	default:
+	}
+}
+
+func (n *Node) send(m any) {
+	select {
+	case n.inbox <- m:
+	case <-n.ctx.Done():
+	}
+}
+
+// Stop gives the node's cells to others, for a planned stop. Clients can still be
+// served through their new owners until Close.
+func (n *Node) Stop(ctx context.Context) {
+	n.ownership.Leave(ctx)
+	done := make(chan struct{})
+	n.send(stopOwners{done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Close ends the node and waits for its tasks.
+func (n *Node) Close() error {
+	n.cancel()
+	err := n.group.Wait()
+	for _, held := range *n.owners.Load() {
+		err = errors.Join(err, held.Close())
+	}
+	err = errors.Join(err, n.ownership.Close())
+	n.calls.Close()
+	n.router.Close()
+	return err
+}
+
+func (n *Node) run() error {
+	ticker := n.deps.Clock.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return nil
+		case m := <-n.inbox:
+			n.take(m)
+		case <-ticker.Chan():
+			n.manageOwners()
+		}
+	}
+}
+
+func (n *Node) take(m any) {
+	switch m := m.(type) {
+	case viewChanged:
+		n.manageOwners()
+	case operatorRecords:
+		n.takeOperator(m.records)
+	case endpointRecords:
+		n.takeEndpoints(m)
+	case ownerEnded:
+		n.removeOwner(m.cell, m.owner)
+		n.manageOwners()
+	case stopOwners:
+		n.state.stopping = true
+		n.manageOwners()
+		close(m.done)
+	}
+}
+
+func (n *Node) followOperator() error {
+	// Configurations must be in force within two seconds; waiting costs nothing
+	// while there are none.
+	const wait = 10 * time.Second
+	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
+		Stream: n.deps.Platform.OperatorStream, Wait: wait,
+		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(operatorRecords{records}) },
+		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(operatorRecords{records}) },
+	})
+	return nil
+}
+
+func (n *Node) followEndpoints() error {
+	// Each endpoint writes every second or two: waiting for news would mean a call
+	// for each of them. A draining endpoint must be known within two seconds.
+	const pause = 400 * time.Millisecond
+	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
+		Stream: n.deps.Platform.EndpointStream, Pause: pause,
+		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(endpointRecords{records: records, snapshot: true}) },
+		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(endpointRecords{records: records}) },
+	})
+	return nil
+}
+
+func (n *Node) feedDeps() feed.Deps {
+	return feed.Deps{Store: n.deps.Platform.Store, Clock: n.deps.Clock, Logger: n.deps.Logger}
+}
+
+// takeOperator puts a newer configuration in force. Older ones come when the
+// stream is read anew.
+func (n *Node) takeOperator(records []damsonwinch.Record) {
+	for _, record := range records {
+		configuration, _, err := n.deps.Platform.DecodeOperator(record)
+		if err != nil {
+			n.deps.Logger.WithError(err).Error("operator's record not understood")
+			continue
+		}
+		if configuration == nil || configuration.Version <= n.state.configuration.Version {
+			continue
+		}
+		n.state.configuration = *configuration
+		n.version.Store(int64(configuration.Version))
+		n.deps.Logger.WithFields(logrus.Fields{"version": configuration.Version, "queues": len(configuration.Queues)}).Info("configuration in force")
+		n.deps.Configured(*configuration)
+		n.ownership.Want(cellsOf(*configuration))
+		for _, held := range *n.owners.Load() {
+			held.Configure(configuration.Queues)
+		}
+	}
+}
+
+// cellsOf returns the cells that a configuration needs: the pools whose boxes
+// run.
+func cellsOf(configuration damsonwinch.Configuration) []string {
+	var cells []string
+	for _, pool := range configuration.Pools {
+		if !pool.Parking {
+			cells = append(cells, pool.Name)
+		}
+	}
+	return cells
+}
+
+func (n *Node) takeEndpoints(m endpointRecords) {
+	if m.snapshot {
+		clear(n.state.endpoints)
+	}
+	changed := m.snapshot
+	for _, record := range m.records {
+		endpoint, err := n.deps.Platform.DecodeEndpoint(record)
+		switch {
+		case err != nil:
+			n.deps.Logger.WithError(err).Error("endpoint's entry not understood")
+		case endpoint.Pool == "":
+			delete(n.state.endpoints, endpoint.ID)
+			changed = true
+		default:
+			changed = changed || differs(n.state.endpoints[endpoint.ID], endpoint)
+			n.state.endpoints[endpoint.ID] = endpoint
+		}
+	}
+	if !changed {
+		return
+	}
+	for name, held := range *n.owners.Load() {
+		held.SetEndpoints(n.endpointsOf(name))
+	}
+}
+
+// differs says whether an entry tells owners something new.
+func differs(before, after damsonwinch.Endpoint) bool {
+	return before.ID == "" || before.Draining != after.Draining || before.Address != after.Address || before.Pool != after.Pool
+}
+
+func (n *Node) endpointsOf(pool string) []damsonwinch.Endpoint {
+	var found []damsonwinch.Endpoint
+	for _, endpoint := range n.state.endpoints {
+		if endpoint.Pool == pool {
+			found = append(found, endpoint)
+		}
+	}
+	slices.SortFunc(found, func(a, b damsonwinch.Endpoint) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return found
+}
+
+// manageOwners starts and ends owners so that they are those of the claims.
+func (n *Node) manageOwners() {
+	view := n.View()
+	held := *n.owners.Load()
+	next := make(map[string]*owner.Owner, len(held))
+	for name, running := range held {
+		if claim, known := view.Claims[name]; known && claim.HeldBy(n.options.Self) && claim.Token == running.Token() && !n.state.stopping {
+			next[name] = running
+			continue
+		}
+		n.closeOwner(name, running)
+	}
+	for name, claim := range view.Claims {
+		if next[name] == nil && claim.HeldBy(n.options.Self) && !n.state.stopping && n.state.ended[name] != claim.Token {
+			next[name] = n.startOwner(claim)
+		}
+	}
+	n.owners.Store(&next)
+}
+
+func (n *Node) closeOwner(name string, running *owner.Owner) {
+	n.deps.Logger.WithField("cell", name).Info("cell given up")
+	n.group.Go(func() error {
+		if err := running.Close(); err != nil {
+			n.deps.Logger.WithError(err).WithField("cell", name).Warn("owner ended")
+		}
+		return nil
+	})
+}
+
+func (n *Node) startOwner(claim ownership.Claim) *owner.Owner {
+	started := owner.New(owner.Deps{
+		Store: n.deps.Platform.Store, Endpoints: n.deps.Platform.Endpoints, Fleet: n.deps.Platform.Fleet, Clock: n.deps.Clock,
+		Logger: n.deps.Logger.WithField("cell", claim.Cell), Metrics: n.deps.Metrics,
+	}, owner.Options{
+		Cell: claim.Cell, Stream: damsonwinch.Stream{Topic: ownership.CellTopic, Partition: claim.Partition}, Token: claim.Token, Cells: n.options.Cells,
+	})
+	started.Configure(n.state.configuration.Queues)
+	started.SetEndpoints(n.endpointsOf(claim.Cell))
+	n.group.Go(func() error {
+		<-started.Done()
+		n.send(ownerEnded{cell: claim.Cell, owner: started})
+		return nil
+	})
+	return started
+}
+
+// removeOwner takes away an owner that has ended by itself. Its claim is of no use
+// any more.
+func (n *Node) removeOwner(name string, ended *owner.Owner) {
+	held := *n.owners.Load()
+	if held[name] != ended {
+		return
+	}
+	next := make(map[string]*owner.Owner, len(held))
+	for other, running := range held {
+		if running != ended {
+			next[other] = running
+		}
+	}
+	n.owners.Store(&next)
+	n.state.ended[name] = ended.Token()
+	n.ownership.Renounce(name, ended.Token())
+}
--- /dev/null
+++ b/pkg/owner/effects.go
@@ -0,0 +1,123 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"damsonwinch/pkg/cell"
+)
+
+// Times of calls to endpoints and to the control of boxes.
+const (
+	// orderTimeout is given to an order at an endpoint, which answers in a few
+	// milliseconds when it is well.
+	orderTimeout = 500 * time.Millisecond
+	// lookMargin is added to a look's own wait.
+	lookMargin = 500 * time.Millisecond
+	// boxesTimeout is given to a reading of the list of boxes, and boxesPause
+	// stands between two.
+	boxesTimeout = time.Second
+	boxesPause   = 400 * time.Millisecond
+)
+
+// carryOut does what the cell has decided. It says whether the cell is lost.
+func (o *Owner) carryOut() bool {
+	effects := o.cell.Take()
+	for _, note := range effects.Notes {
+		o.log(note)
+	}
+	for _, reply := range effects.Replies {
+		if call, waits := o.calls[reply.Ticket]; waits {
+			call <- reply.Reply
+			delete(o.calls, reply.Ticket)
+		}
+	}
+	if effects.Commit != nil {
+		o.commit(*effects.Commit)
+	}
+	for _, start := range effects.Starts {
+		o.start(start)
+	}
+	for _, stop := range effects.Stops {
+		o.stop(stop)
+	}
+	for _, look := range effects.Looks {
+		o.look(look)
+	}
+	if effects.AskBoxes {
+		o.askBoxes()
+	}
+	return effects.Deposed
+}
+
+func (o *Owner) log(note cell.Note) {
+	o.deps.Logger.WithFields(logrus.Fields{
+		"job": note.Job, "task": note.Task, "endpoint": note.Endpoint, "why": note.Why,
+	}).Info(note.What)
+}
+
+// commit appends to the cell's stream until that is done.
+func (o *Owner) commit(commit cell.Commit) {
+	o.sequence++
+	fence := o.fence()
+	o.group.Go(func() error {
+		err := o.insist(func(ctx context.Context) error {
+			_, err := o.deps.Store.Append(ctx, o.options.Stream, commit.Records, fence)
+			return err
+		})
+		if err != nil {
+			// Ends the owner: what it decided from here on could not be kept.
+			return err
+		}
+		o.send(committed{number: commit.Number})
+		return nil
+	})
+}
+
+func (o *Owner) start(start cell.Start) {
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+		defer cancel()
+		_, err := o.deps.Endpoints.Start(ctx, start.At, start.Order)
+		o.send(started{endpoint: start.At.ID, run: start.Order.Run, err: err})
+		return nil
+	})
+}
+
+func (o *Owner) stop(stop cell.Stop) {
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+		defer cancel()
+		err := o.deps.Endpoints.Stop(ctx, stop.At, stop.Order)
+		o.send(stopped{endpoint: stop.At.ID, run: stop.Order.Run, err: err})
+		return nil
+	})
+}
+
+func (o *Owner) look(look cell.Look) {
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, look.Order.Wait+lookMargin)
+		defer cancel()
+		found, err := o.deps.Endpoints.Look(ctx, look.At, look.Order)
+		o.send(looked{endpoint: look.At.ID, number: look.Number, look: found, err: err})
+		return nil
+	})
+}
+
+// askBoxes reads the list of boxes, unless it was read just now.
+func (o *Owner) askBoxes() {
+	now := o.deps.Clock.Now()
+	if o.boxesOut || now.Sub(o.boxesAt) < boxesPause {
+		return
+	}
+	o.boxesOut, o.boxesAt = true, now
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, boxesTimeout)
+		defer cancel()
+		boxes, err := o.deps.Fleet.Boxes(ctx)
+		o.send(boxesListed{boxes: boxes, err: err})
+		return nil
+	})
+}
--- /dev/null
+++ b/pkg/owner/messages.go
@@ -0,0 +1,102 @@
+package owner
+
+import (
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// message is something that the owner's task is told.
+type message interface {
+	apply(o *Owner, now time.Time)
+}
+
+type configured struct{ queues []damsonwinch.Queue }
+
+func (m configured) apply(o *Owner, now time.Time) { o.cell.Configure(now, m.queues) }
+
+type endpointsListed struct{ endpoints []damsonwinch.Endpoint }
+
+func (m endpointsListed) apply(o *Owner, now time.Time) { o.cell.SetEndpoints(now, m.endpoints) }
+
+type boxesListed struct {
+	boxes []damsonwinch.Box
+	err   error
+}
+
+func (m boxesListed) apply(o *Owner, now time.Time) {
+	o.boxesOut = false
+	if m.err != nil {
+		o.deps.Logger.WithError(m.err).Warn("list of boxes not read")
+		return
+	}
+	o.cell.SetBoxes(now, m.boxes)
+}
+
+type committed struct{ number int }
+
+func (m committed) apply(o *Owner, now time.Time) { o.cell.Committed(now, m.number) }
+
+type started struct {
+	endpoint string
+	run      damsonwinch.Run
+	err      error
+}
+
+func (m started) apply(o *Owner, now time.Time) { o.cell.Started(now, m.endpoint, m.run, m.err) }
+
+type stopped struct {
+	endpoint string
+	run      damsonwinch.Run
+	err      error
+}
+
+func (m stopped) apply(o *Owner, now time.Time) { o.cell.Stopped(now, m.endpoint, m.run, m.err) }
+
+type looked struct {
+	endpoint string
+	number   int
+	look     damsonwinch.Look
+	err      error
+}
+
+func (m looked) apply(o *Owner, now time.Time) {
+	o.cell.Looked(now, m.endpoint, m.number, m.look, m.err)
+}
+
+// clientCall is a client's call that changes a job.
+type clientCall struct {
+	args   wire.JobArgs
+	cancel bool
+	reply  chan<- wire.JobReply
+}
+
+func (m clientCall) apply(o *Owner, now time.Time) {
+	o.ticket++
+	o.calls[o.ticket] = m.reply
+	if m.cancel {
+		o.cell.Cancel(now, m.args.Id, o.ticket)
+		return
+	}
+	o.cell.Submit(now, m.args, o.ticket)
+}
+
+// question is a client's call that changes nothing.
+type question struct {
+	args  wire.JobArgs
+	reply chan<- wire.JobReply
+}
+
+func (m question) apply(o *Owner, _ time.Time) {
+	if m.args.Id == "" {
+		m.reply <- wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: o.cell.Pending(m.args.Queue)}
+		return
+	}
+	state, known := o.cell.Show(m.args.Id)
+	if !known {
+		m.reply <- wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob}
+		return
+	}
+	m.reply <- wire.JobReply{Outcome: wire.JobOutcomeFound, State: state}
+}
--- /dev/null
+++ b/pkg/owner/owner.go
@@ -0,0 +1,240 @@
+// Package owner runs the owner of a cell: a task that holds the cell's state and
+// carries out its decisions, on the store and at the endpoints.
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"damsonwinch"
+	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/metrics"
+	"damsonwinch/pkg/wire"
+)
+
+// inboxSize lets answers wait while the owner is at work; who finds it full waits.
+const inboxSize = 256
+
+// Deps are what an owner works with.
+type Deps struct {
+	Store     damsonwinch.Store
+	Endpoints damsonwinch.EndpointControl
+	Fleet     damsonwinch.Fleet
+	Clock     damsonwinch.Clock
+	Logger    logrus.FieldLogger
+	Metrics   *metrics.Set
+}
+
+// Options say what is owned.
+type Options struct {
+	Cell string
+	// Stream holds the cell's records.
+	Stream damsonwinch.Stream
+	// Token is the epoch of the claim by which the cell is owned.
+	Token int
+	Cells cell.Options
+}
+
+// Owner owns one cell until it is closed or deposed.
+type Owner struct {
+	deps    Deps
+	options Options
+	cell    *cell.Cell
+	inbox   chan message
+	group   *errgroup.Group
+	ctx     context.Context // Ends with the owner; net calls hang on it.
+	cancel  context.CancelFunc
+	// calls holds the waiting calls of clients by ticket.
+	calls  map[int]chan<- wire.JobReply
+	ticket int
+	// sequence numbers the appends of this epoch.
+	sequence int
+	boxesAt  time.Time
+	boxesOut bool
+	// ready is closed once the cell's state has been loaded.
+	ready chan struct{}
+	done  chan struct{}
+}
+
+// New starts to own a cell.
+func New(deps Deps, options Options) *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	o := &Owner{
+		deps: deps, options: options, cell: cell.New(options.Cells, options.Token), inbox: make(chan message, inboxSize),
+		group: group, ctx: ctx, cancel: cancel, calls: map[int]chan<- wire.JobReply{},
+		ready: make(chan struct{}), done: make(chan struct{}),
+	}
+	group.Go(o.run)
+	return o
+}
+
+// Done is closed once the owner has ended, by itself or not.
+func (o *Owner) Done() <-chan struct{} {
+	return o.done
+}
+
+// Token returns the epoch by which the cell is owned.
+func (o *Owner) Token() int {
+	return o.options.Token
+}
+
+// Close ends the owner and waits for its calls to end.
+func (o *Owner) Close() error {
+	o.cancel()
+	if err := o.group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// errDeposed ends an owner that another one has followed.
+var errDeposed = errors.New("a newer owner has taken the cell over")
+
+func (o *Owner) run() error {
+	defer close(o.done)
+	defer o.cancel()
+	defer o.failCalls()
+	if err := o.takeOver(); err != nil {
+		o.deps.Logger.WithError(err).Warn("cell not taken over")
+		return err
+	}
+	close(o.ready)
+	return o.loop()
+}
+
+// takeOver keeps earlier owners out of the stream and loads what it holds.
+func (o *Owner) takeOver() error {
+	begun := o.deps.Clock.Now()
+	if err := o.insist(o.raiseEpoch); err != nil {
+		return err
+	}
+	var records []damsonwinch.Record
+	if err := o.insist(func(ctx context.Context) error {
+		var err error
+		records, _, err = feed.Newest(ctx, o.deps.Store, o.options.Stream)
+		return err
+	}); err != nil {
+		return err
+	}
+	now := o.deps.Clock.Now()
+	if err := o.cell.Load(now, records); err != nil {
+		return fmt.Errorf("load cell %s: %w", o.options.Cell, err)
+	}
+	o.deps.Logger.WithFields(logrus.Fields{
+		"token": o.options.Token, "records": len(records), "took_ms": now.Sub(begun).Milliseconds(),
+	}).Info("cell taken over")
+	return nil
+}
+
+func (o *Owner) fence() damsonwinch.Fence {
+	return damsonwinch.Fence{Producer: o.options.Cell, Epoch: o.options.Token, Sequence: o.sequence}
+}
+
+func (o *Owner) raiseEpoch(ctx context.Context) error {
+	_, err := o.deps.Store.Append(ctx, o.options.Stream, nil, o.fence())
+	return err
+}
+
+// Times of calls to the store.
+const (
+	// storeTimeout is given to a call at first, and doubled with each try: the
+	// store answers in about 5 ms, and in 60 times that on a slow day.
+	storeTimeout     = 250 * time.Millisecond
+	mostStoreTimeout = 2 * time.Second
+	storePause       = 30 * time.Millisecond
+	mostStorePause   = 300 * time.Millisecond
+)
+
+// insist repeats a call to the store until it is done or the owner is deposed.
+// Appends are repeated with their sequence, so that none counts twice.
+func (o *Owner) insist(call func(ctx context.Context) error) error {
+	timeout, pause := storeTimeout, storePause
+	for {
+		ctx, cancel := context.WithTimeout(o.ctx, timeout)
+		err := call(ctx)
+		cancel()
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, damsonwinch.ErrFenced), errors.Is(err, damsonwinch.ErrSequence):
+			return fmt.Errorf("%w: %w", errDeposed, err)
+		case o.ctx.Err() != nil:
+			return o.ctx.Err()
+		}
+		o.deps.Metrics.Add("store_retries", 1)
+		if !o.sleep(pause) {
+			return o.ctx.Err()
+		}
+		timeout, pause = min(2*timeout, mostStoreTimeout), min(2*pause, mostStorePause)
+	}
+}
+
+func (o *Owner) sleep(length time.Duration) bool {
+	timer := o.deps.Clock.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-o.ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
+
+// loop takes messages and lets time pass until the owner ends.
+func (o *Owner) loop() error {
+	timer := o.deps.Clock.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return o.ctx.Err()
+		case m := <-o.inbox:
+			m.apply(o, o.deps.Clock.Now())
+		case <-timer.Chan():
+			o.cell.Tick(o.deps.Clock.Now())
+		}
+		if o.carryOut() {
+			o.deps.Logger.WithField("token", o.options.Token).Warn("cell lost: a newer owner has been at an endpoint")
+			return errDeposed
+		}
+		now := o.deps.Clock.Now()
+		resetTimer(timer, o.cell.Wake(now).Sub(now))
+	}
+}
+
+func resetTimer(timer interface {
+	Stop() bool
+	Reset(time.Duration) bool
+	Chan() <-chan time.Time
+}, length time.Duration) {
+	if !timer.Stop() {
+		select {
+		case <-timer.Chan():
+		default:
+		}
+	}
+	timer.Reset(max(length, 0))
+}
+
+// send gives the owner a message; it is dropped once the owner has ended.
+func (o *Owner) send(m message) {
+	select {
+	case o.inbox <- m:
+	case <-o.ctx.Done():
+	}
+}
+
+// failCalls tells the waiting clients that nobody knows.
+func (o *Owner) failCalls() {
+	for ticket, call := range o.calls {
+		call <- wire.JobReply{Outcome: wire.JobOutcomeUnknown, Reason: "the owner of the cell has ended"}
+		delete(o.calls, ticket)
+	}
+}
--- /dev/null
+++ b/pkg/ownership/ownership.go
@@ -0,0 +1,490 @@
+// Package ownership decides which node owns which cell. Nodes are members of a
+// group that the store keeps, and a cell's owner is who made the newest claim in
+// a stream that all nodes follow. A claim counts only if its maker had seen all
+// earlier ones. Being wrong about who is alive costs time, never safety: the
+// offset of a claim is the epoch that the store and the endpoints check.
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"damsonwinch"
+	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/metrics"
+	"damsonwinch/pkg/wire"
+)
+
+// Names in the store.
+const (
+	groupName  = "nodes"
+	groupTopic = "nodes"
+	// claimTopic holds the newest claim of each cell.
+	claimTopic = "keyed.claims"
+	// CellTopic holds the records of the cells, one in each partition.
+	CellTopic = "keyed.cells"
+)
+
+// Times of membership.
+const (
+	// joinEvery is the time between two proofs of life. It leaves room for two
+	// that are lost before the group gives a member up.
+	joinEvery = 300 * time.Millisecond
+	// membersEvery is the time between two readings of who is in the group.
+	membersEvery = 500 * time.Millisecond
+	// callTimeout bounds a call to the store; a slow one is better given up, since
+	// what it would tell is old.
+	callTimeout = 600 * time.Millisecond
+	// claimWait is how long a reading of the claims waits for news. Each answer
+	// also proves that the node's own claims still stand.
+	claimWait = time.Second
+	// settleTime lets the other nodes of a starting system join before the first
+	// one shares out the cells.
+	settleTime = 1500 * time.Millisecond
+	tick       = 100 * time.Millisecond
+	// leastTTL is how long the group keeps a silent node, unless the platform
+	// asks for more.
+	leastTTL = time.Second
+)
+
+// Deps are what ownership works with.
+type Deps struct {
+	Store   damsonwinch.Store
+	Clock   damsonwinch.Clock
+	Logger  logrus.FieldLogger
+	Metrics *metrics.Set
+	// Changed is told the claims in force after each change, and what was asked
+	// when, so that the node can run the cells that are its own. It must not wait.
+	Changed func(View)
+}
+
+// View is what a node believes about the cells.
+type View struct {
+	Claims  map[string]Claim
+	Members []Member
+	// ConfirmedAt is when the newest answered reading of the claims was sent: until
+	// then the claims stood as they are here.
+	ConfirmedAt time.Time
+}
+
+// Owner returns the owner of a cell.
+func (v View) Owner(cell string) (Claim, bool) {
+	claim, known := v.Claims[cell]
+	return claim, known && !claim.Released
+}
+
+// Options say who this node is.
+type Options struct {
+	Self Member
+	// TTL is how long the group keeps a silent node.
+	TTL time.Duration
+	// Partitions is how many partitions a topic has.
+	Partitions int
+	// FirstStart says that the system starts for the first time.
+	FirstStart bool
+}
+
+// Ownership is one node's part in sharing out the cells.
+type Ownership struct {
+	deps    Deps
+	options Options
+	inbox   chan any
+	group   *errgroup.Group
+	ctx     context.Context // Ends with the task.
+	cancel  context.CancelFunc
+	state   state
+}
+
+// state is what the task knows.
+type state struct {
+	cells      []string
+	claims     map[string]Claim
+	end        int
+	claimsRead bool
+	confirmed  time.Time
+	members    []Member
+	// membersAt is when the members were last read.
+	membersAt  time.Time
+	generation int
+	startedAt  time.Time
+	joining    bool
+	joinedAt   time.Time
+	reading    bool
+	readAt     time.Time
+	claiming   bool
+	leaving    bool
+	// suspects are owners whose address refused a connection.
+	suspects map[string]bool
+}
+
+// Messages to the task.
+type (
+	cellsWanted struct{ cells []string }
+	claimsRead  struct {
+		records  []damsonwinch.Record
+		end      int
+		snapshot bool
+		askedAt  time.Time
+	}
+	joined struct {
+		membership damsonwinch.Membership
+		err        error
+	}
+	membersListed struct {
+		members []Member
+		askedAt time.Time
+		err     error
+	}
+	claimed struct {
+		cell string
+		err  error
+	}
+	leave     struct{ done chan<- struct{} }
+	suspected struct{ node string }
+	renounced struct {
+		cell  string
+		token int
+	}
+)
+
+// New joins the group and begins to follow the claims.
+func New(deps Deps, options Options) *Ownership {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	o := &Ownership{
+		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
+		state: state{claims: map[string]Claim{}, startedAt: deps.Clock.Now(), suspects: map[string]bool{}},
+	}
+	group.Go(o.run)
+	group.Go(o.follow)
+	return o
+}
+
+// Want names the cells that need an owner.
+func (o *Ownership) Want(cells []string) {
+	o.send(cellsWanted{cells: cells})
+}
+
+// Suspect hints that a node's process has ended, so that the members are read at
+// once.
+func (o *Ownership) Suspect(node string) {
+	o.send(suspected{node: node})
+}
+
+// Renounce gives up a claim whose owner has ended by itself.
+func (o *Ownership) Renounce(cell string, token int) {
+	o.send(renounced{cell: cell, token: token})
+}
+
+// Leave gives up all cells and leaves the group, for a planned stop. It returns
+// once the store knows or the context ends.
+func (o *Ownership) Leave(ctx context.Context) {
+	done := make(chan struct{})
+	o.send(leave{done: done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-o.ctx.Done():
+	}
+}
+
+// Close ends the task and waits for its calls.
+func (o *Ownership) Close() error {
+	o.cancel()
+	if err := o.group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func (o *Ownership) send(m any) {
+	select {
+	case o.inbox <- m:
+	case <-o.ctx.Done():
+	}
+}
+
+func (o *Ownership) follow() error {
+	feed.Follow(o.ctx, feed.Deps{Store: o.deps.Store, Clock: o.deps.Clock, Logger: o.deps.Logger}, feed.Options{
+		Stream: damsonwinch.Stream{Topic: claimTopic}, Wait: claimWait,
+		Snapshot: func(records []damsonwinch.Record, end int) {
+			o.send(claimsRead{records: records, end: end, snapshot: true, askedAt: o.deps.Clock.Now().Add(-callTimeout)})
+		},
+		Added: func(records []damsonwinch.Record, end int, askedAt time.Time) {
+			o.send(claimsRead{records: records, end: end, askedAt: askedAt})
+		},
+	})
+	return nil
+}
+
+func (o *Ownership) run() error {
+	ticker := o.deps.Clock.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return nil
+		case m := <-o.inbox:
+			o.take(m)
+		case <-ticker.Chan():
+		}
+		o.act()
+	}
+}
+
+func (o *Ownership) take(m any) {
+	now := o.deps.Clock.Now()
+	s := &o.state
+	switch m := m.(type) {
+	case cellsWanted:
+		s.cells = m.cells
+	case claimsRead:
+		o.takeClaims(m)
+	case joined:
+		s.joining = false
+		if m.err != nil {
+			o.deps.Metrics.Add("join_failures", 1)
+			return
+		}
+		s.generation = m.membership.Generation
+	case membersListed:
+		s.reading = false
+		if m.err != nil {
+			o.deps.Metrics.Add("members_failures", 1)
+			return
+		}
+		s.members, s.membersAt = m.members, m.askedAt
+		clear(s.suspects)
+		o.publish()
+	case claimed:
+		s.claiming = false
+		if m.err != nil && !errors.Is(m.err, damsonwinch.ErrMoved) {
+			o.deps.Logger.WithError(m.err).WithField("cell", m.cell).Warn("claim not made")
+		}
+	case suspected:
+		if !s.suspects[m.node] {
+			s.suspects[m.node] = true
+			s.readAt = time.Time{}
+		}
+	case renounced:
+		if claim, known := s.claims[m.cell]; known && claim.Token == m.token && !claim.Released {
+			claim.Released = true
+			o.release(claim.CellClaim)
+		}
+	case leave:
+		o.leave(m, now)
+	}
+}
+
+func (o *Ownership) takeClaims(m claimsRead) {
+	s := &o.state
+	if m.snapshot {
+		clear(s.claims)
+	}
+	for _, record := range m.records {
+		var claim wire.CellClaim
+		if len(record.Value) == 0 {
+			delete(s.claims, record.Key)
+			continue
+		}
+		if err := json.Unmarshal(record.Value, &claim); err != nil {
+			o.deps.Logger.WithError(err).WithField("cell", record.Key).Error("claim not understood")
+			continue
+		}
+		s.claims[record.Key] = Claim{CellClaim: claim, Token: record.Offset + 1}
+	}
+	s.end, s.claimsRead, s.confirmed = m.end, true, m.askedAt
+	o.publish()
+}
+
+func (o *Ownership) publish() {
+	s := &o.state
+	o.deps.Changed(View{Claims: maps.Clone(s.claims), Members: slices.Clone(s.members), ConfirmedAt: s.confirmed})
+}
+
+// act makes the calls that are due.
+func (o *Ownership) act() {
+	s := &o.state
+	now := o.deps.Clock.Now()
+	if s.leaving {
+		return
+	}
+	if !s.joining && now.Sub(s.joinedAt) >= joinEvery {
+		s.joining, s.joinedAt = true, now
+		o.join()
+	}
+	if !s.reading && now.Sub(s.readAt) >= membersEvery {
+		s.reading, s.readAt = true, now
+		o.readMembers(now)
+	}
+	if !s.claiming && s.claimsRead && s.membersAt.After(s.startedAt) && o.settled(now) {
+		o.claimOne()
+	}
+}
+
+// settled says whether the members are likely to be complete.
+func (o *Ownership) settled(now time.Time) bool {
+	return now.Sub(o.state.startedAt) >= settleTime || len(o.state.claims) > 0 && !o.options.FirstStart
+}
+
+// claimOne claims the first cell whose owner is gone and whose heir is this node.
+func (o *Ownership) claimOne() {
+	s := &o.state
+	for _, cell := range s.cells {
+		claim, known := s.claims[cell]
+		if known && o.alive(claim) {
+			continue
+		}
+		chosen, found := heir(cell, s.members, o.liveClaims())
+		if found && chosen.Node == o.options.Self.Node && chosen.Incarnation == o.options.Self.Incarnation {
+			s.claiming = true
+			o.claim(cell, claim, known)
+			return
+		}
+	}
+}
+
+func (o *Ownership) liveClaims() map[string]Claim {
+	live := map[string]Claim{}
+	for cell, claim := range o.state.claims {
+		if o.alive(claim) {
+			live[cell] = claim
+		}
+	}
+	return live
+}
+
+// alive says whether a claim's maker is still in the group.
+func (o *Ownership) alive(claim Claim) bool {
+	for _, member := range o.state.members {
+		if claim.HeldBy(member) {
+			return true
+		}
+	}
+	return false
+}
+
+func (o *Ownership) claim(cell string, before Claim, known bool) {
+	record := wire.CellClaim{
+		Cell: cell, Node: o.options.Self.Node, Address: o.options.Self.Address, Incarnation: o.options.Self.Incarnation,
+		Partition: before.Partition,
+	}
+	if !known {
+		record.Partition = o.freePartition()
+	}
+	end := o.state.end
+	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": before.Node, "members": len(o.state.members), "end": end}).Info("claim cell")
+	o.group.Go(func() error {
+		o.send(claimed{cell: cell, err: o.appendClaim(record, end)})
+		return nil
+	})
+}
+
+// release appends that a cell is given up.
+func (o *Ownership) release(claim wire.CellClaim) {
+	end := o.state.end
+	o.state.claiming = true
+	o.group.Go(func() error {
+		o.send(claimed{cell: claim.Cell, err: o.appendClaim(claim, end)})
+		return nil
+	})
+}
+
+func (o *Ownership) appendClaim(claim wire.CellClaim, at int) error {
+	value, err := json.Marshal(claim)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	defer cancel()
+	return o.deps.Store.AppendAt(ctx, damsonwinch.Stream{Topic: claimTopic}, []damsonwinch.Record{{Key: claim.Cell, Value: value}}, at)
+}
+
+// freePartition returns the lowest partition that no cell has.
+func (o *Ownership) freePartition() int {
+	used := map[int]bool{}
+	for _, claim := range o.state.claims {
+		used[claim.Partition] = true
+	}
+	for partition := range o.options.Partitions {
+		if !used[partition] {
+			return partition
+		}
+	}
+	return o.options.Partitions
+}
+
+func (o *Ownership) join() {
+	request := damsonwinch.JoinRequest{
+		Group: groupName, Member: o.options.Self.Name(), Topics: []string{groupTopic}, TTL: max(o.options.TTL, leastTTL), Generation: o.state.generation,
+	}
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+		defer cancel()
+		membership, err := o.deps.Store.Join(ctx, request)
+		o.send(joined{membership: membership, err: err})
+		return nil
+	})
+}
+
+func (o *Ownership) readMembers(now time.Time) {
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+		defer cancel()
+		partitions, err := o.deps.Store.Owners(ctx, groupName)
+		o.send(membersListed{members: distinct(partitions), askedAt: now, err: err})
+		return nil
+	})
+}
+
+// distinct returns the members that hold a partition, in order of their names.
+// Of several lives of one node only the newest counts.
+func distinct(partitions []damsonwinch.Partition) []Member {
+	byNode := map[string]Member{}
+	for _, partition := range partitions {
+		member, understood := parseMember(partition.Member)
+		if understood && member.Incarnation >= byNode[member.Node].Incarnation {
+			byNode[member.Node] = member
+		}
+	}
+	members := make([]Member, 0, len(byNode))
+	for _, node := range slices.Sorted(maps.Keys(byNode)) {
+		members = append(members, byNode[node])
+	}
+	return members
+}
+
+// leave releases the node's cells, so that others need not wait for its silence.
+func (o *Ownership) leave(m leave, _ time.Time) {
+	s := &o.state
+	s.leaving = true
+	var mine []wire.CellClaim
+	for _, cell := range slices.Sorted(maps.Keys(s.claims)) {
+		if claim := s.claims[cell]; claim.HeldBy(o.options.Self) {
+			claim.Released = true
+			mine = append(mine, claim.CellClaim)
+		}
+	}
+	end := s.end
+	o.group.Go(func() error {
+		defer close(m.done)
+		for i, claim := range mine {
+			if err := o.appendClaim(claim, end+i); err != nil {
+				o.deps.Logger.WithError(err).WithField("cell", claim.Cell).Warn("cell not released")
+			}
+		}
+		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+		defer cancel()
+		if err := o.deps.Store.Leave(ctx, groupName, o.options.Self.Name()); err != nil {
+			o.deps.Logger.WithError(err).Warn("group not left")
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/pkg/process/node.go
@@ -0,0 +1,158 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"damsonwinch"
+	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/metrics"
+	"damsonwinch/pkg/node"
+	"damsonwinch/pkg/ownership"
+	"damsonwinch/pkg/settings"
+	"damsonwinch/platform"
+)
+
+// Usual values of a node's settings, where they name none.
+const (
+	usualPartitions = 24
+	usualTTLMs      = 1000
+)
+
+// Times by which an owner decides that no setting gives.
+const (
+	// tokenGrace bounds how long an owner without the store prolongs leases.
+	tokenGrace = 5 * time.Second
+	// startLate bounds how late a start that was not answered may take effect.
+	startLate = 2500 * time.Millisecond
+	// commitGap makes what comes up within it share an append.
+	commitGap = 15 * time.Millisecond
+	lookWait  = time.Second
+	idleLook  = 2 * time.Second
+	retryLook = 300 * time.Millisecond
+)
+
+// clientIdleTime is how long a client's idle connection is kept.
+const clientIdleTime = 60 * time.Second
+
+// Node is a running dw-node.
+type Node struct {
+	node    *node.Node
+	clients *http.Server
+	ready   *http.Server
+	debug   *debug
+	group   errgroup.Group
+	closers []func()
+	// stopping makes the node call itself unready.
+	stopping atomic.Bool
+	Metrics  *metrics.Set
+}
+
+// NewNode starts a node.
+func NewNode(config settings.Node, env Env) (*Node, error) {
+	listeners, err := listenAll(config.CallAddress, config.ClientAddress, config.ReadyAddress, config.DebugAddress)
+	if err != nil {
+		return nil, err
+	}
+	set, _ := newSet(env)
+	store := platform.NewStore(config.Store, env.Dial)
+	endpoints := platform.NewEndpoints(env.Dial)
+	fleet := platform.NewFleet(config.Boxes, env.Dial)
+	advice := platform.NewAdvice(config.Advice, env.Dial)
+	n := &Node{Metrics: set, closers: []func(){store.Close, endpoints.Close, fleet.Close, advice.Close}}
+	var clients atomic.Pointer[platform.Clients]
+	running, err := node.New(node.Deps{
+		Platform: node.Platform{
+			Store: store, Endpoints: endpoints, Fleet: fleet, Advisor: advice,
+			OperatorStream: platform.OperatorStream(), DecodeOperator: decodeOperator,
+			EndpointStream: platform.EndpointStream(), DecodeEndpoint: platform.DecodeEndpoint,
+		},
+		Clock: env.Clock, Dial: env.Dial, Logger: env.Logger, Metrics: set, CallListener: listeners[0],
+		Configured: func(configuration damsonwinch.Configuration) {
+			if handler := clients.Load(); handler != nil {
+				handler.Configure(configuration)
+			}
+		},
+	}, nodeOptions(config, env))
+	if err != nil {
+		return nil, err
+	}
+	n.node = running
+	handler := platform.NewClients(running.Jobs(), env.Clock)
+	clients.Store(handler)
+	n.clients = n.serve(listeners[1], handler, env.Logger)
+	n.ready = n.serve(listeners[2], http.HandlerFunc(n.answerReady), env.Logger)
+	n.debug = serveDebug(listeners[3], set)
+	return n, nil
+}
+
+func decodeOperator(record damsonwinch.Record) (*damsonwinch.Configuration, *damsonwinch.Wave, error) {
+	decoded, err := platform.DecodeOperator(record)
+	return decoded.Configuration, decoded.Wave, err
+}
+
+func nodeOptions(config settings.Node, env Env) node.Options {
+	bounds := config.Bounds
+	return node.Options{
+		Self: ownership.Member{
+			Node: config.Node, Address: config.CallAddress, Weight: int(config.CoreShare * 1000), Incarnation: int(env.Clock.Now().UnixMilli()),
+		},
+		Cells: cell.Options{
+			MostLease: milliseconds(bounds.LeaseMostMs), TokenGrace: tokenGrace, StartLate: startLate, CommitGap: commitGap,
+			LookWait: lookWait, IdleLook: idleLook, RetryLook: retryLook, KeepEnded: time.Duration(bounds.KeepEndedS) * time.Second,
+		},
+		TTL:        milliseconds(orUsual(config.GroupTtlMs, usualTTLMs)),
+		Partitions: orUsual(config.Partitions, usualPartitions),
+		FirstStart: config.FirstStart,
+	}
+}
+
+func milliseconds(count int) time.Duration {
+	return time.Duration(count) * time.Millisecond
+}
+
+func (n *Node) serve(listener net.Listener, handler http.Handler, logger logrus.FieldLogger) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: clientIdleTime}
+	n.group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			logger.WithError(err).Error("listener ended")
+		}
+		return nil
+	})
+	return server
+}
+
+func (n *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || !n.node.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Stop ends the node as planned: others take its cells, calls in flight are
+// answered. The context bounds it.
+func (n *Node) Stop(ctx context.Context) error {
+	n.stopping.Store(true)
+	n.node.Stop(ctx)
+	err := n.clients.Shutdown(ctx)
+	return errors.Join(err, n.Close())
+}
+
+// Close ends the node at once and waits for its goroutines.
+func (n *Node) Close() error {
+	err := n.clients.Close()
+	err = errors.Join(err, n.ready.Close(), n.node.Close())
+	n.debug.close()
+	for _, closer := range n.closers {
+		closer()
+	}
+	return errors.Join(err, n.group.Wait())
+}
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -2,6 +2,54 @@
 
 package settings
 
+// Bounds are the platform's times that the node decides by.
+type Bounds struct {
+	// Time in which a cancelled job must be gone.
+	CancelMs int `json:"cancel_ms,omitempty,omitzero"`
+
+	// How soon a draining endpoint must get no more work.
+	DrainMs int `json:"drain_ms"`
+
+	// How many times as long a task takes away from its data.
+	Far float64 `json:"far,omitempty,omitzero"`
+
+	// Time for which a gang's member waits for the others.
+	GangMs int `json:"gang_ms,omitempty,omitzero"`
+
+	// Time between being told to stop and being killed.
+	GraceS float64 `json:"grace_s"`
+
+	// How long a serving task may stay over its target.
+	HarmMs int `json:"harm_ms,omitempty,omitzero"`
+
+	// Time that must pass between the orders of two holders for one box.
+	HolderMs int `json:"holder_ms,omitempty,omitzero"`
+
+	// How long an ended job can still be asked for.
+	KeepEndedS int `json:"keep_ended_s"`
+
+	// Longest lease that an endpoint grants.
+	LeaseMostMs int `json:"lease_most_ms"`
+
+	// Time that the maintenance of a box takes.
+	MaintainS float64 `json:"maintain_s,omitempty,omitzero"`
+
+	// Time that a box takes to change its pool.
+	MoveS float64 `json:"move_s,omitempty,omitzero"`
+
+	// How long a serving task must be away to count as away.
+	NoticeMs int `json:"notice_ms,omitempty,omitzero"`
+
+	// Time that a task takes to go on from a checkpoint.
+	RestoreMs int `json:"restore_ms,omitempty,omitzero"`
+
+	// Work between two checkpoints, in seconds.
+	SaveS float64 `json:"save_s,omitempty,omitzero"`
+
+	// Longest time that a stopped task takes to end.
+	StopMs int `json:"stop_ms"`
+}
+
 // Deployment is the table line without a service: its pools and the weights of the
 // three costs.
 type Deployment struct {
@@ -151,6 +199,54 @@
 	Service string `json:"service"`
 }
 
+// Node is the settings file of dw-node.
+type Node struct {
+	// The advice service; empty where no queue needs it.
+	Advice string `json:"advice,omitempty,omitzero"`
+
+	// Bounds corresponds to the JSON schema field "bounds".
+	Bounds Bounds `json:"bounds"`
+
+	// The platform's control of boxes.
+	Boxes string `json:"boxes"`
+
+	// Where other nodes call.
+	CallAddress string `json:"call_address"`
+
+	// Where clients hand in jobs.
+	ClientAddress string `json:"client_address"`
+
+	// Share of a core that this node has.
+	CoreShare float64 `json:"core_share"`
+
+	// Counters at /debug/vars.
+	DebugAddress string `json:"debug_address"`
+
+	// The whole system starts for the very first time.
+	FirstStart bool `json:"first_start,omitempty,omitzero"`
+
+	// Shortest time for which the log keeps a silent member of a group.
+	GroupTtlMs int `json:"group_ttl_ms,omitempty,omitzero"`
+
+	// Memory that this process may use, in mebibytes.
+	MemoryMb int `json:"memory_mb"`
+
+	// Name of this node, unique in the deployment.
+	Node string `json:"node"`
+
+	// Partitions of a topic of the log.
+	Partitions int `json:"partitions,omitempty,omitzero"`
+
+	// Where the balancer asks whether the node takes clients.
+	ReadyAddress string `json:"ready_address"`
+
+	// The platform's log.
+	Store string `json:"store"`
+
+	// Availability zone it stands in.
+	Zone string `json:"zone"`
+}
+
 // Peer is another keeper that relays records.
 type Peer struct {
 	// Address corresponds to the JSON schema field "address".
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -126,6 +126,28 @@
 	Value string `json:"value"`
 }
 
+// CellClaim is the record by which a node becomes the owner of a cell; its offset
+// in the stream of claims gives the epoch.
+type CellClaim struct {
+	// IP and port of the node's calls.
+	Address string `json:"address"`
+
+	// Cell corresponds to the JSON schema field "cell".
+	Cell string `json:"cell"`
+
+	// Tells the lives of a node apart.
+	Incarnation int `json:"incarnation"`
+
+	// Node corresponds to the JSON schema field "node".
+	Node string `json:"node"`
+
+	// Partition of the cell's stream; a cell keeps the one of its first claim.
+	Partition int `json:"partition"`
+
+	// The owner has given the cell up in a planned stop or handover.
+	Released bool `json:"released,omitempty,omitzero"`
+}
+
 // Checkpoint says what hash the state has at an offset, so that whoever folded
 // alike can compare.
 type Checkpoint struct {
@@ -185,6 +207,17 @@
 	Remove []string `json:"remove,omitempty,omitzero"`
 }
 
+// EndpointRecord is what must outlive an owner about an endpoint, in its cell's
+// stream.
+type EndpointRecord struct {
+	// When that was decided, in milliseconds since 1970.
+	AtMs int `json:"at_ms,omitempty,omitzero"`
+
+	// It was handed to the fleet planner for a move or maintenance and gets no more
+	// work.
+	Withdrawn bool `json:"withdrawn"`
+}
+
 // Entry is one record of a stream as a peer relays it.
 type Entry struct {
 	// Milliseconds since 1970 at which the log took it.
@@ -287,6 +320,109 @@
 const HealthLeaving Health = "leaving"
 const HealthUp Health = "up"
 
+// JobArgs is a client's call on a job, for the owner of a cell.
+type JobArgs struct {
+	// Cell corresponds to the JSON schema field "cell".
+	Cell string `json:"cell"`
+
+	// Configuration by which the calling node chose the cell.
+	ConfigVersion int `json:"config_version,omitempty,omitzero"`
+
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id,omitempty,omitzero"`
+
+	// Queue corresponds to the JSON schema field "queue".
+	Queue string `json:"queue"`
+
+	// When the call arrived, in milliseconds since 1970.
+	ReceivedMs int `json:"received_ms,omitempty,omitzero"`
+
+	// Spec corresponds to the JSON schema field "spec".
+	Spec *JobSpec `json:"spec,omitempty,omitzero"`
+}
+
+type JobOutcome string
+
+const JobOutcomeAccepted JobOutcome = "accepted"
+const JobOutcomeElsewhere JobOutcome = "elsewhere"
+const JobOutcomeFound JobOutcome = "found"
+const JobOutcomeInvalid JobOutcome = "invalid"
+const JobOutcomeNoSuchJob JobOutcome = "no_such_job"
+const JobOutcomeRefused JobOutcome = "refused"
+const JobOutcomeUnknown JobOutcome = "unknown"
+const JobOutcomeUnknownQueue JobOutcome = "unknown_queue"
+
+// JobRecord is the state of a job in its cell's stream, under the job's id.
+type JobRecord struct {
+	// When its first submission arrived, in milliseconds since 1970.
+	AcceptedMs int `json:"accepted_ms"`
+
+	// When it should be done, in milliseconds since 1970.
+	DueMs int `json:"due_ms,omitempty,omitzero"`
+
+	// When it was completed, failed or cancelled; 0 before.
+	EndedMs int `json:"ended_ms,omitempty,omitzero"`
+
+	// Failed attempts at a task that fail the job, as its queue had it.
+	MostAttempts int `json:"most_attempts,omitempty,omitzero"`
+
+	// Priority of its queue when it was accepted; 0 comes first.
+	Priority int `json:"priority,omitempty,omitzero"`
+
+	// Queue corresponds to the JSON schema field "queue".
+	Queue string `json:"queue"`
+
+	// State corresponds to the JSON schema field "state".
+	State JobState `json:"state"`
+
+	// Tasks corresponds to the JSON schema field "tasks".
+	Tasks []TaskRecord `json:"tasks,omitempty,omitzero"`
+}
+
+// JobReply answers a call on a job.
+type JobReply struct {
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome JobOutcome `json:"outcome"`
+
+	// Accepted jobs of the queue none of whose tasks has begun.
+	Pending int `json:"pending,omitempty,omitzero"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// RetryAfterMs corresponds to the JSON schema field "retry_after_ms".
+	RetryAfterMs int `json:"retry_after_ms,omitempty,omitzero"`
+
+	// State corresponds to the JSON schema field "state".
+	State JobState `json:"state,omitempty,omitzero"`
+}
+
+// JobSpec is what a client submits.
+type JobSpec struct {
+	// Milliseconds between the due times of rounds.
+	EveryMs int `json:"every_ms,omitempty,omitzero"`
+
+	// When round 0 falls due, in milliseconds since 1970; 0 for at once.
+	FirstMs int `json:"first_ms,omitempty,omitzero"`
+
+	// Phases corresponds to the JSON schema field "phases".
+	Phases []Phase `json:"phases"`
+
+	// How often the phases run; 0 for once, at once.
+	Rounds int `json:"rounds,omitempty,omitzero"`
+
+	// The text that each task is started with.
+	Text string `json:"text"`
+}
+
+type JobState string
+
+const JobStateCancelled JobState = "cancelled"
+const JobStateCompleted JobState = "completed"
+const JobStateFailed JobState = "failed"
+const JobStateQueued JobState = "queued"
+const JobStateRunning JobState = "running"
+
 type Kind string
 
 const KindAssign Kind = "assign"
@@ -364,6 +500,65 @@
 const OutcomeNotRun Outcome = "not-run"
 const OutcomeUnknown Outcome = "unknown"
 
+// Phase is a set of like tasks of a job.
+type Phase struct {
+	// Numbers, from 0, of earlier phases that must be done first.
+	After []int `json:"after,omitempty,omitzero"`
+
+	// Lasting tasks that the system may have away at once; negative when nothing was
+	// said.
+	AwayAtMost int `json:"away_at_most,omitempty,omitzero"`
+
+	// The tasks save their progress now and then.
+	Checkpoints bool `json:"checkpoints,omitempty,omitzero"`
+
+	// Several attempts at one task may run at once; the first end counts.
+	Copies bool `json:"copies,omitempty,omitzero"`
+
+	// Number of tasks.
+	Count int `json:"count"`
+
+	// Thousandths of a core that a task asks for.
+	Cpu int `json:"cpu,omitempty,omitzero"`
+
+	// Rough guess of the time one task takes.
+	EstimateMs int `json:"estimate_ms,omitempty,omitzero"`
+
+	// The tasks use what others leave of the processor; their CPU takes no room.
+	Fills bool `json:"fills,omitempty,omitzero"`
+
+	// The tasks run only together and end together.
+	Gang bool `json:"gang,omitempty,omitzero"`
+
+	// Accelerators that a task asks for.
+	Gpu int `json:"gpu,omitempty,omitzero"`
+
+	// Names what the tasks run; tasks of one image behave alike.
+	Image string `json:"image,omitempty,omitzero"`
+
+	// Label that an endpoint must have; empty for any.
+	Label string `json:"label,omitempty,omitzero"`
+
+	// The tasks run until the job is cancelled and are started again when they end.
+	Lasting bool `json:"lasting,omitempty,omitzero"`
+
+	// Mebibytes that a task asks for.
+	MemoryMb int `json:"memory_mb,omitempty,omitzero"`
+
+	// Tasks of a round that one box may run at once; 0 for any number.
+	MostPerBox int `json:"most_per_box,omitempty,omitzero"`
+
+	// Rack where the data lies; a task runs much slower elsewhere.
+	Rack string `json:"rack,omitempty,omitzero"`
+
+	// The gang is much slower when spread over racks.
+	SameRack bool `json:"same_rack,omitempty,omitzero"`
+
+	// Tail latency that a lasting task owes its own users, in milliseconds; 0 for
+	// none.
+	TargetMs int `json:"target_ms,omitempty,omitzero"`
+}
+
 // Proposal asks for one change; the fold accepts it or refuses it with a reason.
 type Proposal struct {
 	// Author corresponds to the JSON schema field "author".
@@ -488,6 +683,15 @@
 	Accepted bool `json:"accepted"`
 }
 
+// RunRecord is an attempt at a task that may be running.
+type RunRecord struct {
+	// Attempt corresponds to the JSON schema field "attempt".
+	Attempt int `json:"attempt"`
+
+	// Life that was asked to run it.
+	Endpoint string `json:"endpoint"`
+}
+
 // StatusArgs asks a process for its present standing.
 type StatusArgs struct {
 	// First offset of audit lines wanted; negative for none.
@@ -532,3 +736,30 @@
 	// What the plan wants and doesn't propose now.
 	Waits []string `json:"waits,omitempty,omitzero"`
 }
+
+// TaskRecord is what must outlive an owner about one task that has been begun.
+type TaskRecord struct {
+	// Highest attempt that may have been ordered.
+	Attempt int `json:"attempt"`
+
+	// Done corresponds to the JSON schema field "done".
+	Done bool `json:"done,omitempty,omitzero"`
+
+	// Attempts that ended as failed.
+	Failed int `json:"failed,omitempty,omitzero"`
+
+	// Index corresponds to the JSON schema field "index".
+	Index int `json:"index"`
+
+	// Phase corresponds to the JSON schema field "phase".
+	Phase int `json:"phase"`
+
+	// Round corresponds to the JSON schema field "round".
+	Round int `json:"round,omitempty,omitzero"`
+
+	// Runs corresponds to the JSON schema field "runs".
+	Runs []RunRecord `json:"runs,omitempty,omitzero"`
+
+	// Newest known checkpoint.
+	Saved string `json:"saved,omitempty,omitzero"`
+}
