--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -37,6 +37,9 @@
 	step    int
 	now     time.Time
 	commits commits
+	// arrived and times tell how much work comes and how long it takes.
+	arrived arrivals
+	times   map[string]*runTimes
 	effects Effects
 	stats   Stats
 }
@@ -50,6 +53,7 @@
 		jobs:      map[string]*job{},
 		endpoints: map[string]*endpoint{},
 		commits:   newCommits(),
+		times:     map[string]*runTimes{},
 	}
 }
 
@@ -74,6 +78,9 @@
 	c.openRounds()
 	c.expireLeases()
 	c.retryOrders()
+	for _, e := range c.ranked {
+		c.empty(e)
+	}
 	c.forgetJobs()
 	c.settle()
 }
--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -21,19 +21,21 @@
 	ends    bool
 	starts  []*run
 	replies []Reply
-	// released are withdrawals that may be told once they are recorded.
-	number  int
-	sent    *sentCommit
-	startAt time.Time
+	// withdrawn are endpoints whose withdrawal counts once it is recorded.
+	withdrawn []*endpoint
+	number    int
+	sent      *sentCommit
+	startAt   time.Time
 }
 
 // sentCommit is the append on its way.
 type sentCommit struct {
-	number  int
-	starts  []*run
-	replies []Reply
-	shown   map[*job]wire.JobState
-	seen    map[*endpoint]int
+	number    int
+	starts    []*run
+	replies   []Reply
+	withdrawn []*endpoint
+	shown     map[*job]wire.JobState
+	seen      map[*endpoint]int
 }
 
 func newCommits() commits {
@@ -80,7 +82,7 @@
 	}
 	w.number++
 	w.startAt = c.now
-	sent := &sentCommit{number: w.number, starts: w.starts, replies: w.replies, shown: map[*job]wire.JobState{}, seen: map[*endpoint]int{}}
+	sent := &sentCommit{number: w.number, starts: w.starts, replies: w.replies, withdrawn: w.withdrawn, shown: map[*job]wire.JobState{}, seen: map[*endpoint]int{}}
 	records := c.compose(sent)
 	for _, e := range c.ranked {
 		if e.seen > e.recorded {
@@ -88,7 +90,7 @@
 		}
 	}
 	clear(w.dirty)
-	w.dropped, w.marks, w.ends, w.starts, w.replies = nil, nil, false, nil, nil
+	w.dropped, w.marks, w.ends, w.starts, w.replies, w.withdrawn = nil, nil, false, nil, nil, nil
 	w.sent = sent
 	c.stats.Commits++
 	if len(records) == 0 {
@@ -139,6 +141,9 @@
 	for e, seen := range sent.seen {
 		e.recorded = max(e.recorded, seen)
 	}
+	for _, e := range sent.withdrawn {
+		e.withdraw.recorded = true
+	}
 	for _, r := range sent.starts {
 		c.sendStart(r)
 	}
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -45,7 +45,7 @@
 
 // usable says whether new work may be ordered there.
 func (e *endpoint) usable() bool {
-	return e.listed && e.attached && !e.gone && !e.withdrawn && !e.silent && !e.info.Draining
+	return e.listed && e.attached && !e.gone && !e.withdrawn && !e.withdraw.wanted && !e.silent && !e.info.Draining
 }
 
 // free returns the room that is left.
--- a/pkg/cell/withdraw.go
+++ b/pkg/cell/withdraw.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"time"
 
 	"damsonwinch"
 	"damsonwinch/pkg/wire"
@@ -15,12 +14,77 @@
 
 // withdrawal is how far the emptying of an endpoint is.
 type withdrawal struct {
-	// wanted says that the planner wants it empty, until the time given.
-	until time.Time
+	// wanted says that the planner wants it empty.
+	wanted bool
+	// hurry says that its tasks are to be run elsewhere instead of waited for.
+	hurry bool
 	// recorded says that the stream holds the withdrawal.
 	recorded bool
 }
 
+// empty goes on with the emptying of an endpoint, and withdraws it for good once
+// nothing runs there any more.
+func (c *Cell) empty(e *endpoint) {
+	if !e.withdraw.wanted || e.withdrawn || e.gone {
+		return
+	}
+	if len(e.runs) > 0 {
+		c.evacuate(e)
+		return
+	}
+	if !e.attached || e.silent {
+		return
+	}
+	e.withdrawn = true
+	c.mark(e)
+	c.noteEndpoint("endpoint withdrawn", e, "the fleet planner wants its box")
+}
+
+// evacuate stops what would not end soon by itself, so that it runs elsewhere.
+func (c *Cell) evacuate(e *endpoint) {
+	for _, r := range e.sortedRuns() {
+		if r.stopping || r.state != runConfirmed {
+			continue
+		}
+		spec := r.task.phase.spec
+		switch {
+		case spec.Lasting:
+			if r.task.phase.lastingAway() < spec.AwayAtMost && c.roomElsewhere(r) {
+				c.stop(r, "its box is wanted")
+			}
+		case e.withdraw.hurry && spec.Checkpoints && c.roomElsewhere(r):
+			c.stop(r, "its box is wanted")
+		}
+	}
+}
+
+// roomElsewhere says whether a run could go on at another endpoint now.
+func (c *Cell) roomElsewhere(r *run) bool {
+	for _, e := range c.ranked {
+		if e != r.at && !e.withdraw.wanted && c.allowed(r.task, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// restore takes an endpoint back into use.
+func (c *Cell) restore(e *endpoint) {
+	if !e.withdrawn {
+		return
+	}
+	e.withdrawn, e.withdraw = false, withdrawal{}
+	c.commits.marks = append(c.commits.marks, damsonwinch.Record{Key: markPrefix + e.info.ID})
+	c.noteEndpoint("endpoint restored", e, "the fleet planner does not need its box")
+}
+
+// mark records that an endpoint is withdrawn.
+func (c *Cell) mark(e *endpoint) {
+	value := encode(wire.EndpointRecord{Withdrawn: true, AtMs: int(c.now.UnixMilli())})
+	c.commits.marks = append(c.commits.marks, damsonwinch.Record{Key: markPrefix + e.info.ID, Value: value})
+	c.commits.withdrawn = append(c.commits.withdrawn, e)
+}
+
 func (c *Cell) loadMark(record damsonwinch.Record) error {
 	var mark wire.EndpointRecord
 	if err := json.Unmarshal(record.Value, &mark); err != nil {
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -28,13 +28,20 @@
 // Cells knows the cells' owners.
 type Cells interface {
 	// Local returns the cell's owner if it is on this node.
-	Local(cell string) (damsonwinch.Jobs, bool)
+	Local(cell string) (CellOwner, bool)
 	// View returns what is believed of all cells.
 	View() ownership.View
 	// Suspect hints that a node's process has ended.
 	Suspect(node string)
 }
 
+// CellOwner is what the owner of a cell answers.
+type CellOwner interface {
+	damsonwinch.Jobs
+	// Sync answers the fleet planner.
+	Sync(ctx context.Context, args wire.SyncArgs) wire.SyncReply
+}
+
 // Deps are what a router works with.
 type Deps struct {
 	Cells   Cells
@@ -75,10 +82,10 @@
 }
 
 var (
-	submit  = method{"Jobs.Submit", damsonwinch.Jobs.Submit}
-	show    = method{"Jobs.Show", damsonwinch.Jobs.Show}
-	cancel  = method{"Jobs.Cancel", damsonwinch.Jobs.Cancel}
-	pending = method{"Jobs.Pending", damsonwinch.Jobs.Pending}
+	submit  = method{ServiceName + ".Submit", damsonwinch.Jobs.Submit}
+	show    = method{ServiceName + ".Show", damsonwinch.Jobs.Show}
+	cancel  = method{ServiceName + ".Cancel", damsonwinch.Jobs.Cancel}
+	pending = method{ServiceName + ".Pending", damsonwinch.Jobs.Pending}
 )
 
 // Submit implements damsonwinch.Jobs.
@@ -155,6 +162,20 @@
 	return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: err.Error()}, call.MaySent(err)
 }
 
+// Sync brings the fleet planner's call to the owner of a cell, with one try.
+func (r *Router) Sync(ctx context.Context, args wire.SyncArgs) (wire.SyncReply, error) {
+	if local, here := r.deps.Cells.Local(args.Cell); here {
+		return local.Sync(ctx, args), nil
+	}
+	claim, known := r.deps.Cells.View().Owner(args.Cell)
+	if !known {
+		return wire.SyncReply{}, nil
+	}
+	var reply wire.SyncReply
+	err := r.peer(claim.Address).Do(ctx, ServiceName+".Sync", args, &reply)
+	return reply, err
+}
+
 func (r *Router) peer(address string) *call.Client {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -4,12 +4,11 @@
 	"context"
 	"time"
 
-	"damsonwinch"
 	"damsonwinch/pkg/wire"
 )
 
-// ServiceName is the name of the calls on jobs between nodes.
-const ServiceName = "Jobs"
+// ServiceName is the name of the calls on cells between nodes.
+const ServiceName = "Cells"
 
 // serviceTimeout bounds a call of another node, whose own deadline net/rpc does
 // not carry: no client of the users waits longer.
@@ -48,6 +47,16 @@
 	return s.answer(pending, args, reply)
 }
 
+// Sync answers the fleet planner.
+func (s *Service) Sync(args wire.SyncArgs, reply *wire.SyncReply) error {
+	ctx, cancel := context.WithTimeout(s.context, serviceTimeout)
+	defer cancel()
+	if local, here := s.cells.Local(args.Cell); here {
+		*reply = local.Sync(ctx, args)
+	}
+	return nil
+}
+
 func (s *Service) answer(m method, args wire.JobArgs, reply *wire.JobReply) error {
 	ctx, cancel := context.WithTimeout(s.context, serviceTimeout)
 	defer cancel()
@@ -59,5 +68,3 @@
 	*reply = m.local(local, ctx, args)
 	return nil
 }
-
-var _ damsonwinch.Jobs = (*Router)(nil)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -21,6 +21,8 @@
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/owner"
 	"damsonwinch/pkg/ownership"
+	"damsonwinch/pkg/planner"
+	"damsonwinch/pkg/supply"
 )
 
 // Platform is what a node needs of the platform's adapter.
@@ -37,6 +39,8 @@
 	EndpointStream damsonwinch.Stream
 	// DecodeEndpoint reads one of them; without a pool, it has gone.
 	DecodeEndpoint func(damsonwinch.Record) (damsonwinch.Endpoint, error)
+	// WaveReport returns the record that tells the operator of a wave.
+	WaveReport func(wave int, completed bool) (damsonwinch.Stream, damsonwinch.Record)
 }
 
 // Deps are what a node works with.
@@ -56,6 +60,7 @@
 type Options struct {
 	Self       ownership.Member
 	Cells      cell.Options
+	Supply     supply.Options
 	TTL        time.Duration
 	Partitions int
 	FirstStart bool
@@ -73,8 +78,8 @@
 	ctx       context.Context // Ends with the node's tasks.
 	cancel    context.CancelFunc
 	view      atomic.Pointer[ownership.View]
-	// owners is replaced whole by the node's task and read by all calls.
-	owners atomic.Pointer[map[string]*owner.Owner]
+	// holdings is replaced whole by the node's task and read by all calls.
+	holdings atomic.Pointer[map[string]holding]
 	// version is that of the configuration in force, 0 before the first.
 	version atomic.Int64
 	state   state
@@ -84,6 +89,7 @@
 type state struct {
 	configuration damsonwinch.Configuration
 	endpoints     map[string]damsonwinch.Endpoint
+	waves         map[int]damsonwinch.Wave
 	// ended holds, by cell, the claim whose owner has ended by itself; it is not
 	// to be owned by that claim again.
 	ended    map[string]int
@@ -98,11 +104,11 @@
 		records  []damsonwinch.Record
 		snapshot bool
 	}
-	ownerEnded struct {
-		cell  string
-		owner *owner.Owner
+	holdingEnded struct {
+		cell string
+		held holding
 	}
-	stopOwners struct{ done chan<- struct{} }
+	stopHoldings struct{ done chan<- struct{} }
 )
 
 // inboxSize lets the feeds go on while the task is at work.
@@ -114,10 +120,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n := &Node{
 		deps: deps, options: options, inbox: make(chan any, inboxSize), group: group, ctx: ctx, cancel: cancel,
-		state: state{endpoints: map[string]damsonwinch.Endpoint{}, ended: map[string]int{}},
+		state: state{endpoints: map[string]damsonwinch.Endpoint{}, ended: map[string]int{}, waves: map[int]damsonwinch.Wave{}},
 	}
 	n.view.Store(&ownership.View{})
-	n.owners.Store(&map[string]*owner.Owner{})
+	n.holdings.Store(&map[string]holding{})
 	n.router = intake.New(intake.Deps{Cells: n, Dial: deps.Dial, Clock: deps.Clock, Metrics: deps.Metrics})
 	calls, err := call.Serve(deps.CallListener, intake.ServiceName, intake.NewService(ctx, n))
 	if err != nil {
@@ -157,8 +163,8 @@
 }
 
 // Local implements intake.Cells.
-func (n *Node) Local(cell string) (damsonwinch.Jobs, bool) {
-	found, here := (*n.owners.Load())[cell]
+func (n *Node) Local(cell string) (intake.CellOwner, bool) {
+	found, here := (*n.holdings.Load())[cell].(intake.CellOwner)
 	return found, here
 }
 
@@ -188,7 +194,7 @@
 func (n *Node) Stop(ctx context.Context) {
 	n.ownership.Leave(ctx)
 	done := make(chan struct{})
-	n.send(stopOwners{done: done})
+	n.send(stopHoldings{done: done})
 	select {
 	case <-done:
 	case <-ctx.Done():
@@ -199,7 +205,7 @@
 func (n *Node) Close() error {
 	n.cancel()
 	err := n.group.Wait()
-	for _, held := range *n.owners.Load() {
+	for _, held := range *n.holdings.Load() {
 		err = errors.Join(err, held.Close())
 	}
 	err = errors.Join(err, n.ownership.Close())
@@ -218,7 +224,7 @@
 		case m := <-n.inbox:
 			n.take(m)
 		case <-ticker.Chan():
-			n.manageOwners()
+			n.manageHoldings()
 		}
 	}
 }
@@ -226,25 +232,25 @@
 func (n *Node) take(m any) {
 	switch m := m.(type) {
 	case viewChanged:
-		n.manageOwners()
+		n.manageHoldings()
 	case operatorRecords:
 		n.takeOperator(m.records)
 	case endpointRecords:
 		n.takeEndpoints(m)
-	case ownerEnded:
-		n.removeOwner(m.cell, m.owner)
-		n.manageOwners()
-	case stopOwners:
+	case holdingEnded:
+		n.removeHolding(m.cell, m.held)
+		n.manageHoldings()
+	case stopHoldings:
 		n.state.stopping = true
-		n.manageOwners()
+		n.manageHoldings()
 		close(m.done)
 	}
 }
 
 func (n *Node) followOperator() error {
-	// Configurations must be in force within two seconds; waiting costs nothing
-	// while there are none.
-	const wait = 10 * time.Second
+	// Configurations must be in force within two seconds, also where an answer is
+	// lost and the reading has to be given up.
+	const wait = 600 * time.Millisecond
 	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
 		Stream: n.deps.Platform.OperatorStream, Wait: wait,
 		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(operatorRecords{records}) },
@@ -273,29 +279,54 @@
 // stream is read anew.
 func (n *Node) takeOperator(records []damsonwinch.Record) {
 	for _, record := range records {
-		configuration, _, err := n.deps.Platform.DecodeOperator(record)
+		configuration, wave, err := n.deps.Platform.DecodeOperator(record)
 		if err != nil {
 			n.deps.Logger.WithError(err).Error("operator's record not understood")
 			continue
 		}
-		if configuration == nil || configuration.Version <= n.state.configuration.Version {
-			continue
+		if configuration != nil && configuration.Version > n.state.configuration.Version {
+			n.configure(*configuration)
+		}
+		if wave != nil {
+			n.takeWave(*wave)
 		}
-		n.state.configuration = *configuration
-		n.version.Store(int64(configuration.Version))
-		n.deps.Logger.WithFields(logrus.Fields{"version": configuration.Version, "queues": len(configuration.Queues)}).Info("configuration in force")
-		n.deps.Configured(*configuration)
-		n.ownership.Want(cellsOf(*configuration))
-		for _, held := range *n.owners.Load() {
+	}
+}
+
+// configure puts a configuration in force on this node.
+func (n *Node) configure(configuration damsonwinch.Configuration) {
+	n.state.configuration = configuration
+	n.version.Store(int64(configuration.Version))
+	n.deps.Logger.WithFields(logrus.Fields{"version": configuration.Version, "queues": len(configuration.Queues)}).Info("configuration in force")
+	n.deps.Configured(configuration)
+	n.ownership.Want(cellsOf(configuration))
+	for _, held := range *n.holdings.Load() {
+		switch held := held.(type) {
+		case *owner.Owner:
 			held.Configure(configuration.Queues)
+		case *planner.Planner:
+			held.Configure(configuration.Pools)
 		}
 	}
 }
 
-// cellsOf returns the cells that a configuration needs: the pools whose boxes
-// run.
+// takeWave passes a wave on to the planner, if that is here.
+func (n *Node) takeWave(wave damsonwinch.Wave) {
+	n.state.waves[wave.Number] = wave
+	n.deps.Logger.WithFields(logrus.Fields{"wave": wave.Number, "boxes": len(wave.Boxes), "most_down": wave.MostDown, "duration": wave.Duration.String()}).Info("wave asked for")
+	if planning, here := (*n.holdings.Load())[fleetCell].(*planner.Planner); here {
+		planning.SetWave(wave)
+	}
+}
+
+// fleetCell is the cell whose owner plans for all boxes. No pool can have its
+// name, which is none that the operator's names allow.
+const fleetCell = "@fleet"
+
+// cellsOf returns the cells that a configuration needs: the fleet's and the pools
+// whose boxes run.
 func cellsOf(configuration damsonwinch.Configuration) []string {
-	var cells []string
+	cells := []string{fleetCell}
 	for _, pool := range configuration.Pools {
 		if !pool.Parking {
 			cells = append(cells, pool.Name)
@@ -325,8 +356,10 @@
 	if !changed {
 		return
 	}
-	for name, held := range *n.owners.Load() {
-		held.SetEndpoints(n.endpointsOf(name))
+	for name, held := range *n.holdings.Load() {
+		if cellOwner, isOwner := held.(*owner.Owner); isOwner {
+			cellOwner.SetEndpoints(n.endpointsOf(name))
+		}
 	}
 }
 
@@ -350,68 +383,3 @@
 	})
 	return found
 }
-
-// manageOwners starts and ends owners so that they are those of the claims.
-func (n *Node) manageOwners() {
-	view := n.View()
-	held := *n.owners.Load()
-	next := make(map[string]*owner.Owner, len(held))
-	for name, running := range held {
-		if claim, known := view.Claims[name]; known && claim.HeldBy(n.options.Self) && claim.Token == running.Token() && !n.state.stopping {
-			next[name] = running
-			continue
-		}
-		n.closeOwner(name, running)
-	}
-	for name, claim := range view.Claims {
-		if next[name] == nil && claim.HeldBy(n.options.Self) && !n.state.stopping && n.state.ended[name] != claim.Token {
-			next[name] = n.startOwner(claim)
-		}
-	}
-	n.owners.Store(&next)
-}
-
-func (n *Node) closeOwner(name string, running *owner.Owner) {
-	n.deps.Logger.WithField("cell", name).Info("cell given up")
-	n.group.Go(func() error {
-		if err := running.Close(); err != nil {
-			n.deps.Logger.WithError(err).WithField("cell", name).Warn("owner ended")
-		}
-		return nil
-	})
-}
-
-func (n *Node) startOwner(claim ownership.Claim) *owner.Owner {
-	started := owner.New(owner.Deps{
-		Store: n.deps.Platform.Store, Endpoints: n.deps.Platform.Endpoints, Fleet: n.deps.Platform.Fleet, Clock: n.deps.Clock,
-		Logger: n.deps.Logger.WithField("cell", claim.Cell), Metrics: n.deps.Metrics,
-	}, owner.Options{
-		Cell: claim.Cell, Stream: damsonwinch.Stream{Topic: ownership.CellTopic, Partition: claim.Partition}, Token: claim.Token, Cells: n.options.Cells,
-	})
-	started.Configure(n.state.configuration.Queues)
-	started.SetEndpoints(n.endpointsOf(claim.Cell))
-	n.group.Go(func() error {
-		<-started.Done()
-		n.send(ownerEnded{cell: claim.Cell, owner: started})
-		return nil
-	})
-	return started
-}
-
-// removeOwner takes away an owner that has ended by itself. Its claim is of no use
-// any more.
-func (n *Node) removeOwner(name string, ended *owner.Owner) {
-	held := *n.owners.Load()
-	if held[name] != ended {
-		return
-	}
-	next := make(map[string]*owner.Owner, len(held))
-	for other, running := range held {
-		if running != ended {
-			next[other] = running
-		}
-	}
-	n.owners.Store(&next)
-	n.state.ended[name] = ended.Token()
-	n.ownership.Renounce(name, ended.Token())
-}
--- a/pkg/owner/calls.go
+++ b/pkg/owner/calls.go
@@ -32,6 +32,31 @@
 	return o.Show(ctx, args)
 }
 
+// Sync takes the fleet planner's wishes and tells how the cell is. A reply that is
+// not known comes from an owner that can't tell.
+func (o *Owner) Sync(ctx context.Context, args wire.SyncArgs) wire.SyncReply {
+	select {
+	case <-o.ready:
+	default:
+		return wire.SyncReply{}
+	}
+	reply := make(chan wire.SyncReply, 1)
+	select {
+	case o.inbox <- syncCall{args: args, reply: reply}:
+	case <-ctx.Done():
+		return wire.SyncReply{}
+	case <-o.done:
+		return wire.SyncReply{}
+	}
+	select {
+	case got := <-reply:
+		return got
+	case <-ctx.Done():
+	case <-o.done:
+	}
+	return wire.SyncReply{}
+}
+
 // ask gives the owner a message and waits for the reply. A message that the owner
 // hasn't taken has done nothing.
 func (o *Owner) ask(ctx context.Context, m message, reply <-chan wire.JobReply) wire.JobReply {
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -82,6 +82,22 @@
 	o.cell.Submit(now, m.args, o.ticket)
 }
 
+// syncCall is the fleet planner's call.
+type syncCall struct {
+	args  wire.SyncArgs
+	reply chan<- wire.SyncReply
+}
+
+func (m syncCall) apply(o *Owner, now time.Time) {
+	if m.args.Token < o.plannerToken {
+		m.reply <- wire.SyncReply{}
+		return
+	}
+	o.plannerToken = m.args.Token
+	o.cell.Withdraw(now, m.args)
+	m.reply <- o.cell.Report(now)
+}
+
 // question is a client's call that changes nothing.
 type question struct {
 	args  wire.JobArgs
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -55,8 +55,10 @@
 	ticket int
 	// sequence numbers the appends of this epoch.
 	sequence int
-	boxesAt  time.Time
-	boxesOut bool
+	// plannerToken is the epoch of the newest fleet planner heard of.
+	plannerToken int
+	boxesAt      time.Time
+	boxesOut     bool
 	// ready is closed once the cell's state has been loaded.
 	ready chan struct{}
 	done  chan struct{}
--- /dev/null
+++ b/pkg/planner/planner.go
@@ -0,0 +1,372 @@
+// Package planner runs the fleet planner: the task of the one node that owns the
+// fleet's cell. It asks the owners of all cells how they are, lets pkg/supply
+// decide, records each order and gives it.
+package planner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"damsonwinch"
+	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/metrics"
+	"damsonwinch/pkg/supply"
+	"damsonwinch/pkg/wire"
+)
+
+// Times of the planner.
+const (
+	// round is the time between two plans: demand changes within a second.
+	round = 200 * time.Millisecond
+	// boxesEvery is the time between two readings of the list of boxes.
+	boxesEvery = 400 * time.Millisecond
+	// callTimeout bounds a call to a cell's owner or the control of boxes.
+	callTimeout = 800 * time.Millisecond
+	inboxSize   = 64
+)
+
+// Deps are what a planner works with.
+type Deps struct {
+	Store   damsonwinch.Store
+	Fleet   damsonwinch.Fleet
+	Clock   damsonwinch.Clock
+	Logger  logrus.FieldLogger
+	Metrics *metrics.Set
+	// Sync asks the owner of a cell.
+	Sync func(ctx context.Context, args wire.SyncArgs) (wire.SyncReply, error)
+	// WaveReport returns the record that tells the operator of a wave.
+	WaveReport func(wave int, completed bool) (damsonwinch.Stream, damsonwinch.Record)
+}
+
+// Options say who plans.
+type Options struct {
+	Node   string
+	Cell   string
+	Stream damsonwinch.Stream
+	Token  int
+	Supply supply.Options
+}
+
+// Planner is the running task.
+type Planner struct {
+	deps     Deps
+	options  Options
+	supply   *supply.Planner
+	inbox    chan any
+	group    *errgroup.Group
+	ctx      context.Context // Ends with the task.
+	cancel   context.CancelFunc
+	done     chan struct{}
+	sequence int
+	pools    []damsonwinch.Pool
+	syncing  map[string]bool
+	boxesAt  time.Time
+	boxesOut bool
+	boxesIn  bool
+	// pending are records that wait for the append on its way.
+	pending   []damsonwinch.Record
+	afterward []supply.Order
+	appending bool
+	telling   map[int]bool
+}
+
+// Messages to the task.
+type (
+	configured struct{ pools []damsonwinch.Pool }
+	waveWanted struct{ wave damsonwinch.Wave }
+	synced     struct {
+		cell  string
+		reply wire.SyncReply
+		err   error
+	}
+	boxesListed struct {
+		boxes   []damsonwinch.Box
+		askedAt time.Time
+		err     error
+	}
+	appended struct {
+		orders []supply.Order
+		err    error
+	}
+	ordered struct {
+		order supply.Order
+		err   error
+	}
+	told struct {
+		wave      int
+		completed bool
+		err       error
+	}
+)
+
+// New starts to plan.
+func New(deps Deps, options Options) *Planner {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	p := &Planner{
+		deps: deps, options: options, supply: supply.New(options.Supply), inbox: make(chan any, inboxSize),
+		group: group, ctx: ctx, cancel: cancel, done: make(chan struct{}), syncing: map[string]bool{}, telling: map[int]bool{},
+	}
+	group.Go(p.run)
+	return p
+}
+
+// Done is closed once the planner has ended, by itself or not.
+func (p *Planner) Done() <-chan struct{} {
+	return p.done
+}
+
+// Token returns the epoch by which the fleet's cell is owned.
+func (p *Planner) Token() int {
+	return p.options.Token
+}
+
+// Close ends the planner and waits for its calls.
+func (p *Planner) Close() error {
+	p.cancel()
+	if err := p.group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// Configure tells the planner the pools in force.
+func (p *Planner) Configure(pools []damsonwinch.Pool) {
+	p.send(configured{pools: pools})
+}
+
+// SetWave tells the planner of a wave.
+func (p *Planner) SetWave(wave damsonwinch.Wave) {
+	p.send(waveWanted{wave: wave})
+}
+
+func (p *Planner) send(m any) {
+	select {
+	case p.inbox <- m:
+	case <-p.ctx.Done():
+	}
+}
+
+func (p *Planner) run() error {
+	defer close(p.done)
+	defer p.cancel()
+	if err := p.takeOver(); err != nil {
+		p.deps.Logger.WithError(err).Warn("planning not taken over")
+		return err
+	}
+	ticker := p.deps.Clock.NewTicker(round)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return p.ctx.Err()
+		case m := <-p.inbox:
+			if err := p.take(m); err != nil {
+				p.deps.Logger.WithError(err).Warn("planning lost")
+				return err
+			}
+		case <-ticker.Chan():
+			p.plan()
+		}
+	}
+}
+
+// takeOver keeps earlier planners out of the stream and loads what they recorded.
+func (p *Planner) takeOver() error {
+	if err := p.insist(func(ctx context.Context) error {
+		_, err := p.deps.Store.Append(ctx, p.options.Stream, nil, p.fence())
+		return err
+	}); err != nil {
+		return err
+	}
+	var records []damsonwinch.Record
+	if err := p.insist(func(ctx context.Context) error {
+		var err error
+		records, _, err = feed.Newest(ctx, p.deps.Store, p.options.Stream)
+		return err
+	}); err != nil {
+		return err
+	}
+	for _, record := range records {
+		if err := p.recall(record); err != nil {
+			return err
+		}
+	}
+	p.deps.Logger.WithFields(logrus.Fields{"token": p.options.Token, "records": len(records)}).Info("planning taken over")
+	return nil
+}
+
+func (p *Planner) fence() damsonwinch.Fence {
+	return damsonwinch.Fence{Producer: p.options.Cell, Epoch: p.options.Token, Sequence: p.sequence}
+}
+
+// insist repeats a call to the store until it is done or a newer planner is there.
+func (p *Planner) insist(call func(ctx context.Context) error) error {
+	for {
+		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+		err := call(ctx)
+		cancel()
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, damsonwinch.ErrFenced), errors.Is(err, damsonwinch.ErrSequence):
+			return err
+		case p.ctx.Err() != nil:
+			return p.ctx.Err()
+		}
+		timer := p.deps.Clock.NewTimer(round)
+		select {
+		case <-p.ctx.Done():
+		case <-timer.Chan():
+		}
+		timer.Stop()
+	}
+}
+
+func (p *Planner) take(m any) error {
+	now := p.deps.Clock.Now()
+	switch m := m.(type) {
+	case configured:
+		p.pools = m.pools
+		p.supply.SetPools(m.pools)
+	case waveWanted:
+		p.supply.SetWave(now, m.wave)
+	case synced:
+		delete(p.syncing, m.cell)
+		if m.err == nil {
+			p.supply.SetReport(now, m.cell, m.reply)
+		}
+	case boxesListed:
+		p.boxesOut = false
+		if m.err != nil {
+			p.deps.Logger.WithError(m.err).Warn("list of boxes not read")
+			return nil
+		}
+		p.boxesIn = true
+		p.supply.SetBoxes(m.askedAt, m.boxes)
+	case appended:
+		return p.recorded(m)
+	case ordered:
+		p.takeOrdered(now, m)
+	case told:
+		delete(p.telling, m.wave)
+		if m.err == nil {
+			p.supply.Told(m.wave, m.completed)
+		}
+	}
+	return nil
+}
+
+func (p *Planner) takeOrdered(now time.Time, m ordered) {
+	fields := logrus.Fields{"box": m.order.Box, "pool": m.order.Pool, "wave": m.order.Wave}
+	if m.err != nil {
+		p.deps.Logger.WithError(m.err).WithFields(fields).Warn("order on box not carried out")
+	}
+	p.supply.Ordered(now, m.order, m.err)
+	if errors.Is(m.err, damsonwinch.ErrOldToken) {
+		p.deps.Logger.Warn("planning lost: a newer planner has ordered")
+		p.cancel()
+	}
+}
+
+// plan makes the calls that are due and decides.
+func (p *Planner) plan() {
+	now := p.deps.Clock.Now()
+	if !p.boxesOut && now.Sub(p.boxesAt) >= boxesEvery {
+		p.boxesOut, p.boxesAt = true, now
+		p.readBoxes(now)
+	}
+	if p.boxesIn {
+		for _, order := range p.supply.Plan(now) {
+			p.record(order, now)
+		}
+		p.flush()
+		p.tell()
+	}
+	for _, pool := range p.pools {
+		if !pool.Parking && !p.syncing[pool.Name] {
+			p.syncing[pool.Name] = true
+			p.sync(pool.Name)
+		}
+	}
+}
+
+func (p *Planner) readBoxes(now time.Time) {
+	p.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+		defer cancel()
+		boxes, err := p.deps.Fleet.Boxes(ctx)
+		p.send(boxesListed{boxes: boxes, askedAt: now, err: err})
+		return nil
+	})
+}
+
+func (p *Planner) sync(cell string) {
+	wishes := p.supply.Wishes(cell)
+	args := wire.SyncArgs{Cell: cell, Token: p.options.Token, Withdraw: wishes.Withdraw, Hurry: wishes.Hurry, Restore: wishes.Restore}
+	p.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+		defer cancel()
+		reply, err := p.deps.Sync(ctx, args)
+		p.send(synced{cell: cell, reply: reply, err: err})
+		return nil
+	})
+}
+
+// order gives a recorded order.
+func (p *Planner) order(order supply.Order) {
+	p.deps.Logger.WithFields(logrus.Fields{"box": order.Box, "pool": order.Pool, "wave": order.Wave, "why": order.Cause}).Info("order on box")
+	holder := damsonwinch.Holder{Node: p.options.Node, Token: p.options.Token}
+	p.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+		defer cancel()
+		var err error
+		if order.Pool == "" {
+			err = p.deps.Fleet.Maintain(ctx, holder, order.Box, order.Wave)
+		} else {
+			err = p.deps.Fleet.Move(ctx, holder, order.Box, order.Pool)
+		}
+		p.send(ordered{order: order, err: err})
+		return nil
+	})
+}
+
+// tell tells the operator how far the waves are.
+func (p *Planner) tell() {
+	for _, report := range p.supply.Reports() {
+		if p.telling[report.Wave] {
+			continue
+		}
+		p.telling[report.Wave] = true
+		p.group.Go(func() error {
+			stream, record := p.deps.WaveReport(report.Wave, report.Completed)
+			ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
+			defer cancel()
+			_, err := p.deps.Store.Append(ctx, stream, []damsonwinch.Record{record}, damsonwinch.Fence{})
+			p.send(told{wave: report.Wave, completed: report.Completed, err: err})
+			return nil
+		})
+	}
+}
+
+// Keys of the planner's stream.
+const (
+	orderPrefix = "order/"
+	wavePrefix  = "wave/"
+)
+
+func (p *Planner) recall(record damsonwinch.Record) error {
+	switch {
+	case strings.HasPrefix(record.Key, orderPrefix):
+		return p.recallOrder(record)
+	case strings.HasPrefix(record.Key, wavePrefix):
+		return p.recallWave(record)
+	}
+	return fmt.Errorf("record %s of the planner's stream is unknown", record.Key)
+}
--- /dev/null
+++ b/pkg/planner/records.go
@@ -0,0 +1,84 @@
+package planner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/supply"
+	"damsonwinch/pkg/wire"
+)
+
+func (p *Planner) recallOrder(record damsonwinch.Record) error {
+	var order wire.OrderRecord
+	if err := json.Unmarshal(record.Value, &order); err != nil {
+		return fmt.Errorf("read %s: %w", record.Key, err)
+	}
+	p.supply.Recall(order)
+	return nil
+}
+
+func (p *Planner) recallWave(record damsonwinch.Record) error {
+	var wave wire.WaveRecord
+	if err := json.Unmarshal(record.Value, &wave); err != nil {
+		return fmt.Errorf("read %s: %w", record.Key, err)
+	}
+	p.supply.RecallWave(p.deps.Clock.Now(), wave)
+	return nil
+}
+
+// record puts an order, and the progress of its wave, among the records to be
+// appended before it is given.
+func (p *Planner) record(order supply.Order, now time.Time) {
+	p.add(orderPrefix+order.Box, wire.OrderRecord{
+		Box: order.Box, Pool: order.Pool, Wave: order.Wave, AtMs: int(now.UnixMilli()), Cause: order.Cause,
+	})
+	if order.Wave > 0 {
+		p.add(wavePrefix+strconv.Itoa(order.Wave), p.supply.WaveRecord(order.Wave))
+	}
+	p.afterward = append(p.afterward, order)
+}
+
+func (p *Planner) add(key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		p.deps.Logger.WithError(err).WithField("key", key).Error("record not encoded")
+		return
+	}
+	p.pending = append(p.pending, damsonwinch.Record{Key: key, Value: text})
+}
+
+// flush begins the next append, unless one is on its way.
+func (p *Planner) flush() {
+	if p.appending || len(p.afterward) == 0 {
+		return
+	}
+	p.appending = true
+	p.sequence++
+	records, orders, fence := p.pending, p.afterward, p.fence()
+	p.pending, p.afterward = nil, nil
+	p.group.Go(func() error {
+		err := p.insist(func(ctx context.Context) error {
+			_, err := p.deps.Store.Append(ctx, p.options.Stream, records, fence)
+			return err
+		})
+		p.send(appended{orders: orders, err: err})
+		return nil
+	})
+}
+
+// recorded gives the orders whose records are in the stream.
+func (p *Planner) recorded(m appended) error {
+	p.appending = false
+	if m.err != nil {
+		return m.err
+	}
+	for _, order := range m.orders {
+		p.order(order)
+	}
+	p.flush()
+	return nil
+}
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -17,6 +17,7 @@
 	"damsonwinch/pkg/node"
 	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/supply"
 	"damsonwinch/platform"
 )
 
@@ -37,6 +38,9 @@
 	lookWait  = time.Second
 	idleLook  = 2 * time.Second
 	retryLook = 300 * time.Millisecond
+	// poolHold is how long a pool keeps boxes that it no longer needs. A move costs
+	// about as much as a second of a box.
+	poolHold = 1500 * time.Millisecond
 )
 
 // clientIdleTime is how long a client's idle connection is kept.
@@ -73,6 +77,7 @@
 			Store: store, Endpoints: endpoints, Fleet: fleet, Advisor: advice,
 			OperatorStream: platform.OperatorStream(), DecodeOperator: decodeOperator,
 			EndpointStream: platform.EndpointStream(), DecodeEndpoint: platform.DecodeEndpoint,
+			WaveReport: platform.WaveReport,
 		},
 		Clock: env.Clock, Dial: env.Dial, Logger: env.Logger, Metrics: set, CallListener: listeners[0],
 		Configured: func(configuration damsonwinch.Configuration) {
@@ -108,12 +113,19 @@
 			MostLease: milliseconds(bounds.LeaseMostMs), TokenGrace: tokenGrace, StartLate: startLate, CommitGap: commitGap,
 			LookWait: lookWait, IdleLook: idleLook, RetryLook: retryLook, KeepEnded: time.Duration(bounds.KeepEndedS) * time.Second,
 		},
+		Supply: supply.Options{
+			MoveTime: seconds(bounds.MoveS), MaintainTime: seconds(bounds.MaintainS), Hold: poolHold, HolderGap: milliseconds(bounds.HolderMs),
+		},
 		TTL:        milliseconds(orUsual(config.GroupTtlMs, usualTTLMs)),
 		Partitions: orUsual(config.Partitions, usualPartitions),
 		FirstStart: config.FirstStart,
 	}
 }
 
+func seconds(count float64) time.Duration {
+	return time.Duration(count * float64(time.Second))
+}
+
 func milliseconds(count int) time.Duration {
 	return time.Duration(count) * time.Millisecond
 }
--- /dev/null
+++ b/pkg/supply/box.go
@@ -0,0 +1,208 @@
+package supply
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// Times of orders on boxes.
+const (
+	// lateOrder is how long an order that was not answered may still take effect,
+	// with a margin: the platform names up to 12 s.
+	lateOrder = 14 * time.Second
+	// orderRetry is the time between two tries of an order.
+	orderRetry = 300 * time.Millisecond
+	// arrival is how long a box that the platform lists as up may take to be
+	// usable in its pool.
+	arrival = 3 * time.Second
+)
+
+// box is a box as the planner knows it.
+type box struct {
+	info   damsonwinch.Box
+	rack   string
+	report *wire.EndpointReport
+	// purpose is why it is being emptied.
+	purpose *purpose
+	// ordered is the order that has been given and not seen done yet.
+	ordered *given
+	// unansweredAt is when an order's answer was lost: it may still take effect.
+	unansweredAt time.Time
+	// orderedAt is when the last order was decided, by this holder or another.
+	orderedAt time.Time
+	// upAt is when it was first seen up as it is now.
+	upAt time.Time
+	// refuses are pools that take other boxes.
+	refuses map[string]bool
+}
+
+// purpose is why a box is being emptied.
+type purpose struct {
+	// pool is where it goes; empty for maintenance where it is.
+	pool  string
+	wave  int
+	since time.Time
+	hurry bool
+	cause string
+}
+
+// given is an order that has been recorded and given.
+type given struct {
+	Order
+	endpoint string
+	at       time.Time
+	answered bool
+	onTheWay bool
+	triedAt  time.Time
+}
+
+// SetBoxes takes the platform's list, as it was at some moment after askedAt.
+func (p *Planner) SetBoxes(askedAt time.Time, listed []damsonwinch.Box) {
+	p.boxesAt = askedAt
+	present := map[string]bool{}
+	for _, info := range listed {
+		present[info.Name] = true
+		b := p.boxes[info.Name]
+		if b == nil {
+			b = &box{refuses: map[string]bool{}}
+			p.boxes[info.Name] = b
+			p.order = append(p.order, b)
+		}
+		if b.info.Endpoint != info.Endpoint || b.info.State != info.State || b.info.Pool != info.Pool {
+			b.upAt = askedAt
+		}
+		if b.info.Endpoint != info.Endpoint || info.State != damsonwinch.BoxUp {
+			b.dropPurpose()
+		}
+		b.info = info
+		b.rack = rackOf(info.Labels)
+		p.settle(b, askedAt)
+	}
+	p.order = slices.DeleteFunc(p.order, func(b *box) bool {
+		if present[b.info.Name] {
+			return false
+		}
+		delete(p.boxes, b.info.Name)
+		return true
+	})
+	slices.SortFunc(p.order, func(a, b *box) int { return cmp.Compare(a.info.Name, b.info.Name) })
+}
+
+// dropPurpose gives up the emptying of a box whose endpoint has ended.
+func (b *box) dropPurpose() {
+	b.purpose = nil
+}
+
+// settle takes note of an order that the list shows as done.
+func (p *Planner) settle(b *box, askedAt time.Time) {
+	g := b.ordered
+	if g == nil || !g.answered || askedAt.Before(g.at) || b.info.State != damsonwinch.BoxUp {
+		return
+	}
+	moved := g.Pool != "" && b.info.Pool == g.Pool
+	maintained := g.Pool == "" && askedAt.Sub(g.at) >= p.options.MaintainTime && (b.info.Endpoint != g.endpoint || b.info.Endpoint == "")
+	if moved || maintained {
+		b.ordered = nil
+	}
+}
+
+// rackOf returns the label that names a rack.
+func rackOf(labels []string) string {
+	for _, label := range labels {
+		if strings.HasPrefix(label, "r") && strings.Contains(label, "-") {
+			return label
+		}
+	}
+	return ""
+}
+
+// free says whether the planner may decide something new about a box.
+func (p *Planner) free(b *box) bool {
+	return b.info.State == damsonwinch.BoxUp && b.ordered == nil && b.purpose == nil &&
+		p.now.Sub(b.unansweredAt) >= lateOrder && p.now.Sub(b.orderedAt) >= p.options.HolderGap
+}
+
+// take begins to empty a box.
+func (p *Planner) take(b *box, why purpose) {
+	why.since = p.now
+	b.purpose = &why
+}
+
+// orderNow gives an order on a box in which nothing runs.
+func (p *Planner) orderNow(b *box, pool string, wave int, cause string) {
+	order := Order{Box: b.info.Name, Pool: pool, Wave: wave, Cause: cause}
+	b.ordered = &given{Order: order, endpoint: b.info.Endpoint, at: p.now, onTheWay: true, triedAt: p.now}
+	b.orderedAt = p.now
+	b.purpose = nil
+	if w := p.waves[wave]; w != nil {
+		w.done[b.info.Name] = true
+	}
+	p.orders = append(p.orders, order)
+}
+
+// orderWithdrawn gives the orders whose boxes are empty, and repeats those that
+// were not answered.
+func (p *Planner) orderWithdrawn() {
+	for _, b := range p.order {
+		switch {
+		case b.purpose != nil && b.report != nil && b.report.Withdrawn:
+			p.orderNow(b, b.purpose.pool, b.purpose.wave, b.purpose.cause)
+		case b.ordered != nil && !b.ordered.answered && !b.ordered.onTheWay && p.now.Sub(b.ordered.triedAt) >= orderRetry:
+			b.ordered.onTheWay, b.ordered.triedAt = true, p.now
+			p.orders = append(p.orders, b.ordered.Order)
+		}
+	}
+}
+
+// Ordered takes the answer to an order.
+func (p *Planner) Ordered(now time.Time, order Order, err error) {
+	b := p.boxes[order.Box]
+	if b == nil || b.ordered == nil || b.ordered.Order != order {
+		return
+	}
+	g := b.ordered
+	g.onTheWay = false
+	switch {
+	case err == nil:
+		g.answered, g.at = true, now
+	case errors.Is(err, damsonwinch.ErrInvalid):
+		b.refuses[order.Pool] = true
+		p.takeBack(b, order)
+	case errors.Is(err, damsonwinch.ErrNotInWave):
+		// The wave has changed; what was noted of it stays so.
+		b.ordered = nil
+	case errors.Is(err, damsonwinch.ErrBoxBusy):
+		p.takeBack(b, order)
+	case errors.Is(err, damsonwinch.ErrRefused), errors.Is(err, damsonwinch.ErrOldToken):
+		// Nothing was done; it is tried again.
+	default:
+		b.unansweredAt = now
+	}
+}
+
+// takeBack forgets an order that had no effect.
+func (p *Planner) takeBack(b *box, order Order) {
+	b.ordered = nil
+	if w := p.waves[order.Wave]; w != nil {
+		delete(w.done, order.Box)
+	}
+}
+
+// Recall takes over an order that an earlier holder recorded.
+func (p *Planner) Recall(record wire.OrderRecord) {
+	b := p.boxes[record.Box]
+	if b == nil {
+		b = &box{info: damsonwinch.Box{Name: record.Box}, refuses: map[string]bool{}}
+		p.boxes[record.Box] = b
+		p.order = append(p.order, b)
+	}
+	b.orderedAt = time.UnixMilli(int64(record.AtMs))
+	// Whether it was answered is not known; it may still take effect.
+	b.unansweredAt = b.orderedAt
+}
--- /dev/null
+++ b/pkg/supply/moves.go
@@ -0,0 +1,177 @@
+package supply
+
+import (
+	"fmt"
+
+	"damsonwinch"
+)
+
+// fillPools brings boxes to pools that need more: parked ones first, then what
+// other pools can spare.
+func (p *Planner) fillPools() {
+	clear(p.waits)
+	for {
+		name, missing := p.shortest()
+		if name == "" {
+			return
+		}
+		cause := fmt.Sprintf("pool %s needs %d boxes and has %d", name, p.pools[name].need, p.pools[name].need-missing)
+		if !p.bring(name, cause) {
+			p.waits[name] = cause + ", and no box can be spared"
+			continue
+		}
+	}
+}
+
+// shortest returns the pool that lacks most, for its size.
+func (p *Planner) shortest() (string, int) {
+	worst, worstMissing, worstShare := "", 0, 0
+	for _, name := range p.names {
+		pool := p.pools[name]
+		if pool.parking || !pool.fresh(p.now) || p.waits[name] != "" {
+			continue
+		}
+		missing := pool.need - p.has(name)
+		if share := missing * wholeBox / max(1, pool.need); missing > 0 && share > worstShare {
+			worst, worstMissing, worstShare = name, missing, share
+		}
+	}
+	return worst, worstMissing
+}
+
+// bring begins to bring one box to a pool.
+func (p *Planner) bring(name, cause string) bool {
+	if p.keep(name) {
+		return true
+	}
+	if b := p.parked(name); b != nil {
+		p.orderNow(b, name, 0, cause)
+		return true
+	}
+	if b := p.spare(name); b != nil {
+		p.take(b, purpose{pool: name, cause: cause})
+		return true
+	}
+	return false
+}
+
+// keep gives up the parking of a box that its pool needs after all.
+func (p *Planner) keep(name string) bool {
+	for _, b := range p.order {
+		if b.info.Pool == name && b.purpose != nil && p.isParking(b.purpose.pool) {
+			b.purpose = nil
+			return true
+		}
+	}
+	return false
+}
+
+// parked returns the parked box that suits a pool best.
+func (p *Planner) parked(name string) *box {
+	parking, exists := p.parkingPool()
+	if !exists {
+		return nil
+	}
+	var found []*box
+	for _, b := range p.order {
+		if b.info.Pool == parking && p.free(b) && !b.refuses[name] {
+			found = append(found, b)
+		}
+	}
+	return first(sortBoxes(found, func(b *box) int {
+		// A box that is due for maintenance is better left where it costs nothing.
+		return p.zoneCount(name, b.info.Zone)*2 + boolInt(p.dueWave(b) != nil)
+	}))
+}
+
+// spare returns a box that another pool can do without, or one that is already
+// being emptied to be parked.
+func (p *Planner) spare(name string) *box {
+	var found []*box
+	for _, b := range p.order {
+		donor := p.pools[b.info.Pool]
+		if donor == nil || donor.name == name || donor.parking || b.refuses[name] {
+			continue
+		}
+		if b.purpose != nil && b.purpose.wave == 0 && p.isParking(b.purpose.pool) && b.info.State == damsonwinch.BoxUp {
+			found = append(found, b)
+			continue
+		}
+		if donor.fresh(p.now) && p.free(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && p.has(donor.name) > donor.need {
+			found = append(found, b)
+		}
+	}
+	return first(sortBoxes(found, func(b *box) int { return p.emptying(b) + p.zoneCount(name, b.info.Zone) }))
+}
+
+func (p *Planner) isParking(name string) bool {
+	known := p.pools[name]
+	return known != nil && known.parking
+}
+
+// emptying estimates what the emptying of a box costs.
+func (p *Planner) emptying(b *box) int {
+	if b.report == nil {
+		return 0
+	}
+	const runCost, lastingCost = 10, 1000
+	return b.report.Runs*runCost + b.report.Lasting*lastingCost
+}
+
+// zoneCount counts a pool's boxes in a zone, so that new ones go where it has
+// least and the loss of a zone costs no pool too much.
+func (p *Planner) zoneCount(name, zone string) int {
+	count := 0
+	for _, b := range p.order {
+		if b.info.Zone == zone && p.serves(b, name) {
+			count++
+		}
+	}
+	return count
+}
+
+// releaseSurplus parks boxes that a pool has not needed for a while.
+func (p *Planner) releaseSurplus() {
+	parking, exists := p.parkingPool()
+	if !exists {
+		return
+	}
+	for _, name := range p.names {
+		pool := p.pools[name]
+		if pool.parking || !pool.fresh(p.now) {
+			continue
+		}
+		for p.has(name) > pool.held() {
+			b := p.idle(name, parking)
+			if b == nil {
+				break
+			}
+			p.take(b, purpose{pool: parking, cause: fmt.Sprintf("pool %s has needed no more than %d boxes", name, pool.held())})
+		}
+	}
+}
+
+// idle returns the box of a pool that is emptied most easily.
+func (p *Planner) idle(name, parking string) *box {
+	var found []*box
+	for _, b := range p.order {
+		if b.info.Pool == name && p.free(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && !b.refuses[parking] {
+			found = append(found, b)
+		}
+	}
+	return first(sortBoxes(found, func(b *box) int { return p.emptying(b) - p.zoneCount(name, b.info.Zone) }))
+}
+
+func first(boxes []*box) *box {
+	if len(boxes) == 0 {
+		return nil
+	}
+	return boxes[0]
+}
+
+func boolInt(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/supply/supply.go
@@ -0,0 +1,178 @@
+// Package supply decides which pool has which boxes and when each is maintained.
+// It is pure: what the cells report, the platform's list of boxes and the waves go
+// in; orders on boxes and wishes to the cells come out. A box is taken only after
+// the owner of its cell has recorded that nothing runs there and nothing will.
+package supply
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// Options are what the planner weighs and how long things take.
+type Options struct {
+	// MoveTime and MaintainTime are what the platform takes.
+	MoveTime     time.Duration
+	MaintainTime time.Duration
+	// Hold is how long a pool keeps boxes after it has needed them last: moves
+	// to and fro cost more than the boxes' time.
+	Hold time.Duration
+	// HolderGap is the time between the orders of two holders for one box.
+	HolderGap time.Duration
+}
+
+// Order is an order on a box.
+type Order struct {
+	Box string
+	// Pool is where it moves to; empty for maintenance.
+	Pool string
+	// Wave is what it is maintained for.
+	Wave  int
+	Cause string
+}
+
+// Wishes are what the planner wants of one cell's endpoints.
+type Wishes struct {
+	Withdraw []string
+	Hurry    []string
+	Restore  []string
+}
+
+// Planner keeps what it has decided until that is done.
+type Planner struct {
+	options Options
+	now     time.Time
+	pools   map[string]*pool
+	names   []string
+	boxes   map[string]*box
+	order   []*box
+	waves   map[int]*wave
+	// boxesAt is when the list of boxes was asked for.
+	boxesAt time.Time
+	orders  []Order
+	waits   map[string]string
+}
+
+// New returns a planner that knows nothing yet.
+func New(options Options) *Planner {
+	return &Planner{options: options, pools: map[string]*pool{}, boxes: map[string]*box{}, waves: map[int]*wave{}, waits: map[string]string{}}
+}
+
+// SetPools takes the pools of the configuration in force.
+func (p *Planner) SetPools(pools []damsonwinch.Pool) {
+	known := map[string]*pool{}
+	p.names = p.names[:0]
+	for _, listed := range pools {
+		kept := p.pools[listed.Name]
+		if kept == nil {
+			kept = &pool{name: listed.Name}
+		}
+		kept.parking = listed.Parking
+		known[listed.Name] = kept
+		p.names = append(p.names, listed.Name)
+	}
+	slices.Sort(p.names)
+	p.pools = known
+}
+
+// SetReport takes how a cell is. A cell that can't be asked has no report.
+func (p *Planner) SetReport(now time.Time, name string, report wire.SyncReply) {
+	if known := p.pools[name]; known != nil {
+		known.report, known.reportedAt = report, now
+		known.learnNeed(now, p.options.Hold, p.wholeBoxCPU(name))
+	}
+}
+
+// Plan decides what is to be done now.
+func (p *Planner) Plan(now time.Time) []Order {
+	p.now = now
+	p.orders = nil
+	p.readReports()
+	p.maintain()
+	p.fillPools()
+	p.releaseSurplus()
+	p.orderWithdrawn()
+	return p.orders
+}
+
+// Wishes returns what is wanted of a pool's endpoints.
+func (p *Planner) Wishes(name string) Wishes {
+	var wishes Wishes
+	for _, b := range p.order {
+		if b.info.Pool != name || b.info.Endpoint == "" {
+			continue
+		}
+		switch {
+		case b.purpose != nil && b.purpose.hurry:
+			wishes.Hurry = append(wishes.Hurry, b.info.Endpoint)
+		case b.purpose != nil:
+			wishes.Withdraw = append(wishes.Withdraw, b.info.Endpoint)
+		case b.report != nil && b.report.Withdrawn && b.ordered == nil:
+			wishes.Restore = append(wishes.Restore, b.info.Endpoint)
+		}
+	}
+	return wishes
+}
+
+// Waits says what is wanted and can't be done now, for operators.
+func (p *Planner) Waits() map[string]string {
+	return p.waits
+}
+
+// readReports ties the cells' reports to the boxes.
+func (p *Planner) readReports() {
+	for _, b := range p.order {
+		b.report = nil
+	}
+	for _, name := range p.names {
+		known := p.pools[name]
+		if !known.fresh(p.now) {
+			continue
+		}
+		for at := range known.report.Endpoints {
+			entry := &known.report.Endpoints[at]
+			if b := p.boxes[entry.Box]; b != nil && b.info.Endpoint == entry.Endpoint {
+				b.report = entry
+			}
+		}
+	}
+}
+
+// parkingPool returns the pool whose boxes are off, if there is one.
+func (p *Planner) parkingPool() (string, bool) {
+	for _, name := range p.names {
+		if p.pools[name].parking {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+// wholeBoxCPU returns the processor room of a pool's usual box.
+func (p *Planner) wholeBoxCPU(name string) int {
+	most := 0
+	for _, b := range p.order {
+		if b.info.Pool == name {
+			most = max(most, b.info.Capacity.CPU)
+		}
+	}
+	if most > 0 {
+		return most
+	}
+	for _, b := range p.order {
+		most = max(most, b.info.Capacity.CPU)
+	}
+	return most
+}
+
+// sortBoxes returns boxes in order of a cost, equal ones by their names.
+func sortBoxes(boxes []*box, cost func(b *box) int) []*box {
+	slices.SortStableFunc(boxes, func(a, b *box) int {
+		return cmp.Or(cmp.Compare(cost(a), cost(b)), cmp.Compare(a.info.Name, b.info.Name))
+	})
+	return boxes
+}
--- /dev/null
+++ b/pkg/supply/waves.go
@@ -0,0 +1,202 @@
+package supply
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// Rules of waves.
+const (
+	// waveShare is the part of a wave's time in which it is planned to be done, in
+	// percent; the rest is for what goes wrong.
+	waveShare = 75
+	// hurryShare is the part after which tasks are stopped to empty a box, in
+	// percent.
+	hurryShare = 45
+	// emptyingTime is what the emptying of a box takes, about: tasks last up to a
+	// few seconds.
+	emptyingTime = 2500 * time.Millisecond
+)
+
+// wave is an operator's request as the planner carries it out.
+type wave struct {
+	damsonwinch.Wave
+	begunAt time.Time
+	// done holds the boxes whose maintenance has been ordered.
+	done map[string]bool
+	// told is what the operator has been told: whether it is completed.
+	told      bool
+	completed bool
+}
+
+// SetWave takes a wave. One that is known already keeps its progress.
+func (p *Planner) SetWave(now time.Time, request damsonwinch.Wave) {
+	if known := p.waves[request.Number]; known != nil {
+		known.Wave = request
+		return
+	}
+	p.waves[request.Number] = &wave{Wave: request, begunAt: now, done: map[string]bool{}}
+}
+
+// RecallWave takes over what an earlier holder recorded of a wave.
+func (p *Planner) RecallWave(now time.Time, record wire.WaveRecord) {
+	w := p.waves[record.Wave]
+	if w == nil {
+		w = &wave{Wave: damsonwinch.Wave{Number: record.Wave}, begunAt: now, done: map[string]bool{}}
+		p.waves[record.Wave] = w
+	}
+	if record.BegunMs > 0 {
+		w.begunAt = time.UnixMilli(int64(record.BegunMs))
+	}
+	for _, name := range record.Done {
+		w.done[name] = true
+	}
+	w.completed, w.told = record.Completed, record.Completed
+}
+
+// WaveRecord returns the progress of a wave, for the planner's stream.
+func (p *Planner) WaveRecord(number int) wire.WaveRecord {
+	w := p.waves[number]
+	if w == nil {
+		return wire.WaveRecord{Wave: number}
+	}
+	return wire.WaveRecord{
+		Wave: number, BegunMs: int(w.begunAt.UnixMilli()), Done: slices.Sorted(maps.Keys(w.done)), Completed: w.completed,
+	}
+}
+
+// Reports returns the waves of which the operator has not been told how far they
+// are.
+func (p *Planner) Reports() []wire.WaveRecord {
+	var reports []wire.WaveRecord
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
+		if w := p.waves[number]; len(w.Boxes) > 0 && (!w.told || w.completed) && !(w.told && w.completed) {
+			reports = append(reports, p.WaveRecord(number))
+		}
+	}
+	return reports
+}
+
+// Told takes note that the operator has been told of a wave.
+func (p *Planner) Told(number int, completed bool) {
+	if w := p.waves[number]; w != nil {
+		w.told = !w.completed || completed
+	}
+}
+
+// maintain goes on with all waves.
+func (p *Planner) maintain() {
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
+		if w := p.waves[number]; !w.completed {
+			p.maintainWave(w)
+		}
+	}
+}
+
+func (p *Planner) maintainWave(w *wave) {
+	due, down, emptying := p.wavePart(w)
+	if len(due) == 0 && down == 0 && emptying == 0 {
+		if p.missing(w) == 0 && len(p.boxes) > 0 {
+			w.completed, w.told = true, false
+		}
+		return
+	}
+	budget := w.MostDown - down - emptying
+	for _, b := range due {
+		if budget <= 0 {
+			return
+		}
+		if p.isParking(b.info.Pool) && p.free(b) {
+			p.orderNow(b, "", w.Number, fmt.Sprintf("wave %d: the box is parked", w.Number))
+			budget--
+		}
+	}
+	atOnce := p.pace(w, len(due)+emptying+down) - down - emptying
+	p.emptyForWave(w, due, min(budget, atOnce))
+	p.hurryWave(w)
+}
+
+// wavePart returns the boxes still due, and counts those that are down and those
+// that are being emptied.
+func (p *Planner) wavePart(w *wave) (due []*box, down, emptying int) {
+	for _, name := range w.Boxes {
+		b := p.boxes[name]
+		if b == nil {
+			continue
+		}
+		switch {
+		case b.ordered != nil && b.ordered.Wave == w.Number, w.done[name] && b.info.State == damsonwinch.BoxMaintenance:
+			down++
+		case w.done[name]:
+		case b.purpose != nil && b.purpose.wave == w.Number:
+			emptying++
+		default:
+			due = append(due, b)
+		}
+	}
+	return due, down, emptying
+}
+
+// missing counts boxes of a wave that are still listed and not done.
+func (p *Planner) missing(w *wave) int {
+	count := 0
+	for _, name := range w.Boxes {
+		if p.boxes[name] != nil && !w.done[name] {
+			count++
+		}
+	}
+	return count
+}
+
+// pace returns how many boxes should be in hand at once for the wave to be done in
+// time.
+func (p *Planner) pace(w *wave, left int) int {
+	cycle := emptyingTime + p.options.MaintainTime
+	remaining := w.Duration*waveShare/100 - p.now.Sub(w.begunAt)
+	if remaining <= cycle {
+		return w.MostDown
+	}
+	return min(w.MostDown, 1+int(time.Duration(left)*cycle/remaining))
+}
+
+// emptyForWave begins to empty boxes for a wave, the emptiest first.
+func (p *Planner) emptyForWave(w *wave, due []*box, count int) {
+	var found []*box
+	for _, b := range due {
+		if !p.isParking(b.info.Pool) && p.free(b) && b.report != nil && !b.report.Silent {
+			found = append(found, b)
+		}
+	}
+	for _, b := range sortBoxes(found, p.emptying) {
+		if count <= 0 {
+			return
+		}
+		p.take(b, purpose{wave: w.Number, cause: fmt.Sprintf("wave %d: %d boxes are due", w.Number, len(due))})
+		count--
+	}
+}
+
+// hurryWave has tasks stopped where a wave runs late or a box takes too long.
+func (p *Planner) hurryWave(w *wave) {
+	late := p.now.Sub(w.begunAt) > w.Duration*hurryShare/100
+	for _, b := range p.order {
+		if b.purpose != nil && b.purpose.wave == w.Number && (late || p.now.Sub(b.purpose.since) > emptyingTime) {
+			b.purpose.hurry = true
+		}
+	}
+}
+
+// dueWave returns the wave for which a box is still due, or nil.
+func (p *Planner) dueWave(b *box) *wave {
+	for _, w := range p.waves {
+		if !w.completed && !w.done[b.info.Name] && slices.Contains(w.Boxes, b.info.Name) {
+			return w
+		}
+	}
+	return nil
+}
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -218,6 +218,36 @@
 	Withdrawn bool `json:"withdrawn"`
 }
 
+// EndpointReport is what the owner of a cell knows of an endpoint.
+type EndpointReport struct {
+	// Box corresponds to the JSON schema field "box".
+	Box string `json:"box"`
+
+	// Endpoint corresponds to the JSON schema field "endpoint".
+	Endpoint string `json:"endpoint"`
+
+	// How long nothing has run there.
+	IdleMs int `json:"idle_ms,omitempty,omitzero"`
+
+	// Those of them that last until their job is cancelled.
+	Lasting int `json:"lasting,omitempty,omitzero"`
+
+	// Attempts that may be running there.
+	Runs int `json:"runs,omitempty,omitzero"`
+
+	// It does not answer.
+	Silent bool `json:"silent,omitempty,omitzero"`
+
+	// New work may be ordered there.
+	Usable bool `json:"usable,omitempty,omitzero"`
+
+	// Thousandths of a core that are taken.
+	UsedCpu int `json:"used_cpu,omitempty,omitzero"`
+
+	// It is empty for good, and that is recorded.
+	Withdrawn bool `json:"withdrawn,omitempty,omitzero"`
+}
+
 // Entry is one record of a stream as a peer relays it.
 type Entry struct {
 	// Milliseconds since 1970 at which the log took it.
@@ -494,6 +524,25 @@
 	Seq int `json:"seq"`
 }
 
+// OrderRecord is an order on a box that the fleet planner is about to give, in the
+// planner's stream under the box's name.
+type OrderRecord struct {
+	// When it was decided, in milliseconds since 1970.
+	AtMs int `json:"at_ms"`
+
+	// Box corresponds to the JSON schema field "box".
+	Box string `json:"box"`
+
+	// Why, for the audit trail.
+	Cause string `json:"cause,omitempty,omitzero"`
+
+	// Pool that it moves to; empty for maintenance.
+	Pool string `json:"pool,omitempty,omitzero"`
+
+	// Wave that it is maintained for; 0 for a move.
+	Wave int `json:"wave,omitempty,omitzero"`
+}
+
 type Outcome string
 
 const OutcomeAnswered Outcome = "answered"
@@ -737,6 +786,54 @@
 	Waits []string `json:"waits,omitempty,omitzero"`
 }
 
+// SyncArgs tells the owner of a cell what the fleet planner wants of its
+// endpoints, and asks how the cell is.
+type SyncArgs struct {
+	// Cell corresponds to the JSON schema field "cell".
+	Cell string `json:"cell"`
+
+	// Those of them whose tasks are to be stopped and run elsewhere instead of being
+	// waited for.
+	Hurry []string `json:"hurry,omitempty,omitzero"`
+
+	// Withdrawn endpoints that may be used again.
+	Restore []string `json:"restore,omitempty,omitzero"`
+
+	// Epoch of the planner's claim; an older planner is not heard.
+	Token int `json:"token"`
+
+	// Endpoints that are to be emptied and get no more work.
+	Withdraw []string `json:"withdraw,omitempty,omitzero"`
+}
+
+// SyncReply tells how a cell is.
+type SyncReply struct {
+	// Endpoints corresponds to the JSON schema field "endpoints".
+	Endpoints []EndpointReport `json:"endpoints,omitempty,omitzero"`
+
+	// This node owns the cell and has loaded it.
+	Known bool `json:"known"`
+
+	// Thousandths of a core that lasting tasks take or ask for.
+	LastingCpu int `json:"lasting_cpu,omitempty,omitzero"`
+
+	// Room that running and waiting tasks need of memory, in thousandths of a usual
+	// box.
+	MemoryShare int `json:"memory_share,omitempty,omitzero"`
+
+	// Core-thousandths of work that arrives, each second.
+	OfferedCpu int `json:"offered_cpu,omitempty,omitzero"`
+
+	// Thousandths of a core that other tasks take.
+	RunningCpu int `json:"running_cpu,omitempty,omitzero"`
+
+	// Boxes that lasting tasks need so as not to share one.
+	Spread int `json:"spread,omitempty,omitzero"`
+
+	// Thousandths of a core that ready tasks wait for.
+	WaitingCpu int `json:"waiting_cpu,omitempty,omitzero"`
+}
+
 // TaskRecord is what must outlive an owner about one task that has been begun.
 type TaskRecord struct {
 	// Highest attempt that may have been ordered.
@@ -763,3 +860,18 @@
 	// Newest known checkpoint.
 	Saved string `json:"saved,omitempty,omitzero"`
 }
+
+// WaveRecord is how far a wave is, in the planner's stream.
+type WaveRecord struct {
+	// When the planner first saw it, in milliseconds since 1970.
+	BegunMs int `json:"begun_ms,omitempty,omitzero"`
+
+	// All boxes that stay are done, and the operator has been told.
+	Completed bool `json:"completed,omitempty,omitzero"`
+
+	// Boxes whose maintenance has begun.
+	Done []string `json:"done"`
+
+	// Wave corresponds to the JSON schema field "wave".
+	Wave int `json:"wave"`
+}
