Order boxes by what piles up until they come; reload settings on SIGHUP

Cause: pools grew by the work of the last moment only, so that each turn of demand met a backlog; boxes being emptied for maintenance counted as serving, so that lasting tasks had nowhere to go and the wave came late; parked boxes were all maintained just when demand rose; SIGHUP ended the process (exit 129).

Change: the need of a pool counts arriving work by windows, what waits and what will have piled up; donors are emptied in a hurry; boxes in maintenance are replaced; six parked boxes stay free; boxes are kept for 4 s. SIGHUP and a changed file reload the settings; a broken file leaves the old ones in force.

--- /dev/null
+++ b/pkg/cell/arrivals.go
@@ -0,0 +1,134 @@
+package cell
+
+import (
+	"math"
+	"time"
+)
+
+// Sizes of what is remembered of the jobs that arrive.
+const (
+	arrivalSlot = 100 * time.Millisecond
+	// arrivalSlots cover the longest window over which arriving jobs are counted.
+	arrivalSlots = 24
+	// learnWeight is the part that a new value has in a learned mean.
+	learnWeight = 0.05
+	// learnedRuns is the number of runs after which the mean time is believed.
+	learnedRuns = 20
+	// usualDeviation is the part of a count's standard deviation that is taken for
+	// chance.
+	usualDeviation = 0.3
+	// shortestWindow is the shortest window that counts, in times of a task.
+	shortestWindow = 0.35
+)
+
+// arrivalWindows are numbers of slots: a short window shows a jump of demand soon,
+// a long one tells the rate of jobs that are few.
+var arrivalWindows = []int{6, 12, 24}
+
+// queueStats is what an owner learns of a queue.
+type queueStats struct {
+	// counts holds the jobs of each slot, by the slot's number since 1970.
+	counts [arrivalSlots]int
+	slot   int64
+	// runs and runMs are the number and mean time of tasks that were done.
+	runs  int
+	runMs float64
+	// jobs and work are the number of jobs and their mean work, in thousandths of
+	// a core times milliseconds.
+	jobs int
+	work float64
+}
+
+// statsOf returns what is known of a queue.
+func (c *Cell) statsOf(queue string) *queueStats {
+	known := c.learned[queue]
+	if known == nil {
+		known = &queueStats{}
+		c.learned[queue] = known
+	}
+	return known
+}
+
+func (q *queueStats) turn(now time.Time) {
+	slot := now.UnixMilli() / arrivalSlot.Milliseconds()
+	for step := min(slot-q.slot, arrivalSlots) - 1; step >= 0; step-- {
+		q.counts[(slot-step)%arrivalSlots] = 0
+	}
+	q.slot = max(q.slot, slot)
+}
+
+// arrive counts a job and learns of its work.
+func (q *queueStats) arrive(now time.Time, work int) {
+	q.turn(now)
+	q.counts[q.slot%arrivalSlots]++
+	q.jobs++
+	q.work += max(learnWeight, 1/float64(q.jobs)) * (float64(work) - q.work)
+}
+
+// perSecond returns the rate of jobs that is to be counted on. In each window the
+// count less its usual deviation is a rate that is hardly a mere chance; the
+// window that shows most is gone by. Windows that are short beside the time of a
+// task are left out: few jobs of long tasks come in them, and there is time.
+func (q *queueStats) perSecond(now time.Time) float64 {
+	q.turn(now)
+	best, count, next := 0.0, 0, 0
+	for _, window := range arrivalWindows {
+		for ; next < window; next++ {
+			count += q.counts[(q.slot-int64(next)+arrivalSlots)%arrivalSlots]
+		}
+		if last := arrivalWindows[len(arrivalWindows)-1]; window < last && float64(window*int(arrivalSlot.Milliseconds())) < shortestWindow*q.runMs {
+			continue
+		}
+		sure := float64(count) - usualDeviation*math.Sqrt(float64(count))
+		best = max(best, sure/(time.Duration(window)*arrivalSlot).Seconds())
+	}
+	return best
+}
+
+// finished learns the time of a task that is done.
+func (q *queueStats) finished(took time.Duration) {
+	q.runs++
+	q.runMs += max(learnWeight, 1/float64(q.runs)) * (float64(took.Milliseconds()) - q.runMs)
+}
+
+// offered returns the work that arrives, in thousandths of a core.
+func (c *Cell) offered(now time.Time) int {
+	sum := 0.0
+	for _, known := range c.learned {
+		sum += known.perSecond(now) * known.work / float64(time.Second.Milliseconds())
+	}
+	return int(sum)
+}
+
+// taskMs returns the usual time of a cell's tasks in milliseconds, weighed by
+// their numbers.
+func (c *Cell) taskMs() int {
+	sum, runs := 0.0, 0
+	for _, known := range c.learned {
+		sum += known.runMs * float64(known.runs)
+		runs += known.runs
+	}
+	if runs == 0 {
+		return 0
+	}
+	return int(sum / float64(runs))
+}
+
+// workOf estimates a job's work, in thousandths of a core times milliseconds.
+// Clients' estimates are far off; the mean of the queue's own runs is better.
+func (c *Cell) workOf(j *job) int {
+	known := c.statsOf(j.queue)
+	work := 0
+	for at := range j.spec.Phases {
+		phase := &j.spec.Phases[at]
+		if phase.Lasting || phase.Fills {
+			continue
+		}
+		estimate := phase.EstimateMs
+		if known.runs >= learnedRuns {
+			estimate = int(known.runMs)
+		}
+		work += phase.Count * phase.Cpu * estimate
+	}
+	return work
+}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -37,9 +37,8 @@
 	step    int
 	now     time.Time
 	commits commits
-	// arrived and times tell how much work comes and how long it takes.
-	arrived arrivals
-	times   map[string]*runTimes
+	// learned tells, by queue, how much work comes and how long it takes.
+	learned map[string]*queueStats
 	effects Effects
 	stats   Stats
 }
@@ -53,7 +52,7 @@
 		jobs:      map[string]*job{},
 		endpoints: map[string]*endpoint{},
 		commits:   newCommits(),
-		times:     map[string]*runTimes{},
+		learned:   map[string]*queueStats{},
 	}
 }
 
--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -7,94 +7,9 @@
 	"damsonwinch/pkg/wire"
 )
 
-// Sizes of what is remembered of the work that arrives and of how long it takes.
-const (
-	// arrivalSlots of arrivalSlot each are the window over which arriving work is
-	// counted: long enough for a dozen jobs at the users' rates, short enough to
-	// see a change of demand within a second.
-	arrivalSlots = 8
-	arrivalSlot  = 100 * time.Millisecond
-	// learnWeight is the part that a new run time has in the mean of its queue.
-	learnWeight = 0.05
-	// learnedRuns is the number of runs after which the mean is believed.
-	learnedRuns = 20
-)
-
-// arrivals counts the work that has come within the last moments.
-type arrivals struct {
-	// work is in thousandths of a core times milliseconds.
-	work [arrivalSlots]int
-	// slot is the number of the newest slot since 1970.
-	slot int64
-}
-
-func (a *arrivals) turn(now time.Time) {
-	slot := now.UnixMilli() / arrivalSlot.Milliseconds()
-	for step := min(slot-a.slot, arrivalSlots); step > 0; step-- {
-		a.work[(slot-step+1)%arrivalSlots] = 0
-	}
-	a.slot = max(a.slot, slot)
-}
-
-func (a *arrivals) add(now time.Time, work int) {
-	a.turn(now)
-	a.work[a.slot%arrivalSlots] += work
-}
-
-// perSecond returns the arriving work in thousandths of a core.
-func (a *arrivals) perSecond(now time.Time) int {
-	a.turn(now)
-	sum := 0
-	for _, work := range a.work {
-		sum += work
-	}
-	return sum / int((arrivalSlots * arrivalSlot).Milliseconds())
-}
-
-// runTimes is what has been learned of a queue's tasks.
-type runTimes struct {
-	runs int
-	mean float64 // In milliseconds.
-}
-
-// observe learns from a task that is done.
-func (c *Cell) observe(r *run) {
-	if r.task.phase.spec.Lasting {
-		return
-	}
-	times := c.times[r.task.phase.job().queue]
-	if times == nil {
-		times = &runTimes{}
-		c.times[r.task.phase.job().queue] = times
-	}
-	took := float64(c.now.Sub(r.since).Milliseconds())
-	times.runs++
-	weight := max(learnWeight, 1/float64(times.runs))
-	times.mean += weight * (took - times.mean)
-}
-
-// workOf estimates a job's work, in thousandths of a core times milliseconds.
-// Clients' estimates are far off; the mean of the queue's own runs is better.
-func (c *Cell) workOf(j *job) int {
-	times := c.times[j.queue]
-	work := 0
-	for at := range j.spec.Phases {
-		phase := &j.spec.Phases[at]
-		if phase.Lasting || phase.Fills {
-			continue
-		}
-		estimate := phase.EstimateMs
-		if times != nil && times.runs >= learnedRuns {
-			estimate = int(times.mean)
-		}
-		work += phase.Count * phase.Cpu * estimate
-	}
-	return work
-}
-
 // Report tells the fleet planner how the cell is.
 func (c *Cell) Report(now time.Time) wire.SyncReply {
-	report := wire.SyncReply{Known: true, OfferedCpu: c.arrived.perSecond(now)}
+	report := wire.SyncReply{Known: true, OfferedCpu: c.offered(now), TaskMs: c.taskMs()}
 	memory, boxMemory := 0, 0
 	for _, e := range c.ranked {
 		boxMemory = max(boxMemory, e.info.Capacity.MemoryMB)
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -123,7 +123,7 @@
 			c.noteEndpoint("endpoint drains", e, "")
 		}
 		if !e.listed && !e.gone {
-			c.noteEndpoint("endpoint listed", e, info.Address)
+			c.noteEndpoint("endpoint listed", e, "box "+info.Box+" at "+info.Address)
 		}
 		e.info, e.listed = info, true
 	}
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -117,7 +117,10 @@
 	e.clockSample, e.clockAt = look.Clock, c.now
 	c.takeEnds(e, look.Finished)
 	c.takeRunning(e, look.Running, sent.step)
-	e.attached = true
+	if !e.attached {
+		e.attached = true
+		c.noteEndpoint("endpoint attached", e, "box "+e.info.Box)
+	}
 }
 
 func (c *Cell) lookFailed(e *endpoint, err error) {
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -26,7 +26,9 @@
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
 	c.stats.Accepted++
-	c.arrived.add(now, c.workOf(j))
+	if !jobs.Lasting(j.spec) {
+		c.statsOf(j.queue).arrive(now, c.workOf(j))
+	}
 	c.touch(j)
 	c.openRounds()
 	c.replyRecorded(j, ticket, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
--- a/pkg/command/node.go
+++ b/pkg/command/node.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"damsonwinch/pkg/check"
 	"damsonwinch/pkg/process"
@@ -36,12 +38,14 @@
 			return err
 		}
 		env.Logger.WithField("node", config.Node).Info("node has started")
+		var group errgroup.Group
+		watchSettings(cmd.Context(), &group, file, config, running, env)
 		<-cmd.Context().Done()
 		env.Logger.Info("node stops as planned")
 		limit := time.Duration(stopShare * config.Bounds.GraceS * float64(time.Second))
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
-		return running.Stop(ctx)
+		return errors.Join(running.Stop(ctx), group.Wait())
 	}
 	root.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
 	root.AddCommand(checkSettings(check.Node, func() any { return &settings.Node{} }))
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -109,6 +109,7 @@
 		held holding
 	}
 	stopHoldings struct{ done chan<- struct{} }
+	reloaded     struct{ options Options }
 )
 
 // inboxSize lets the feeds go on while the task is at work.
@@ -189,6 +190,12 @@
 	}
 }
 
+// Reload puts options in force for the cells that are taken over from now on. Who
+// the node is stays as it was.
+func (n *Node) Reload(options Options) {
+	n.send(reloaded{options: options})
+}
+
 // Stop gives the node's cells to others, for a planned stop. Clients can still be
 // served through their new owners until Close.
 func (n *Node) Stop(ctx context.Context) {
@@ -240,6 +247,8 @@
 	case holdingEnded:
 		n.removeHolding(m.cell, m.held)
 		n.manageHoldings()
+	case reloaded:
+		n.options.Cells, n.options.Supply = m.options.Cells, m.options.Supply
 	case stopHoldings:
 		n.state.stopping = true
 		n.manageHoldings()
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -28,6 +28,8 @@
 	boxesEvery = 400 * time.Millisecond
 	// callTimeout bounds a call to a cell's owner or the control of boxes.
 	callTimeout = 800 * time.Millisecond
+	// poolsLogged is the time between two log lines on the pools.
+	poolsLogged = time.Second
 	inboxSize   = 64
 )
 
@@ -74,6 +76,7 @@
 	afterward []supply.Order
 	appending bool
 	telling   map[int]bool
+	loggedAt  time.Time
 }
 
 // Messages to the task.
@@ -288,6 +291,7 @@
 		}
 		p.flush()
 		p.tell()
+		p.logPools(now)
 	}
 	for _, pool := range p.pools {
 		if !pool.Parking && !p.syncing[pool.Name] {
@@ -297,6 +301,15 @@
 	}
 }
 
+// logPools writes what the planner believes of the pools.
+func (p *Planner) logPools(now time.Time) {
+	if now.Sub(p.loggedAt) < poolsLogged {
+		return
+	}
+	p.loggedAt = now
+	p.deps.Logger.WithField("pools", p.supply.Summary()).Info("pools")
+}
+
 func (p *Planner) readBoxes(now time.Time) {
 	p.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -38,9 +38,9 @@
 	lookWait  = time.Second
 	idleLook  = 2 * time.Second
 	retryLook = 300 * time.Millisecond
-	// poolHold is how long a pool keeps boxes that it no longer needs. A move costs
-	// about as much as a second of a box.
-	poolHold = 1500 * time.Millisecond
+	// poolHold is how long a pool keeps boxes that it no longer needs. Two moves
+	// cost the users about six seconds of a box, the time on the way counted in.
+	poolHold = 4 * time.Second
 )
 
 // clientIdleTime is how long a client's idle connection is kept.
@@ -57,6 +57,7 @@
 	// stopping makes the node call itself unready.
 	stopping atomic.Bool
 	Metrics  *metrics.Set
+	env      Env
 }
 
 // NewNode starts a node.
@@ -70,7 +71,7 @@
 	endpoints := platform.NewEndpoints(env.Dial)
 	fleet := platform.NewFleet(config.Boxes, env.Dial)
 	advice := platform.NewAdvice(config.Advice, env.Dial)
-	n := &Node{Metrics: set, closers: []func(){store.Close, endpoints.Close, fleet.Close, advice.Close}}
+	n := &Node{env: env, Metrics: set, closers: []func(){store.Close, endpoints.Close, fleet.Close, advice.Close}}
 	var clients atomic.Pointer[platform.Clients]
 	running, err := node.New(node.Deps{
 		Platform: node.Platform{
@@ -149,6 +150,13 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// Reload puts changed settings in force. Bounds count for the cells that the node
+// takes over from now on; names and addresses only at the next start.
+func (n *Node) Reload(config settings.Node) {
+	n.node.Reload(nodeOptions(config, n.env))
+	n.env.Logger.WithField("node", config.Node).Info("settings reloaded; bounds hold for cells taken over from now on, addresses from the next start on")
+}
+
 // Stop ends the node as planned: others take its cells, calls in flight are
 // answered. The context bounds it.
 func (n *Node) Stop(ctx context.Context) error {
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -49,7 +49,7 @@
 		return true
 	}
 	if b := p.spare(name); b != nil {
-		p.take(b, purpose{pool: name, cause: cause})
+		p.take(b, purpose{pool: name, cause: cause, hurry: true})
 		return true
 	}
 	return false
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -16,12 +16,18 @@
 	// growth is what a pool has above the work that comes in, in percent: work
 	// comes unevenly, and boxes can't be packed to the last core.
 	growth = 120
-	// waitingWeight is the part of the waiting work, in percent, that should be
-	// caught up with in the time of a few tasks.
-	waitingWeight = 100
+	// catchUpShare times the time of a task, in percent, and leastCatchUp at least,
+	// is the time in which a pool should have caught up with what waits once its
+	// new boxes have come: jobs have about that much slack.
+	catchUpShare = 130
+	leastCatchUp = 900 * time.Millisecond
+	// usualTaskMs is the time of a task while none has ended yet.
+	usualTaskMs = 1000
+	// arrivalTime is added to a move's own time until a box has work.
+	arrivalTime = 500 * time.Millisecond
 	// reserve is room that every pool keeps free for jobs to come, in thousandths
 	// of a box.
-	reserve = 700
+	reserve = 1000
 	// leastBoxes keeps a pool through the loss of a box or a zone.
 	leastBoxes = 2
 )
@@ -49,18 +55,29 @@
 	return l.report.Known && now.Sub(l.reportedAt) <= reportTime
 }
 
-// learnNeed works out how many boxes the pool should have.
-func (l *pool) learnNeed(now time.Time, hold time.Duration, boxCPU int) {
+// learnNeed works out how many boxes the pool should have: for the work that
+// comes, for what waits, and for what will have piled up by the time that new
+// boxes come.
+func (p *Planner) learnNeed(l *pool, now time.Time) {
+	boxCPU := p.wholeBoxCPU(l.name)
 	if boxCPU == 0 || !l.report.Known {
 		return
 	}
-	busy := max(l.report.OfferedCpu, l.report.RunningCpu)
-	cpu := l.report.LastingCpu + busy*growth/100 + l.report.WaitingCpu*waitingWeight/100
+	busy := max(l.report.OfferedCpu*growth/100, l.report.RunningCpu)
+	short := max(0, l.report.OfferedCpu+l.report.LastingCpu-p.has(l.name)*boxCPU)
+	lead := p.options.MoveTime + arrivalTime
+	taskMs := l.report.TaskMs
+	if taskMs == 0 {
+		taskMs = usualTaskMs
+	}
+	behind := l.report.WaitingCpu*taskMs + short*int(lead.Milliseconds())
+	catchUp := max(int(leastCatchUp.Milliseconds()), taskMs*catchUpShare/100)
+	cpu := l.report.LastingCpu + busy + behind/catchUp
 	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*growth/100) + reserve
 	l.need = max(leastBoxes, l.report.Spread, (share+wholeBox-1)/wholeBox)
 	keep := l.peaks[:0]
 	for _, old := range l.peaks {
-		if now.Sub(old.at) < hold && old.need > l.need {
+		if now.Sub(old.at) < p.options.Hold && old.need > l.need {
 			keep = append(keep, old)
 		}
 	}
@@ -96,7 +113,8 @@
 		return false
 	}
 	if b.purpose != nil {
-		return b.purpose.pool == "" || b.purpose.pool == name
+		// A box that is emptied for maintenance takes no work until it is back.
+		return b.purpose.pool == name
 	}
 	if b.report != nil {
 		return b.report.Usable || p.now.Sub(b.upAt) < arrival
--- /dev/null
+++ b/pkg/supply/summary.go
@@ -0,0 +1,52 @@
+package supply
+
+import (
+	"fmt"
+
+	"damsonwinch"
+)
+
+// Summary says in words how each pool stands, for the log and for operators.
+func (p *Planner) Summary() []string {
+	lines := make([]string, 0, len(p.names))
+	for _, name := range p.names {
+		pool := p.pools[name]
+		c := p.count(name)
+		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down", name, c.working, c.coming, c.emptying, c.maintained, c.down)
+		if pool.parking {
+			lines = append(lines, boxes)
+			continue
+		}
+		r := pool.report
+		lines = append(lines, fmt.Sprintf("%s; needs %d, lately %d; cores: lasting %d, running %d, waiting %d, arriving %d a second; %d ms a task",
+			boxes, pool.need, pool.held(), r.LastingCpu/1000, r.RunningCpu/1000, r.WaitingCpu/1000, r.OfferedCpu/1000, r.TaskMs))
+	}
+	return lines
+}
+
+// counts are a pool's boxes by what they are doing.
+type counts struct {
+	working, coming, emptying, maintained, down int
+}
+
+func (p *Planner) count(name string) counts {
+	var c counts
+	for _, b := range p.order {
+		switch {
+		case b.ordered != nil && b.ordered.Pool != "":
+			if b.ordered.Pool == name {
+				c.coming++
+			}
+		case b.info.Pool != name:
+		case b.ordered != nil || b.info.State == damsonwinch.BoxMaintenance:
+			c.maintained++
+		case b.info.State == damsonwinch.BoxDown:
+			c.down++
+		case b.purpose != nil:
+			c.emptying++
+		default:
+			c.working++
+		}
+	}
+	return c
+}
--- a/pkg/supply/supply.go
+++ b/pkg/supply/supply.go
@@ -83,7 +83,8 @@
 func (p *Planner) SetReport(now time.Time, name string, report wire.SyncReply) {
 	if known := p.pools[name]; known != nil {
 		known.report, known.reportedAt = report, now
-		known.learnNeed(now, p.options.Hold, p.wholeBoxCPU(name))
+		p.now = now
+		p.learnNeed(known, now)
 	}
 }
 
--- a/pkg/supply/waves.go
+++ b/pkg/supply/waves.go
@@ -18,6 +18,9 @@
 	// hurryShare is the part after which tasks are stopped to empty a box, in
 	// percent.
 	hurryShare = 45
+	// leastParked is how many parked boxes are left out of maintenance for pools
+	// that may need them, while there is time.
+	leastParked = 6
 	// emptyingTime is what the emptying of a box takes, about: tasks last up to a
 	// few seconds.
 	emptyingTime = 2500 * time.Millisecond
@@ -107,18 +110,36 @@
 		return
 	}
 	budget := w.MostDown - down - emptying
+	atOnce := p.pace(w, len(due)+emptying+down) - down - emptying
+	budget -= p.maintainParked(w, due, min(budget, max(atOnce, p.parkedFree()-leastParked)))
+	p.emptyForWave(w, due, min(budget, atOnce))
+	p.hurryWave(w)
+}
+
+// maintainParked maintains boxes that are parked, and says how many.
+func (p *Planner) maintainParked(w *wave, due []*box, count int) int {
+	begun := 0
 	for _, b := range due {
-		if budget <= 0 {
-			return
+		if begun >= count {
+			break
 		}
 		if p.isParking(b.info.Pool) && p.free(b) {
 			p.orderNow(b, "", w.Number, fmt.Sprintf("wave %d: the box is parked", w.Number))
-			budget--
+			begun++
 		}
 	}
-	atOnce := p.pace(w, len(due)+emptying+down) - down - emptying
-	p.emptyForWave(w, due, min(budget, atOnce))
-	p.hurryWave(w)
+	return begun
+}
+
+// parkedFree counts the parked boxes that a pool could have at once.
+func (p *Planner) parkedFree() int {
+	count := 0
+	for _, b := range p.order {
+		if p.isParking(b.info.Pool) && p.free(b) {
+			count++
+		}
+	}
+	return count
 }
 
 // wavePart returns the boxes still due, and counts those that are down and those
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -830,6 +830,9 @@
 	// Boxes that lasting tasks need so as not to share one.
 	Spread int `json:"spread,omitempty,omitzero"`
 
+	// Usual time of a task in milliseconds.
+	TaskMs int `json:"task_ms,omitempty,omitzero"`
+
 	// Thousandths of a core that ready tasks wait for.
 	WaitingCpu int `json:"waiting_cpu,omitempty,omitzero"`
 }
