Look orders of an earlier planner up instead of freezing their boxes

Nodes that had lost the store kept sending calls to owners long gone.

Change: orders record the life they were decided on, so that the list of boxes shows whether they were done; others are repeated, which does no harm. Dials end after 0.6 s, tries of a call after 0.8 s; a node without the store asks others for the claims.

Ruled out: late duplicates as a danger that needs freezing: they land on a box that is where they would put it.

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -10,6 +10,7 @@
 	"net/rpc"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,6 +64,8 @@
 	// between each call and its connection.
 	mutex  sync.Mutex
 	client *rpc.Client
+	// answered counts answers, to tell a dead connection from a slow call.
+	answered atomic.Int64
 }
 
 // New returns a client that connects upon its first call.
@@ -76,9 +79,9 @@
 }
 
 // Do makes one call and waits for it until the context ends. The reply, a
-// pointer, is written only if there is no error. A call past its
-// deadline closes the connection, since net/rpc can't take a call back; its
-// error says that it may have been carried out.
+// pointer, is written only if there is no error. A call past its deadline is
+// reported as one that may have been carried out, since net/rpc can't take a call
+// back; it closes the connection unless other calls were answered meanwhile.
 func (c *Client) Do(ctx context.Context, method string, args, reply any) error {
 	client, err := c.connect(ctx)
 	if err != nil {
@@ -88,15 +91,19 @@
 	// deadline would otherwise be written into what the caller has moved on with,
 	// perhaps the reply of another peer.
 	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	before := c.answered.Load()
 	call := client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		if call.Error == nil {
 			reflect.ValueOf(reply).Elem().Set(answer.Elem())
 		}
+		c.answered.Add(1)
 		return c.finish(client, method, call.Error)
 	case <-ctx.Done():
-		c.drop(client)
+		if c.answered.Load() == before {
+			c.drop(client)
+		}
 		return &Error{Step: method, Peer: c.peer, Sent: true, Err: ctx.Err()}
 	}
 }
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -34,9 +34,11 @@
 	ranked []*endpoint
 	// step counts events. Looks and answers of different connections overtake
 	// each other; steps tell what was sent before what was known.
-	step    int
-	now     time.Time
-	commits commits
+	step int
+	now  time.Time
+	// confirmedAt is until when this owner's claim stood for certain.
+	confirmedAt time.Time
+	commits     commits
 	// learned tells, by queue, how much work comes and how long it takes.
 	learned map[string]*queueStats
 	effects Effects
@@ -71,6 +73,19 @@
 	}
 }
 
+// Confirm takes note that the owner's claim stood at a moment.
+func (c *Cell) Confirm(at time.Time) {
+	if at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
+}
+
+// sure says whether this owner may go on prolonging leases: a new owner counts on
+// earlier ones to end that in time.
+func (c *Cell) sure() bool {
+	return c.now.Sub(c.confirmedAt) < c.options.TokenGrace
+}
+
 // Tick lets time pass.
 func (c *Cell) Tick(now time.Time) {
 	c.begin(now)
--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -30,6 +30,7 @@
 
 // sentCommit is the append on its way.
 type sentCommit struct {
+	at        time.Time
 	number    int
 	starts    []*run
 	replies   []Reply
@@ -82,7 +83,7 @@
 	}
 	w.number++
 	w.startAt = c.now
-	sent := &sentCommit{number: w.number, starts: w.starts, replies: w.replies, withdrawn: w.withdrawn, shown: map[*job]wire.JobState{}, seen: map[*endpoint]int{}}
+	sent := &sentCommit{number: w.number, at: c.now, starts: w.starts, replies: w.replies, withdrawn: w.withdrawn, shown: map[*job]wire.JobState{}, seen: map[*endpoint]int{}}
 	records := c.compose(sent)
 	for _, e := range c.ranked {
 		if e.seen > e.recorded {
@@ -127,11 +128,25 @@
 func (c *Cell) Committed(now time.Time, number int) {
 	c.begin(now)
 	defer c.settle()
-	if sent := c.commits.sent; sent != nil && sent.number == number {
-		c.finish(sent)
+	sent := c.commits.sent
+	if sent == nil || sent.number != number {
+		return
 	}
+	c.Confirm(sent.at)
+	if now.Sub(sent.at) > startStale {
+		// This owner stood still, or the store did: another one may have come since.
+		for _, r := range sent.starts {
+			r.stopping = true
+		}
+	}
+	c.finish(sent)
 }
 
+// startStale is the age of a commit at which its starts are not ordered any more
+// but decided anew. An owner that was paused for long must not order what it
+// decided before.
+const startStale = 2 * time.Second
+
 // finish does what waited for an append.
 func (c *Cell) finish(sent *sentCommit) {
 	c.commits.sent = nil
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -70,7 +70,7 @@
 		e.wantLook = false
 	}
 	order := damsonwinch.LookOrder{Token: c.token, Seen: e.recorded, Wait: wait}
-	if e.attached && !e.silent {
+	if e.attached && !e.silent && c.sure() {
 		order.Until = e.clock(c.now) + int(c.options.MostLease.Milliseconds())
 		c.prolong(e, order.Until)
 	}
--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -73,13 +73,31 @@
 	_ = root.MarkFlagRequired("settings")
 }
 
+// Times of connections.
+const (
+	// connectTimeout gives up the making of a connection. A packet that was lost
+	// is sent again after 1 s, 3 s and 7 s: without the limit, what was begun
+	// during a cut would hang for seconds after it has healed.
+	connectTimeout = 600 * time.Millisecond
+	// keepAliveIdle and keepAliveCount find dead peers of idle connections.
+	keepAliveIdle  = 2 * time.Second
+	keepAliveCount = 2
+)
+
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: keepAliveCount},
+	}
+}
+
 // newEnv returns what a real process finds around it.
 func newEnv(cmd *cobra.Command) process.Env {
 	logger := newLogger(cmd.ErrOrStderr(), logrus.InfoLevel)
 	clock := clockwork.NewRealClock()
 	return process.Env{
 		Clock:  clock,
-		Dial:   (&net.Dialer{}).DialContext,
+		Dial:   newDialer().DialContext,
 		Logger: logger,
 		Breach: func(name, detail string) { logger.WithField("invariant", name).Error(detail) },
 		Seed:   uint64(clock.Now().UnixNano()),
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damsonwinch"
@@ -19,6 +20,13 @@
 	// holdTime is how long a call waits for a cell that has no owner. A takeover is
 	// over in about a second; a client that is told to come back does so later.
 	holdTime = 500 * time.Millisecond
+	// tryTime bounds one try: an owner answers within two appends, some 20 ms, and
+	// within half a second when the store is slow. A try on a connection that a cut
+	// has killed would wait for ever.
+	tryTime = 800 * time.Millisecond
+	// openTime is how long a call is tried whose outcome is open; then the client
+	// is told so, and may ask another node.
+	openTime = 1600 * time.Millisecond
 	// retryPause stands between two tries.
 	retryPause = 40 * time.Millisecond
 	// retryAfterMs tells a client when to come back after a refusal.
@@ -57,6 +65,10 @@
 	// share.
 	mutex sync.Mutex
 	peers map[string]*call.Client
+	// answeredAt and failedAt are when another node last answered, or could not be
+	// reached, in nanoseconds since 1970.
+	answeredAt atomic.Int64
+	failedAt   atomic.Int64
 }
 
 var _ damsonwinch.Jobs = (*Router)(nil)
@@ -112,7 +124,9 @@
 // enough. Owners take a job or a cancel of the same ID but once, so a try whose
 // outcome is open may be repeated; but then "refused" can no longer be told.
 func (r *Router) route(ctx context.Context, m method, args wire.JobArgs) wire.JobReply {
-	until := r.deps.Clock.Now().Add(holdTime)
+	ctx, done := context.WithTimeout(ctx, openTime)
+	defer done()
+	begun := r.deps.Clock.Now()
 	open := false
 	for {
 		reply, maySent := r.try(ctx, m, args)
@@ -120,7 +134,7 @@
 		if reply.Outcome != wire.JobOutcomeRefused && reply.Outcome != wire.JobOutcomeUnknown {
 			return reply
 		}
-		if ctx.Err() != nil || (!open && r.deps.Clock.Now().After(until)) {
+		if ctx.Err() != nil || (!open && r.deps.Clock.Now().Sub(begun) > holdTime) {
 			return r.giveUp(reply, open)
 		}
 		r.deps.Metrics.Add("route_retries", 1)
@@ -150,11 +164,15 @@
 	if !known {
 		return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "the cell has no owner now"}, false
 	}
+	limited, cancel := context.WithTimeout(ctx, tryTime)
+	defer cancel()
 	var reply wire.JobReply
-	err := r.peer(claim.Address).Do(ctx, m.name, args, &reply)
+	err := r.peer(claim.Address).Do(limited, m.name, args, &reply)
 	if err == nil {
+		r.answeredAt.Store(r.deps.Clock.Now().UnixNano())
 		return reply, reply.Outcome == wire.JobOutcomeUnknown
 	}
+	r.failedAt.Store(r.deps.Clock.Now().UnixNano())
 	if call.Refused(err) {
 		r.deps.Cells.Suspect(claim.Node)
 	}
@@ -162,6 +180,20 @@
 	return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: err.Error()}, call.MaySent(err)
 }
 
+// Reaches says whether calls to other nodes were answered within a time, the last
+// one included.
+func (r *Router) Reaches(within time.Duration) bool {
+	answered := r.answeredAt.Load()
+	return answered > r.failedAt.Load() && r.deps.Clock.Now().UnixNano()-answered < within.Nanoseconds()
+}
+
+// Claims asks another node for the claims that it knows.
+func (r *Router) Claims(ctx context.Context, address string, args wire.ClaimsArgs) (wire.ClaimsReply, error) {
+	var reply wire.ClaimsReply
+	err := r.peer(address).Do(ctx, ServiceName+".Claims", args, &reply)
+	return reply, err
+}
+
 // Sync brings the fleet planner's call to the owner of a cell, with one try.
 func (r *Router) Sync(ctx context.Context, args wire.SyncArgs) (wire.SyncReply, error) {
 	if local, here := r.deps.Cells.Local(args.Cell); here {
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"damsonwinch"
 	"damsonwinch/pkg/wire"
 )
 
@@ -18,13 +19,14 @@
 // sends a call on.
 type Service struct {
 	cells Cells
+	clock damsonwinch.Clock
 	// context ends the calls when the node does: net/rpc gives its methods none.
 	context context.Context
 }
 
 // NewService returns a service whose calls end with a context.
-func NewService(ctx context.Context, cells Cells) *Service {
-	return &Service{cells: cells, context: ctx}
+func NewService(ctx context.Context, cells Cells, clock damsonwinch.Clock) *Service {
+	return &Service{cells: cells, clock: clock, context: ctx}
 }
 
 // Submit hands in a job.
@@ -57,6 +59,16 @@
 	return nil
 }
 
+// Claims tells the claims that this node knows.
+func (s *Service) Claims(_ wire.ClaimsArgs, reply *wire.ClaimsReply) error {
+	view := s.cells.View()
+	*reply = wire.ClaimsReply{AgeMs: int(s.clock.Now().Sub(view.ConfirmedAt).Milliseconds())}
+	for _, claim := range view.Claims {
+		reply.Claims = append(reply.Claims, wire.HeardClaim{Claim: claim.CellClaim, Token: claim.Token})
+	}
+	return nil
+}
+
 func (s *Service) answer(m method, args wire.JobArgs, reply *wire.JobReply) error {
 	ctx, cancel := context.WithTimeout(s.context, serviceTimeout)
 	defer cancel()
--- a/pkg/node/holdings.go
+++ b/pkg/node/holdings.go
@@ -34,6 +34,16 @@
 	n.holdings.Store(&next)
 }
 
+// confirm tells the owners until when their claims stood.
+func (n *Node) confirm() {
+	confirmedAt := n.View().ConfirmedAt
+	for _, held := range *n.holdings.Load() {
+		if cellOwner, isOwner := held.(*owner.Owner); isOwner {
+			cellOwner.Confirm(confirmedAt)
+		}
+	}
+}
+
 // owns says whether a claim is this node's and to be made use of.
 func (n *Node) owns(claim ownership.Claim) bool {
 	return claim.HeldBy(n.options.Self) && !n.state.stopping
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -126,7 +126,7 @@
 	n.view.Store(&ownership.View{})
 	n.holdings.Store(&map[string]holding{})
 	n.router = intake.New(intake.Deps{Cells: n, Dial: deps.Dial, Clock: deps.Clock, Metrics: deps.Metrics})
-	calls, err := call.Serve(deps.CallListener, intake.ServiceName, intake.NewService(ctx, n))
+	calls, err := call.Serve(deps.CallListener, intake.ServiceName, intake.NewService(ctx, n, deps.Clock))
 	if err != nil {
 		cancel()
 		return nil, err
@@ -134,6 +134,7 @@
 	n.calls = calls
 	n.ownership = ownership.New(ownership.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, Changed: n.viewChanged,
+		AskPeer: n.router.Claims,
 	}, ownership.Options{Self: options.Self, TTL: options.TTL, Partitions: options.Partitions, FirstStart: options.FirstStart})
 	group.Go(n.run)
 	group.Go(n.followOperator)
@@ -151,12 +152,12 @@
 	if n.version.Load() == 0 {
 		return false
 	}
-	return n.deps.Clock.Now().Sub(n.View().ConfirmedAt) < readyTime
+	return n.deps.Clock.Now().Sub(n.View().ConfirmedAt) < readyTime || n.router.Reaches(readyTime)
 }
 
-// readyTime is how long ago the store may have answered last: a node that is cut
-// off from it sends its clients elsewhere.
-const readyTime = 3 * time.Second
+// readyTime is how long ago the store, or another node that owns a cell, may have
+// answered last: a node that is cut off from both sends its clients elsewhere.
+const readyTime = 2 * time.Second
 
 // View implements intake.Cells.
 func (n *Node) View() ownership.View {
@@ -240,6 +241,7 @@
 	switch m := m.(type) {
 	case viewChanged:
 		n.manageHoldings()
+		n.confirm()
 	case operatorRecords:
 		n.takeOperator(m.records)
 	case endpointRecords:
--- a/pkg/owner/calls.go
+++ b/pkg/owner/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"damsonwinch"
 	"damsonwinch/pkg/wire"
@@ -102,6 +103,11 @@
 	o.send(configured{queues: queues})
 }
 
+// Confirm tells the owner until when its claim stood for certain.
+func (o *Owner) Confirm(at time.Time) {
+	o.send(confirmed{at: at})
+}
+
 // SetEndpoints tells the owner which endpoints the registry lists for its cell.
 func (o *Owner) SetEndpoints(endpoints []damsonwinch.Endpoint) {
 	o.send(endpointsListed{endpoints: endpoints})
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -16,6 +16,10 @@
 
 func (m configured) apply(o *Owner, now time.Time) { o.cell.Configure(now, m.queues) }
 
+type confirmed struct{ at time.Time }
+
+func (m confirmed) apply(o *Owner, _ time.Time) { o.cell.Confirm(m.at) }
+
 type endpointsListed struct{ endpoints []damsonwinch.Endpoint }
 
 func (m endpointsListed) apply(o *Owner, now time.Time) { o.cell.SetEndpoints(now, m.endpoints) }
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -60,6 +60,8 @@
 	Clock   damsonwinch.Clock
 	Logger  logrus.FieldLogger
 	Metrics *metrics.Set
+	// AskPeer asks another node for the claims that it knows.
+	AskPeer func(ctx context.Context, address string, args wire.ClaimsArgs) (wire.ClaimsReply, error)
 	// Changed is told the claims in force after each change, and what was asked
 	// when, so that the node can run the cells that are its own. It must not wait.
 	Changed func(View)
@@ -120,6 +122,10 @@
 	readAt     time.Time
 	claiming   bool
 	leaving    bool
+	asking     bool
+	askedAt    time.Time
+	// asked counts the questions to peers, which take turns.
+	asked int
 	// suspects are owners whose address refused a connection.
 	suspects map[string]bool
 }
@@ -146,8 +152,12 @@
 		cell string
 		err  error
 	}
-	leave     struct{ done chan<- struct{} }
-	suspected struct{ node string }
+	leave       struct{ done chan<- struct{} }
+	suspected   struct{ node string }
+	claimsHeard struct {
+		reply wire.ClaimsReply
+		err   error
+	}
 	renounced struct {
 		cell  string
 		token int
@@ -268,6 +278,8 @@
 		if m.err != nil && !errors.Is(m.err, damsonwinch.ErrMoved) {
 			o.deps.Logger.WithError(m.err).WithField("cell", m.cell).Warn("claim not made")
 		}
+	case claimsHeard:
+		o.hear(m)
 	case suspected:
 		if !s.suspects[m.node] {
 			s.suspects[m.node] = true
@@ -324,6 +336,9 @@
 		s.reading, s.readAt = true, now
 		o.readMembers(now)
 	}
+	if !s.asking && now.Sub(s.confirmed) >= staleAfter && now.Sub(s.askedAt) >= joinEvery {
+		o.askPeer(now)
+	}
 	if !s.claiming && s.claimsRead && s.membersAt.After(s.startedAt) && o.settled(now) {
 		o.claimOne()
 	}
--- a/pkg/planner/records.go
+++ b/pkg/planner/records.go
@@ -34,7 +34,7 @@
 // appended before it is given.
 func (p *Planner) record(order supply.Order, now time.Time) {
 	p.add(orderPrefix+order.Box, wire.OrderRecord{
-		Box: order.Box, Pool: order.Pool, Wave: order.Wave, AtMs: int(now.UnixMilli()), Cause: order.Cause,
+		Box: order.Box, Pool: order.Pool, Wave: order.Wave, AtMs: int(now.UnixMilli()), Endpoint: order.Endpoint, Cause: order.Cause,
 	})
 	if order.Wave > 0 {
 		p.add(wavePrefix+strconv.Itoa(order.Wave), p.supply.WaveRecord(order.Wave))
--- a/pkg/supply/box.go
+++ b/pkg/supply/box.go
@@ -13,9 +13,6 @@
 
 // Times of orders on boxes.
 const (
-	// lateOrder is how long an order that was not answered may still take effect,
-	// with a margin: the platform names up to 12 s.
-	lateOrder = 14 * time.Second
 	// orderRetry is the time between two tries of an order.
 	orderRetry = 300 * time.Millisecond
 	// arrival is how long a box that the platform lists as up may take to be
@@ -32,10 +29,8 @@
 	purpose *purpose
 	// ordered is the order that has been given and not seen done yet.
 	ordered *given
-	// unansweredAt is when an order's answer was lost: it may still take effect.
-	unansweredAt time.Time
-	// orderedAt is when the last order was decided, by this holder or another.
-	orderedAt time.Time
+	// foreignAt is when an earlier holder last decided an order.
+	foreignAt time.Time
 	// upAt is when it was first seen up as it is now.
 	upAt time.Time
 	// refuses are pools that take other boxes.
@@ -55,9 +50,10 @@
 // given is an order that has been recorded and given.
 type given struct {
 	Order
-	endpoint string
 	at       time.Time
 	answered bool
+	// recalled says that an earlier holder recorded it.
+	recalled bool
 	onTheWay bool
 	triedAt  time.Time
 }
@@ -102,11 +98,18 @@
 // settle takes note of an order that the list shows as done.
 func (p *Planner) settle(b *box, askedAt time.Time) {
 	g := b.ordered
-	if g == nil || !g.answered || askedAt.Before(g.at) || b.info.State != damsonwinch.BoxUp {
+	if g == nil || askedAt.Before(g.at) || b.info.State != damsonwinch.BoxUp {
+		return
+	}
+	if g.recalled && (b.info.Endpoint != g.Endpoint || b.info.Pool == g.Pool) {
+		b.ordered = nil
+		return
+	}
+	if !g.answered {
 		return
 	}
 	moved := g.Pool != "" && b.info.Pool == g.Pool
-	maintained := g.Pool == "" && askedAt.Sub(g.at) >= p.options.MaintainTime && (b.info.Endpoint != g.endpoint || b.info.Endpoint == "")
+	maintained := g.Pool == "" && askedAt.Sub(g.at) >= p.options.MaintainTime && (b.info.Endpoint != g.Endpoint || b.info.Endpoint == "")
 	if moved || maintained {
 		b.ordered = nil
 	}
@@ -125,7 +128,7 @@
 // free says whether the planner may decide something new about a box.
 func (p *Planner) free(b *box) bool {
 	return b.info.State == damsonwinch.BoxUp && b.ordered == nil && b.purpose == nil &&
-		p.now.Sub(b.unansweredAt) >= lateOrder && p.now.Sub(b.orderedAt) >= p.options.HolderGap
+		p.now.Sub(b.foreignAt) >= p.options.HolderGap
 }
 
 // take begins to empty a box.
@@ -136,9 +139,8 @@
 
 // orderNow gives an order on a box in which nothing runs.
 func (p *Planner) orderNow(b *box, pool string, wave int, cause string) {
-	order := Order{Box: b.info.Name, Pool: pool, Wave: wave, Cause: cause}
-	b.ordered = &given{Order: order, endpoint: b.info.Endpoint, at: p.now, onTheWay: true, triedAt: p.now}
-	b.orderedAt = p.now
+	order := Order{Box: b.info.Name, Pool: pool, Wave: wave, Endpoint: b.info.Endpoint, Cause: cause}
+	b.ordered = &given{Order: order, at: p.now, onTheWay: true, triedAt: p.now}
 	b.purpose = nil
 	if w := p.waves[wave]; w != nil {
 		w.done[b.info.Name] = true
@@ -153,7 +155,8 @@
 		switch {
 		case b.purpose != nil && b.report != nil && b.report.Withdrawn:
 			p.orderNow(b, b.purpose.pool, b.purpose.wave, b.purpose.cause)
-		case b.ordered != nil && !b.ordered.answered && !b.ordered.onTheWay && p.now.Sub(b.ordered.triedAt) >= orderRetry:
+		case b.ordered != nil && !b.ordered.answered && !b.ordered.onTheWay && p.now.Sub(b.ordered.triedAt) >= orderRetry &&
+			p.now.Sub(b.foreignAt) >= p.options.HolderGap:
 			b.ordered.onTheWay, b.ordered.triedAt = true, p.now
 			p.orders = append(p.orders, b.ordered.Order)
 		}
@@ -182,7 +185,8 @@
 	case errors.Is(err, damsonwinch.ErrRefused), errors.Is(err, damsonwinch.ErrOldToken):
 		// Nothing was done; it is tried again.
 	default:
-		b.unansweredAt = now
+		// It may have been done, or be done later. It is repeated until it is
+		// answered: done twice is done once.
 	}
 }
 
@@ -202,7 +206,11 @@
 		p.boxes[record.Box] = b
 		p.order = append(p.order, b)
 	}
-	b.orderedAt = time.UnixMilli(int64(record.AtMs))
-	// Whether it was answered is not known; it may still take effect.
-	b.unansweredAt = b.orderedAt
+	b.foreignAt = time.UnixMilli(int64(record.AtMs))
+	// Whether it was carried out is not known; unless the list of boxes shows it, it
+	// is repeated.
+	b.ordered = &given{
+		Order: Order{Box: record.Box, Pool: record.Pool, Wave: record.Wave, Endpoint: record.Endpoint, Cause: record.Cause},
+		at:    b.foreignAt, recalled: true,
+	}
 }
--- a/pkg/supply/supply.go
+++ b/pkg/supply/supply.go
@@ -31,8 +31,10 @@
 	// Pool is where it moves to; empty for maintenance.
 	Pool string
 	// Wave is what it is maintained for.
-	Wave  int
-	Cause string
+	Wave int
+	// Endpoint is the life that runs on the box, empty for none.
+	Endpoint string
+	Cause    string
 }
 
 // Wishes are what the planner wants of one cell's endpoints.
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -189,6 +189,21 @@
 	Id string `json:"id"`
 }
 
+// ClaimsArgs asks a node for the claims that it knows.
+type ClaimsArgs struct {
+	// Who asks.
+	Node string `json:"node,omitempty,omitzero"`
+}
+
+// ClaimsReply is what a node knows of the claims, for one that has lost the store.
+type ClaimsReply struct {
+	// How long ago the store confirmed them.
+	AgeMs int `json:"age_ms,omitempty,omitzero"`
+
+	// Claims corresponds to the JSON schema field "claims".
+	Claims []HeardClaim `json:"claims,omitempty,omitzero"`
+}
+
 type Class string
 
 const ClassNormal Class = "normal"
@@ -350,6 +365,15 @@
 const HealthLeaving Health = "leaving"
 const HealthUp Health = "up"
 
+// HeardClaim is a claim with the epoch that it gives.
+type HeardClaim struct {
+	// Claim corresponds to the JSON schema field "claim".
+	Claim CellClaim `json:"claim"`
+
+	// Token corresponds to the JSON schema field "token".
+	Token int `json:"token"`
+}
+
 // JobArgs is a client's call on a job, for the owner of a cell.
 type JobArgs struct {
 	// Cell corresponds to the JSON schema field "cell".
@@ -536,6 +560,9 @@
 	// Why, for the audit trail.
 	Cause string `json:"cause,omitempty,omitzero"`
 
+	// Life that ran on the box then; empty for none.
+	Endpoint string `json:"endpoint,omitempty,omitzero"`
+
 	// Pool that it moves to; empty for maintenance.
 	Pool string `json:"pool,omitempty,omitzero"`
 
