Put jobs that can no longer be in time behind the others; learn due times

Cause: after an outage or a burst all jobs of a pool were served in order and all came late; due times came from clients' estimates, which are off by factors.

Change: run times and the error of estimates are learned by queue, due times follow from both; late jobs go last and count a fifth of the need for boxes.

--- a/pkg/cell/arrivals.go
+++ b/pkg/cell/arrivals.go
@@ -30,9 +30,7 @@
 	// counts holds the jobs of each slot, by the slot's number since 1970.
 	counts [arrivalSlots]int
 	slot   int64
-	// runs and runMs are the number and mean time of tasks that were done.
-	runs  int
-	runMs float64
+	times  runTimes
 	// jobs and work are the number of jobs and their mean work, in thousandths of
 	// a core times milliseconds.
 	jobs int
@@ -76,7 +74,7 @@
 		for ; next < window; next++ {
 			count += q.counts[(q.slot-int64(next)+arrivalSlots)%arrivalSlots]
 		}
-		if last := arrivalWindows[len(arrivalWindows)-1]; window < last && float64(window*int(arrivalSlot.Milliseconds())) < shortestWindow*q.runMs {
+		if last := arrivalWindows[len(arrivalWindows)-1]; window < last && float64(window*int(arrivalSlot.Milliseconds())) < shortestWindow*q.times.mean {
 			continue
 		}
 		sure := float64(count) - usualDeviation*math.Sqrt(float64(count))
@@ -85,12 +83,6 @@
 	return best
 }
 
-// finished learns the time of a task that is done.
-func (q *queueStats) finished(took time.Duration) {
-	q.runs++
-	q.runMs += max(learnWeight, 1/float64(q.runs)) * (float64(took.Milliseconds()) - q.runMs)
-}
-
 // offered returns the work that arrives, in thousandths of a core.
 func (c *Cell) offered(now time.Time) int {
 	sum := 0.0
@@ -105,8 +97,8 @@
 func (c *Cell) taskMs() int {
 	sum, runs := 0.0, 0
 	for _, known := range c.learned {
-		sum += known.runMs * float64(known.runs)
-		runs += known.runs
+		sum += known.times.mean * float64(known.times.actual.count)
+		runs += known.times.actual.count
 	}
 	if runs == 0 {
 		return 0
@@ -115,7 +107,6 @@
 }
 
 // workOf estimates a job's work, in thousandths of a core times milliseconds.
-// Clients' estimates are far off; the mean of the queue's own runs is better.
 func (c *Cell) workOf(j *job) int {
 	known := c.statsOf(j.queue)
 	work := 0
@@ -124,11 +115,7 @@
 		if phase.Lasting || phase.Fills {
 			continue
 		}
-		estimate := phase.EstimateMs
-		if known.runs >= learnedRuns {
-			estimate = int(known.runMs)
-		}
-		work += phase.Count * phase.Cpu * estimate
+		work += phase.Count * phase.Cpu * known.times.estimate(phase.EstimateMs)
 	}
 	return work
 }
--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -32,7 +32,7 @@
 		}
 		report.Endpoints = append(report.Endpoints, entry)
 	}
-	memory += c.reportWaiting(&report)
+	memory += c.reportWaiting(&report, now)
 	if boxMemory > 0 {
 		report.MemoryShare = memory * wholeBox / boxMemory
 	}
@@ -44,15 +44,20 @@
 const wholeBox = 1000
 
 // reportWaiting adds what ready tasks ask for, and returns their memory.
-func (c *Cell) reportWaiting(report *wire.SyncReply) int {
+func (c *Cell) reportWaiting(report *wire.SyncReply, now time.Time) int {
 	memory := 0
+	c.now = now
 	for _, p := range c.open {
 		need := p.need()
-		memory += len(p.ready) * need.MemoryMB
 		if p.spec.Lasting {
 			report.LastingCpu += len(p.ready) * need.CPU
 			continue
 		}
+		if c.late(p) {
+			report.LateCpu += len(p.ready) * need.CPU
+			continue
+		}
+		memory += len(p.ready) * need.MemoryMB
 		report.WaitingCpu += len(p.ready) * need.CPU
 	}
 	return memory
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -30,6 +30,8 @@
 	rounds []*round
 	// runs counts attempts that may be running.
 	runs int
+	// chains tells, by phase, how long the job takes from there on.
+	chains []int
 	// specSaved says that the stream holds, or is being given, the job's text.
 	specSaved bool
 }
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -6,11 +6,29 @@
 	"damsonwinch"
 )
 
-// place starts the tasks that may start, the most urgent first, as far as there
-// is room.
+// place starts the tasks that may start, as far as there is room: those of jobs
+// that can still be done in time first, and there the most urgent.
 func (c *Cell) place() {
-	var full []damsonwinch.Resources
-	for _, p := range slices.Clone(c.open) {
+	if len(c.open) == 0 {
+		return
+	}
+	inTime := make([]*phase, 0, len(c.open))
+	var late []*phase
+	for _, p := range c.open {
+		if c.late(p) {
+			late = append(late, p)
+		} else {
+			inTime = append(inTime, p)
+		}
+	}
+	full := c.placePhases(inTime, nil)
+	c.placePhases(late, full)
+}
+
+// placePhases places phases in order. Full are needs that found no room; it
+// returns them with those that it met.
+func (c *Cell) placePhases(phases []*phase, full []damsonwinch.Resources) []damsonwinch.Resources {
+	for _, p := range phases {
 		if exceedsAny(p, full) {
 			continue
 		}
@@ -23,6 +41,7 @@
 			c.closePhase(p)
 		}
 	}
+	return full
 }
 
 // exceedsAny says whether a phase's tasks need at least what already found no
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -250,7 +250,7 @@
 	c.learn(r, end.How)
 	switch {
 	case end.How == damsonwinch.EndedDone && !t.phase.spec.Lasting:
-		c.statsOf(t.phase.job().queue).finished(c.now.Sub(r.since))
+		c.statsOf(t.phase.job().queue).times.finished(c.now.Sub(r.since), t.phase.spec.EstimateMs)
 		c.complete(t)
 	case end.How == damsonwinch.EndedFailed && !t.phase.spec.Lasting:
 		c.note("run failed", r, "")
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -41,8 +41,7 @@
 	}
 	queue := c.queues[args.Queue]
 	j.priority, j.mostAttempts = queue.Priority, queue.MostAttempts
-	objective := time.Duration(queue.Extension*float64(jobs.Chain(j.spec))) + queue.Target
-	j.dueMs = j.acceptedMs + int(objective.Milliseconds())
+	c.setDue(j)
 	return j
 }
 
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"damsonwinch"
 	"damsonwinch/pkg/call"
 	"damsonwinch/pkg/metrics"
@@ -56,6 +58,7 @@
 	Dial    damsonwinch.Dial
 	Clock   damsonwinch.Clock
 	Metrics *metrics.Set
+	Logger  logrus.FieldLogger
 }
 
 // Router sends each call to the owner of its cell.
@@ -135,16 +138,22 @@
 			return reply
 		}
 		if ctx.Err() != nil || (!open && r.deps.Clock.Now().Sub(begun) > holdTime) {
-			return r.giveUp(reply, open)
+			return r.giveUp(m, args, reply, open, begun)
 		}
 		r.deps.Metrics.Add("route_retries", 1)
 		if !r.sleep(ctx) {
-			return r.giveUp(reply, open)
+			return r.giveUp(m, args, reply, open, begun)
 		}
 	}
 }
 
-func (r *Router) giveUp(reply wire.JobReply, open bool) wire.JobReply {
+// giveUp words the final answer of a call that no owner has answered.
+func (r *Router) giveUp(m method, args wire.JobArgs, reply wire.JobReply, open bool, begun time.Time) wire.JobReply {
+	claim, _ := r.deps.Cells.View().Owner(args.Cell)
+	r.deps.Logger.WithFields(logrus.Fields{
+		"call": m.name, "job": args.Id, "cell": args.Cell, "owner": claim.Node, "epoch": claim.Token, "open": open,
+		"waited_ms": r.deps.Clock.Now().Sub(begun).Milliseconds(), "why": reply.Reason,
+	}).Warn("call given up")
 	if open {
 		r.deps.Metrics.Add("calls_unknown", 1)
 		return wire.JobReply{Outcome: wire.JobOutcomeUnknown, Reason: reply.Reason}
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -21,6 +21,9 @@
 	// new boxes have come: jobs have about that much slack.
 	catchUpShare = 130
 	leastCatchUp = 900 * time.Millisecond
+	// lateShare is the part of the waiting work of late jobs, in percent, that a
+	// pool gets boxes for: they are worth little, but must be done.
+	lateShare = 20
 	// usualTaskMs is the time of a task while none has ended yet.
 	usualTaskMs = 1000
 	// arrivalTime is added to a move's own time until a box has work.
@@ -70,7 +73,8 @@
 	if taskMs == 0 {
 		taskMs = usualTaskMs
 	}
-	behind := l.report.WaitingCpu*taskMs + short*int(lead.Milliseconds())
+	waiting := l.report.WaitingCpu + l.report.LateCpu*lateShare/100
+	behind := waiting*taskMs + short*int(lead.Milliseconds())
 	catchUp := max(int(leastCatchUp.Milliseconds()), taskMs*catchUpShare/100)
 	cpu := l.report.LastingCpu + busy + behind/catchUp
 	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*growth/100) + reserve
--- a/pkg/supply/summary.go
+++ b/pkg/supply/summary.go
@@ -18,8 +18,8 @@
 			continue
 		}
 		r := pool.report
-		lines = append(lines, fmt.Sprintf("%s; needs %d, lately %d; cores: lasting %d, running %d, waiting %d, arriving %d a second; %d ms a task",
-			boxes, pool.need, pool.held(), r.LastingCpu/1000, r.RunningCpu/1000, r.WaitingCpu/1000, r.OfferedCpu/1000, r.TaskMs))
+		lines = append(lines, fmt.Sprintf("%s; needs %d, lately %d; cores: lasting %d, running %d, waiting %d and %d late, arriving %d a second; %d ms a task",
+			boxes, pool.need, pool.held(), r.LastingCpu/1000, r.RunningCpu/1000, r.WaitingCpu/1000, r.LateCpu/1000, r.OfferedCpu/1000, r.TaskMs))
 	}
 	return lines
 }
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -844,6 +844,10 @@
 	// Thousandths of a core that lasting tasks take or ask for.
 	LastingCpu int `json:"lasting_cpu,omitempty,omitzero"`
 
+	// Thousandths of a core that ready tasks of jobs wait for that can no longer be
+	// done in time.
+	LateCpu int `json:"late_cpu,omitempty,omitzero"`
+
 	// Room that running and waiting tasks need of memory, in thousandths of a usual
 	// box.
 	MemoryShare int `json:"memory_share,omitempty,omitzero"`
