--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -27,7 +27,7 @@
 // lookAround sends the looks that are due.
 func (c *Cell) lookAround() {
 	for _, e := range c.ranked {
-		if e.gone || e.info.Address == "" || (!e.listed && len(e.runs) == 0) {
+		if e.gone || e.info.Address == "" || (len(e.runs) == 0 && (!e.listed || e.withdraw.recorded)) {
 			continue
 		}
 		c.lookAt(e)
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -113,13 +113,13 @@
 	if b.ordered != nil {
 		return b.ordered.Pool == name || (b.ordered.Pool == "" && b.info.Pool == name)
 	}
-	if b.info.Pool != name || b.info.State == damsonwinch.BoxDown {
-		return false
-	}
 	if b.purpose != nil {
 		// A box that is emptied for maintenance takes no work until it is back.
 		return b.purpose.pool == name
 	}
+	if b.info.Pool != name || b.info.State == damsonwinch.BoxDown {
+		return false
+	}
 	if b.report != nil {
 		return b.report.Usable || p.now.Sub(b.upAt) < arrival
 	}
