--- a/pkg/cell/arrivals.go
+++ b/pkg/cell/arrivals.go
@@ -35,6 +35,8 @@
 	// a core times milliseconds.
 	jobs int
 	work float64
+	// slack is the mean time that jobs can wait, in milliseconds.
+	slack float64
 }
 
 // statsOf returns what is known of a queue.
@@ -56,11 +58,13 @@
 }
 
 // arrive counts a job and learns of its work.
-func (q *queueStats) arrive(now time.Time, work int) {
+func (q *queueStats) arrive(now time.Time, work, slackMs int) {
 	q.turn(now)
 	q.counts[q.slot%arrivalSlots]++
 	q.jobs++
-	q.work += max(learnWeight, 1/float64(q.jobs)) * (float64(work) - q.work)
+	weight := max(learnWeight, 1/float64(q.jobs))
+	q.work += weight * (float64(work) - q.work)
+	q.slack += weight * (float64(slackMs) - q.slack)
 }
 
 // perSecond returns the rate of jobs that is to be counted on. In each window the
@@ -92,6 +96,20 @@
 	return int(sum)
 }
 
+// slackMs returns the time that arriving jobs can wait, weighed by their work.
+func (c *Cell) slackMs(now time.Time) int {
+	sum, work := 0.0, 0.0
+	for _, known := range c.learned {
+		weight := known.perSecond(now) * known.work
+		sum += known.slack * weight
+		work += weight
+	}
+	if work == 0 {
+		return 0
+	}
+	return int(sum / work)
+}
+
 // taskMs returns the usual time of a cell's tasks in milliseconds, weighed by
 // their numbers.
 func (c *Cell) taskMs() int {
--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -9,7 +9,7 @@
 
 // Report tells the fleet planner how the cell is.
 func (c *Cell) Report(now time.Time) wire.SyncReply {
-	report := wire.SyncReply{Known: true, OfferedCpu: c.offered(now), TaskMs: c.taskMs()}
+	report := wire.SyncReply{Known: true, OfferedCpu: c.offered(now), TaskMs: c.taskMs(), SlackMs: c.slackMs(now)}
 	memory, boxMemory := 0, 0
 	for _, e := range c.ranked {
 		boxMemory = max(boxMemory, e.info.Capacity.MemoryMB)
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -27,7 +27,7 @@
 	c.order = append(c.order, j)
 	c.stats.Accepted++
 	if !jobs.Lasting(j.spec) {
-		c.statsOf(j.queue).arrive(now, c.workOf(j))
+		c.statsOf(j.queue).arrive(now, c.workOf(j), j.dueMs-j.acceptedMs-slices.Max(j.chains))
 	}
 	c.touch(j)
 	c.openRounds()
--- a/pkg/cell/withdraw.go
+++ b/pkg/cell/withdraw.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"damsonwinch"
 	"damsonwinch/pkg/wire"
@@ -52,12 +53,23 @@
 			if r.task.phase.lastingAway() < spec.AwayAtMost && c.roomElsewhere(r) {
 				c.stop(r, "its box is wanted")
 			}
-		case e.withdraw.hurry && spec.Checkpoints && c.roomElsewhere(r):
+		case e.withdraw.hurry && spec.Checkpoints && (c.canWait(r) || c.roomElsewhere(r)):
 			c.stop(r, "its box is wanted")
 		}
 	}
 }
 
+// canWait says whether a run's job would still be in time if the run stood still
+// for a while.
+func (c *Cell) canWait(r *run) bool {
+	j := r.task.phase.job()
+	return int(c.now.Add(waitForRoom).UnixMilli())+j.chains[r.task.phase.number] < j.dueMs
+}
+
+// waitForRoom is how long a stopped task may have to wait for room, with the time
+// of its stop and of its return to where it was.
+const waitForRoom = 1500 * time.Millisecond
+
 // roomElsewhere says whether a run could go on at another endpoint now.
 func (c *Cell) roomElsewhere(r *run) bool {
 	for _, e := range c.ranked {
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -32,7 +32,9 @@
 			continue
 		}
 		missing := pool.need - p.has(name)
-		if share := missing * wholeBox / max(1, pool.need); missing > 0 && share > worstShare {
+		// What can't wait comes first.
+		share := missing * wholeBox / max(1, pool.need) * int(usualSlack) / int(pool.slack())
+		if missing > 0 && share > worstShare {
 			worst, worstMissing, worstShare = name, missing, share
 		}
 	}
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -13,14 +13,17 @@
 	reportTime = 2 * time.Second
 	// wholeBox is a box in thousandths.
 	wholeBox = 1000
-	// growth is what a pool has above the work that comes in, in percent: work
-	// comes unevenly, and boxes can't be packed to the last core.
-	growth = 120
-	// catchUpShare times the time of a task, in percent, and leastCatchUp at least,
-	// is the time in which a pool should have caught up with what waits once its
-	// new boxes have come: jobs have about that much slack.
-	catchUpShare = 130
-	leastCatchUp = 900 * time.Millisecond
+	// leastSlack and usualSlack bound the time that jobs are taken to be able to
+	// wait: the quickest of the users' jobs can wait about a second.
+	leastSlack = 500 * time.Millisecond
+	usualSlack = 1200 * time.Millisecond
+	// growth is what a pool has above the work that comes in, in percent, when its
+	// jobs can wait for the usual slack: work comes unevenly, and boxes can't be
+	// packed to the last core. The longer jobs can wait, the less it takes.
+	growth     = 45
+	mostGrowth = 60
+	// memoryGrowth is the same for memory.
+	memoryGrowth = 120
 	// lateShare is the part of the waiting work of late jobs, in percent, that a
 	// pool gets boxes for: they are worth little, but must be done.
 	lateShare = 20
@@ -30,7 +33,7 @@
 	arrivalTime = 500 * time.Millisecond
 	// reserve is room that every pool keeps free for jobs to come, in thousandths
 	// of a box.
-	reserve = 1000
+	reserve = 1700
 	// leastBoxes keeps a pool through the loss of a box or a zone.
 	leastBoxes = 2
 )
@@ -66,7 +69,9 @@
 	if boxCPU == 0 || !l.report.Known {
 		return
 	}
-	busy := max(l.report.OfferedCpu*growth/100, l.report.RunningCpu)
+	slack := l.slack()
+	above := min(mostGrowth, growth*int(usualSlack)/int(slack))
+	busy := max(l.report.OfferedCpu*(100+above)/100, l.report.RunningCpu)
 	short := max(0, l.report.OfferedCpu+l.report.LastingCpu-p.has(l.name)*boxCPU)
 	lead := p.options.MoveTime + arrivalTime
 	taskMs := l.report.TaskMs
@@ -75,9 +80,9 @@
 	}
 	waiting := l.report.WaitingCpu + l.report.LateCpu*lateShare/100
 	behind := waiting*taskMs + short*int(lead.Milliseconds())
-	catchUp := max(int(leastCatchUp.Milliseconds()), taskMs*catchUpShare/100)
-	cpu := l.report.LastingCpu + busy + behind/catchUp
-	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*growth/100) + reserve
+	// Half of the slack is left for what else comes.
+	cpu := l.report.LastingCpu + busy + 2*behind/int(slack.Milliseconds())
+	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*memoryGrowth/100) + reserve
 	l.need = max(leastBoxes, l.report.Spread, (share+wholeBox-1)/wholeBox)
 	keep := l.peaks[:0]
 	for _, old := range l.peaks {
@@ -88,6 +93,14 @@
 	l.peaks = append(keep, peak{at: now, need: l.need})
 }
 
+// slack returns how long the pool's jobs can wait.
+func (l *pool) slack() time.Duration {
+	if l.report.SlackMs <= 0 {
+		return usualSlack
+	}
+	return max(leastSlack, time.Duration(l.report.SlackMs)*time.Millisecond)
+}
+
 // held is the highest need within the holding time.
 func (l *pool) held() int {
 	most := l.need
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -858,6 +858,10 @@
 	// Thousandths of a core that other tasks take.
 	RunningCpu int `json:"running_cpu,omitempty,omitzero"`
 
+	// Time, in milliseconds, that the jobs that arrive can usually wait and still be
+	// done in time.
+	SlackMs int `json:"slack_ms,omitempty,omitzero"`
+
 	// Boxes that lasting tasks need so as not to share one.
 	Spread int `json:"spread,omitempty,omitzero"`
 
