--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -9,7 +9,8 @@
 
 // Report tells the fleet planner how the cell is.
 func (c *Cell) Report(now time.Time) wire.SyncReply {
-	report := wire.SyncReply{Known: true, OfferedCpu: c.offered(now), TaskMs: c.taskMs(), SlackMs: c.slackMs(now)}
+	report := wire.SyncReply{Known: true, TaskMs: c.taskMs(), SlackMs: c.slackMs(now)}
+	report.SteadyCpu, report.OfferedCpu = c.offered(now)
 	memory, boxMemory := 0, 0
 	for _, e := range c.ranked {
 		boxMemory = max(boxMemory, e.info.Capacity.MemoryMB)
@@ -29,6 +30,7 @@
 				continue
 			}
 			report.RunningCpu += need.CPU
+			entry.EmptyMs = max(entry.EmptyMs, c.leftMs(r, now))
 		}
 		report.Endpoints = append(report.Endpoints, entry)
 	}
@@ -40,6 +42,15 @@
 	return report
 }
 
+// leftMs estimates how long a run still takes, in milliseconds.
+func (c *Cell) leftMs(r *run, now time.Time) int {
+	usual := c.statsOf(r.task.phase.job().queue).times.estimate(r.task.phase.spec.EstimateMs)
+	return max(leastLeftMs, usual-int(now.Sub(r.since).Milliseconds()))
+}
+
+// leastLeftMs is what a run is taken to need when it should have ended already.
+const leastLeftMs = 200
+
 // wholeBox is a box's room in the unit of shares.
 const wholeBox = 1000
 
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -40,7 +40,7 @@
 	retryLook = 300 * time.Millisecond
 	// poolHold is how long a pool keeps boxes that it no longer needs. Two moves
 	// cost the users about six seconds of a box, the time on the way counted in.
-	poolHold = 4 * time.Second
+	poolHold = 1 * time.Second
 )
 
 // clientIdleTime is how long a client's idle connection is kept.
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -99,11 +99,20 @@
 			found = append(found, b)
 			continue
 		}
-		if donor.fresh(p.now) && p.free(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && p.has(donor.name) > donor.need {
+		if donor.fresh(p.now) && p.free(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && p.has(donor.name) > p.leastFor(donor, p.pools[name]) {
 			found = append(found, b)
 		}
 	}
-	return first(sortBoxes(found, func(b *box) int { return p.emptying(b) + p.zoneCount(name, b.info.Zone) }))
+	return first(sortBoxes(found, func(b *box) int { return p.emptying(b) + p.zoneCount(name, b.info.Zone)*zoneMs }))
+}
+
+// leastFor returns how many boxes a pool keeps when another one asks. One whose
+// jobs can wait much longer gives a part of what it needs.
+func (p *Planner) leastFor(donor, receiver *pool) int {
+	if donor.slack() < patientTimes*receiver.slack() {
+		return donor.need
+	}
+	return max(leastBoxes, donor.report.Spread, donor.need*patientShare/100)
 }
 
 func (p *Planner) isParking(name string) bool {
@@ -111,13 +120,18 @@
 	return known != nil && known.parking
 }
 
-// emptying estimates what the emptying of a box costs.
+// zoneMs is what one box more in a zone counts when boxes are chosen, beside the
+// milliseconds in which they will be empty.
+const zoneMs = 30
+
+// emptying estimates in how many milliseconds a box can be empty.
 func (p *Planner) emptying(b *box) int {
 	if b.report == nil {
 		return 0
 	}
-	const runCost, lastingCost = 10, 1000
-	return b.report.Runs*runCost + b.report.Lasting*lastingCost
+	// A lasting task has to be started elsewhere before the next one can go.
+	const lastingMs = 2000
+	return b.report.EmptyMs + b.report.Lasting*lastingMs
 }
 
 // zoneCount counts a pool's boxes in a zone, so that new ones go where it has
@@ -161,7 +175,7 @@
 			found = append(found, b)
 		}
 	}
-	return first(sortBoxes(found, func(b *box) int { return p.emptying(b) - p.zoneCount(name, b.info.Zone) }))
+	return first(sortBoxes(found, func(b *box) int { return p.emptying(b) - p.zoneCount(name, b.info.Zone)*zoneMs }))
 }
 
 func first(boxes []*box) *box {
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -22,6 +22,10 @@
 	// packed to the last core. The longer jobs can wait, the less it takes.
 	growth     = 45
 	mostGrowth = 60
+	// patientTimes is how many times as long as those of another pool a pool's jobs
+	// must be able to wait for it to keep only patientShare of its need, in percent.
+	patientTimes = 2
+	patientShare = 65
 	// memoryGrowth is the same for memory.
 	memoryGrowth = 120
 	// lateShare is the part of the waiting work of late jobs, in percent, that a
@@ -44,8 +48,8 @@
 	parking    bool
 	report     wire.SyncReply
 	reportedAt time.Time
-	// need is how many boxes the pool should have now, and held the highest need
-	// within the holding time.
+	// need is how many boxes the pool should have now, and peaks the highest steady
+	// needs of late, which it keeps boxes for.
 	need  int
 	peaks []peak
 }
@@ -82,15 +86,26 @@
 	behind := waiting*taskMs + short*int(lead.Milliseconds())
 	// Half of the slack is left for what else comes.
 	cpu := l.report.LastingCpu + busy + 2*behind/int(slack.Milliseconds())
+	l.need = l.boxesFor(cpu, boxCPU)
+	steady := l.report.LastingCpu + max(l.report.SteadyCpu*(100+above)/100, l.report.RunningCpu)
+	l.remember(now, p.options.Hold, l.boxesFor(steady, boxCPU))
+}
+
+// boxesFor returns the number of boxes for a need of processor.
+func (l *pool) boxesFor(cpu, boxCPU int) int {
 	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*memoryGrowth/100) + reserve
-	l.need = max(leastBoxes, l.report.Spread, (share+wholeBox-1)/wholeBox)
+	return max(leastBoxes, l.report.Spread, (share+wholeBox-1)/wholeBox)
+}
+
+// remember keeps the highest steady needs of the holding time.
+func (l *pool) remember(now time.Time, hold time.Duration, need int) {
 	keep := l.peaks[:0]
 	for _, old := range l.peaks {
-		if now.Sub(old.at) < p.options.Hold && old.need > l.need {
+		if now.Sub(old.at) < hold && old.need > need {
 			keep = append(keep, old)
 		}
 	}
-	l.peaks = append(keep, peak{at: now, need: l.need})
+	l.peaks = append(keep, peak{at: now, need: need})
 }
 
 // slack returns how long the pool's jobs can wait.
@@ -101,7 +116,7 @@
 	return max(leastSlack, time.Duration(l.report.SlackMs)*time.Millisecond)
 }
 
-// held is the highest need within the holding time.
+// held is how many boxes the pool keeps.
 func (l *pool) held() int {
 	most := l.need
 	for _, old := range l.peaks {
--- a/pkg/supply/summary.go
+++ b/pkg/supply/summary.go
@@ -11,6 +11,9 @@
 	lines := make([]string, 0, len(p.names))
 	for _, name := range p.names {
 		pool := p.pools[name]
+		if wait := p.waits[name]; wait != "" {
+			lines = append(lines, wait)
+		}
 		c := p.count(name)
 		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down", name, c.working, c.coming, c.emptying, c.maintained, c.down)
 		if pool.parking {
@@ -18,8 +21,8 @@
 			continue
 		}
 		r := pool.report
-		lines = append(lines, fmt.Sprintf("%s; needs %d, lately %d; cores: lasting %d, running %d, waiting %d and %d late, arriving %d a second; %d ms a task",
-			boxes, pool.need, pool.held(), r.LastingCpu/1000, r.RunningCpu/1000, r.WaitingCpu/1000, r.LateCpu/1000, r.OfferedCpu/1000, r.TaskMs))
+		lines = append(lines, fmt.Sprintf("%s; needs %d, lately %d; cores: lasting %d, running %d, waiting %d and %d late, arriving %d a second; %d ms a task, %d ms to wait",
+			boxes, pool.need, pool.held(), r.LastingCpu/1000, r.RunningCpu/1000, r.WaitingCpu/1000, r.LateCpu/1000, r.OfferedCpu/1000, r.TaskMs, r.SlackMs))
 	}
 	return lines
 }
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -238,6 +238,10 @@
 	// Box corresponds to the JSON schema field "box".
 	Box string `json:"box"`
 
+	// When the tasks that run there will have ended, probably, in milliseconds from
+	// now; lasting ones not counted.
+	EmptyMs int `json:"empty_ms,omitempty,omitzero"`
+
 	// Endpoint corresponds to the JSON schema field "endpoint".
 	Endpoint string `json:"endpoint"`
 
@@ -865,6 +869,9 @@
 	// Boxes that lasting tasks need so as not to share one.
 	Spread int `json:"spread,omitempty,omitzero"`
 
+	// The same without the rise that is expected to go on.
+	SteadyCpu int `json:"steady_cpu,omitempty,omitzero"`
+
 	// Usual time of a task in milliseconds.
 	TaskMs int `json:"task_ms,omitempty,omitzero"`
 
