Tell unwell endpoints by failures, standstill and pace, and rescue their tasks

Cause: endpoints that failed, hung or were slow kept getting work, and what they had stayed there.

Change: ejection after two failed tasks that had not failed elsewhere, after 1.2 s without progress, or by the pace of tasks when it is first known, a sign a phase; at most a third ejected; rescue only after an ejection; copies where allowed. What is learned of queues is recorded for the next owner; adopted and resumed runs teach nothing. Ends that the planner's list shows reach the cells at once.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -41,8 +41,11 @@
 	commits     commits
 	// learned tells, by queue, how much work comes and how long it takes.
 	learned map[string]*queueStats
-	effects Effects
-	stats   Stats
+	// learnedNew says that something was learned since it was last recorded.
+	learnedNew bool
+	learnedAt  time.Time
+	effects    Effects
+	stats      Stats
 }
 
 // New returns an empty cell for an owner with a fencing token. It orders nothing
--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -104,7 +104,7 @@
 // compose returns the records of all that is out of date in the stream.
 func (c *Cell) compose(sent *sentCommit) []damsonwinch.Record {
 	w := &c.commits
-	records := w.marks
+	records := append(w.marks, c.learnedRecords()...)
 	ids := make([]string, 0, len(w.dirty))
 	for id := range w.dirty {
 		ids = append(ids, id)
--- /dev/null
+++ b/pkg/cell/copies.go
@@ -0,0 +1,26 @@
+package cell
+
+// mostCopies is the number of attempts at one task that run at once where copies
+// are allowed: one more than usual, since each costs as much as the first.
+const mostCopies = 2
+
+// copyRuns has the tasks of an endpoint tried elsewhere as well, as far as their
+// phases allow copies. What the endpoint does in the end still counts.
+func (c *Cell) copyRuns(e *endpoint) {
+	for _, r := range e.sortedRuns() {
+		if r.task.phase.spec.Copies && !r.stopping && len(r.task.runs) < mostCopies {
+			r.task.avoid = e.info.ID
+			c.makeReady(r.task)
+		}
+	}
+}
+
+// runsAt says whether a task has an attempt at an endpoint.
+func (t *task) runsAt(e *endpoint) bool {
+	for _, r := range t.runs {
+		if r.at == e {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -10,6 +10,7 @@
 // Report tells the fleet planner how the cell is.
 func (c *Cell) Report(now time.Time) wire.SyncReply {
 	report := wire.SyncReply{Known: true, TaskMs: c.taskMs(), SlackMs: c.slackMs(now)}
+	c.now = now
 	report.SteadyCpu, report.OfferedCpu = c.offered(now)
 	memory, boxMemory := 0, 0
 	for _, e := range c.ranked {
@@ -30,11 +31,11 @@
 				continue
 			}
 			report.RunningCpu += need.CPU
-			entry.EmptyMs = max(entry.EmptyMs, c.leftMs(r, now))
+			entry.EmptyMs = max(entry.EmptyMs, c.leftMs(r))
 		}
 		report.Endpoints = append(report.Endpoints, entry)
 	}
-	memory += c.reportWaiting(&report, now)
+	memory += c.reportWaiting(&report)
 	if boxMemory > 0 {
 		report.MemoryShare = memory * wholeBox / boxMemory
 	}
@@ -42,22 +43,12 @@
 	return report
 }
 
-// leftMs estimates how long a run still takes, in milliseconds.
-func (c *Cell) leftMs(r *run, now time.Time) int {
-	usual := c.statsOf(r.task.phase.job().queue).times.estimate(r.task.phase.spec.EstimateMs)
-	return max(leastLeftMs, usual-int(now.Sub(r.since).Milliseconds()))
-}
-
-// leastLeftMs is what a run is taken to need when it should have ended already.
-const leastLeftMs = 200
-
 // wholeBox is a box's room in the unit of shares.
 const wholeBox = 1000
 
 // reportWaiting adds what ready tasks ask for, and returns their memory.
-func (c *Cell) reportWaiting(report *wire.SyncReply, now time.Time) int {
+func (c *Cell) reportWaiting(report *wire.SyncReply) int {
 	memory := 0
-	c.now = now
 	for _, p := range c.open {
 		need := p.need()
 		if p.spec.Lasting {
@@ -100,6 +91,7 @@
 	for _, e := range c.ranked {
 		e.withdraw.wanted, e.withdraw.hurry = false, false
 	}
+	c.want(args.Gone, func(e *endpoint) { c.lose(e, "the fleet planner has seen its box without it") })
 	c.want(args.Withdraw, func(e *endpoint) { e.withdraw.wanted = true })
 	c.want(args.Hurry, func(e *endpoint) { e.withdraw.wanted, e.withdraw.hurry = true, true })
 	c.want(args.Restore, func(e *endpoint) { c.restore(e) })
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -74,6 +74,7 @@
 	Commits   int
 	Looks     int
 	Lapsed    int
+	Ejections int
 }
 
 // Stats returns the counters.
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -41,6 +41,7 @@
 	// silent says that the last look was not answered.
 	silent     bool
 	pauseUntil time.Time
+	health     health
 }
 
 // usable says whether new work may be ordered there.
--- a/pkg/cell/estimate.go
+++ b/pkg/cell/estimate.go
@@ -55,5 +55,14 @@
 	return int(math.Exp(belief*said + (1-belief)*t.actual.mean))
 }
 
+// uncertainty returns the variance of the logarithm of a task's time about its
+// estimate.
+func (t *runTimes) uncertainty() float64 {
+	if t.error.count < learnedRuns {
+		return t.actual.variance
+	}
+	return t.actual.variance * t.error.variance / (t.actual.variance + t.error.variance + leastVariance)
+}
+
 // leastVariance keeps the weights apart from a division by nothing.
 const leastVariance = 1e-6
--- /dev/null
+++ b/pkg/cell/health.go
@@ -0,0 +1,176 @@
+package cell
+
+import (
+	"time"
+
+	"damsonwinch"
+)
+
+// Rules by which an endpoint is taken to be unwell.
+const (
+	// failuresToEject is the number of tasks in a row that must have failed there:
+	// healthy endpoints fail two in a thousand, and tasks that fail everywhere are
+	// not counted.
+	failuresToEject = 2
+	// firstEjection is how long an endpoint gets no new work at first; each time in
+	// a row doubles it, up to mostEjection. The troubles that the users name last
+	// five to seven seconds.
+	firstEjection = 2 * time.Second
+	mostEjection  = 8 * time.Second
+	// ejectedShare is the most that may be ejected of a cell's endpoints, in
+	// percent: when more seem unwell, something else is the cause.
+	ejectedShare = 34
+	// stillTime is how long no task of an endpoint may have got on for it to count
+	// as standing still.
+	stillTime = 1200 * time.Millisecond
+	// slowTimes is how many times as long as expected the tasks of an endpoint must
+	// take for it to count as slow, and slowEvidence how far that must be beyond
+	// chance: the square of the number of standard deviations.
+	slowTimes    = 2.5
+	slowEvidence = 16
+	// signTime is how long a sign of a task's pace counts.
+	signTime = 3 * time.Second
+)
+
+// health is what is known of how an endpoint does its work.
+type health struct {
+	// failures counts failed tasks since the last one that was done.
+	failures int
+	// ejections counts ejections in a row.
+	ejections int
+	until     time.Time
+	// onTrial says that an ejected endpoint is given one task at a time until one
+	// is done.
+	onTrial bool
+	// signs tell how fast its tasks get on.
+	signs []sign
+}
+
+// fit says whether an endpoint may be given new work, as far as its health goes.
+func (c *Cell) fit(e *endpoint) bool {
+	h := &e.health
+	if c.now.Before(h.until) {
+		return false
+	}
+	return !h.onTrial || e.shortRuns() == 0
+}
+
+// shortRuns counts the runs that end by themselves.
+func (e *endpoint) shortRuns() int {
+	count := 0
+	for _, r := range e.runs {
+		if !r.task.phase.spec.Lasting {
+			count++
+		}
+	}
+	return count
+}
+
+// learn takes what the end of a run tells of its endpoint.
+func (c *Cell) learn(r *run, how damsonwinch.Ending) {
+	h := &r.at.health
+	switch how {
+	case damsonwinch.EndedDone:
+		if h.onTrial {
+			c.noteEndpoint("endpoint well again", r.at, "")
+		}
+		h.failures, h.ejections, h.onTrial = 0, 0, false
+	case damsonwinch.EndedFailed:
+		if r.task.phase.spec.Lasting {
+			return
+		}
+		if r.task.failed > 0 {
+			// It failed elsewhere, too: the task is to blame.
+			return
+		}
+		h.failures++
+		if h.failures >= failuresToEject {
+			c.eject(r.at, "tasks fail there")
+		}
+	}
+}
+
+// eject gives an endpoint no new work for a while. It says whether the cell can do
+// without it.
+func (c *Cell) eject(e *endpoint, why string) bool {
+	h := &e.health
+	if c.now.Before(h.until) || !c.mayEject() {
+		return false
+	}
+	h.until = c.now.Add(min(mostEjection, firstEjection<<min(h.ejections, 4)))
+	h.ejections++
+	h.onTrial = true
+	h.failures, h.signs = 0, nil
+	c.stats.Ejections++
+	c.noteEndpoint("endpoint ejected", e, why)
+	return true
+}
+
+// mayEject says whether the cell can do without one more endpoint.
+func (c *Cell) mayEject() bool {
+	out, all := 0, 0
+	for _, e := range c.ranked {
+		if !e.usable() {
+			continue
+		}
+		all++
+		if c.now.Before(e.health.until) {
+			out++
+		}
+	}
+	return (out+1)*100 <= max(all, 3)*ejectedShare
+}
+
+// judge draws conclusions from how far the tasks of an endpoint get.
+func (c *Cell) judge(e *endpoint) {
+	if c.standsStill(e) {
+		if c.eject(e, "its tasks stand still") {
+			c.rescue(e, 0)
+		}
+		return
+	}
+	if times := e.health.slowness(c.now); times >= slowTimes && c.eject(e, "its tasks are slow") {
+		c.rescue(e, times)
+	}
+}
+
+// standsStill says whether an endpoint has tasks and none has got on for a while.
+func (c *Cell) standsStill(e *endpoint) bool {
+	tasks := 0
+	for _, r := range e.runs {
+		if r.task.phase.spec.Lasting || r.state != runConfirmed || r.stopping || r.percent >= wholePercent {
+			continue
+		}
+		tasks++
+		if c.now.Sub(r.pace.movedAt) < stillTime+c.options.RestoreTime {
+			return false
+		}
+	}
+	return tasks > 0 && !e.silent
+}
+
+// rescue runs the tasks of an unwell endpoint elsewhere, where that is sooner. It
+// takes so many times as long there, or for ever when times is 0.
+func (c *Cell) rescue(e *endpoint, times float64) {
+	c.copyRuns(e)
+	for _, r := range e.sortedRuns() {
+		if r.stopping || r.state != runConfirmed || r.task.phase.spec.Lasting || r.task.phase.spec.Copies {
+			continue
+		}
+		here := r.leftMs()
+		if times > 0 && here > 0 && here < c.elsewhereMs(r, here/times) {
+			continue
+		}
+		c.stop(r, "its endpoint is unwell")
+	}
+}
+
+// elsewhereMs estimates how long a run would take on another endpoint, where what
+// is left of it here takes leftMs.
+func (c *Cell) elsewhereMs(r *run, leftMs float64) float64 {
+	stop := float64(c.options.StopTime.Milliseconds())
+	if r.task.phase.spec.Checkpoints {
+		return stop + float64(c.options.RestoreTime.Milliseconds()) + leftMs
+	}
+	return stop + float64(c.statsOf(r.task.phase.job().queue).times.estimate(r.task.phase.spec.EstimateMs))
+}
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -117,6 +117,7 @@
 	e.clockSample, e.clockAt = look.Clock, c.now
 	c.takeEnds(e, look.Finished)
 	c.takeRunning(e, look.Running, sent.step)
+	c.judge(e)
 	if !e.attached {
 		e.attached = true
 		c.noteEndpoint("endpoint attached", e, "box "+e.info.Box)
@@ -136,6 +137,7 @@
 		e.silent = true
 		if len(e.runs) > 0 {
 			c.effects.AskBoxes = true
+			c.copyRuns(e)
 		}
 	}
 }
@@ -190,6 +192,8 @@
 }
 
 func (c *Cell) seenRunning(r *run, row damsonwinch.Running) {
+	r.pace.see(c.now, row.Percent)
+	c.signal(r)
 	r.percent = row.Percent
 	if row.Checkpoint != "" {
 		r.task.saved = row.Checkpoint
--- a/pkg/cell/options.go
+++ b/pkg/cell/options.go
@@ -10,6 +10,10 @@
 	// TokenGrace is how long an owner that lost the store may go on prolonging
 	// leases; a new owner waits that much longer for endpoints it can't reach.
 	TokenGrace time.Duration
+	// StopTime is the longest time that a stopped task takes to end.
+	StopTime time.Duration
+	// RestoreTime is how long a task takes to go on from a checkpoint.
+	RestoreTime time.Duration
 	// StartLate bounds how late a start may take effect.
 	StartLate time.Duration
 	// CommitGap is the least time between two appends: each has a price, and
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -97,7 +97,7 @@
 // allowed says whether a task may be started at an endpoint now.
 func (c *Cell) allowed(t *task, e *endpoint) bool {
 	p := t.phase
-	if !e.usable() || c.now.Before(e.pauseUntil) || !e.free().Holds(p.need()) || !e.hasLabel(p.spec.Label) {
+	if !e.usable() || !c.fit(e) || t.runsAt(e) || c.now.Before(e.pauseUntil) || !e.free().Holds(p.need()) || !e.hasLabel(p.spec.Label) {
 		return false
 	}
 	return p.spec.MostPerBox == 0 || onEndpoint(p, e) < p.spec.MostPerBox
@@ -120,6 +120,7 @@
 const (
 	scoreRack  = 1_000_000
 	scoreAvoid = -4_000_000
+	scoreDoubt = -2_000_000
 )
 
 func (c *Cell) score(t *task, e *endpoint) int {
@@ -130,5 +131,8 @@
 	if t.avoid == e.info.ID {
 		score += scoreAvoid
 	}
+	if e.health.failures > 0 {
+		score += scoreDoubt
+	}
 	return score
 }
--- a/pkg/cell/recover.go
+++ b/pkg/cell/recover.go
@@ -45,6 +45,8 @@
 		return nil
 	case strings.HasPrefix(record.Key, markPrefix):
 		return c.loadMark(record)
+	case strings.HasPrefix(record.Key, learnedPrefix):
+		return c.loadLearned(record)
 	}
 	var saved wire.JobRecord
 	if err := json.Unmarshal(record.Value, &saved); err != nil {
@@ -80,7 +82,7 @@
 		j.begun = true
 		t.attempt, t.failed, t.saved = record.Attempt, record.Failed, record.Saved
 		for _, running := range record.Runs {
-			c.attach(&run{task: t, attempt: running.Attempt, at: c.endpointOf(running.Endpoint), state: runSuspect, since: c.now})
+			c.attach(&run{task: t, attempt: running.Attempt, at: c.endpointOf(running.Endpoint), state: runSuspect, since: c.now, adopted: true})
 		}
 		if record.Done {
 			t.done = true
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -43,6 +43,13 @@
 	stopped  bool
 	percent  int
 	since    time.Time
+	// resumed says that it goes on from a checkpoint, and adopted that an earlier
+	// owner started it: its time tells nothing of its task's.
+	resumed bool
+	adopted bool
+	pace    pace
+	// judged says that its pace has been taken for a sign of its endpoint's health.
+	judged bool
 }
 
 func (r *run) order() damsonwinch.Run {
@@ -52,7 +59,7 @@
 // intend reserves room for a new attempt; it is ordered once it is recorded.
 func (c *Cell) intend(t *task, at *endpoint) {
 	t.attempt++
-	r := &run{task: t, attempt: t.attempt, at: at, since: c.now}
+	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != ""}
 	c.attach(r)
 	t.phase.job().begun = true
 	if t.attempt > 1 {
@@ -250,7 +257,10 @@
 	c.learn(r, end.How)
 	switch {
 	case end.How == damsonwinch.EndedDone && !t.phase.spec.Lasting:
-		c.statsOf(t.phase.job().queue).times.finished(c.now.Sub(r.since), t.phase.spec.EstimateMs)
+		if !r.adopted && !r.resumed {
+			c.statsOf(t.phase.job().queue).times.finished(c.now.Sub(r.since), t.phase.spec.EstimateMs)
+			c.learnedNew = true
+		}
 		c.complete(t)
 	case end.How == damsonwinch.EndedFailed && !t.phase.spec.Lasting:
 		c.note("run failed", r, "")
--- /dev/null
+++ b/pkg/cell/sign.go
@@ -0,0 +1,62 @@
+package cell
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// sign is how the tasks of one phase got on at an endpoint, beside what was
+// expected. They share one estimate, so that together they are but one sign.
+type sign struct {
+	phase *phase
+	at    time.Time
+	// sum is of the logarithms of the times taken over those expected, and count
+	// their number.
+	sum      float64
+	count    float64
+	variance float64
+}
+
+// signal takes a run's pace for a sign, once, when it is first known. Later it
+// would say more of long tasks than of short ones, which have ended by then.
+func (c *Cell) signal(r *run) {
+	total := r.pace.totalMs()
+	if total == 0 || r.judged || r.adopted || r.resumed || r.task.phase.spec.Lasting {
+		return
+	}
+	r.judged = true
+	times := &c.statsOf(r.task.phase.job().queue).times
+	if times.actual.count < learnedRuns {
+		return
+	}
+	h := &r.at.health
+	h.signs = slices.DeleteFunc(h.signs, func(s sign) bool { return c.now.Sub(s.at) > signTime })
+	off := math.Log(total / max(1, float64(times.estimate(r.task.phase.spec.EstimateMs))))
+	for i := range h.signs {
+		if h.signs[i].phase == r.task.phase {
+			h.signs[i].sum += off
+			h.signs[i].count++
+			return
+		}
+	}
+	h.signs = append(h.signs, sign{phase: r.task.phase, at: c.now, sum: off, count: 1, variance: times.uncertainty()})
+}
+
+// slowness returns how many times as long as expected the tasks of an endpoint
+// take, or 0 while that may be chance.
+func (h *health) slowness(now time.Time) float64 {
+	sum, variance, count := 0.0, leastVariance, 0.0
+	for _, s := range h.signs {
+		if now.Sub(s.at) > signTime {
+			continue
+		}
+		sum += s.sum / s.count
+		variance += s.variance
+		count++
+	}
+	if count == 0 || sum <= 0 || sum*sum < slowEvidence*variance {
+		return 0
+	}
+	return math.Exp(sum / count)
+}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -322,7 +322,7 @@
 
 func (p *Planner) sync(cell string) {
 	wishes := p.supply.Wishes(cell)
-	args := wire.SyncArgs{Cell: cell, Token: p.options.Token, Withdraw: wishes.Withdraw, Hurry: wishes.Hurry, Restore: wishes.Restore}
+	args := wire.SyncArgs{Cell: cell, Token: p.options.Token, Withdraw: wishes.Withdraw, Hurry: wishes.Hurry, Restore: wishes.Restore, Gone: wishes.Gone}
 	p.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 		defer cancel()
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -35,7 +35,7 @@
 	startLate = 2500 * time.Millisecond
 	// commitGap makes what comes up within it share an append.
 	commitGap = 15 * time.Millisecond
-	lookWait  = time.Second
+	lookWait  = 500 * time.Millisecond
 	idleLook  = 2 * time.Second
 	retryLook = 300 * time.Millisecond
 	// poolHold is how long a pool keeps boxes that it no longer needs. Two moves
@@ -111,7 +111,7 @@
 			Node: config.Node, Address: config.CallAddress, Weight: int(config.CoreShare * 1000), Incarnation: int(env.Clock.Now().UnixMilli()),
 		},
 		Cells: cell.Options{
-			MostLease: milliseconds(bounds.LeaseMostMs), TokenGrace: tokenGrace, StartLate: startLate, CommitGap: commitGap,
+			MostLease: milliseconds(bounds.LeaseMostMs), TokenGrace: tokenGrace, StartLate: startLate, StopTime: milliseconds(bounds.StopMs), RestoreTime: milliseconds(bounds.RestoreMs), CommitGap: commitGap,
 			LookWait: lookWait, IdleLook: idleLook, RetryLook: retryLook, KeepEnded: time.Duration(bounds.KeepEndedS) * time.Second,
 		},
 		Supply: supply.Options{
--- a/pkg/supply/supply.go
+++ b/pkg/supply/supply.go
@@ -42,6 +42,8 @@
 	Withdraw []string
 	Hurry    []string
 	Restore  []string
+	// Gone are endpoints that have ended for certain.
+	Gone []string
 }
 
 // Planner keeps what it has decided until that is done.
@@ -118,9 +120,28 @@
 			wishes.Restore = append(wishes.Restore, b.info.Endpoint)
 		}
 	}
+	if known := p.pools[name]; known != nil {
+		wishes.Gone = p.gone(known)
+	}
 	return wishes
 }
 
+// gone returns the endpoints that a pool's cell has reported and that a list of
+// boxes asked for later doesn't show any more.
+func (p *Planner) gone(known *pool) []string {
+	if !known.fresh(p.now) || !p.boxesAt.After(known.reportedAt) {
+		return nil
+	}
+	var found []string
+	for _, entry := range known.report.Endpoints {
+		b := p.boxes[entry.Box]
+		if b != nil && (b.info.Endpoint != entry.Endpoint || b.info.State != damsonwinch.BoxUp) {
+			found = append(found, entry.Endpoint)
+		}
+	}
+	return found
+}
+
 // Waits says what is wanted and can't be done now, for operators.
 func (p *Planner) Waits() map[string]string {
 	return p.waits
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -684,6 +684,31 @@
 	Queued bool `json:"queued"`
 }
 
+// QueueRecord is what an owner has learned of a queue, for its successors; it is
+// written now and then.
+type QueueRecord struct {
+	// Actual corresponds to the JSON schema field "actual".
+	Actual Spread `json:"actual"`
+
+	// Error corresponds to the JSON schema field "error".
+	Error Spread `json:"error"`
+
+	// Jobs that were counted.
+	Jobs int `json:"jobs,omitempty,omitzero"`
+
+	// Mean time of a task in milliseconds.
+	MeanMs float64 `json:"mean_ms,omitempty,omitzero"`
+
+	// Queue corresponds to the JSON schema field "queue".
+	Queue string `json:"queue"`
+
+	// Mean time that a job can wait, in milliseconds.
+	SlackMs float64 `json:"slack_ms,omitempty,omitzero"`
+
+	// Mean work of a job, in thousandths of a core times milliseconds.
+	Work float64 `json:"work,omitempty,omitzero"`
+}
+
 // ReadArgs asks a keeper for records from an offset on.
 type ReadArgs struct {
 	// From corresponds to the JSON schema field "from".
@@ -772,6 +797,18 @@
 	Endpoint string `json:"endpoint"`
 }
 
+// Spread is a running mean and variance.
+type Spread struct {
+	// Count corresponds to the JSON schema field "count".
+	Count int `json:"count"`
+
+	// Mean corresponds to the JSON schema field "mean".
+	Mean float64 `json:"mean"`
+
+	// Variance corresponds to the JSON schema field "variance".
+	Variance float64 `json:"variance"`
+}
+
 // StatusArgs asks a process for its present standing.
 type StatusArgs struct {
 	// First offset of audit lines wanted; negative for none.
@@ -823,6 +860,10 @@
 	// Cell corresponds to the JSON schema field "cell".
 	Cell string `json:"cell"`
 
+	// Endpoints that have ended for certain, by a list of boxes that was asked for
+	// after the cell had reported them.
+	Gone []string `json:"gone,omitempty,omitzero"`
+
 	// Those of them whose tasks are to be stopped and run elsewhere instead of being
 	// waited for.
 	Hurry []string `json:"hurry,omitempty,omitzero"`
