Log decisions through a bounded queue to standard output; latency histograms

A line for each accepted job, start, stop, end by failure, refusal, claim, takeover and change of belief, with its inputs; 200 lines a second at most, half of them for starts, what is left out counted by kind.

--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"fmt"
+
 	"damsonwinch"
 	"damsonwinch/pkg/wire"
 )
@@ -60,6 +62,8 @@
 	Task     string
 	Endpoint string
 	Why      string
+	// Minor marks what happens for each task, of which the log has room for less.
+	Minor bool
 }
 
 // Stats counts what a cell has done.
@@ -88,6 +92,15 @@
 	})
 }
 
+// noteStart notes that an attempt is ordered, and what decided where.
+func (c *Cell) noteStart(r *run) {
+	c.effects.Notes = append(c.effects.Notes, Note{
+		What: "start", Job: r.task.phase.round.job.id, Task: r.order().Task.String(), Endpoint: r.at.info.ID, Minor: true,
+		Why: fmt.Sprintf("attempt %d, waited %d ms, %d thousandths of a core of %d in use there", r.attempt,
+			c.now.Sub(r.since).Milliseconds(), r.at.used.CPU, r.at.info.Capacity.CPU),
+	})
+}
+
 func (c *Cell) noteJob(what string, j *job, why string) {
 	c.effects.Notes = append(c.effects.Notes, Note{What: what, Job: j.id, Why: why})
 }
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -102,6 +102,7 @@
 		return
 	}
 	r.state = runOrdered
+	c.noteStart(r)
 	r.since = c.now
 	until := r.at.clock(c.now) + int(c.options.StartLate.Milliseconds())
 	c.prolong(r.at, until)
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -30,6 +31,8 @@
 		c.statsOf(j.queue).arrive(now, c.workOf(j), j.dueMs-j.acceptedMs-slices.Max(j.chains))
 	}
 	c.touch(j)
+	c.noteJob("job accepted", j, fmt.Sprintf("queue %s by configuration %d, %d phases, %d ms of work in a row expected, to be done within %d ms",
+		j.queue, args.ConfigVersion, len(j.spec.Phases), slices.Max(j.chains), j.dueMs-j.acceptedMs))
 	c.openRounds()
 	c.replyRecorded(j, ticket, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
 }
--- a/pkg/command/node.go
+++ b/pkg/command/node.go
@@ -10,6 +10,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"damsonwinch/pkg/check"
+	"damsonwinch/pkg/logging"
+	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/process"
 	"damsonwinch/pkg/settings"
 	"damsonwinch/platform"
@@ -33,11 +35,14 @@
 			return err
 		}
 		env := newEnv(cmd)
+		env.Metrics = metrics.New()
+		log := logging.New(logging.Deps{Output: cmd.OutOrStdout(), Clock: env.Clock, Metrics: env.Metrics, Lines: config.LogLines})
+		env.Logger = log.WithField("node", config.Node)
 		running, err := process.NewNode(config, env)
 		if err != nil {
-			return err
+			return errors.Join(err, log.Close())
 		}
-		env.Logger.WithField("node", config.Node).Info("node has started")
+		env.Logger.WithField("version", Version).Info("node has started")
 		var group errgroup.Group
 		watchSettings(cmd.Context(), &group, file, config, running, env)
 		<-cmd.Context().Done()
@@ -45,7 +50,9 @@
 		limit := time.Duration(stopShare * config.Bounds.GraceS * float64(time.Second))
 		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
-		return errors.Join(running.Stop(ctx), group.Wait())
+		err = errors.Join(running.Stop(ctx), group.Wait())
+		env.Logger.Info("node has stopped")
+		return errors.Join(err, log.Close())
 	}
 	root.Flags().StringVar(&file, "settings", "", "settings file, JSON with comments")
 	root.AddCommand(checkSettings(check.Node, func() any { return &settings.Node{} }))
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -131,6 +131,7 @@
 	defer done()
 	begun := r.deps.Clock.Now()
 	open := false
+	defer func() { r.deps.Metrics.Observe("call_"+m.name, r.deps.Clock.Since(begun)) }()
 	for {
 		reply, maySent := r.try(ctx, m, args)
 		open = open || maySent
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -6,11 +6,14 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"sync"
 )
 
 // Set is the counters and gauges of one process.
 type Set struct {
 	vars *expvar.Map
+	// The lock keeps two histograms of one name from being made.
+	mutex sync.Mutex
 }
 
 // New returns an empty set.
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -53,20 +53,31 @@
 }
 
 func (o *Owner) log(note cell.Note) {
-	o.deps.Logger.WithFields(logrus.Fields{
-		"job": note.Job, "task": note.Task, "endpoint": note.Endpoint, "why": note.Why,
-	}).Info(note.What)
+	fields := logrus.Fields{}
+	for name, value := range map[string]string{"job": note.Job, "task": note.Task, "endpoint": note.Endpoint, "why": note.Why} {
+		if value != "" {
+			fields[name] = value
+		}
+	}
+	line := o.deps.Logger.WithFields(fields)
+	if note.Minor {
+		line.Debug(note.What)
+		return
+	}
+	line.Info(note.What)
 }
 
 // commit appends to the cell's stream until that is done.
 func (o *Owner) commit(commit cell.Commit) {
 	o.sequence++
 	fence := o.fence()
+	begun := o.deps.Clock.Now()
 	o.group.Go(func() error {
 		err := o.insist(func(ctx context.Context) error {
 			_, err := o.deps.Store.Append(ctx, o.options.Stream, commit.Records, fence)
 			return err
 		})
+		o.deps.Metrics.Observe("commit", o.deps.Clock.Since(begun))
 		if err != nil {
 			// Ends the owner: what it decided from here on could not be kept.
 			return err
--- a/pkg/process/process.go
+++ b/pkg/process/process.go
@@ -28,6 +28,8 @@
 	Logger logrus.FieldLogger
 	// Breach is called upon the first breach of each invariant.
 	Breach func(name, detail string)
+	// Metrics holds the process's counters; nil for a set of its own.
+	Metrics *metrics.Set
 	// Seed starts the choices that chance makes.
 	Seed uint64
 }
@@ -78,7 +80,10 @@
 
 // newSet returns a process's counters with its invariants among them.
 func newSet(env Env) (*metrics.Set, *invariant.Book) {
-	set := metrics.New()
+	set := env.Metrics
+	if set == nil {
+		set = metrics.New()
+	}
 	book := invariant.New(env.Breach)
 	set.Include("invariants", book.Counters())
 	return set, book
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -228,6 +228,9 @@
 	// Shortest time for which the log keeps a silent member of a group.
 	GroupTtlMs int `json:"group_ttl_ms,omitempty,omitzero"`
 
+	// Log lines a second at most; what is left out is counted by kind.
+	LogLines int `json:"log_lines,omitempty,omitzero"`
+
 	// Memory that this process may use, in mebibytes.
 	MemoryMb int `json:"memory_mb"`
 
