Gangs by rack and places, permits of the advice service, pacing beside what serves

Script gang-per-box fails without the mend.

Change: gangs are placed by rack where they are slow across racks, one end done stands for all, failures count for the whole gang; queues with advice ask for permits, 30 endpoints a call, six calls at once, verdicts kept; what fills is held back from 85% of a serving task's target on, and kept apart while there is room. Scenarios of the cell as data files.

--- a/endpoint.go
+++ b/endpoint.go
@@ -39,8 +39,10 @@
 	Box     string
 	Address string
 	// Pool is the service whose tasks it runs.
-	Pool     string
-	Zone     string
+	Pool string
+	Zone string
+	// Rack is the label that names its rack, empty if none does.
+	Rack     string
 	Labels   []string
 	Capacity Resources
 	// Draining says that it will end on its own and takes no new work.
--- a/fleet.go
+++ b/fleet.go
@@ -18,10 +18,12 @@
 
 // Box is a machine that runs tasks, as the platform lists it.
 type Box struct {
-	Name     string
-	Pool     string
-	State    BoxState
-	Zone     string
+	Name  string
+	Pool  string
+	State BoxState
+	Zone  string
+	// Rack is the label that names its rack, empty if none does.
+	Rack     string
 	Labels   []string
 	Capacity Resources
 	// Endpoint is the life that runs on it, empty if none does.
--- /dev/null
+++ b/pkg/cell/advice.go
@@ -0,0 +1,129 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"damsonwinch"
+)
+
+// Rules of asking for permits.
+const (
+	// mostAsked is the number of endpoints named in one call: each adds to the time
+	// that the call takes, and a phase's objective counts one call on 30.
+	mostAsked = 30
+	// mostAsking is the number of calls on their way: the service takes one at a
+	// time from each node and turns calls away when 32 wait, also those of other
+	// cells here.
+	mostAsking = 6
+	// permitMargin is left of a permit's time for the start to arrive.
+	permitMargin = 250 * time.Millisecond
+	// askAgain is the time between two calls for a phase that got no permit.
+	askAgain = 500 * time.Millisecond
+)
+
+// Ask is a call for permits.
+type Ask struct {
+	Job       string
+	Round     int
+	Phase     int
+	Endpoints []string
+}
+
+// advice is what the advice service has said about a phase.
+type advice struct {
+	asking  bool
+	askedAt time.Time
+	// verdicts tell for each life that was asked about whether it may run the
+	// phase, which doesn't change.
+	verdicts map[string]bool
+	permits  map[string]permit
+}
+
+// permit allows a phase at an endpoint for a time.
+type permit struct {
+	ticket string
+	until  time.Time
+}
+
+// needsPermit says whether a phase may run only where the advice service allows.
+func (c *Cell) needsPermit(p *phase) bool {
+	return c.queues[p.job().queue].Advice != nil
+}
+
+// permitted says whether a phase may start at an endpoint now.
+func (c *Cell) permitted(p *phase, e *endpoint) bool {
+	if !c.needsPermit(p) {
+		return true
+	}
+	held, has := p.advice.permits[e.info.ID]
+	return has && c.now.Add(permitMargin).Before(held.until)
+}
+
+// seekAdvice asks where a phase may run, for endpoints that would otherwise take
+// its tasks.
+func (c *Cell) seekAdvice(p *phase) {
+	a := &p.advice
+	if !c.needsPermit(p) || a.asking || c.asking >= mostAsking || len(p.ready) == 0 || c.now.Sub(a.askedAt) < askAgain {
+		return
+	}
+	t := p.ready[0]
+	var wanted []*endpoint
+	for _, e := range c.ranked {
+		good, asked := a.verdicts[e.info.ID]
+		if (!asked || good) && c.couldTake(t, e) && !c.permitted(p, e) {
+			wanted = append(wanted, e)
+		}
+	}
+	if len(wanted) == 0 {
+		return
+	}
+	slices.SortStableFunc(wanted, func(x, y *endpoint) int { return c.score(t, y) - c.score(t, x) })
+	ask := Ask{Job: p.job().id, Round: p.round.number, Phase: p.number}
+	for _, e := range wanted[:min(len(wanted), mostAsked)] {
+		ask.Endpoints = append(ask.Endpoints, e.info.ID)
+	}
+	a.asking, a.askedAt = true, c.now
+	c.asking++
+	c.effects.Asks = append(c.effects.Asks, ask)
+}
+
+// Advised takes the answer to a call for permits, which was sent at some moment and
+// whose permits hold for a time from then on at least.
+func (c *Cell) Advised(now, sentAt time.Time, ask Ask, permits []damsonwinch.Permit, valid time.Duration, err error) {
+	c.begin(now)
+	defer c.settle()
+	c.asking--
+	t := c.findTask(damsonwinch.TaskID{Job: ask.Job, Round: ask.Round, Phase: ask.Phase})
+	if t == nil {
+		return
+	}
+	a := &t.phase.advice
+	a.asking = false
+	if err != nil {
+		c.noteJob("no advice", t.phase.job(), err.Error())
+		return
+	}
+	// Another call may follow at once, about other endpoints.
+	a.askedAt = time.Time{}
+	if a.verdicts == nil {
+		a.verdicts, a.permits = map[string]bool{}, map[string]permit{}
+	}
+	for _, id := range ask.Endpoints {
+		a.verdicts[id] = false
+	}
+	for _, granted := range permits {
+		a.verdicts[granted.Endpoint] = true
+		a.permits[granted.Endpoint] = permit{ticket: granted.Ticket, until: sentAt.Add(valid)}
+	}
+}
+
+// ticket returns what a start at an endpoint has to bring.
+func (c *Cell) ticket(p *phase, e *endpoint) string {
+	return p.advice.permits[e.info.ID].ticket
+}
+
+// dropPermit forgets a permit that an endpoint has not accepted.
+func (p *phase) dropPermit(e *endpoint) {
+	delete(p.advice.permits, e.info.ID)
+}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -39,6 +39,8 @@
 	// confirmedAt is until when this owner's claim stood for certain.
 	confirmedAt time.Time
 	commits     commits
+	// asking counts the calls for permits on their way.
+	asking int
 	// learned tells, by queue, how much work comes and how long it takes.
 	learned map[string]*queueStats
 	// learnedNew says that something was learned since it was last recorded.
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -13,7 +13,10 @@
 	Commit *Commit
 	Starts []Start
 	Stops  []Stop
-	Looks  []Look
+	Paces  []Pace
+	// Asks are calls for permits; Advised follows each.
+	Asks  []Ask
+	Looks []Look
 	// Replies answer clients' calls by the tickets they came with.
 	Replies []Reply
 	// Deposed says that a newer owner has been at an endpoint.
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -42,6 +42,10 @@
 	silent     bool
 	pauseUntil time.Time
 	health     health
+	// pacedAt is when the speed of a task there was last changed, and calmSince
+	// since when what serves there is far from its target.
+	pacedAt   time.Time
+	calmSince time.Time
 }
 
 // usable says whether new work may be ordered there.
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -99,6 +99,8 @@
 		return "lack the label " + p.spec.Label
 	case !e.free().Holds(p.need()):
 		return "are full"
+	case !c.permitted(p, e):
+		return "have no permit"
 	case !c.allowed(t, e):
 		return "have enough tasks of this phase"
 	}
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -1,38 +1,89 @@
 package cell
 
+import (
+	"slices"
+	"time"
+)
+
+// rackWait is how long a gang that is slow across racks waits for one that holds
+// it: about what its tasks lose by being spread.
+const rackWait = 400 * time.Millisecond
+
 // placeGang starts all tasks of a phase together, or none.
 func (c *Cell) placeGang(p *phase) {
 	if len(p.ready) < p.left {
 		// Some members are still ending.
 		return
 	}
+	chosen := c.chooseGang(p)
+	if chosen == nil {
+		return
+	}
 	attempt := 0
 	for _, t := range p.tasks {
 		attempt = max(attempt, t.attempt)
 	}
+	members := p.ready
+	p.ready, p.readySince = nil, time.Time{}
+	for at, t := range members {
+		t.ready = false
+		// All members share the attempt.
+		t.attempt = attempt
+		c.intend(t, chosen[at])
+	}
+}
+
+// chooseGang returns an endpoint for each waiting task of a gang, or nil.
+func (c *Cell) chooseGang(p *phase) []*endpoint {
+	if p.readySince.IsZero() {
+		p.readySince = c.now
+	}
+	if !p.spec.SameRack {
+		return c.chooseAmong(p, "")
+	}
+	for _, rack := range c.racks() {
+		if chosen := c.chooseAmong(p, rack); chosen != nil {
+			return chosen
+		}
+	}
+	if c.now.Sub(p.readySince) < rackWait {
+		return nil
+	}
+	return c.chooseAmong(p, "")
+}
+
+// chooseAmong returns an endpoint for each waiting task of a gang among those with
+// a label, or nil. Room is held for the time of the choice, so that members don't
+// count on the same.
+func (c *Cell) chooseAmong(p *phase, label string) []*endpoint {
 	chosen := make([]*endpoint, 0, len(p.ready))
+	p.held = map[*endpoint]int{}
+	defer func() {
+		for _, e := range chosen {
+			e.used = e.used.Minus(p.need())
+		}
+		p.held = nil
+	}()
 	for _, t := range p.ready {
-		e := c.choose(t)
+		e := c.choose(t, label)
 		if e == nil {
-			break
+			return nil
 		}
 		chosen = append(chosen, e)
-		// Room is held for the time of the choice, so that members don't count on
-		// the same.
 		e.used = e.used.Plus(p.need())
+		p.held[e]++
 	}
-	for _, e := range chosen {
-		e.used = e.used.Minus(p.need())
-	}
-	if len(chosen) < len(p.ready) {
-		return
-	}
-	members := p.ready
-	p.ready = nil
-	for at, t := range members {
-		t.ready = false
-		// All members share the attempt.
-		t.attempt = attempt
-		c.intend(t, chosen[at])
+	return chosen
+}
+
+// racks returns the racks of the cell's endpoints, in order.
+func (c *Cell) racks() []string {
+	var found []string
+	for _, e := range c.ranked {
+		if e.info.Rack != "" && !slices.Contains(found, e.info.Rack) {
+			found = append(found, e.info.Rack)
+		}
 	}
+	slices.Sort(found)
+	return found
 }
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -20,6 +20,9 @@
 	// ejectedShare is the most that may be ejected of a cell's endpoints, in
 	// percent: when more seem unwell, something else is the cause.
 	ejectedShare = 34
+	// fewEndpoints is the number of endpoints from which that share is taken when
+	// there are fewer: one may be ejected then, as long as another is left.
+	fewEndpoints = 3
 	// stillTime is how long no task of an endpoint may have got on for it to count
 	// as standing still.
 	stillTime = 1200 * time.Millisecond
@@ -118,7 +121,7 @@
 			out++
 		}
 	}
-	return (out+1)*100 <= max(all, 3)*ejectedShare
+	return out+1 < all && (out+1)*100 <= max(all, fewEndpoints)*ejectedShare
 }
 
 // judge draws conclusions from how far the tasks of an endpoint get.
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -63,6 +63,11 @@
 	left int
 	// ready holds the tasks that may start now, in order.
 	ready []*task
+	// readySince is when a gang was first ready to be placed as a whole, and held
+	// the places held for it while it is placed.
+	readySince time.Time
+	held       map[*endpoint]int
+	advice     advice
 	// open says that the phase stands among the cell's open ones.
 	open bool
 }
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -118,6 +118,7 @@
 	c.takeEnds(e, look.Finished)
 	c.takeRunning(e, look.Running, sent.step)
 	c.judge(e)
+	c.share(e)
 	if !e.attached {
 		e.attached = true
 		c.noteEndpoint("endpoint attached", e, "box "+e.info.Box)
@@ -194,7 +195,7 @@
 func (c *Cell) seenRunning(r *run, row damsonwinch.Running) {
 	r.pace.see(c.now, row.Percent)
 	c.signal(r)
-	r.percent = row.Percent
+	r.percent, r.load = row.Percent, row.Load
 	if row.Checkpoint != "" {
 		r.task.saved = row.Checkpoint
 	}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -34,9 +34,10 @@
 		}
 		if p.spec.Gang {
 			c.placeGang(p)
-		} else if !c.placeTasks(p) && unconstrained(p) {
+		} else if !c.placeTasks(p) && c.unconstrained(p) {
 			full = append(full, p.need())
 		}
+		c.seekAdvice(p)
 		if len(p.ready) == 0 && p.open {
 			c.closePhase(p)
 		}
@@ -57,8 +58,8 @@
 }
 
 // unconstrained says that only room decides where a phase's tasks may run.
-func unconstrained(p *phase) bool {
-	return p.spec.Label == "" && p.spec.MostPerBox == 0
+func (c *Cell) unconstrained(p *phase) bool {
+	return p.spec.Label == "" && p.spec.MostPerBox == 0 && !c.needsPermit(p)
 }
 
 // placeTasks places a phase's tasks one by one. It says whether all found room.
@@ -66,7 +67,7 @@
 	waiting := p.ready
 	p.ready = nil
 	for at, t := range waiting {
-		e := c.choose(t)
+		e := c.choose(t, "")
 		if e == nil {
 			p.ready = append(p.ready, waiting[at:]...)
 			return false
@@ -78,12 +79,13 @@
 }
 
 // choose returns the endpoint that suits a task best, or nil. Work is packed on
-// few boxes, so that others stay empty and can be given away or maintained.
-func (c *Cell) choose(t *task) *endpoint {
+// few boxes, so that others stay empty and can be given away or maintained. A label
+// that isn't empty leaves only the endpoints that have it.
+func (c *Cell) choose(t *task, label string) *endpoint {
 	var best *endpoint
 	bestScore := 0
 	for _, e := range c.ranked {
-		if !c.allowed(t, e) {
+		if !e.hasLabel(label) || !c.allowed(t, e) {
 			continue
 		}
 		score := c.score(t, e)
@@ -96,6 +98,12 @@
 
 // allowed says whether a task may be started at an endpoint now.
 func (c *Cell) allowed(t *task, e *endpoint) bool {
+	return c.permitted(t.phase, e) && c.couldTake(t, e)
+}
+
+// couldTake says whether an endpoint has room for a task and may run it, as far as
+// no permit is needed.
+func (c *Cell) couldTake(t *task, e *endpoint) bool {
 	p := t.phase
 	if !e.usable() || !c.fit(e) || t.runsAt(e) || c.now.Before(e.pauseUntil) || !e.free().Holds(p.need()) || !e.hasLabel(p.spec.Label) {
 		return false
@@ -103,9 +111,10 @@
 	return p.spec.MostPerBox == 0 || onEndpoint(p, e) < p.spec.MostPerBox
 }
 
-// onEndpoint counts a phase's runs at an endpoint.
+// onEndpoint counts a phase's runs at an endpoint, with the places that are held
+// there while a gang is placed.
 func onEndpoint(p *phase, e *endpoint) int {
-	count := 0
+	count := p.held[e]
 	for _, t := range p.tasks {
 		for _, r := range t.runs {
 			if r.at == e {
@@ -121,6 +130,8 @@
 	scoreRack  = 1_000_000
 	scoreAvoid = -4_000_000
 	scoreDoubt = -2_000_000
+	// scoreBeside keeps what serves and what fills apart while there is room.
+	scoreBeside = -500_000
 )
 
 func (c *Cell) score(t *task, e *endpoint) int {
@@ -134,5 +145,8 @@
 	if e.health.failures > 0 {
 		score += scoreDoubt
 	}
+	if c.besides(t.phase, e) {
+		score += scoreBeside
+	}
 	return score
 }
--- a/pkg/cell/recover.go
+++ b/pkg/cell/recover.go
@@ -82,7 +82,7 @@
 		j.begun = true
 		t.attempt, t.failed, t.saved = record.Attempt, record.Failed, record.Saved
 		for _, running := range record.Runs {
-			c.attach(&run{task: t, attempt: running.Attempt, at: c.endpointOf(running.Endpoint), state: runSuspect, since: c.now, adopted: true})
+			c.attach(&run{task: t, attempt: running.Attempt, at: c.endpointOf(running.Endpoint), state: runSuspect, since: c.now, adopted: true, speed: leastPace})
 		}
 		if record.Done {
 			t.done = true
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -50,6 +50,10 @@
 	pace    pace
 	// judged says that its pace has been taken for a sign of its endpoint's health.
 	judged bool
+	// load is its newest figure of load: a serving task's tail in milliseconds.
+	load int
+	// speed is the share of its speed at which it was told to work, in percent.
+	speed int
 }
 
 func (r *run) order() damsonwinch.Run {
@@ -59,7 +63,7 @@
 // intend reserves room for a new attempt; it is ordered once it is recorded.
 func (c *Cell) intend(t *task, at *endpoint) {
 	t.attempt++
-	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != ""}
+	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != "", speed: wholePercent}
 	c.attach(r)
 	t.phase.job().begun = true
 	if t.attempt > 1 {
@@ -109,6 +113,7 @@
 	c.stats.Starts++
 	c.effects.Starts = append(c.effects.Starts, Start{At: r.at.info, Order: damsonwinch.StartOrder{
 		Run: r.order(), Spec: r.task.phase.job().spec.Text, Token: c.token, Until: until, Checkpoint: r.task.saved,
+		Ticket: c.ticket(r.task.phase, r.at),
 	}})
 }
 
@@ -161,6 +166,11 @@
 		// Its own count of room or its health differs from what is known here.
 		r.at.pauseUntil = c.now.Add(refusalPause)
 	}
+	if errors.Is(err, damsonwinch.ErrNoTicket) {
+		r.task.phase.dropPermit(r.at)
+		c.again(r)
+		return
+	}
 	r.task.avoid = r.at.info.ID
 	c.again(r)
 }
@@ -276,7 +286,7 @@
 	t.failed++
 	t.avoid = r.at.info.ID
 	j := t.phase.job()
-	if !j.ended() && t.failed >= c.attemptsOf(j) {
+	if !j.ended() && failures(t) >= c.attemptsOf(j) {
 		c.stats.Failed++
 		c.end(j, wire.JobStateFailed, "task "+t.id().String()+" has failed too often")
 		return
@@ -286,16 +296,42 @@
 	}
 }
 
-// complete notes that a task is done, and what follows from that.
+// failures counts what fails a job: a task's failed attempts, or those of a whole
+// gang.
+func failures(t *task) int {
+	if !t.phase.spec.Gang {
+		return t.failed
+	}
+	sum := 0
+	for _, member := range t.phase.tasks {
+		sum += member.failed
+	}
+	return sum
+}
+
+// complete notes that a task is done, and what follows from that. A gang's members
+// are done together: one end stands for all.
 func (c *Cell) complete(t *task) {
+	if !t.phase.spec.Gang {
+		c.completeOne(t)
+		return
+	}
+	for _, member := range t.phase.tasks {
+		c.completeOne(member)
+	}
+}
+
+func (c *Cell) completeOne(t *task) {
 	if t.done {
 		return
 	}
 	t.done = true
 	p := t.phase
 	p.unready(t)
-	for _, copied := range slices.Clone(t.runs) {
-		c.stop(copied, "another attempt is done")
+	if !p.spec.Gang {
+		for _, copied := range slices.Clone(t.runs) {
+			c.stop(copied, "another attempt is done")
+		}
 	}
 	p.left--
 	c.touch(p.job())
--- /dev/null
+++ b/pkg/cell/script_test.go
@@ -0,0 +1,385 @@
+package cell_test
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"damsonwinch"
+	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/wire"
+)
+
+// script is a cell that a data file leads through a scenario. It answers looks only
+// when the file says so.
+type script struct {
+	t       *testing.T
+	now     time.Time
+	cell    *cell.Cell
+	clock   int
+	ticket  int
+	listed  []damsonwinch.Endpoint
+	looks   map[string]cell.Look
+	commit  *cell.Commit
+	ask     cell.Ask
+	stream  map[string]damsonwinch.Record
+	token   int
+	queue   damsonwinch.Queue
+	options cell.Options
+}
+
+// TestScripts plays every scenario of testdata/script.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/script", func(t *testing.T, path string) {
+		s := &script{
+			t: t, now: time.UnixMilli(1_700_000_000_000), looks: map[string]cell.Look{}, stream: map[string]damsonwinch.Record{},
+			queue: damsonwinch.Queue{Name: "queue", Pool: "pool", MostAttempts: 3, Extension: 2, Target: time.Second},
+			options: cell.Options{
+				MostLease: 10 * time.Second, TokenGrace: 5 * time.Second, StopTime: 400 * time.Millisecond, StartLate: 2 * time.Second,
+				CommitGap: 10 * time.Millisecond, LookWait: 500 * time.Millisecond, IdleLook: 2 * time.Second, RetryLook: 300 * time.Millisecond,
+				KeepEnded: time.Minute,
+			},
+		}
+		s.own()
+		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string { return s.run(d) })
+	})
+}
+
+// own begins a new owner, with what the stream holds.
+func (s *script) own() {
+	s.token++
+	s.cell = cell.New(s.options, s.token)
+	s.looks, s.commit = map[string]cell.Look{}, nil
+	var records []damsonwinch.Record
+	for _, record := range s.stream {
+		records = append(records, record)
+	}
+	if err := s.cell.Load(s.now, records); err != nil {
+		s.t.Fatal(err)
+	}
+	s.cell.Configure(s.now, []damsonwinch.Queue{s.queue})
+	s.cell.SetEndpoints(s.now, s.listed)
+}
+
+func (s *script) run(d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "endpoint":
+		s.endpoint(d)
+	case "unlist":
+		s.unlist(d)
+	case "queue":
+		s.queue.MostAttempts = number(s.t, d, "attempts", s.queue.MostAttempts)
+		if d.HasArg("advice") {
+			s.queue.Advice = &damsonwinch.Advice{Valid: 2 * time.Second}
+		}
+		s.cell.Configure(s.now, []damsonwinch.Queue{s.queue})
+	case "submit":
+		s.submit(d)
+	case "cancel":
+		s.ticket++
+		s.cell.Cancel(s.now, arg(s.t, d, "id"), s.ticket)
+	case "commit":
+		return s.commitNow()
+	case "lose-owner":
+		s.own()
+	case "look":
+		return s.look(d)
+	case "started":
+		s.cell.Started(s.now, arg(s.t, d, "at"), runOf(arg(s.t, d, "run")), errorOf(d, s.t))
+	case "stopped":
+		s.cell.Stopped(s.now, arg(s.t, d, "at"), runOf(arg(s.t, d, "run")), errorOf(d, s.t))
+	case "advised":
+		s.advised(d)
+	case "paced":
+		s.cell.Paced(s.now, arg(s.t, d, "at"), runOf(arg(s.t, d, "run")), errorOf(d, s.t))
+	case "sync":
+		s.cell.Withdraw(s.now, wire.SyncArgs{Withdraw: list(s.t, d, "withdraw"), Hurry: list(s.t, d, "hurry"), Restore: list(s.t, d, "restore"), Gone: list(s.t, d, "gone")})
+	case "boxes":
+		s.boxes(d)
+	case "wait":
+		s.now = s.now.Add(time.Duration(number(s.t, d, "ms", 0)) * time.Millisecond)
+		s.cell.Confirm(s.now)
+		s.cell.Tick(s.now)
+	case "explain":
+		return strings.Join(s.cell.Explain(arg(s.t, d, "id")), "\n") + "\n"
+	case "show":
+		state, known := s.cell.Show(arg(s.t, d, "id"))
+		return fmt.Sprintf("%q %v\n", state, known)
+	default:
+		d.Fatalf(s.t, "unknown command")
+	}
+	return s.effects()
+}
+
+func (s *script) endpoint(d *datadriven.TestData) {
+	id := arg(s.t, d, "id")
+	info := damsonwinch.Endpoint{
+		ID: id, Box: "box-" + id, Address: id + ":1", Pool: "pool", Capacity: damsonwinch.Resources{
+			CPU: number(s.t, d, "cpu", 8000), MemoryMB: number(s.t, d, "memory", 8000), GPU: number(s.t, d, "gpu", 0),
+		},
+		Draining: d.HasArg("draining"), Labels: list(s.t, d, "labels"), Rack: option(s.t, d, "rack"),
+	}
+	if info.Rack != "" {
+		info.Labels = append(info.Labels, info.Rack)
+	}
+	kept := s.listed[:0:0]
+	for _, other := range s.listed {
+		if other.ID != id {
+			kept = append(kept, other)
+		}
+	}
+	s.listed = append(kept, info)
+	s.cell.SetEndpoints(s.now, s.listed)
+}
+
+func (s *script) unlist(d *datadriven.TestData) {
+	kept := s.listed[:0:0]
+	for _, other := range s.listed {
+		if other.ID != arg(s.t, d, "id") {
+			kept = append(kept, other)
+		}
+	}
+	s.listed = kept
+	s.cell.SetEndpoints(s.now, s.listed)
+}
+
+// submit hands in a job, one line of the input for each phase.
+func (s *script) submit(d *datadriven.TestData) {
+	spec := wire.JobSpec{Text: "text", FirstMs: number(s.t, d, "first", 0), EveryMs: number(s.t, d, "every", 0), Rounds: number(s.t, d, "rounds", 0)}
+	if spec.Rounds > 0 {
+		spec.FirstMs += int(s.now.UnixMilli())
+	}
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		phase := wire.Phase{Count: 1, Cpu: 1000, MemoryMb: 500, EstimateMs: 500}
+		for _, word := range strings.Fields(line) {
+			name, value, _ := strings.Cut(word, "=")
+			count, _ := strconv.Atoi(value)
+			switch name {
+			case "count":
+				phase.Count = count
+			case "cpu":
+				phase.Cpu = count
+			case "estimate":
+				phase.EstimateMs = count
+			case "after":
+				phase.After = append(phase.After, count)
+			case "per-box":
+				phase.MostPerBox = count
+			case "away":
+				phase.AwayAtMost = count
+			case "label":
+				phase.Label = value
+			case "rack":
+				phase.Rack = value
+			case "target":
+				phase.TargetMs = count
+			case "fills":
+				phase.Fills = true
+			case "gang":
+				phase.Gang = true
+			case "same-rack":
+				phase.SameRack = true
+			case "copies":
+				phase.Copies = true
+			case "lasting":
+				phase.Lasting = true
+			case "checkpoints":
+				phase.Checkpoints = true
+			default:
+				d.Fatalf(s.t, "unknown word %s", word)
+			}
+		}
+		spec.Phases = append(spec.Phases, phase)
+	}
+	s.ticket++
+	s.cell.Submit(s.now, wire.JobArgs{Queue: "queue", Id: arg(s.t, d, "id"), Spec: &spec, ReceivedMs: int(s.now.UnixMilli())}, s.ticket)
+}
+
+// commitNow puts the append on its way into the stream.
+func (s *script) commitNow() string {
+	s.now = s.now.Add(s.options.CommitGap)
+	if s.commit == nil {
+		s.cell.Tick(s.now)
+		s.collect()
+	}
+	if s.commit == nil {
+		return "nothing to commit\n"
+	}
+	keys := make([]string, 0, len(s.commit.Records))
+	for _, record := range s.commit.Records {
+		if len(record.Value) == 0 {
+			delete(s.stream, record.Key)
+			keys = append(keys, "-"+record.Key)
+			continue
+		}
+		s.stream[record.Key] = record
+		keys = append(keys, record.Key)
+	}
+	number := s.commit.Number
+	s.commit = nil
+	s.cell.Committed(s.now, number)
+	return "stream: " + strings.Join(keys, " ") + "\n" + s.effects()
+}
+
+// look answers the look at an endpoint that is on its way; the endpoint's clock
+// goes with the scenario's.
+func (s *script) look(d *datadriven.TestData) string {
+	at := arg(s.t, d, "at")
+	sent, waits := s.looks[at]
+	if !waits {
+		return "no look is on its way to " + at + "\n"
+	}
+	delete(s.looks, at)
+	found := damsonwinch.Look{Clock: int(s.now.UnixMilli() - 1_700_000_000_000 + 5000)}
+	for _, text := range list(s.t, d, "running") {
+		parts := strings.Split(text+":0:0", ":")
+		percent, _ := strconv.Atoi(parts[1])
+		load, _ := strconv.Atoi(parts[2])
+		found.Running = append(found.Running, damsonwinch.Running{Run: runOf(parts[0]), Percent: percent, Load: load})
+	}
+	for _, text := range list(s.t, d, "ended") {
+		parts := strings.Split(text, ":")
+		count, _ := strconv.Atoi(parts[0])
+		found.Finished = append(found.Finished, damsonwinch.Finished{Number: count, Run: runOf(parts[1]), How: damsonwinch.Ending(parts[2])})
+	}
+	s.cell.Looked(s.now, at, sent.Number, found, errorOf(d, s.t))
+	return s.effects()
+}
+
+// advised answers the last call for permits.
+func (s *script) advised(d *datadriven.TestData) {
+	var permits []damsonwinch.Permit
+	for _, id := range list(s.t, d, "good") {
+		permits = append(permits, damsonwinch.Permit{Endpoint: id, Ticket: "ticket-" + id})
+	}
+	s.cell.Advised(s.now, s.now, s.ask, permits, s.queue.Advice.Valid, errorOf(d, s.t))
+}
+
+func (s *script) boxes(d *datadriven.TestData) {
+	var boxes []damsonwinch.Box
+	for _, id := range list(s.t, d, "up") {
+		boxes = append(boxes, damsonwinch.Box{Name: "box-" + id, State: damsonwinch.BoxUp, Endpoint: id})
+	}
+	s.cell.SetBoxes(s.now, boxes)
+}
+
+// collect keeps what is on its way and returns the rest as lines.
+func (s *script) collect() []string {
+	var lines []string
+	effects := s.cell.Take()
+	for _, look := range effects.Looks {
+		s.looks[look.At.ID] = look
+	}
+	if effects.Commit != nil {
+		s.commit = effects.Commit
+		lines = append(lines, "append")
+	}
+	for _, reply := range effects.Replies {
+		lines = append(lines, fmt.Sprintf("reply %d: %s %s", reply.Ticket, reply.Reply.Outcome, reply.Reply.Reason))
+	}
+	for _, start := range effects.Starts {
+		line := fmt.Sprintf("start %s attempt %d on %s", start.Order.Task, start.Order.Attempt, start.At.ID)
+		if start.Order.Ticket != "" {
+			line += " with " + start.Order.Ticket
+		}
+		lines = append(lines, line)
+	}
+	for _, stop := range effects.Stops {
+		lines = append(lines, fmt.Sprintf("stop %s attempt %d on %s", stop.Order.Task, stop.Order.Attempt, stop.At.ID))
+	}
+	for _, pace := range effects.Paces {
+		lines = append(lines, fmt.Sprintf("pace %s attempt %d on %s: %d%%", pace.Order.Task, pace.Order.Attempt, pace.At.ID, pace.Order.Percent))
+	}
+	for _, ask := range effects.Asks {
+		s.ask = ask
+		lines = append(lines, fmt.Sprintf("ask for advice on %s.%d.%d: %s", ask.Job, ask.Round, ask.Phase, strings.Join(ask.Endpoints, " ")))
+	}
+	if effects.AskBoxes {
+		lines = append(lines, "ask for the list of boxes")
+	}
+	if effects.Deposed {
+		lines = append(lines, "deposed")
+	}
+	for _, note := range effects.Notes {
+		if strings.HasPrefix(note.What, "job ") && note.What != "job accepted" || strings.HasPrefix(note.What, "endpoint ") && note.What != "endpoint listed" && note.What != "endpoint attached" {
+			lines = append(lines, strings.TrimSpace(fmt.Sprintf("note: %s %s%s: %s", note.What, note.Job, note.Endpoint, note.Why)))
+		}
+	}
+	return lines
+}
+
+func (s *script) effects() string {
+	lines := s.collect()
+	if len(lines) == 0 {
+		return "nothing\n"
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func arg(t *testing.T, d *datadriven.TestData, name string) string {
+	var value string
+	d.ScanArgs(t, name, &value)
+	return value
+}
+
+func option(t *testing.T, d *datadriven.TestData, name string) string {
+	if !d.HasArg(name) {
+		return ""
+	}
+	return arg(t, d, name)
+}
+
+func number(t *testing.T, d *datadriven.TestData, name string, usual int) int {
+	if !d.HasArg(name) {
+		return usual
+	}
+	var value int
+	d.ScanArgs(t, name, &value)
+	return value
+}
+
+// list reads an argument of one or more values.
+func list(t *testing.T, d *datadriven.TestData, name string) []string {
+	for _, given := range d.CmdArgs {
+		if given.Key == name {
+			return given.Vals
+		}
+	}
+	return nil
+}
+
+// runOf reads job.round.phase.index/attempt.
+func runOf(text string) damsonwinch.Run {
+	name, attempt, _ := strings.Cut(text, "/")
+	parts := strings.Split(name, ".")
+	numbers := make([]int, 0, len(parts))
+	for _, part := range parts[1:] {
+		count, _ := strconv.Atoi(part)
+		numbers = append(numbers, count)
+	}
+	count, _ := strconv.Atoi(attempt)
+	return damsonwinch.Run{Task: damsonwinch.TaskID{Job: parts[0], Round: numbers[0], Phase: numbers[1], Index: numbers[2]}, Attempt: count}
+}
+
+// errorOf reads an error by its short name.
+func errorOf(d *datadriven.TestData, t *testing.T) error {
+	switch name := option(t, d, "error"); name {
+	case "":
+		return nil
+	case "room":
+		return damsonwinch.ErrNoRoom
+	case "ticket":
+		return damsonwinch.ErrNoTicket
+	case "old-token":
+		return damsonwinch.ErrOldToken
+	case "other-life":
+		return damsonwinch.ErrOtherLife
+	default:
+		return errors.New(name)
+	}
+}
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -14,6 +14,9 @@
 	// orderTimeout is given to an order at an endpoint, which answers in a few
 	// milliseconds when it is well.
 	orderTimeout = 500 * time.Millisecond
+	// adviceTimeout is given to a call for permits: the service takes its time for
+	// each endpoint, and one call after the other.
+	adviceTimeout = 5 * time.Second
 	// lookMargin is added to a look's own wait.
 	lookMargin = 500 * time.Millisecond
 	// boxesTimeout is given to a reading of the list of boxes, and boxesPause
@@ -43,9 +46,15 @@
 	for _, stop := range effects.Stops {
 		o.stop(stop)
 	}
+	for _, pace := range effects.Paces {
+		o.pace(pace)
+	}
 	for _, look := range effects.Looks {
 		o.look(look)
 	}
+	for _, ask := range effects.Asks {
+		o.seek(ask)
+	}
 	if effects.AskBoxes {
 		o.askBoxes()
 	}
@@ -107,6 +116,27 @@
 	})
 }
 
+func (o *Owner) pace(pace cell.Pace) {
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, orderTimeout)
+		defer cancel()
+		err := o.deps.Endpoints.Pace(ctx, pace.At, pace.Order)
+		o.send(paced{endpoint: pace.At.ID, run: pace.Order.Run, err: err})
+		return nil
+	})
+}
+
+func (o *Owner) seek(ask cell.Ask) {
+	sentAt := o.deps.Clock.Now()
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
+		defer cancel()
+		permits, valid, err := o.deps.Advisor.Advise(ctx, ask.Job, ask.Round, ask.Phase, ask.Endpoints)
+		o.send(advised{ask: ask, sentAt: sentAt, permits: permits, valid: valid, err: err})
+		return nil
+	})
+}
+
 func (o *Owner) look(look cell.Look) {
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, look.Order.Wait+lookMargin)
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cell"
 	"damsonwinch/pkg/wire"
 )
 
@@ -58,6 +59,26 @@
 
 func (m stopped) apply(o *Owner, now time.Time) { o.cell.Stopped(now, m.endpoint, m.run, m.err) }
 
+type paced struct {
+	endpoint string
+	run      damsonwinch.Run
+	err      error
+}
+
+func (m paced) apply(o *Owner, now time.Time) { o.cell.Paced(now, m.endpoint, m.run, m.err) }
+
+type advised struct {
+	ask     cell.Ask
+	sentAt  time.Time
+	permits []damsonwinch.Permit
+	valid   time.Duration
+	err     error
+}
+
+func (m advised) apply(o *Owner, now time.Time) {
+	o.cell.Advised(now, m.sentAt, m.ask, m.permits, m.valid, m.err)
+}
+
 type looked struct {
 	endpoint string
 	number   int
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -26,6 +26,7 @@
 	Store     damsonwinch.Store
 	Endpoints damsonwinch.EndpointControl
 	Fleet     damsonwinch.Fleet
+	Advisor   damsonwinch.Advisor
 	Clock     damsonwinch.Clock
 	Logger    logrus.FieldLogger
 	Metrics   *metrics.Set
--- a/pkg/supply/box.go
+++ b/pkg/supply/box.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"slices"
-	"strings"
 	"time"
 
 	"damsonwinch"
@@ -23,7 +22,6 @@
 // box is a box as the planner knows it.
 type box struct {
 	info   damsonwinch.Box
-	rack   string
 	report *wire.EndpointReport
 	// purpose is why it is being emptied.
 	purpose *purpose
@@ -77,7 +75,6 @@
 			b.dropPurpose()
 		}
 		b.info = info
-		b.rack = rackOf(info.Labels)
 		p.settle(b, askedAt)
 	}
 	p.order = slices.DeleteFunc(p.order, func(b *box) bool {
@@ -115,16 +112,6 @@
 	}
 }
 
-// rackOf returns the label that names a rack.
-func rackOf(labels []string) string {
-	for _, label := range labels {
-		if strings.HasPrefix(label, "r") && strings.Contains(label, "-") {
-			return label
-		}
-	}
-	return ""
-}
-
 // free says whether the planner may decide something new about a box.
 func (p *Planner) free(b *box) bool {
 	return b.info.State == damsonwinch.BoxUp && b.ordered == nil && b.purpose == nil &&
