--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -33,6 +33,21 @@
 	}
 }
 
+// abandonGang stops what runs of a gang that can't be whole, so that its members
+// don't wait for one that will not come.
+func (c *Cell) abandonGang(p *phase, why string) {
+	if !p.spec.Gang {
+		return
+	}
+	for _, t := range p.tasks {
+		for _, r := range slices.Clone(t.runs) {
+			if !r.stopping {
+				c.stop(r, why)
+			}
+		}
+	}
+}
+
 // chooseGang returns an endpoint for each waiting task of a gang, or nil.
 func (c *Cell) chooseGang(p *phase) []*endpoint {
 	if p.readySince.IsZero() {
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -103,6 +103,7 @@
 func (c *Cell) sendStart(r *run) {
 	if r.task.phase.job().ended() || r.stopping || !r.at.usable() {
 		c.again(r)
+		c.abandonGang(r.task.phase, "a member of its gang can't be started")
 		return
 	}
 	r.state = runOrdered
@@ -138,6 +139,7 @@
 		c.note("start unanswered", r, err.Error())
 		r.at.wantLook = true
 		c.stop(r, "its start was not answered")
+		c.abandonGang(r.task.phase, "the start of a member of its gang was not answered")
 	}
 }
 
@@ -157,6 +159,7 @@
 func (c *Cell) refused(r *run, err error) {
 	c.stats.Refusals++
 	c.note("start refused", r, err.Error())
+	defer c.abandonGang(r.task.phase, "a member of its gang was refused")
 	switch {
 	case errors.Is(err, damsonwinch.ErrOtherLife):
 		c.again(r)
--- a/pkg/cell/withdraw.go
+++ b/pkg/cell/withdraw.go
@@ -53,7 +53,7 @@
 			if r.task.phase.lastingAway() < spec.AwayAtMost && c.roomElsewhere(r) {
 				c.stop(r, "its box is wanted")
 			}
-		case e.withdraw.hurry && spec.Checkpoints && (c.canWait(r) || c.roomElsewhere(r)):
+		case e.withdraw.hurry && spec.Checkpoints && !spec.Gang && (c.canWait(r) || c.roomElsewhere(r)):
 			c.stop(r, "its box is wanted")
 		}
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -83,6 +83,8 @@
 	// version is that of the configuration in force, 0 before the first.
 	version atomic.Int64
 	state   state
+	// ended is closed once the node's own task has ended.
+	ended chan struct{}
 }
 
 // state is what the node's task knows.
@@ -121,6 +123,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n := &Node{
 		deps: deps, options: options, inbox: make(chan any, inboxSize), group: group, ctx: ctx, cancel: cancel,
+		ended: make(chan struct{}),
 		state: state{endpoints: map[string]damsonwinch.Endpoint{}, ended: map[string]int{}, waves: map[int]damsonwinch.Wave{}},
 	}
 	n.view.Store(&ownership.View{})
@@ -212,17 +215,21 @@
 // Close ends the node and waits for its tasks.
 func (n *Node) Close() error {
 	n.cancel()
-	err := n.group.Wait()
+	// The node's tasks wait for the ends of holdings, which come first. No new ones
+	// begin: the task that starts them has been told to end.
+	<-n.ended
+	var err error
 	for _, held := range *n.holdings.Load() {
 		err = errors.Join(err, held.Close())
 	}
-	err = errors.Join(err, n.ownership.Close())
+	err = errors.Join(err, n.group.Wait(), n.ownership.Close())
 	n.calls.Close()
 	n.router.Close()
 	return err
 }
 
 func (n *Node) run() error {
+	defer close(n.ended)
 	ticker := n.deps.Clock.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/pkg/process/node_test.go
@@ -0,0 +1,336 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/settings"
+	"damsonwinch/platform/standin"
+)
+
+const (
+	testHost   = "queue.example"
+	testPrefix = "/jobs/"
+)
+
+// story is a stand-in of the platform with nodes of ours.
+type story struct {
+	t        *testing.T
+	platform *standin.Platform
+	client   *standin.Client
+	nodes    []*Node
+	configs  []settings.Node
+	closed   map[int]bool
+}
+
+func newStory(t *testing.T, nodes int) *story {
+	platform, err := standin.New(standin.Options{
+		Clock: clockwork.NewRealClock(), Pools: []standin.Pool{{Name: "runs", Boxes: 2}, {Name: "quotes", Boxes: 2}, {Name: "spare", Boxes: 2, Parking: true}},
+		BoxCPU: 8000, BoxMemoryMB: 16000, MoveTime: 300 * time.Millisecond, MaintainTime: 300 * time.Millisecond,
+		MostLease: 3 * time.Second, StopTime: 50 * time.Millisecond, Heartbeat: 200 * time.Millisecond,
+	})
+	assert.NilError(t, err)
+	s := &story{t: t, platform: platform, client: standin.NewClient(), closed: map[int]bool{}}
+	assert.NilError(t, platform.PutConfiguration(1, standin.Queue{Name: "payslips", Host: testHost, Prefix: testPrefix, Pool: "runs", Attempts: 3}))
+	for number := range nodes {
+		s.start(number)
+	}
+	t.Cleanup(func() {
+		for number, node := range s.nodes {
+			if !s.closed[number] {
+				assert.Check(t, node.Close())
+			}
+		}
+		assert.Check(t, platform.Close())
+	})
+	return s
+}
+
+// start starts a node, or one that was killed anew.
+func (s *story) start(number int) {
+	store, boxes, advice := s.platform.Addresses()
+	config := settings.Node{
+		Node: fmt.Sprintf("node-%d", number), Zone: "zone", ClientAddress: freeAddress(s.t), ReadyAddress: freeAddress(s.t),
+		CallAddress: freeAddress(s.t), DebugAddress: freeAddress(s.t), Store: store, Boxes: boxes, Advice: advice,
+		FirstStart: number < len(s.nodes), CoreShare: 1, MemoryMb: 256, GroupTtlMs: 700,
+		Bounds: settings.Bounds{LeaseMostMs: 3000, StopMs: 50, DrainMs: 1000, KeepEndedS: 60, GraceS: 5, MoveS: 0.3, MaintainS: 0.3},
+	}
+	node, err := NewNode(config, s.env())
+	assert.NilError(s.t, err)
+	if number < len(s.nodes) {
+		s.nodes[number], s.configs[number], s.closed[number] = node, config, false
+		return
+	}
+	s.nodes, s.configs = append(s.nodes, node), append(s.configs, config)
+}
+
+func (s *story) env() Env {
+	logger := logrus.New()
+	logger.SetLevel(logrus.ErrorLevel)
+	return Env{Clock: clockwork.NewRealClock(), Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Logger: logger, Breach: func(string, string) {}}
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+// address returns where a living node takes clients, another one for each try.
+func (s *story) address(try int) string {
+	for step := range s.nodes {
+		if number := (try + step) % len(s.nodes); !s.closed[number] {
+			return s.configs[number].ClientAddress
+		}
+	}
+	return ""
+}
+
+// storyTime bounds each wait of a story; on a busy machine all takes longer.
+const storyTime = 30 * time.Second
+
+// until waits for something to become true.
+func (s *story) until(what string, holds func() bool) {
+	s.t.Helper()
+	clock := clockwork.NewRealClock()
+	for begun := clock.Now(); clock.Since(begun) < storyTime; clock.Sleep(30 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	s.t.Fatalf("not within %v: %s", storyTime, what)
+}
+
+// submit hands a job in until it is accepted, at one node after the other.
+func (s *story) submit(id string, work standin.Work, phases ...standin.Phase) {
+	s.t.Helper()
+	try := 0
+	s.until("job "+id+" is accepted", func() bool {
+		try++
+		status, err := s.client.Submit(context.Background(), s.address(try), testHost, testPrefix+id, work, phases...)
+		return err == nil && status == http.StatusOK
+	})
+}
+
+func (s *story) state(id string) string {
+	_, state, err := s.client.State(context.Background(), s.address(0), testHost, testPrefix+id)
+	if err != nil {
+		return ""
+	}
+	return state
+}
+
+// ownerOf returns the number of the node that owns a cell, or -1.
+func (s *story) ownerOf(cell string) int {
+	for number, node := range s.nodes {
+		if s.closed[number] {
+			continue
+		}
+		if _, here := node.node.Local(cell); here {
+			return number
+		}
+	}
+	return -1
+}
+
+// kill ends a node as a crash does: nobody is told.
+func (s *story) kill(number int) {
+	s.closed[number] = true
+	assert.Check(s.t, s.nodes[number].Close())
+}
+
+func id(number int) string {
+	return fmt.Sprintf("%016x", number+1)
+}
+
+// TestAJobRunsFromTheClientToItsEnd through any node, phase after phase.
+func TestAJobRunsFromTheClientToItsEnd(t *testing.T) {
+	s := newStory(t, 3)
+	s.submit(id(0), standin.Work{Ms: 50}, standin.Phase{Count: 3, CPU: 1000, MemoryMB: 100, Estimated: 50}, standin.Phase{Count: 2, CPU: 1000, MemoryMB: 100, After: []int{0}})
+	s.until("it is completed", func() bool { return s.state(id(0)) == "completed" })
+
+	for number := range s.nodes {
+		status, state, err := s.client.State(context.Background(), s.address(number), testHost, testPrefix+id(0))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, state, "completed")
+	}
+	status, _, err := s.client.State(context.Background(), s.address(1), testHost, testPrefix+id(99))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusGone, "a job that nobody submitted")
+}
+
+// TestBadInputIsRefusedClearly and nothing of it is kept.
+func TestBadInputIsRefusedClearly(t *testing.T) {
+	s := newStory(t, 1)
+	s.submit(id(0), standin.Work{Ms: 10}, standin.Phase{Count: 1})
+	ctx := context.Background()
+	for what, test := range map[string]struct {
+		method, host, path, body string
+		status                   int
+	}{
+		"an unknown queue":         {http.MethodPost, "other.example", testPrefix + id(1), `{"spec":"","phases":[{"count":1}]}`, http.StatusNotFound},
+		"a malformed body":         {http.MethodPost, testHost, testPrefix + id(1), `{"spec":`, http.StatusBadRequest},
+		"a job without phases":     {http.MethodPost, testHost, testPrefix + id(1), `{"spec":"x","phases":[]}`, http.StatusBadRequest},
+		"a circle of phases":       {http.MethodPost, testHost, testPrefix + id(1), `{"spec":"x","phases":[{"count":1,"depends_on":[1]},{"count":1,"depends_on":[0]}]}`, http.StatusBadRequest},
+		"a phase that isn't there": {http.MethodPost, testHost, testPrefix + id(1), `{"spec":"x","phases":[{"count":1,"depends_on":[7]}]}`, http.StatusBadRequest},
+		"an oversized text":        {http.MethodPost, testHost, testPrefix + id(1), `{"spec":"` + text(5000) + `","phases":[{"count":1}]}`, http.StatusBadRequest},
+		"an oversized body":        {http.MethodPost, testHost, testPrefix + id(1), `{"spec":"` + text(300_000) + `","phases":[{"count":1}]}`, http.StatusBadRequest},
+		"an unknown job":           {http.MethodDelete, testHost, testPrefix + id(1), "", http.StatusGone},
+	} {
+		status, body, err := s.client.Do(ctx, test.method, s.address(0), test.host, test.path, []byte(test.body))
+		assert.NilError(t, err)
+		assert.Equal(t, status, test.status, "%s: %s", what, body)
+	}
+	status, _, err := s.client.State(ctx, s.address(0), testHost, testPrefix+id(1))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusGone, "nothing refused is kept")
+}
+
+func text(length int) string {
+	letters := make([]byte, length)
+	for i := range letters {
+		letters[i] = 'x'
+	}
+	return string(letters)
+}
+
+// TestAKilledOwnerIsFollowed by another node, which goes on with the jobs.
+func TestAKilledOwnerIsFollowed(t *testing.T) {
+	s := newStory(t, 3)
+	s.submit(id(0), standin.Work{Ms: 1500}, standin.Phase{Count: 4, CPU: 1000, Estimated: 1500}, standin.Phase{Count: 1, After: []int{0}})
+	s.until("it runs", func() bool { return len(s.platform.RunsOf(id(0))) == 4 })
+	s.kill(s.ownerOf("runs"))
+
+	s.submit(id(1), standin.Work{Ms: 20}, standin.Phase{Count: 1})
+	s.until("both are completed", func() bool { return s.state(id(0)) == "completed" && s.state(id(1)) == "completed" })
+}
+
+// TestEverythingKilledAtOnceComesBack with all that was accepted.
+func TestEverythingKilledAtOnceComesBack(t *testing.T) {
+	s := newStory(t, 2)
+	for number := range 5 {
+		s.submit(id(number), standin.Work{Ms: 400}, standin.Phase{Count: 2, CPU: 500, Estimated: 400}, standin.Phase{Count: 1, After: []int{0}})
+	}
+	for number := range s.nodes {
+		s.kill(number)
+	}
+	for number := range s.nodes {
+		s.start(number)
+	}
+	for number := range 5 {
+		s.until("job is completed", func() bool { return s.state(id(number)) == "completed" })
+	}
+}
+
+// TestAPlannedStopHandsOver and answers what is in flight.
+func TestAPlannedStopHandsOver(t *testing.T) {
+	s := newStory(t, 2)
+	s.submit(id(0), standin.Work{Ms: 600}, standin.Phase{Count: 2, CPU: 500, Estimated: 600})
+	leaving := s.ownerOf("runs")
+	s.closed[leaving] = true
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	assert.NilError(t, s.nodes[leaving].Stop(ctx))
+	s.until("it is completed", func() bool { return s.state(id(0)) == "completed" })
+}
+
+// TestTheLogMisbehaves: it is busy, silent, or loses its answers; nothing accepted
+// is lost, and work goes on afterwards.
+func TestTheLogMisbehaves(t *testing.T) {
+	s := newStory(t, 2)
+	s.submit(id(0), standin.Work{Ms: 10}, standin.Phase{Count: 1})
+	for number, fault := range []standin.Fault{standin.Busy, standin.Silent, standin.Lost} {
+		job := id(10 + number)
+		s.submit(job, standin.Work{Ms: 300}, standin.Phase{Count: 2, CPU: 500, Estimated: 300}, standin.Phase{Count: 1, After: []int{0}})
+		s.platform.SetFault(fault)
+		clockwork.NewRealClock().Sleep(1500 * time.Millisecond)
+		s.platform.SetFault(standin.None)
+		s.until("job is completed", func() bool { return s.state(job) == "completed" })
+	}
+	s.platform.Forget()
+	s.submit(id(20), standin.Work{Ms: 10}, standin.Phase{Count: 1})
+	s.until("job after lost history", func() bool { return s.state(id(20)) == "completed" })
+}
+
+// TestACancelledJobIsGone and a lasting one runs until then, also through a crash.
+func TestACancelledJobIsGone(t *testing.T) {
+	s := newStory(t, 2)
+	s.submit(id(0), standin.Work{}, standin.Phase{Count: 2, CPU: 500, Lasting: true, MayMiss: 1, MostPerBox: 1})
+	s.until("it runs", func() bool { return len(s.platform.RunsOf(id(0))) == 2 })
+	for _, box := range s.platform.Boxes()[:2] {
+		s.platform.Crash(box, 300*time.Millisecond)
+	}
+	s.until("it is away", func() bool { return len(s.platform.RunsOf(id(0))) == 0 })
+	s.until("it runs again", func() bool { return len(s.platform.RunsOf(id(0))) == 2 })
+
+	s.until("it is cancelled", func() bool {
+		status, _, err := s.client.Do(context.Background(), http.MethodDelete, s.address(1), testHost, testPrefix+id(0), nil)
+		return err == nil && status == http.StatusOK
+	})
+	s.until("nothing of it runs", func() bool { return len(s.platform.RunsOf(id(0))) == 0 })
+	assert.Equal(t, s.state(id(0)), "cancelled")
+}
+
+// TestAJobThatCannotBeDoneFails after its attempts.
+func TestAJobThatCannotBeDoneFails(t *testing.T) {
+	s := newStory(t, 1)
+	s.submit(id(0), standin.Work{Ms: 20, Fail: true}, standin.Phase{Count: 1})
+	s.until("it has failed", func() bool { return s.state(id(0)) == "failed" })
+}
+
+// TestAWaveIsDoneInTime and the operator is told; boxes go where the work is.
+func TestAWaveIsDoneInTime(t *testing.T) {
+	s := newStory(t, 2)
+	s.submit(id(0), standin.Work{}, standin.Phase{Count: 1, CPU: 500, Lasting: true, MayMiss: 1})
+	assert.NilError(t, s.platform.PutWave(1, s.platform.Boxes(), 10*time.Second, 2))
+	s.until("the wave is completed", func() bool { return s.platform.Status("wave/1") == `{"state":"completed"}` })
+	s.until("the lasting task runs", func() bool { return len(s.platform.RunsOf(id(0))) == 1 })
+
+	// Twelve whole boxes of work in a pool that has two.
+	var group errgroup.Group
+	for number := range 12 {
+		group.Go(func() error {
+			s.submit(id(100+number), standin.Work{Ms: 800}, standin.Phase{Count: 8, CPU: 1000, Estimated: 800})
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+	s.until("parked boxes have come", func() bool { return s.platform.CountIn("runs") >= 4 })
+	for number := range 12 {
+		s.until("job is completed", func() bool { return s.state(id(100+number)) == "completed" })
+	}
+}
+
+// TestAConfigurationIsInForceSoon and a dropped queue is unknown.
+func TestAConfigurationIsInForceSoon(t *testing.T) {
+	s := newStory(t, 2)
+	s.submit(id(0), standin.Work{Ms: 10}, standin.Phase{Count: 1})
+	assert.NilError(t, s.platform.PutConfiguration(2, standin.Queue{Name: "other", Host: testHost, Prefix: "/other/", Pool: "runs", Attempts: 3}))
+	for number := range s.nodes {
+		s.until("the dropped queue is unknown", func() bool {
+			status, _, err := s.client.State(context.Background(), s.address(number), testHost, testPrefix+id(0))
+			return err == nil && status == http.StatusNotFound
+		})
+		s.until("the new one is known", func() bool {
+			status, body, err := s.client.Do(context.Background(), http.MethodGet, s.address(number), testHost, "/other/", nil)
+			return err == nil && status == http.StatusOK && string(body) == `{"pending":0}`
+		})
+	}
+	// An older one that comes late changes nothing.
+	assert.NilError(t, s.platform.PutConfiguration(1, standin.Queue{Name: "payslips", Host: testHost, Prefix: testPrefix, Pool: "runs", Attempts: 3}))
+	clockwork.NewRealClock().Sleep(time.Second)
+	status, _, err := s.client.State(context.Background(), s.address(0), testHost, testPrefix+id(0))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusNotFound)
+}
