Need by waiting tasks and their slack; a plan each 100 ms

Cause: need followed the count of tasks alone, so pools whose tasks could wait were given boxes as fast as those in a hurry; box-seconds were the largest price on both sites. A plan came each 200 ms, a sixth of the time a quick job has.

--- a/pkg/cell/arrivals.go
+++ b/pkg/cell/arrivals.go
@@ -155,6 +155,14 @@
 		sum += known.slack * weight
 		work += weight
 	}
+	if work > 0 {
+		return int(sum / work)
+	}
+	// Nothing comes now; what came before tells.
+	for _, known := range c.learned {
+		sum += known.slack * float64(known.jobs)
+		work += float64(known.jobs)
+	}
 	if work == 0 {
 		return 0
 	}
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -21,7 +21,6 @@
 	t       *testing.T
 	now     time.Time
 	cell    *cell.Cell
-	clock   int
 	ticket  int
 	listed  []damsonwinch.Endpoint
 	looks   map[string]cell.Look
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -183,10 +183,9 @@
 
 // simStream is a stream of the store.
 type simStream struct {
-	newest   map[string][]byte
-	epoch    int
-	sequence int
-	last     int // Highest sequence that counted in this epoch.
+	newest map[string][]byte
+	epoch  int
+	last   int // Highest sequence that counted in this epoch.
 }
 
 // append is as the store has it: all or nothing, fenced, each sequence once.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -22,8 +22,8 @@
 
 // Times of the planner.
 const (
-	// round is the time between two plans: demand changes within a second.
-	round = 200 * time.Millisecond
+	// round is the time between two plans: a queue in time for 1.2 s is waiting for half of that already.
+	round = 100 * time.Millisecond
 	// boxesEvery is the time between two readings of the list of boxes.
 	boxesEvery = 400 * time.Millisecond
 	// callTimeout bounds a call to a cell's owner or the control of boxes.
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -17,11 +17,13 @@
 	// wait: the quickest of the users' jobs can wait about a second.
 	leastSlack = 500 * time.Millisecond
 	usualSlack = 1200 * time.Millisecond
-	// growth is what a pool has above the work that comes in, in percent, when its
-	// jobs can wait for the usual slack: work comes unevenly, and boxes can't be
-	// packed to the last core. The longer jobs can wait, the less it takes.
-	growth     = 45
-	mostGrowth = 60
+	// growth is what a pool has above the work that comes in, in percent,: work
+	// comes unevenly, and boxes can't be packed to the last core.
+	growth = 45
+	// patientSlack is the slack from which boxes are ordered only for work that is
+	// there.
+	patientSlack = 2400 * time.Millisecond
+	wholeUrgency = 100
 	// patientTimes is how many times as long as those of another pool a pool's jobs
 	// must be able to wait for it to keep only patientShare of its need, in percent.
 	patientTimes = 2
@@ -73,22 +75,34 @@
 	if boxCPU == 0 || !l.report.Known {
 		return
 	}
-	slack := l.slack()
-	above := min(mostGrowth, growth*int(usualSlack)/int(slack))
-	busy := max(l.report.OfferedCpu*(100+above)/100, l.report.RunningCpu)
-	short := max(0, l.report.OfferedCpu+l.report.LastingCpu-p.has(l.name)*boxCPU)
-	lead := p.options.MoveTime + arrivalTime
+	reactive := l.report.RunningCpu + l.report.WaitingCpu + l.report.LateCpu*lateShare/100
+	cpu := max(reactive, p.predicted(l, boxCPU)*l.urgency()/wholeUrgency)
+	l.need = l.boxesFor(l.report.LastingCpu+cpu, boxCPU)
+	steady := max(reactive, l.report.SteadyCpu*(100+growth)/100*l.urgency()/wholeUrgency)
+	hold := time.Duration(int64(p.options.Hold) * int64(l.slack()) / int64(usualSlack))
+	l.remember(now, hold, l.boxesFor(l.report.LastingCpu+steady, boxCPU))
+}
+
+// predicted returns the processor room, in thousandths of a core, for the work that
+// comes and for what will have piled up by the time that new boxes have come.
+func (p *Planner) predicted(l *pool, boxCPU int) int {
 	taskMs := l.report.TaskMs
 	if taskMs == 0 {
 		taskMs = usualTaskMs
 	}
-	waiting := l.report.WaitingCpu + l.report.LateCpu*lateShare/100
-	behind := waiting*taskMs + short*int(lead.Milliseconds())
+	short := max(0, l.report.OfferedCpu+l.report.LastingCpu-p.has(l.name)*boxCPU)
+	lead := p.options.MoveTime + arrivalTime
+	behind := (l.report.WaitingCpu+l.report.LateCpu*lateShare/100)*taskMs + short*int(lead.Milliseconds())
 	// Half of the slack is left for what else comes.
-	cpu := l.report.LastingCpu + busy + 2*behind/int(slack.Milliseconds())
-	l.need = l.boxesFor(cpu, boxCPU)
-	steady := l.report.LastingCpu + max(l.report.SteadyCpu*(100+above)/100, l.report.RunningCpu)
-	l.remember(now, p.options.Hold, l.boxesFor(steady, boxCPU))
+	return max(l.report.OfferedCpu*(100+growth)/100, l.report.RunningCpu) + 2*behind/int(l.slack().Milliseconds())
+}
+
+// urgency says how far boxes must be ordered for work that has not come yet, from 0
+// to wholeUrgency. Where jobs can wait until boxes come, what is there is enough to
+// go by, and a guess from a few long jobs would only move boxes to and fro.
+func (l *pool) urgency() int {
+	left := patientSlack - l.slack()
+	return int(min(max(left, 0), patientSlack-usualSlack) * wholeUrgency / (patientSlack - usualSlack))
 }
 
 // boxesFor returns the number of boxes for a need of processor.
