--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -67,10 +67,10 @@
 		return nil, err
 	}
 	set, _ := newSet(env)
-	store := platform.NewStore(config.Store, env.Dial)
-	endpoints := platform.NewEndpoints(env.Dial)
-	fleet := platform.NewFleet(config.Boxes, env.Dial)
-	advice := platform.NewAdvice(config.Advice, env.Dial)
+	store := platform.NewStore(config.Store, env.Dial, env.Clock)
+	endpoints := platform.NewEndpoints(env.Dial, env.Clock)
+	fleet := platform.NewFleet(config.Boxes, env.Dial, env.Clock)
+	advice := platform.NewAdvice(config.Advice, env.Dial, env.Clock)
 	n := &Node{env: env, Metrics: set, closers: []func(){store.Close, endpoints.Close, fleet.Close, advice.Close}}
 	var clients atomic.Pointer[platform.Clients]
 	running, err := node.New(node.Deps{
--- /dev/null
+++ b/pkg/process/node_bench_test.go
@@ -0,0 +1,64 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/platform/standin"
+)
+
+// BenchmarkNode has one node start tasks on 200 boxes through the whole path. Run
+// it with -cpuprofile: the stand-in's part stands apart in the profile.
+func BenchmarkNode(b *testing.B) {
+	const boxes, tasks = 200, 13
+	platform, err := standin.New(standin.Options{
+		Clock: clockwork.NewRealClock(), Pools: []standin.Pool{{Name: "runs", Boxes: boxes}},
+		BoxCPU: 32000, BoxMemoryMB: 64000, MoveTime: time.Second, MaintainTime: time.Second,
+		MostLease: 10 * time.Second, StopTime: 50 * time.Millisecond, Heartbeat: time.Second,
+	})
+	assert.NilError(b, err)
+	defer func() { assert.NilError(b, platform.Close()) }()
+	assert.NilError(b, platform.PutConfiguration(1, standin.Queue{Name: "payslips", Host: testHost, Prefix: testPrefix, Pool: "runs", Attempts: 3}))
+	node, address := benchNode(b, platform)
+	defer func() { assert.NilError(b, node.Close()) }()
+	client := standin.NewClient()
+	work, phase := standin.Work{Ms: 300}, standin.Phase{Count: tasks, CPU: 2000, MemoryMB: 1000, Estimated: 300}
+	clock := clockwork.NewRealClock()
+	for status := 0; status != http.StatusOK; clock.Sleep(100 * time.Millisecond) {
+		status, _ = client.Submit(context.Background(), address, testHost, testPrefix+"00000000000000aa", work, phase)
+	}
+	var number atomic.Int64
+	b.SetParallelism(8)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			id := testPrefix + fmt.Sprintf("%016x", 1000+number.Add(1))
+			if _, err := client.Submit(context.Background(), address, testHost, id, work, phase); err != nil {
+				b.Error(err)
+				return
+			}
+			for state := ""; state != "completed"; clock.Sleep(200 * time.Millisecond) {
+				_, state, _ = client.State(context.Background(), address, testHost, id)
+			}
+		}
+	})
+	b.ReportMetric(tasks, "tasks/op")
+}
+
+func benchNode(b *testing.B, platform *standin.Platform) (*Node, string) {
+	story := &story{platform: platform}
+	config := story.config(b, 0)
+	logger := logrus.New()
+	logger.SetLevel(logrus.ErrorLevel)
+	node, err := NewNode(config, Env{Clock: clockwork.NewRealClock(), Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Logger: logger, Breach: func(string, string) {}})
+	assert.NilError(b, err)
+	return node, config.ClientAddress
+}
--- a/pkg/process/node_test.go
+++ b/pkg/process/node_test.go
@@ -55,15 +55,20 @@
 	return s
 }
 
-// start starts a node, or one that was killed anew.
-func (s *story) start(number int) {
+// config returns the settings of a node.
+func (s *story) config(t testing.TB, number int) settings.Node {
 	store, boxes, advice := s.platform.Addresses()
-	config := settings.Node{
-		Node: fmt.Sprintf("node-%d", number), Zone: "zone", ClientAddress: freeAddress(s.t), ReadyAddress: freeAddress(s.t),
-		CallAddress: freeAddress(s.t), DebugAddress: freeAddress(s.t), Store: store, Boxes: boxes, Advice: advice,
+	return settings.Node{
+		Node: fmt.Sprintf("node-%d", number), Zone: "zone", ClientAddress: freeAddress(t), ReadyAddress: freeAddress(t),
+		CallAddress: freeAddress(t), DebugAddress: freeAddress(t), Store: store, Boxes: boxes, Advice: advice,
 		FirstStart: number < len(s.nodes), CoreShare: 1, MemoryMb: 256, GroupTtlMs: 700,
 		Bounds: settings.Bounds{LeaseMostMs: 3000, StopMs: 50, DrainMs: 1000, KeepEndedS: 60, GraceS: 5, MoveS: 0.3, MaintainS: 0.3},
 	}
+}
+
+// start starts a node, or one that was killed anew.
+func (s *story) start(number int) {
+	config := s.config(s.t, number)
 	node, err := NewNode(config, s.env())
 	assert.NilError(s.t, err)
 	if number < len(s.nodes) {
@@ -79,7 +84,7 @@
 	return Env{Clock: clockwork.NewRealClock(), Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Logger: logger, Breach: func(string, string) {}}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, listener.Close()) }()
--- a/pkg/supply/box.go
+++ b/pkg/supply/box.go
@@ -85,6 +85,15 @@
 		return true
 	})
 	slices.SortFunc(p.order, func(a, b *box) int { return cmp.Compare(a.info.Name, b.info.Name) })
+	p.groupBoxes()
+}
+
+// groupBoxes sorts the boxes by their pools.
+func (p *Planner) groupBoxes() {
+	p.byPool = make(map[string][]*box, len(p.names))
+	for _, b := range p.order {
+		p.byPool[b.info.Pool] = append(p.byPool[b.info.Pool], b)
+	}
 }
 
 // dropPurpose gives up the emptying of a box whose endpoint has ended.
@@ -121,14 +130,16 @@
 // take begins to empty a box.
 func (p *Planner) take(b *box, why purpose) {
 	why.since = p.now
-	b.purpose = &why
+	p.change(b, func() { b.purpose = &why })
 }
 
 // orderNow gives an order on a box in which nothing runs.
 func (p *Planner) orderNow(b *box, pool string, wave int, cause string) {
 	order := Order{Box: b.info.Name, Pool: pool, Wave: wave, Endpoint: b.info.Endpoint, Cause: cause}
-	b.ordered = &given{Order: order, at: p.now, onTheWay: true, triedAt: p.now}
-	b.purpose = nil
+	p.change(b, func() {
+		b.ordered = &given{Order: order, at: p.now, onTheWay: true, triedAt: p.now}
+		b.purpose = nil
+	})
 	if w := p.waves[wave]; w != nil {
 		w.done[b.info.Name] = true
 	}
--- /dev/null
+++ b/pkg/supply/census.go
@@ -0,0 +1,71 @@
+package supply
+
+import "damsonwinch"
+
+// census counts the boxes that serve the pools, or will without another decision.
+// It is made anew for each plan and kept true while the plan is made, so that a
+// plan's cost grows with the boxes and not with their square.
+type census struct {
+	byPool map[string]int
+	byZone map[place]int
+}
+
+// place is a pool's part in an availability zone.
+type place struct {
+	pool, zone string
+}
+
+func (c *census) add(pool, zone string, count int) {
+	c.byPool[pool] += count
+	c.byZone[place{pool: pool, zone: zone}] += count
+}
+
+// countBoxes makes the census.
+func (p *Planner) countBoxes() {
+	p.census = census{byPool: make(map[string]int, len(p.names)), byZone: map[place]int{}}
+	for _, b := range p.order {
+		p.census.add(p.servedPool(b), b.info.Zone, 1)
+	}
+}
+
+// change decides something new about a box.
+func (p *Planner) change(b *box, decide func()) {
+	p.census.add(p.servedPool(b), b.info.Zone, -1)
+	decide()
+	p.census.add(p.servedPool(b), b.info.Zone, 1)
+}
+
+// has counts the boxes that serve a pool or will soon.
+func (p *Planner) has(name string) int {
+	return p.census.byPool[name]
+}
+
+// zoneCount counts a pool's boxes in a zone, so that new ones go where it has
+// least and the loss of a zone costs no pool too much.
+func (p *Planner) zoneCount(name, zone string) int {
+	return p.census.byZone[place{pool: name, zone: zone}]
+}
+
+// servedPool returns the pool that a box serves, or will without another decision;
+// empty for none.
+func (p *Planner) servedPool(b *box) string {
+	if b.ordered != nil {
+		if b.ordered.Pool != "" {
+			return b.ordered.Pool
+		}
+		return b.info.Pool
+	}
+	if b.purpose != nil {
+		// A box that is emptied for maintenance takes no work until it is back.
+		return b.purpose.pool
+	}
+	if b.info.State == damsonwinch.BoxDown {
+		return ""
+	}
+	known := p.pools[b.info.Pool]
+	arriving := p.now.Sub(b.upAt) < arrival
+	if arriving || known == nil || (b.report != nil && b.report.Usable) || (b.report == nil && !known.fresh(p.now)) {
+		return b.info.Pool
+	}
+	return ""
+}
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -59,9 +59,9 @@
 
 // keep gives up the parking of a box that its pool needs after all.
 func (p *Planner) keep(name string) bool {
-	for _, b := range p.order {
-		if b.info.Pool == name && b.purpose != nil && p.isParking(b.purpose.pool) {
-			b.purpose = nil
+	for _, b := range p.byPool[name] {
+		if b.purpose != nil && p.isParking(b.purpose.pool) {
+			p.change(b, func() { b.purpose = nil })
 			return true
 		}
 	}
@@ -74,36 +74,44 @@
 	if !exists {
 		return nil
 	}
-	var found []*box
-	for _, b := range p.order {
-		if b.info.Pool == parking && p.free(b) && !b.refuses[name] {
-			found = append(found, b)
+	var choice cheapest
+	for _, b := range p.byPool[parking] {
+		if p.free(b) && !b.refuses[name] {
+			// A box that is due for maintenance is better left where it costs nothing.
+			choice.offer(b, p.zoneCount(name, b.info.Zone)*2+boolInt(p.dueWave(b) != nil))
 		}
 	}
-	return first(sortBoxes(found, func(b *box) int {
-		// A box that is due for maintenance is better left where it costs nothing.
-		return p.zoneCount(name, b.info.Zone)*2 + boolInt(p.dueWave(b) != nil)
-	}))
+	return choice.box
 }
 
 // spare returns a box that another pool can do without, or one that is already
 // being emptied to be parked.
 func (p *Planner) spare(name string) *box {
-	var found []*box
-	for _, b := range p.order {
-		donor := p.pools[b.info.Pool]
-		if donor == nil || donor.name == name || donor.parking || b.refuses[name] {
+	var choice cheapest
+	for _, other := range p.names {
+		donor := p.pools[other]
+		if donor.name == name || donor.parking {
 			continue
 		}
-		if b.purpose != nil && b.purpose.wave == 0 && p.isParking(b.purpose.pool) && b.info.State == damsonwinch.BoxUp {
-			found = append(found, b)
-			continue
-		}
-		if donor.fresh(p.now) && p.free(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && p.has(donor.name) > p.leastFor(donor, p.pools[name]) {
-			found = append(found, b)
+		gives := donor.fresh(p.now) && p.has(donor.name) > p.leastFor(donor, p.pools[name])
+		for _, b := range p.byPool[other] {
+			if !b.refuses[name] && (p.isBeingParked(b) || gives && p.isIdle(b)) {
+				choice.offer(b, p.emptying(b)+p.zoneCount(name, b.info.Zone)*zoneMs)
+			}
 		}
 	}
-	return first(sortBoxes(found, func(b *box) int { return p.emptying(b) + p.zoneCount(name, b.info.Zone)*zoneMs }))
+	return choice.box
+}
+
+// isBeingParked says whether a box that is up is being emptied to be parked.
+func (p *Planner) isBeingParked(b *box) bool {
+	return b.purpose != nil && b.purpose.wave == 0 && p.isParking(b.purpose.pool) && b.info.State == damsonwinch.BoxUp
+}
+
+// isIdle says whether a box is at work in its pool and has no lasting tasks, so that
+// it can soon be empty.
+func (p *Planner) isIdle(b *box) bool {
+	return p.free(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0
 }
 
 // leastFor returns how many boxes a pool keeps when another one asks. One whose
@@ -134,18 +142,6 @@
 	return b.report.EmptyMs + b.report.Lasting*lastingMs
 }
 
-// zoneCount counts a pool's boxes in a zone, so that new ones go where it has
-// least and the loss of a zone costs no pool too much.
-func (p *Planner) zoneCount(name, zone string) int {
-	count := 0
-	for _, b := range p.order {
-		if b.info.Zone == zone && p.serves(b, name) {
-			count++
-		}
-	}
-	return count
-}
-
 // releaseSurplus parks boxes that a pool has not needed for a while.
 func (p *Planner) releaseSurplus() {
 	parking, exists := p.parkingPool()
@@ -169,20 +165,26 @@
 
 // idle returns the box of a pool that is emptied most easily.
 func (p *Planner) idle(name, parking string) *box {
-	var found []*box
-	for _, b := range p.order {
-		if b.info.Pool == name && p.free(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && !b.refuses[parking] {
-			found = append(found, b)
+	var choice cheapest
+	for _, b := range p.byPool[name] {
+		if p.isIdle(b) && !b.refuses[parking] {
+			choice.offer(b, p.emptying(b)-p.zoneCount(name, b.info.Zone)*zoneMs)
 		}
 	}
-	return first(sortBoxes(found, func(b *box) int { return p.emptying(b) - p.zoneCount(name, b.info.Zone)*zoneMs }))
+	return choice.box
 }
 
-func first(boxes []*box) *box {
-	if len(boxes) == 0 {
-		return nil
+// cheapest is the box with the lowest cost of those that it was offered; of equal
+// ones the first.
+type cheapest struct {
+	box  *box
+	cost int
+}
+
+func (c *cheapest) offer(b *box, cost int) {
+	if c.box == nil || cost < c.cost {
+		c.box, c.cost = b, cost
 	}
-	return boxes[0]
 }
 
 func boolInt(value bool) int {
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"damsonwinch"
 	"damsonwinch/pkg/wire"
 )
 
@@ -50,6 +49,8 @@
 	parking    bool
 	report     wire.SyncReply
 	reportedAt time.Time
+	// unread says that the report is newer than the need.
+	unread bool
 	// need is how many boxes the pool should have now, and peaks the highest steady
 	// needs of late, which it keeps boxes for.
 	need  int
@@ -67,6 +68,16 @@
 	return l.report.Known && now.Sub(l.reportedAt) <= reportTime
 }
 
+// learnNeeds works out the needs of the pools that have reported.
+func (p *Planner) learnNeeds() {
+	for _, name := range p.names {
+		if l := p.pools[name]; l.unread {
+			l.unread = false
+			p.learnNeed(l, p.now)
+		}
+	}
+}
+
 // learnNeed works out how many boxes the pool should have: for the work that
 // comes, for what waits, and for what will have piled up by the time that new
 // boxes come.
@@ -138,32 +149,3 @@
 	}
 	return most
 }
-
-// has counts the boxes that serve a pool or will soon.
-func (p *Planner) has(name string) int {
-	count := 0
-	for _, b := range p.order {
-		if p.serves(b, name) {
-			count++
-		}
-	}
-	return count
-}
-
-// serves says whether a box serves a pool, or will without another decision.
-func (p *Planner) serves(b *box, name string) bool {
-	if b.ordered != nil {
-		return b.ordered.Pool == name || (b.ordered.Pool == "" && b.info.Pool == name)
-	}
-	if b.purpose != nil {
-		// A box that is emptied for maintenance takes no work until it is back.
-		return b.purpose.pool == name
-	}
-	if b.info.Pool != name || b.info.State == damsonwinch.BoxDown {
-		return false
-	}
-	if b.report != nil {
-		return b.report.Usable || p.now.Sub(b.upAt) < arrival
-	}
-	return !p.pools[name].fresh(p.now) || p.now.Sub(b.upAt) < arrival
-}
--- /dev/null
+++ b/pkg/supply/plan_bench_test.go
@@ -0,0 +1,95 @@
+package supply_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/supply"
+	"damsonwinch/pkg/wire"
+)
+
+// fleetOf builds a planner with boxes spread over pools, one of them for parked
+// boxes, and reports that ask each second for other numbers of boxes.
+type fleetOf struct {
+	planner *supply.Planner
+	pools   []damsonwinch.Pool
+	boxes   []damsonwinch.Box
+	now     time.Time
+}
+
+func newFleet(boxes, pools int) *fleetOf {
+	f := &fleetOf{now: time.Unix(1_000_000, 0)}
+	f.planner = supply.New(supply.Options{MoveTime: 1500 * time.Millisecond, MaintainTime: 2 * time.Second, Hold: time.Second, HolderGap: 3 * time.Second})
+	for at := range pools {
+		f.pools = append(f.pools, damsonwinch.Pool{Name: fmt.Sprintf("pool-%02d", at), Parking: at == 0})
+	}
+	for at := range boxes {
+		f.boxes = append(f.boxes, damsonwinch.Box{
+			Name: fmt.Sprintf("box-%04d", at), Pool: f.pools[at%pools].Name, State: damsonwinch.BoxUp, Zone: fmt.Sprintf("zone-%d", at%4),
+			Capacity: damsonwinch.Resources{CPU: 32000, MemoryMB: 128000}, Endpoint: fmt.Sprintf("endpoint-%04d", at),
+		})
+	}
+	f.planner.SetPools(f.pools)
+	f.planner.SetBoxes(f.now, f.boxes)
+	f.now = f.now.Add(10 * time.Second)
+	return f
+}
+
+// round reports, plans and carries out what is ordered, as a platform without
+// faults would.
+func (f *fleetOf) round(number int) int {
+	f.now = f.now.Add(100 * time.Millisecond)
+	for at, pool := range f.pools {
+		if !pool.Parking {
+			f.planner.SetReport(f.now, pool.Name, f.report(pool.Name, (number/10+at)%len(f.pools)))
+		}
+	}
+	orders := f.planner.Plan(f.now)
+	for _, order := range orders {
+		f.planner.Ordered(f.now, order, nil)
+		f.move(order)
+	}
+	f.planner.SetBoxes(f.now.Add(time.Millisecond), f.boxes)
+	return len(orders)
+}
+
+func (f *fleetOf) move(order supply.Order) {
+	for at := range f.boxes {
+		if f.boxes[at].Name == order.Box && order.Pool != "" {
+			f.boxes[at].Pool = order.Pool
+			f.boxes[at].Endpoint += "+"
+		}
+	}
+}
+
+func (f *fleetOf) report(pool string, share int) wire.SyncReply {
+	reply := wire.SyncReply{Known: true, TaskMs: 800, SlackMs: 1200}
+	withdrawn := map[string]bool{}
+	wishes := f.planner.Wishes(pool)
+	for _, id := range append(wishes.Withdraw, wishes.Hurry...) {
+		withdrawn[id] = true
+	}
+	for _, b := range f.boxes {
+		if b.Pool == pool {
+			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.Endpoint, Box: b.Name, Usable: !withdrawn[b.Endpoint], Withdrawn: withdrawn[b.Endpoint]})
+		}
+	}
+	reply.RunningCpu = len(f.boxes) * 32000 / len(f.pools) * 2 * share / len(f.pools)
+	return reply
+}
+
+// BenchmarkPlan plans for fleets whose demand turns each second.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ boxes, pools int }{{50, 5}, {350, 5}, {5800, 45}} {
+		b.Run(fmt.Sprintf("boxes=%d", size.boxes), func(b *testing.B) {
+			f := newFleet(size.boxes, size.pools)
+			orders := 0
+			for number := 0; b.Loop(); number++ {
+				orders += f.round(number)
+			}
+			b.ReportMetric(float64(orders)/float64(b.N), "orders/op")
+		})
+	}
+}
--- a/pkg/supply/summary.go
+++ b/pkg/supply/summary.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"damsonwinch"
 )
@@ -24,6 +26,21 @@
 		lines = append(lines, fmt.Sprintf("%s; needs %d, lately %d; cores: lasting %d, running %d, waiting %d and %d late, arriving %d a second; %d ms a task, %d ms to wait",
 			boxes, pool.need, pool.held(), r.LastingCpu/1000, r.RunningCpu/1000, r.WaitingCpu/1000, r.LateCpu/1000, r.OfferedCpu/1000, r.TaskMs, r.SlackMs))
 	}
+	return append(lines, p.waveSummary()...)
+}
+
+// waveSummary says how far each wave is.
+func (p *Planner) waveSummary() []string {
+	var lines []string
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
+		w := p.waves[number]
+		if w.completed {
+			continue
+		}
+		due, down, emptying := p.wavePart(w)
+		lines = append(lines, fmt.Sprintf("wave %d: %d boxes due, %d being emptied, %d in maintenance, %d ordered, after %d of %d s",
+			number, len(due), emptying, down, len(w.done), int(p.now.Sub(w.begunAt).Seconds()), int(w.Duration.Seconds())))
+	}
 	return lines
 }
 
--- a/pkg/supply/supply.go
+++ b/pkg/supply/supply.go
@@ -54,7 +54,10 @@
 	names   []string
 	boxes   map[string]*box
 	order   []*box
-	waves   map[int]*wave
+	// byPool holds the boxes of each pool in order of their names.
+	byPool map[string][]*box
+	census census
+	waves  map[int]*wave
 	// boxesAt is when the list of boxes was asked for.
 	boxesAt time.Time
 	orders  []Order
@@ -86,9 +89,7 @@
 // SetReport takes how a cell is. A cell that can't be asked has no report.
 func (p *Planner) SetReport(now time.Time, name string, report wire.SyncReply) {
 	if known := p.pools[name]; known != nil {
-		known.report, known.reportedAt = report, now
-		p.now = now
-		p.learnNeed(known, now)
+		known.report, known.reportedAt, known.unread = report, now, true
 	}
 }
 
@@ -97,6 +98,8 @@
 	p.now = now
 	p.orders = nil
 	p.readReports()
+	p.countBoxes()
+	p.learnNeeds()
 	p.maintain()
 	p.fillPools()
 	p.releaseSurplus()
@@ -107,8 +110,8 @@
 // Wishes returns what is wanted of a pool's endpoints.
 func (p *Planner) Wishes(name string) Wishes {
 	var wishes Wishes
-	for _, b := range p.order {
-		if b.info.Pool != name || b.info.Endpoint == "" {
+	for _, b := range p.byPool[name] {
+		if b.info.Endpoint == "" {
 			continue
 		}
 		switch {
@@ -179,10 +182,8 @@
 // wholeBoxCPU returns the processor room of a pool's usual box.
 func (p *Planner) wholeBoxCPU(name string) int {
 	most := 0
-	for _, b := range p.order {
-		if b.info.Pool == name {
-			most = max(most, b.info.Capacity.CPU)
-		}
+	for _, b := range p.byPool[name] {
+		most = max(most, b.info.Capacity.CPU)
 	}
 	if most > 0 {
 		return most
--- a/pkg/supply/waves.go
+++ b/pkg/supply/waves.go
@@ -30,6 +30,8 @@
 type wave struct {
 	damsonwinch.Wave
 	begunAt time.Time
+	// members are the boxes of the wave.
+	members map[string]bool
 	// done holds the boxes whose maintenance has been ordered.
 	done map[string]bool
 	// told is what the operator has been told: whether it is completed.
@@ -40,10 +42,20 @@
 // SetWave takes a wave. One that is known already keeps its progress.
 func (p *Planner) SetWave(now time.Time, request damsonwinch.Wave) {
 	if known := p.waves[request.Number]; known != nil {
-		known.Wave = request
+		known.set(request)
 		return
 	}
-	p.waves[request.Number] = &wave{Wave: request, begunAt: now, done: map[string]bool{}}
+	w := &wave{begunAt: now, done: map[string]bool{}}
+	w.set(request)
+	p.waves[request.Number] = w
+}
+
+func (w *wave) set(request damsonwinch.Wave) {
+	w.Wave = request
+	w.members = make(map[string]bool, len(request.Boxes))
+	for _, name := range request.Boxes {
+		w.members[name] = true
+	}
 }
 
 // RecallWave takes over what an earlier holder recorded of a wave.
@@ -215,7 +227,7 @@
 // dueWave returns the wave for which a box is still due, or nil.
 func (p *Planner) dueWave(b *box) *wave {
 	for _, w := range p.waves {
-		if !w.completed && !w.done[b.info.Name] && slices.Contains(w.Boxes, b.info.Name) {
+		if !w.completed && !w.done[b.info.Name] && w.members[b.info.Name] {
 			return w
 		}
 	}
