Owners take waiting events together and look only where something happened

Cause: an owner placed tasks, looked at all its endpoints and sorted their runs after each event; on the grown site its box had no time left in its turn.

--- a/pkg/cell/advice.go
+++ b/pkg/cell/advice.go
@@ -92,6 +92,7 @@
 // whose permits hold for a time from then on at least.
 func (c *Cell) Advised(now, sentAt time.Time, ask Ask, permits []damsonwinch.Permit, valid time.Duration, err error) {
 	c.begin(now)
+	c.changed()
 	defer c.settle()
 	c.asking--
 	t := c.findTask(damsonwinch.TaskID{Job: ask.Job, Round: ask.Round, Phase: ask.Phase})
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -32,6 +32,15 @@
 	// ranked holds the endpoints in order of their IDs, so that choices do not
 	// depend on the order of a map.
 	ranked []*endpoint
+	rooms  rooms
+	// together says that more events follow before anything is done about them.
+	together bool
+	// unplaced says that something has happened since the last choice that may let
+	// tasks start.
+	unplaced bool
+	// lookDue holds the endpoints to see about, unless it is all of them.
+	lookDue   []*endpoint
+	lookAtAll bool
 	// step counts events. Looks and answers of different connections overtake
 	// each other; steps tell what was sent before what was known.
 	step int
@@ -94,6 +103,7 @@
 // Tick lets time pass.
 func (c *Cell) Tick(now time.Time) {
 	c.begin(now)
+	c.changed()
 	c.openRounds()
 	c.expireLeases()
 	c.retryOrders()
@@ -104,13 +114,31 @@
 	c.settle()
 }
 
+// Together takes several events and does what follows from all of them at once: the
+// more an owner has to do, the less each event costs.
+func (c *Cell) Together(events func()) {
+	c.together = true
+	events()
+	c.together = false
+	c.settle()
+}
+
 // settle does what follows from an event: new starts, looks and a commit.
 func (c *Cell) settle() {
+	if c.together {
+		return
+	}
 	c.place()
 	c.lookAround()
 	c.flush()
 }
 
+// changed notes that something about the endpoints may let tasks start or call for
+// looks.
+func (c *Cell) changed() {
+	c.unplaced, c.lookAtAll = true, true
+}
+
 // Take returns the effects that have come up since the last call.
 func (c *Cell) Take() Effects {
 	taken := c.effects
--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -18,7 +18,7 @@
 	marks []damsonwinch.Record
 	// ends says that ends were taken in that no record may mention, such as those
 	// of jobs that nobody knows; they too are forgotten only after a commit.
-	ends    bool
+	ends []*endpoint
 	starts  []*run
 	replies []Reply
 	// withdrawn are endpoints whose withdrawal counts once it is recorded.
@@ -72,7 +72,7 @@
 // pendingCommit says whether anything waits for the stream.
 func (c *Cell) pendingCommit() bool {
 	w := &c.commits
-	return len(w.dirty) > 0 || len(w.dropped) > 0 || len(w.marks) > 0 || w.ends
+	return len(w.dirty) > 0 || len(w.dropped) > 0 || len(w.marks) > 0 || len(w.ends) > 0
 }
 
 // flush begins the next append, unless one is on its way or the last was just now.
@@ -85,13 +85,11 @@
 	w.startAt = c.now
 	sent := &sentCommit{number: w.number, at: c.now, starts: w.starts, replies: w.replies, withdrawn: w.withdrawn, shown: map[*job]wire.JobState{}, seen: map[*endpoint]int{}}
 	records := c.compose(sent)
-	for _, e := range c.ranked {
-		if e.seen > e.recorded {
-			sent.seen[e] = e.seen
-		}
+	for _, e := range w.ends {
+		sent.seen[e] = e.seen
 	}
 	clear(w.dirty)
-	w.dropped, w.marks, w.ends, w.starts, w.replies, w.withdrawn = nil, nil, false, nil, nil, nil
+	w.dropped, w.marks, w.ends, w.starts, w.replies, w.withdrawn = nil, nil, nil, nil, nil, nil
 	w.sent = sent
 	c.stats.Commits++
 	if len(records) == 0 {
@@ -155,6 +153,7 @@
 	}
 	for e, seen := range sent.seen {
 		e.recorded = max(e.recorded, seen)
+		c.lookSoon(e)
 	}
 	for _, e := range sent.withdrawn {
 		e.withdraw.recorded = true
--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -49,13 +49,14 @@
 // reportWaiting adds what ready tasks ask for, and returns their memory.
 func (c *Cell) reportWaiting(report *wire.SyncReply) int {
 	memory := 0
+	nowMs := int(c.now.UnixMilli())
 	for _, p := range c.open {
 		need := p.need()
 		if p.spec.Lasting {
 			report.LastingCpu += len(p.ready) * need.CPU
 			continue
 		}
-		if c.late(p) {
+		if p.late(nowMs) {
 			report.LateCpu += len(p.ready) * need.CPU
 			continue
 		}
@@ -87,6 +88,7 @@
 // Withdraw takes what the fleet planner wants of the endpoints.
 func (c *Cell) Withdraw(now time.Time, args wire.SyncArgs) {
 	c.begin(now)
+	c.changed()
 	defer c.settle()
 	for _, e := range c.ranked {
 		e.withdraw.wanted, e.withdraw.hurry = false, false
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -13,6 +13,13 @@
 	info damsonwinch.Endpoint
 	// listed says that the registry has its entry now.
 	listed bool
+	// lookDue says that the cell is to see whether a look is due.
+	lookDue bool
+	// room is the number of whole free cores by which it stands in the cell's rooms,
+	// at the index roomAt, if roomed.
+	roomed bool
+	room   int
+	roomAt int
 	// attached says that it has answered a look under this owner's token: older
 	// owners can't order there any more, and all its runs are known.
 	attached bool
@@ -23,8 +30,10 @@
 	withdrawn bool
 	withdraw  withdrawal
 	runs      map[damsonwinch.Run]*run
-	used      damsonwinch.Resources
-	lastBusy  time.Time
+	// ordered holds the same runs in the order in which they were started.
+	ordered  []*run
+	used     damsonwinch.Resources
+	lastBusy time.Time
 	// clockSample is its clock, in milliseconds, in an answer that came at clockAt.
 	clockSample int
 	clockAt     time.Time
@@ -68,21 +77,10 @@
 	return label == "" || slices.Contains(e.info.Labels, label)
 }
 
-// sortedRuns returns the runs in an order that doesn't depend on the map's.
+// sortedRuns returns the runs in an order that doesn't depend on the map's. The
+// slice stays as it is when runs come and go.
 func (e *endpoint) sortedRuns() []*run {
-	if len(e.runs) == 0 {
-		return nil
-	}
-	found := make([]*run, 0, len(e.runs))
-	for _, r := range e.runs {
-		found = append(found, r)
-	}
-	slices.SortFunc(found, func(a, b *run) int {
-		x, y := a.order(), b.order()
-		return cmp.Or(cmp.Compare(x.Task.Job, y.Task.Job), cmp.Compare(x.Task.Round, y.Task.Round), cmp.Compare(x.Task.Phase, y.Task.Phase),
-			cmp.Compare(x.Task.Index, y.Task.Index), cmp.Compare(x.Attempt, y.Attempt))
-	})
-	return found
+	return slices.Clone(e.ordered)
 }
 
 // endpointOf returns the endpoint of an ID, made known if need be.
@@ -119,6 +117,7 @@
 // SetEndpoints takes the cell's endpoints as the registry has them now.
 func (c *Cell) SetEndpoints(now time.Time, listed []damsonwinch.Endpoint) {
 	c.begin(now)
+	c.changed()
 	defer c.settle()
 	present := make(map[string]bool, len(listed))
 	for _, info := range listed {
@@ -131,6 +130,7 @@
 			c.noteEndpoint("endpoint listed", e, "box "+info.Box+" at "+info.Address)
 		}
 		e.info, e.listed = info, true
+		c.rooms.put(e)
 	}
 	for _, e := range c.ranked {
 		if e.listed && !present[e.info.ID] {
@@ -148,6 +148,7 @@
 			return false
 		}
 		delete(c.endpoints, e.info.ID)
+		c.rooms.drop(e)
 		c.dropEndpoint(e)
 		return true
 	})
@@ -157,6 +158,7 @@
 // from those that are only out of reach.
 func (c *Cell) SetBoxes(now time.Time, boxes []damsonwinch.Box) {
 	c.begin(now)
+	c.changed()
 	defer c.settle()
 	alive := make(map[string]bool, len(boxes))
 	for _, box := range boxes {
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -75,7 +75,7 @@
 	p.held = map[*endpoint]int{}
 	defer func() {
 		for _, e := range chosen {
-			e.used = e.used.Minus(p.need())
+			c.release(e, p.need())
 		}
 		p.held = nil
 	}()
@@ -85,7 +85,7 @@
 			return nil
 		}
 		chosen = append(chosen, e)
-		e.used = e.used.Plus(p.need())
+		c.occupy(e, p.need())
 		p.held[e]++
 	}
 	return chosen
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -68,6 +68,8 @@
 	readySince time.Time
 	held       map[*endpoint]int
 	advice     advice
+	// lateMs is when its job can hardly be done in time any more, 0 for never.
+	lateMs int
 	// open says that the phase stands among the cell's open ones.
 	open bool
 }
@@ -172,9 +174,11 @@
 		return
 	}
 	t.ready = true
+	c.unplaced = true
 	p.ready = append(p.ready, t)
 	if !p.open {
 		p.open = true
+		p.setLate()
 		c.addOpen(p)
 	}
 }
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -24,14 +24,35 @@
 	step   int
 }
 
-// lookAround sends the looks that are due.
+// lookAround sends the looks that are due: at the endpoints that something has
+// happened to and, from time to time, at all.
 func (c *Cell) lookAround() {
-	for _, e := range c.ranked {
+	due := c.lookDue
+	if c.lookAtAll {
+		due = c.ranked
+	}
+	for _, e := range due {
+		e.lookDue = false
 		if e.gone || e.info.Address == "" || (len(e.runs) == 0 && (!e.listed || e.withdraw.recorded)) {
 			continue
 		}
 		c.lookAt(e)
 	}
+	c.lookDue, c.lookAtAll = c.lookDue[:0], false
+}
+
+// lookSoon notes that a look at an endpoint may be due.
+func (c *Cell) lookSoon(e *endpoint) {
+	if !e.lookDue {
+		e.lookDue = true
+		c.lookDue = append(c.lookDue, e)
+	}
+}
+
+// wantLook asks for a look that doesn't wait.
+func (c *Cell) wantLook(e *endpoint) {
+	e.wantLook = true
+	c.lookSoon(e)
 }
 
 func (c *Cell) lookAt(e *endpoint) {
@@ -97,6 +118,8 @@
 	if e == nil {
 		return
 	}
+	c.unplaced = true
+	c.lookSoon(e)
 	sent := e.looks.take(number)
 	if sent == nil || e.gone {
 		return
@@ -151,25 +174,24 @@
 			continue
 		}
 		e.seen = end.Number
-		c.commits.ends = true
+		c.commits.ends = append(c.commits.ends, e)
 		c.finished(e, end)
 	}
 }
 
 // takeRunning compares what runs with what should.
 func (c *Cell) takeRunning(e *endpoint, rows []damsonwinch.Running, sentAt int) {
-	listed := make(map[damsonwinch.Run]bool, len(rows))
 	for _, row := range rows {
-		listed[row.Run] = true
 		r := e.runs[row.Run]
 		if r == nil {
 			c.stopStray(e, row.Run)
 			continue
 		}
+		r.listedAt = c.step
 		c.seenRunning(r, row)
 	}
 	for _, r := range e.sortedRuns() {
-		if !listed[r.order()] && c.mustBeListed(r, sentAt) {
+		if r.listedAt != c.step && c.mustBeListed(r, sentAt) {
 			c.note("run is not there", r, "")
 			c.again(r)
 		}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -9,13 +9,15 @@
 // place starts the tasks that may start, as far as there is room: those of jobs
 // that can still be done in time first, and there the most urgent.
 func (c *Cell) place() {
-	if len(c.open) == 0 {
+	if len(c.open) == 0 || !c.unplaced {
 		return
 	}
+	c.unplaced = false
 	inTime := make([]*phase, 0, len(c.open))
 	var late []*phase
+	nowMs := int(c.now.UnixMilli())
 	for _, p := range c.open {
-		if c.late(p) {
+		if p.late(nowMs) {
 			late = append(late, p)
 		} else {
 			inTime = append(inTime, p)
@@ -78,34 +80,17 @@
 	return true
 }
 
-// choose returns the endpoint that suits a task best, or nil. Work is packed on
-// few boxes, so that others stay empty and can be given away or maintained. A label
-// that isn't empty leaves only the endpoints that have it.
-func (c *Cell) choose(t *task, label string) *endpoint {
-	var best *endpoint
-	bestScore := 0
-	for _, e := range c.ranked {
-		if !e.hasLabel(label) || !c.allowed(t, e) {
-			continue
-		}
-		score := c.score(t, e)
-		if best == nil || score > bestScore {
-			best, bestScore = e, score
-		}
-	}
-	return best
-}
-
 // allowed says whether a task may be started at an endpoint now.
 func (c *Cell) allowed(t *task, e *endpoint) bool {
-	return c.permitted(t.phase, e) && c.couldTake(t, e)
+	return c.couldTake(t, e) && c.permitted(t.phase, e)
 }
 
 // couldTake says whether an endpoint has room for a task and may run it, as far as
 // no permit is needed.
 func (c *Cell) couldTake(t *task, e *endpoint) bool {
 	p := t.phase
-	if !e.usable() || !c.fit(e) || t.runsAt(e) || c.now.Before(e.pauseUntil) || !e.free().Holds(p.need()) || !e.hasLabel(p.spec.Label) {
+	// Most endpoints of a busy cell are full; that is found out first.
+	if !e.free().Holds(p.need()) || !e.usable() || !c.fit(e) || t.runsAt(e) || c.now.Before(e.pauseUntil) || !e.hasLabel(p.spec.Label) {
 		return false
 	}
 	return p.spec.MostPerBox == 0 || onEndpoint(p, e) < p.spec.MostPerBox
@@ -125,7 +110,7 @@
 	return count
 }
 
-// Weights of a choice, in thousandths of a core of packing.
+// Weights of a choice, in thousandths of a core of free room.
 const (
 	scoreRack  = 1_000_000
 	scoreAvoid = -4_000_000
@@ -135,7 +120,7 @@
 )
 
 func (c *Cell) score(t *task, e *endpoint) int {
-	score := e.used.CPU
+	score := -e.free().CPU
 	if rack := t.phase.spec.Rack; rack != "" && slices.Contains(e.info.Labels, rack) {
 		score += scoreRack
 	}
--- /dev/null
+++ b/pkg/cell/place_bench_test.go
@@ -0,0 +1,136 @@
+package cell_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/wire"
+)
+
+// benchmark is a cell whose endpoints are full and for which 10,000 tasks wait. An
+// endpoint answers its look with an end, so that one task can start.
+type benchmark struct {
+	cell  *cell.Cell
+	now   time.Time
+	looks map[string]cell.Look
+	runs  map[string][]damsonwinch.Run
+	ends  map[string]int
+	ids   []string
+	jobs  int
+	depth int
+}
+
+const (
+	waitingTasks = 10_000
+	tasksOfAJob  = 10
+	taskCPU      = 4000
+	benchBoxCPU  = 32_000
+	benchTicket  = 1
+)
+
+func newBenchmark(endpoints int) *benchmark {
+	m := &benchmark{now: time.UnixMilli(1_700_000_000_000), looks: map[string]cell.Look{}, runs: map[string][]damsonwinch.Run{}, ends: map[string]int{}}
+	m.cell = cell.New(cell.Options{
+		MostLease: 10 * time.Second, TokenGrace: 5 * time.Second, StopTime: 400 * time.Millisecond, StartLate: 2 * time.Second,
+		LookWait: 500 * time.Millisecond, IdleLook: 2 * time.Second, RetryLook: 300 * time.Millisecond, KeepEnded: time.Minute,
+	}, 1)
+	m.cell.Configure(m.now, []damsonwinch.Queue{{Name: "queue", Pool: "pool", MostAttempts: 3, Extension: 20, Target: time.Minute}})
+	var listed []damsonwinch.Endpoint
+	for at := range endpoints {
+		id := fmt.Sprintf("endpoint-%04d", at)
+		m.ids = append(m.ids, id)
+		listed = append(listed, damsonwinch.Endpoint{
+			ID: id, Address: "10.0.0.1:80", Box: "box-" + id, Pool: "pool", Zone: "zone",
+			Capacity: damsonwinch.Resources{CPU: benchBoxCPU, MemoryMB: 64_000},
+		})
+	}
+	m.cell.SetEndpoints(m.now, listed)
+	m.serve()
+	for _, id := range m.ids {
+		m.answer(id, nil)
+	}
+	for range (endpoints*benchBoxCPU/taskCPU + waitingTasks) / tasksOfAJob {
+		m.submit()
+	}
+	return m
+}
+
+func (m *benchmark) submit() {
+	m.jobs++
+	m.cell.Submit(m.now, wire.JobArgs{
+		Id: fmt.Sprintf("%016x", m.jobs), Queue: "queue", ReceivedMs: int(m.now.UnixMilli()),
+		Spec: &wire.JobSpec{Text: "text", Phases: []wire.Phase{{Count: tasksOfAJob, Cpu: taskCPU, MemoryMb: 1000, EstimateMs: 800}}},
+	}, benchTicket)
+	m.serve()
+}
+
+// serve carries out the cell's effects at once, but for looks, which wait.
+func (m *benchmark) serve() {
+	for {
+		effects := m.cell.Take()
+		if effects.Commit == nil && len(effects.Starts) == 0 && len(effects.Looks) == 0 {
+			return
+		}
+		for _, look := range effects.Looks {
+			m.looks[look.At.ID] = look
+		}
+		for _, start := range effects.Starts {
+			m.runs[start.At.ID] = append(m.runs[start.At.ID], start.Order.Run)
+			m.cell.Started(m.now, start.At.ID, start.Order.Run, nil)
+		}
+		if effects.Commit != nil {
+			m.cell.Committed(m.now, effects.Commit.Number)
+		}
+	}
+}
+
+// answer answers an endpoint's look: its oldest run is done, if there is one.
+func (m *benchmark) answer(id string, ended []damsonwinch.Run) {
+	look, asked := m.looks[id]
+	if !asked {
+		return
+	}
+	delete(m.looks, id)
+	found := damsonwinch.Look{Clock: int(m.now.UnixMilli() % 1_000_000_000)}
+	for _, run := range ended {
+		m.ends[id]++
+		found.Finished = append(found.Finished, damsonwinch.Finished{Number: m.ends[id], Run: run, How: damsonwinch.EndedDone})
+	}
+	for _, run := range m.runs[id] {
+		found.Running = append(found.Running, damsonwinch.Running{Run: run, Percent: 100})
+	}
+	m.cell.Looked(m.now, id, look.Number, found, nil)
+	m.serve()
+}
+
+// finish ends one task, which lets another one start, and submits a job when one's
+// worth of tasks has gone.
+func (m *benchmark) finish(number int) {
+	m.now = m.now.Add(time.Millisecond)
+	id := m.ids[number%len(m.ids)]
+	if runs := m.runs[id]; len(runs) > 0 {
+		m.runs[id] = runs[1:]
+		m.answer(id, runs[:1])
+	}
+	if number%tasksOfAJob == 0 {
+		m.submit()
+	}
+}
+
+// BenchmarkStart measures all that the cell decides for one task, from the end
+// that makes room to the start's record, while 10,000 tasks wait.
+func BenchmarkStart(b *testing.B) {
+	for _, endpoints := range []int{50, 350, 5800} {
+		b.Run(fmt.Sprintf("boxes=%d", endpoints), func(b *testing.B) {
+			m := newBenchmark(endpoints)
+			before := m.cell.Stats().Starts
+			for number := 0; b.Loop(); number++ {
+				m.finish(number)
+			}
+			b.ReportMetric(float64(m.cell.Stats().Starts-before)/float64(b.N), "starts/op")
+		})
+	}
+}
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -35,6 +35,8 @@
 	// knownAt is the step after which the endpoint must list the run: a look sent
 	// later that doesn't list it shows that it isn't there.
 	knownAt int
+	// listedAt is the step of the newest look that listed it.
+	listedAt int
 	// stopping says that it is to end.
 	stopping bool
 	// stopSent is when the stop was last ordered, and stopped that the endpoint
@@ -77,17 +79,22 @@
 func (c *Cell) attach(r *run) {
 	r.task.runs = append(r.task.runs, r)
 	r.at.runs[r.order()] = r
-	r.at.used = r.at.used.Plus(r.task.phase.need())
+	r.at.ordered = append(r.at.ordered, r)
+	c.occupy(r.at, r.task.phase.need())
 	r.task.phase.job().runs++
+	c.lookSoon(r.at)
 }
 
 // resolve takes away a run that is known not to exist any more.
 func (c *Cell) resolve(r *run) {
 	r.task.runs = slices.DeleteFunc(r.task.runs, func(other *run) bool { return other == r })
 	delete(r.at.runs, r.order())
-	r.at.used = r.at.used.Minus(r.task.phase.need())
+	r.at.ordered = slices.DeleteFunc(r.at.ordered, func(other *run) bool { return other == r })
+	c.release(r.at, r.task.phase.need())
 	r.task.phase.job().runs--
 	r.at.lastBusy = c.now
+	c.unplaced = true
+	c.lookSoon(r.at)
 	c.touch(r.task.phase.job())
 }
 
@@ -137,7 +144,7 @@
 	default:
 		r.state = runUncertain
 		c.note("start unanswered", r, err.Error())
-		r.at.wantLook = true
+		c.wantLook(r.at)
 		c.stop(r, "its start was not answered")
 		c.abandonGang(r.task.phase, "the start of a member of its gang was not answered")
 	}
@@ -220,7 +227,7 @@
 	switch {
 	case err == nil:
 		r.stopped, r.knownAt = true, c.step
-		r.at.wantLook = true
+		c.wantLook(r.at)
 	case errors.Is(err, damsonwinch.ErrOtherLife):
 		c.lose(r.at, "another life answers at its address")
 	}
@@ -232,7 +239,7 @@
 // retryOrders sends stops again that nobody has answered.
 func (c *Cell) retryOrders() {
 	for _, e := range c.ranked {
-		for _, r := range e.sortedRuns() {
+		for _, r := range e.ordered {
 			if r.stopping && !r.stopped && r.state != runIntended && r.state != runOrdered && r.state != runSuspect &&
 				c.now.Sub(r.stopSent) >= retryStop {
 				c.sendStop(r)
--- a/pkg/cell/sharing.go
+++ b/pkg/cell/sharing.go
@@ -102,6 +102,9 @@
 // besides says whether an endpoint runs tasks that a phase's should not stand
 // beside: what serves and what fills disturb each other.
 func (c *Cell) besides(p *phase, e *endpoint) bool {
+	if !p.spec.Fills && p.spec.TargetMs == 0 {
+		return false
+	}
 	for _, r := range e.runs {
 		other := r.task.phase.spec
 		if p.spec.Fills && other.TargetMs > 0 || p.spec.TargetMs > 0 && (other.Fills || other.TargetMs > 0) {
--- a/pkg/cell/urgency.go
+++ b/pkg/cell/urgency.go
@@ -33,16 +33,21 @@
 
 // late says whether a phase's job can hardly be done in time any more. Late jobs
 // go behind the others: running them first would make those late, too.
-func (c *Cell) late(p *phase) bool {
+func (p *phase) late(nowMs int) bool {
+	return p.lateMs > 0 && nowMs > p.lateMs
+}
+
+// setLate works out when a phase that may start is late.
+func (p *phase) setLate() {
 	j := p.job()
 	if p.spec.Lasting || j.dueMs == 0 {
-		return false
+		return
 	}
 	due := j.dueMs
 	if j.spec.Rounds > 0 {
 		due += p.round.number * j.spec.EveryMs
 	}
-	return int(c.now.Add(lateMargin).UnixMilli())+j.chains[p.number]*surePart/100 > due
+	p.lateMs = due - int(lateMargin.Milliseconds()) - j.chains[p.number]*surePart/100
 }
 
 const (
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -199,7 +199,7 @@
 		case <-o.ctx.Done():
 			return o.ctx.Err()
 		case m := <-o.inbox:
-			m.apply(o, o.deps.Clock.Now())
+			o.cell.Together(func() { o.takeAll(m) })
 		case <-timer.Chan():
 			o.cell.Tick(o.deps.Clock.Now())
 		}
@@ -212,6 +212,22 @@
 	}
 }
 
+// takeAll takes a message and those that wait behind it, as many as an inbox holds
+// at most.
+func (o *Owner) takeAll(m message) {
+	for taken := 1; ; taken++ {
+		m.apply(o, o.deps.Clock.Now())
+		if taken >= inboxSize {
+			return
+		}
+		select {
+		case m = <-o.inbox:
+		default:
+			return
+		}
+	}
+}
+
 func resetTimer(timer interface {
 	Stop() bool
 	Reset(time.Duration) bool
