--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -18,7 +18,7 @@
 	marks []damsonwinch.Record
 	// ends says that ends were taken in that no record may mention, such as those
 	// of jobs that nobody knows; they too are forgotten only after a commit.
-	ends []*endpoint
+	ends    []*endpoint
 	starts  []*run
 	replies []Reply
 	// withdrawn are endpoints whose withdrawal counts once it is recorded.
