--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -108,16 +108,6 @@
 	return damsonwinch.TaskID{Job: t.phase.round.job.id, Round: t.phase.round.number, Phase: t.phase.number, Index: t.index}
 }
 
-// find returns the task's run of an attempt, or nil.
-func (t *task) find(attempt int) *run {
-	for _, r := range t.runs {
-		if r.attempt == attempt {
-			return r
-		}
-	}
-	return nil
-}
-
 // comparePhases orders phases by urgency: priority, then the time by which the
 // job should be done, then age.
 func comparePhases(a, b *phase) int {
--- a/pkg/cell/place_bench_test.go
+++ b/pkg/cell/place_bench_test.go
@@ -20,7 +20,6 @@
 	ends  map[string]int
 	ids   []string
 	jobs  int
-	depth int
 }
 
 const (
--- /dev/null
+++ b/pkg/node/endpoints.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/owner"
+)
+
+func (n *Node) followEndpoints() error {
+	// Each endpoint writes every second or two: waiting for news would mean a call
+	// for each of them. A draining endpoint must be known within two seconds.
+	const pause = 400 * time.Millisecond
+	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
+		Stream: n.deps.Platform.EndpointStream, Pause: pause,
+		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(endpointRecords{records: records, snapshot: true}) },
+		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(endpointRecords{records: records}) },
+	})
+	return nil
+}
+
+func (n *Node) takeEndpoints(m endpointRecords) {
+	if m.snapshot {
+		clear(n.state.endpoints)
+	}
+	changed := m.snapshot
+	for _, record := range m.records {
+		endpoint, err := n.deps.Platform.DecodeEndpoint(record)
+		switch {
+		case err != nil:
+			n.deps.Logger.WithError(err).Error("endpoint's entry not understood")
+		case endpoint.Pool == "":
+			delete(n.state.endpoints, endpoint.ID)
+			changed = true
+		default:
+			changed = changed || differs(n.state.endpoints[endpoint.ID], endpoint)
+			n.state.endpoints[endpoint.ID] = endpoint
+		}
+	}
+	if !changed {
+		return
+	}
+	for name, held := range *n.holdings.Load() {
+		if cellOwner, isOwner := held.(*owner.Owner); isOwner {
+			cellOwner.SetEndpoints(n.endpointsOf(name))
+		}
+	}
+}
+
+// differs says whether an entry tells owners something new.
+func differs(before, after damsonwinch.Endpoint) bool {
+	return before.ID == "" || before.Draining != after.Draining || before.Address != after.Address || before.Pool != after.Pool
+}
+
+func (n *Node) endpointsOf(pool string) []damsonwinch.Endpoint {
+	var found []damsonwinch.Endpoint
+	for _, endpoint := range n.state.endpoints {
+		if endpoint.Pool == pool {
+			found = append(found, endpoint)
+		}
+	}
+	slices.SortFunc(found, func(a, b damsonwinch.Endpoint) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return found
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,9 +18,7 @@
 	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/intake"
 	"damsonwinch/pkg/metrics"
-	"damsonwinch/pkg/owner"
 	"damsonwinch/pkg/ownership"
-	"damsonwinch/pkg/planner"
 	"damsonwinch/pkg/supply"
 )
 
@@ -265,139 +262,6 @@
 	}
 }
 
-func (n *Node) followOperator() error {
-	// Configurations must be in force within two seconds, also where an answer is
-	// lost and the reading has to be given up.
-	const wait = 600 * time.Millisecond
-	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
-		Stream: n.deps.Platform.OperatorStream, Wait: wait,
-		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(operatorRecords{records}) },
-		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(operatorRecords{records}) },
-	})
-	return nil
-}
-
-func (n *Node) followEndpoints() error {
-	// Each endpoint writes every second or two: waiting for news would mean a call
-	// for each of them. A draining endpoint must be known within two seconds.
-	const pause = 400 * time.Millisecond
-	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
-		Stream: n.deps.Platform.EndpointStream, Pause: pause,
-		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(endpointRecords{records: records, snapshot: true}) },
-		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(endpointRecords{records: records}) },
-	})
-	return nil
-}
-
 func (n *Node) feedDeps() feed.Deps {
 	return feed.Deps{Store: n.deps.Platform.Store, Clock: n.deps.Clock, Logger: n.deps.Logger}
 }
-
-// takeOperator puts a newer configuration in force. Older ones come when the
-// stream is read anew.
-func (n *Node) takeOperator(records []damsonwinch.Record) {
-	for _, record := range records {
-		configuration, wave, err := n.deps.Platform.DecodeOperator(record)
-		if err != nil {
-			n.deps.Logger.WithError(err).Error("operator's record not understood")
-			continue
-		}
-		if configuration != nil && configuration.Version > n.state.configuration.Version {
-			n.configure(*configuration)
-		}
-		if wave != nil {
-			n.takeWave(*wave)
-		}
-	}
-}
-
-// configure puts a configuration in force on this node.
-func (n *Node) configure(configuration damsonwinch.Configuration) {
-	n.state.configuration = configuration
-	n.version.Store(int64(configuration.Version))
-	n.deps.Logger.WithFields(logrus.Fields{"version": configuration.Version, "queues": len(configuration.Queues)}).Info("configuration in force")
-	n.deps.Configured(configuration)
-	n.ownership.Want(cellsOf(configuration))
-	for _, held := range *n.holdings.Load() {
-		switch held := held.(type) {
-		case *owner.Owner:
-			held.Configure(configuration.Queues)
-		case *planner.Planner:
-			held.Configure(configuration.Pools)
-		}
-	}
-}
-
-// takeWave passes a wave on to the planner, if that is here.
-func (n *Node) takeWave(wave damsonwinch.Wave) {
-	n.state.waves[wave.Number] = wave
-	n.deps.Logger.WithFields(logrus.Fields{"wave": wave.Number, "boxes": len(wave.Boxes), "most_down": wave.MostDown, "duration": wave.Duration.String()}).Info("wave asked for")
-	if planning, here := (*n.holdings.Load())[fleetCell].(*planner.Planner); here {
-		planning.SetWave(wave)
-	}
-}
-
-// fleetCell is the cell whose owner plans for all boxes. No pool can have its
-// name, which is none that the operator's names allow.
-const fleetCell = "@fleet"
-
-// cellsOf returns the cells that a configuration needs: the fleet's and the pools
-// whose boxes run.
-func cellsOf(configuration damsonwinch.Configuration) []string {
-	cells := []string{fleetCell}
-	for _, pool := range configuration.Pools {
-		if !pool.Parking {
-			cells = append(cells, pool.Name)
-		}
-	}
-	return cells
-}
-
-func (n *Node) takeEndpoints(m endpointRecords) {
-	if m.snapshot {
-		clear(n.state.endpoints)
-	}
-	changed := m.snapshot
-	for _, record := range m.records {
-		endpoint, err := n.deps.Platform.DecodeEndpoint(record)
-		switch {
-		case err != nil:
-			n.deps.Logger.WithError(err).Error("endpoint's entry not understood")
-		case endpoint.Pool == "":
-			delete(n.state.endpoints, endpoint.ID)
-			changed = true
-		default:
-			changed = changed || differs(n.state.endpoints[endpoint.ID], endpoint)
-			n.state.endpoints[endpoint.ID] = endpoint
-		}
-	}
-	if !changed {
-		return
-	}
-	for name, held := range *n.holdings.Load() {
-		if cellOwner, isOwner := held.(*owner.Owner); isOwner {
-			cellOwner.SetEndpoints(n.endpointsOf(name))
-		}
-	}
-}
-
-// differs says whether an entry tells owners something new.
-func differs(before, after damsonwinch.Endpoint) bool {
-	return before.ID == "" || before.Draining != after.Draining || before.Address != after.Address || before.Pool != after.Pool
-}
-
-func (n *Node) endpointsOf(pool string) []damsonwinch.Endpoint {
-	var found []damsonwinch.Endpoint
-	for _, endpoint := range n.state.endpoints {
-		if endpoint.Pool == pool {
-			found = append(found, endpoint)
-		}
-	}
-	slices.SortFunc(found, func(a, b damsonwinch.Endpoint) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return found
-}
--- /dev/null
+++ b/pkg/node/operator.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"damsonwinch"
+	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/owner"
+	"damsonwinch/pkg/planner"
+)
+
+func (n *Node) followOperator() error {
+	// Configurations must be in force within two seconds, also where an answer is
+	// lost and the reading has to be given up.
+	const wait = 600 * time.Millisecond
+	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
+		Stream: n.deps.Platform.OperatorStream, Wait: wait,
+		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(operatorRecords{records}) },
+		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(operatorRecords{records}) },
+	})
+	return nil
+}
+
+// takeOperator puts a newer configuration in force. Older ones come when the
+// stream is read anew.
+func (n *Node) takeOperator(records []damsonwinch.Record) {
+	for _, record := range records {
+		configuration, wave, err := n.deps.Platform.DecodeOperator(record)
+		if err != nil {
+			n.deps.Logger.WithError(err).Error("operator's record not understood")
+			continue
+		}
+		if configuration != nil && configuration.Version > n.state.configuration.Version {
+			n.configure(*configuration)
+		}
+		if wave != nil {
+			n.takeWave(*wave)
+		}
+	}
+}
+
+// configure puts a configuration in force on this node.
+func (n *Node) configure(configuration damsonwinch.Configuration) {
+	n.state.configuration = configuration
+	n.version.Store(int64(configuration.Version))
+	n.deps.Logger.WithFields(logrus.Fields{"version": configuration.Version, "queues": len(configuration.Queues)}).Info("configuration in force")
+	n.deps.Configured(configuration)
+	n.ownership.Want(cellsOf(configuration))
+	for _, held := range *n.holdings.Load() {
+		switch held := held.(type) {
+		case *owner.Owner:
+			held.Configure(configuration.Queues)
+		case *planner.Planner:
+			held.Configure(configuration.Pools)
+		}
+	}
+}
+
+// takeWave passes a wave on to the planner, if that is here.
+func (n *Node) takeWave(wave damsonwinch.Wave) {
+	n.state.waves[wave.Number] = wave
+	n.deps.Logger.WithFields(logrus.Fields{"wave": wave.Number, "boxes": len(wave.Boxes), "most_down": wave.MostDown, "duration": wave.Duration.String()}).Info("wave asked for")
+	if planning, here := (*n.holdings.Load())[fleetCell].(*planner.Planner); here {
+		planning.SetWave(wave)
+	}
+}
+
+// fleetCell is the cell whose owner plans for all boxes. No pool can have its
+// name, which is none that the operator's names allow.
+const fleetCell = "@fleet"
+
+// cellsOf returns the cells that a configuration needs: the fleet's and the pools
+// whose boxes run.
+func cellsOf(configuration damsonwinch.Configuration) []string {
+	cells := []string{fleetCell}
+	for _, pool := range configuration.Pools {
+		if !pool.Parking {
+			cells = append(cells, pool.Name)
+		}
+	}
+	return cells
+}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
@@ -17,7 +16,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"damsonwinch"
-	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/wire"
 )
@@ -221,19 +219,6 @@
 	}
 }
 
-func (o *Ownership) follow() error {
-	feed.Follow(o.ctx, feed.Deps{Store: o.deps.Store, Clock: o.deps.Clock, Logger: o.deps.Logger}, feed.Options{
-		Stream: damsonwinch.Stream{Topic: claimTopic}, Wait: claimWait,
-		Snapshot: func(records []damsonwinch.Record, end int) {
-			o.send(claimsRead{records: records, end: end, snapshot: true, askedAt: o.deps.Clock.Now().Add(-callTimeout)})
-		},
-		Added: func(records []damsonwinch.Record, end int, askedAt time.Time) {
-			o.send(claimsRead{records: records, end: end, askedAt: askedAt})
-		},
-	})
-	return nil
-}
-
 func (o *Ownership) run() error {
 	ticker := o.deps.Clock.NewTicker(tick)
 	defer ticker.Stop()
@@ -295,27 +280,6 @@
 	}
 }
 
-func (o *Ownership) takeClaims(m claimsRead) {
-	s := &o.state
-	if m.snapshot {
-		clear(s.claims)
-	}
-	for _, record := range m.records {
-		var claim wire.CellClaim
-		if len(record.Value) == 0 {
-			delete(s.claims, record.Key)
-			continue
-		}
-		if err := json.Unmarshal(record.Value, &claim); err != nil {
-			o.deps.Logger.WithError(err).WithField("cell", record.Key).Error("claim not understood")
-			continue
-		}
-		s.claims[record.Key] = Claim{CellClaim: claim, Token: record.Offset + 1}
-	}
-	s.end, s.claimsRead, s.confirmed = m.end, true, m.askedAt
-	o.publish()
-}
-
 func (o *Ownership) publish() {
 	s := &o.state
 	o.deps.Changed(View{Claims: maps.Clone(s.claims), Members: slices.Clone(s.members), ConfirmedAt: s.confirmed})
@@ -348,158 +312,3 @@
 func (o *Ownership) settled(now time.Time) bool {
 	return now.Sub(o.state.startedAt) >= settleTime || len(o.state.claims) > 0 && !o.options.FirstStart
 }
-
-// claimOne claims the first cell whose owner is gone and whose heir is this node.
-func (o *Ownership) claimOne() {
-	s := &o.state
-	for _, cell := range s.cells {
-		claim, known := s.claims[cell]
-		if known && o.alive(claim) {
-			continue
-		}
-		chosen, found := heir(cell, s.members, o.liveClaims())
-		if found && chosen.Node == o.options.Self.Node && chosen.Incarnation == o.options.Self.Incarnation {
-			s.claiming = true
-			o.claim(cell, claim, known)
-			return
-		}
-	}
-}
-
-func (o *Ownership) liveClaims() map[string]Claim {
-	live := map[string]Claim{}
-	for cell, claim := range o.state.claims {
-		if o.alive(claim) {
-			live[cell] = claim
-		}
-	}
-	return live
-}
-
-// alive says whether a claim's maker is still in the group.
-func (o *Ownership) alive(claim Claim) bool {
-	for _, member := range o.state.members {
-		if claim.HeldBy(member) {
-			return true
-		}
-	}
-	return false
-}
-
-func (o *Ownership) claim(cell string, before Claim, known bool) {
-	record := wire.CellClaim{
-		Cell: cell, Node: o.options.Self.Node, Address: o.options.Self.Address, Incarnation: o.options.Self.Incarnation,
-		Partition: before.Partition,
-	}
-	if !known {
-		record.Partition = o.freePartition()
-	}
-	end := o.state.end
-	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": before.Node, "members": len(o.state.members), "end": end}).Info("claim cell")
-	o.group.Go(func() error {
-		o.send(claimed{cell: cell, err: o.appendClaim(record, end)})
-		return nil
-	})
-}
-
-// release appends that a cell is given up.
-func (o *Ownership) release(claim wire.CellClaim) {
-	end := o.state.end
-	o.state.claiming = true
-	o.group.Go(func() error {
-		o.send(claimed{cell: claim.Cell, err: o.appendClaim(claim, end)})
-		return nil
-	})
-}
-
-func (o *Ownership) appendClaim(claim wire.CellClaim, at int) error {
-	value, err := json.Marshal(claim)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-	defer cancel()
-	return o.deps.Store.AppendAt(ctx, damsonwinch.Stream{Topic: claimTopic}, []damsonwinch.Record{{Key: claim.Cell, Value: value}}, at)
-}
-
-// freePartition returns the lowest partition that no cell has.
-func (o *Ownership) freePartition() int {
-	used := map[int]bool{}
-	for _, claim := range o.state.claims {
-		used[claim.Partition] = true
-	}
-	for partition := range o.options.Partitions {
-		if !used[partition] {
-			return partition
-		}
-	}
-	return o.options.Partitions
-}
-
-func (o *Ownership) join() {
-	request := damsonwinch.JoinRequest{
-		Group: groupName, Member: o.options.Self.Name(), Topics: []string{groupTopic}, TTL: max(o.options.TTL, leastTTL), Generation: o.state.generation,
-	}
-	o.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-		defer cancel()
-		membership, err := o.deps.Store.Join(ctx, request)
-		o.send(joined{membership: membership, err: err})
-		return nil
-	})
-}
-
-func (o *Ownership) readMembers(now time.Time) {
-	o.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-		defer cancel()
-		partitions, err := o.deps.Store.Owners(ctx, groupName)
-		o.send(membersListed{members: distinct(partitions), askedAt: now, err: err})
-		return nil
-	})
-}
-
-// distinct returns the members that hold a partition, in order of their names.
-// Of several lives of one node only the newest counts.
-func distinct(partitions []damsonwinch.Partition) []Member {
-	byNode := map[string]Member{}
-	for _, partition := range partitions {
-		member, understood := parseMember(partition.Member)
-		if understood && member.Incarnation >= byNode[member.Node].Incarnation {
-			byNode[member.Node] = member
-		}
-	}
-	members := make([]Member, 0, len(byNode))
-	for _, node := range slices.Sorted(maps.Keys(byNode)) {
-		members = append(members, byNode[node])
-	}
-	return members
-}
-
-// leave releases the node's cells, so that others need not wait for its silence.
-func (o *Ownership) leave(m leave, _ time.Time) {
-	s := &o.state
-	s.leaving = true
-	var mine []wire.CellClaim
-	for _, cell := range slices.Sorted(maps.Keys(s.claims)) {
-		if claim := s.claims[cell]; claim.HeldBy(o.options.Self) {
-			claim.Released = true
-			mine = append(mine, claim.CellClaim)
-		}
-	}
-	end := s.end
-	o.group.Go(func() error {
-		defer close(m.done)
-		for i, claim := range mine {
-			if err := o.appendClaim(claim, end+i); err != nil {
-				o.deps.Logger.WithError(err).WithField("cell", claim.Cell).Warn("cell not released")
-			}
-		}
-		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-		defer cancel()
-		if err := o.deps.Store.Leave(ctx, groupName, o.options.Self.Name()); err != nil {
-			o.deps.Logger.WithError(err).Warn("group not left")
-		}
-		return nil
-	})
-}
