Order boxes ahead for pools whose jobs can wait, too

Ruled out: keeping boxes warm before the first job (130 boxes for 14 s cost 0.027, the first two seconds lose about as much).

--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -19,10 +19,6 @@
 	// growth is what a pool has above the work that comes in, in percent,: work
 	// comes unevenly, and boxes can't be packed to the last core.
 	growth = 45
-	// patientSlack is the slack from which boxes are ordered only for work that is
-	// there.
-	patientSlack = 2400 * time.Millisecond
-	wholeUrgency = 100
 	// patientTimes is how many times as long as those of another pool a pool's jobs
 	// must be able to wait for it to keep only patientShare of its need, in percent.
 	patientTimes = 2
@@ -87,9 +83,9 @@
 		return
 	}
 	reactive := l.report.RunningCpu + l.report.WaitingCpu + l.report.LateCpu*lateShare/100
-	cpu := max(reactive, p.predicted(l, boxCPU)*l.urgency()/wholeUrgency)
+	cpu := max(reactive, p.predicted(l, boxCPU))
 	l.need = l.boxesFor(l.report.LastingCpu+cpu, boxCPU)
-	steady := max(reactive, l.report.SteadyCpu*(100+growth)/100*l.urgency()/wholeUrgency)
+	steady := max(reactive, l.report.SteadyCpu*(100+growth)/100)
 	hold := time.Duration(int64(p.options.Hold) * int64(l.slack()) / int64(usualSlack))
 	l.remember(now, hold, l.boxesFor(l.report.LastingCpu+steady, boxCPU))
 }
@@ -108,14 +104,6 @@
 	return max(l.report.OfferedCpu*(100+growth)/100, l.report.RunningCpu) + 2*behind/int(l.slack().Milliseconds())
 }
 
-// urgency says how far boxes must be ordered for work that has not come yet, from 0
-// to wholeUrgency. Where jobs can wait until boxes come, what is there is enough to
-// go by, and a guess from a few long jobs would only move boxes to and fro.
-func (l *pool) urgency() int {
-	left := patientSlack - l.slack()
-	return int(min(max(left, 0), patientSlack-usualSlack) * wholeUrgency / (patientSlack - usualSlack))
-}
-
 // boxesFor returns the number of boxes for a need of processor.
 func (l *pool) boxesFor(cpu, boxCPU int) int {
 	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*memoryGrowth/100) + reserve
