See every member of the group, leave cells to nodes with a good link, wait for members to come back

Cause: (1) a group of one topic with 24 partitions shows 24 members; with 33 or 43 nodes living owners could be missing from the list. (3) A node's weight was its share of a core alone. Now: the group spreads over as many topics as show all members; a node whose readings had a gap waits 1 s before it takes cells from absent owners; a restarted one waits by its weight; links under 100 Mbit/s lower the weight; nodes that are far from taking over read the members each 2.5 s, not 0.5 s.

--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"damsonwinch"
@@ -12,7 +13,7 @@
 
 func (o *Ownership) join() {
 	request := damsonwinch.JoinRequest{
-		Group: groupName, Member: o.options.Self.Name(), Topics: []string{groupTopic}, TTL: max(o.options.TTL, leastTTL), Generation: o.state.generation,
+		Group: groupName, Member: o.options.Self.Name(), Topics: o.topics(), TTL: max(o.options.TTL, leastTTL), Generation: o.state.generation,
 	}
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
@@ -28,11 +29,66 @@
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
 		partitions, err := o.deps.Store.Owners(ctx, groupName)
-		o.send(membersListed{members: distinct(partitions), askedAt: now, err: err})
+		o.send(membersListed{members: distinct(partitions), crowded: crowded(partitions), askedAt: now, err: err})
 		return nil
 	})
 }
 
+// takeMembers takes who is in the group.
+func (o *Ownership) takeMembers(m membersListed) {
+	s := &o.state
+	if !s.membersAt.IsZero() && m.askedAt.Sub(s.membersAt) > o.readEvery()+callTimeout {
+		s.regroupedAt = m.askedAt
+	}
+	if m.crowded && s.topics < mostTopics {
+		s.topics++
+	}
+	s.members, s.membersAt = m.members, m.askedAt
+	clear(s.suspects)
+	o.publish()
+}
+
+// mostTopics bounds the topics of the group: the platform keeps 100 in all.
+const mostTopics = 20
+
+// topics returns the topics whose partitions the group deals out.
+func (o *Ownership) topics() []string {
+	names := []string{groupTopic}
+	for number := 2; number <= o.state.topics; number++ {
+		names = append(names, groupTopic+"-"+strconv.Itoa(number))
+	}
+	return names
+}
+
+// crowded says whether each partition is held by another member. There may be
+// members that hold none then, and the list doesn't show them.
+func crowded(partitions []damsonwinch.Partition) bool {
+	holders := make(map[string]bool, len(partitions))
+	for _, partition := range partitions {
+		holders[partition.Member] = true
+	}
+	return len(partitions) > 0 && len(holders) == len(partitions)
+}
+
+// sparedHeirs is the number of members beyond one a cell that watch closely: some
+// may be lost at once.
+const sparedHeirs = 3
+
+// readEvery returns the time between two readings of the members. A node that
+// others would go before in taking over any cell can do with fewer.
+func (o *Ownership) readEvery() time.Duration {
+	better := 0
+	for _, member := range o.state.members {
+		if member.Weight > o.options.Self.Weight {
+			better++
+		}
+	}
+	if better < len(o.state.cells)+sparedHeirs {
+		return membersEvery
+	}
+	return restEvery
+}
+
 // distinct returns the members that hold a partition, in order of their names.
 // Of several lives of one node only the newest counts.
 func distinct(partitions []damsonwinch.Partition) []Member {
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -35,8 +35,11 @@
 	// joinEvery is the time between two proofs of life. It leaves room for two
 	// that are lost before the group gives a member up.
 	joinEvery = 300 * time.Millisecond
-	// membersEvery is the time between two readings of who is in the group.
+	// membersEvery is the time between two readings of who is in the group by a
+	// node that may have to take a cell over next, and restEvery that of the others,
+	// which only step in where all of those are gone: each reading has a price.
 	membersEvery = 500 * time.Millisecond
+	restEvery    = 2500 * time.Millisecond
 	// callTimeout bounds a call to the store; a slow one is better given up, since
 	// what it would tell is old.
 	callTimeout = 600 * time.Millisecond
@@ -46,7 +49,10 @@
 	// settleTime lets the other nodes of a starting system join before the first
 	// one shares out the cells.
 	settleTime = 1500 * time.Millisecond
-	tick       = 100 * time.Millisecond
+	// regroupTime lets the members come back whom the group has lost while the store
+	// was away, or who were all stopped at once: a call that hangs and the next one.
+	regroupTime = callTimeout + joinEvery + 100*time.Millisecond
+	tick        = 100 * time.Millisecond
 	// leastTTL is how long the group keeps a silent node, unless the platform
 	// asks for more.
 	leastTTL = time.Second
@@ -110,8 +116,13 @@
 	claimsRead bool
 	confirmed  time.Time
 	members    []Member
-	// membersAt is when the members were last read.
-	membersAt  time.Time
+	// membersAt is when the members were last read, and regroupedAt when that was
+	// possible again after a while in which it was not.
+	membersAt   time.Time
+	regroupedAt time.Time
+	// topics is the number of topics over which the group is spread, so that each
+	// member holds a partition and is listed.
+	topics     int
 	generation int
 	startedAt  time.Time
 	joining    bool
@@ -143,6 +154,8 @@
 	}
 	membersListed struct {
 		members []Member
+		// crowded says that no partition was left over.
+		crowded bool
 		askedAt time.Time
 		err     error
 	}
@@ -168,7 +181,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]Claim{}, startedAt: deps.Clock.Now(), suspects: map[string]bool{}},
+		state: state{claims: map[string]Claim{}, startedAt: deps.Clock.Now(), suspects: map[string]bool{}, topics: 1},
 	}
 	group.Go(o.run)
 	group.Go(o.follow)
@@ -255,9 +268,7 @@
 			o.deps.Metrics.Add("members_failures", 1)
 			return
 		}
-		s.members, s.membersAt = m.members, m.askedAt
-		clear(s.suspects)
-		o.publish()
+		o.takeMembers(m)
 	case claimed:
 		s.claiming = false
 		if m.err != nil && !errors.Is(m.err, damsonwinch.ErrMoved) {
@@ -296,7 +307,7 @@
 		s.joining, s.joinedAt = true, now
 		o.join()
 	}
-	if !s.reading && now.Sub(s.readAt) >= membersEvery {
+	if !s.reading && now.Sub(s.readAt) >= o.readEvery() {
 		s.reading, s.readAt = true, now
 		o.readMembers(now)
 	}
@@ -310,5 +321,25 @@
 
 // settled says whether the members are likely to be complete.
 func (o *Ownership) settled(now time.Time) bool {
-	return now.Sub(o.state.startedAt) >= settleTime || len(o.state.claims) > 0 && !o.options.FirstStart
+	s := &o.state
+	if now.Sub(s.regroupedAt) < regroupTime {
+		return false
+	}
+	if len(s.claims) > 0 && !o.options.FirstStart {
+		return now.Sub(s.startedAt) >= o.startPause()
+	}
+	return now.Sub(s.startedAt) >= settleTime
+}
+
+// startPause is how long a node that has restarted leaves cells to others, which may
+// have been stopped with it: the less it can carry, the longer.
+func (o *Ownership) startPause() time.Duration {
+	return min(regroupTime, fullPause*fullWeight/time.Duration(max(1, o.options.Self.Weight)))
 }
+
+const (
+	// fullPause is that time for a node with fullWeight, in thousandths of a core:
+	// about as long as nodes that are restarted together differ.
+	fullPause  = 60 * time.Millisecond
+	fullWeight = 400
+)
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -108,7 +108,7 @@
 	bounds := config.Bounds
 	return node.Options{
 		Self: ownership.Member{
-			Node: config.Node, Address: config.CallAddress, Weight: int(config.CoreShare * 1000), Incarnation: int(env.Clock.Now().UnixMilli()),
+			Node: config.Node, Address: config.CallAddress, Weight: weightOf(config), Incarnation: int(env.Clock.Now().UnixMilli()),
 		},
 		Cells: cell.Options{
 			MostLease: milliseconds(bounds.LeaseMostMs), TokenGrace: tokenGrace, StartLate: startLate, StopTime: milliseconds(bounds.StopMs), RestoreTime: milliseconds(bounds.RestoreMs), CommitGap: commitGap,
@@ -123,6 +123,21 @@
 	}
 }
 
+// fullLinkMbps is the speed of a link from which it is no hindrance to owning
+// cells: a takeover reads up to some 4 MB of records, a third of a second at 100
+// Mbit/s.
+const fullLinkMbps = 100
+
+// weightOf returns how much of the cells' work the node can carry beside others, in
+// thousandths of a core.
+func weightOf(config settings.Node) int {
+	weight := config.CoreShare * 1000
+	if config.LinkMbps > 0 {
+		weight *= min(1, config.LinkMbps/fullLinkMbps)
+	}
+	return max(1, int(weight))
+}
+
 func seconds(count float64) time.Duration {
 	return time.Duration(count * float64(time.Second))
 }
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -228,6 +228,10 @@
 	// Shortest time for which the log keeps a silent member of a group.
 	GroupTtlMs int `json:"group_ttl_ms,omitempty,omitzero"`
 
+	// Speed of this node's link, in megabits a second. A slow one owns cells only
+	// where there is no other.
+	LinkMbps float64 `json:"link_mbps,omitempty,omitzero"`
+
 	// Log lines a second at most; what is left out is counted by kind.
 	LogLines int `json:"log_lines,omitempty,omitzero"`
 
