Follow the endpoints closely and only where a pool is owned; patient pools give what they don't use

Cause: a box that had moved was listed up to 400 ms late at its new owner, out of the 1.2 s that quick jobs can wait, while all 33 to 43 nodes read the endpoints' entries 2.5 times a second (a quarter of all calls to the store).

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -36,6 +36,11 @@
 	// Pause is the time between readings, for streams that move all the time and
 	// are not needed to the millisecond.
 	Pause time.Duration
+	// Wanted says whether anybody needs the stream now; nil means always. While
+	// nobody does, nothing is read, and Wake ends the wait. What is then there comes
+	// as a snapshot.
+	Wanted func() bool
+	Wake   <-chan struct{}
 	// Snapshot is given all newest records, at first and whenever the store has
 	// dropped what came after the last reading.
 	Snapshot func(records []damsonwinch.Record, end int)
@@ -48,6 +53,11 @@
 func Follow(ctx context.Context, deps Deps, options Options) {
 	f := follower{Deps: deps, options: options}
 	for ctx.Err() == nil {
+		if options.Wanted != nil && !options.Wanted() {
+			f.started = false
+			f.rest(ctx)
+			continue
+		}
 		if err := f.step(ctx); err != nil {
 			f.report(ctx, err)
 			f.pause(ctx, retryPause)
@@ -120,6 +130,14 @@
 	}
 }
 
+// rest waits until somebody needs the stream.
+func (f *follower) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.options.Wake:
+	}
+}
+
 // report logs a lost dependency once.
 func (f *follower) report(ctx context.Context, err error) {
 	if f.failing || ctx.Err() != nil {
--- a/pkg/node/endpoints.go
+++ b/pkg/node/endpoints.go
@@ -12,18 +12,44 @@
 func (n *Node) followEndpoints() error {
 	// Each endpoint writes every second or two: waiting for news would mean a call
 	// for each of them. A draining endpoint must be known within two seconds.
-	const pause = 400 * time.Millisecond
+	// Jobs that can wait a second wait for boxes that have just moved.
+	const pause = 100 * time.Millisecond
 	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
-		Stream: n.deps.Platform.EndpointStream, Pause: pause,
+		Stream: n.deps.Platform.EndpointStream, Pause: pause, Wanted: n.owning.Load, Wake: n.follow,
 		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(endpointRecords{records: records, snapshot: true}) },
 		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(endpointRecords{records: records}) },
 	})
 	return nil
 }
 
+// needEndpoints has the endpoints followed while this node owns a pool. Without one
+// it forgets them: what it knows would be out of date when it takes a pool over.
+func (n *Node) needEndpoints(held map[string]holding) {
+	owning := false
+	for _, running := range held {
+		if _, isOwner := running.(*owner.Owner); isOwner {
+			owning = true
+		}
+	}
+	if !owning {
+		clear(n.state.endpoints)
+		n.state.endpointsKnown = false
+	}
+	n.owning.Store(owning)
+	select {
+	case n.follow <- struct{}{}:
+	default:
+		// It has been told already.
+	}
+}
+
 func (n *Node) takeEndpoints(m endpointRecords) {
+	if !n.owning.Load() {
+		return
+	}
 	if m.snapshot {
 		clear(n.state.endpoints)
+		n.state.endpointsKnown = true
 	}
 	changed := m.snapshot
 	for _, record := range m.records {
--- a/pkg/node/holdings.go
+++ b/pkg/node/holdings.go
@@ -32,6 +32,7 @@
 		}
 	}
 	n.holdings.Store(&next)
+	n.needEndpoints(next)
 }
 
 // confirm tells the owners until when their claims stood.
@@ -84,7 +85,9 @@
 		Logger: n.deps.Logger.WithField("cell", claim.Cell), Metrics: n.deps.Metrics,
 	}, owner.Options{Cell: claim.Cell, Stream: streamOf(claim), Token: claim.Token, Cells: n.options.Cells})
 	started.Configure(n.state.configuration.Queues)
-	started.SetEndpoints(n.endpointsOf(claim.Cell))
+	if n.state.endpointsKnown {
+		started.SetEndpoints(n.endpointsOf(claim.Cell))
+	}
 	return started
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -79,7 +79,11 @@
 	holdings atomic.Pointer[map[string]holding]
 	// version is that of the configuration in force, 0 before the first.
 	version atomic.Int64
-	state   state
+	// owning says that this node owns a pool, and follow wakes what then follows the
+	// endpoints.
+	owning atomic.Bool
+	follow chan struct{}
+	state  state
 	// ended is closed once the node's own task has ended.
 	ended chan struct{}
 }
@@ -88,7 +92,9 @@
 type state struct {
 	configuration damsonwinch.Configuration
 	endpoints     map[string]damsonwinch.Endpoint
-	waves         map[int]damsonwinch.Wave
+	// endpointsKnown says that endpoints holds all that are listed.
+	endpointsKnown bool
+	waves          map[int]damsonwinch.Wave
 	// ended holds, by cell, the claim whose owner has ended by itself; it is not
 	// to be owned by that claim again.
 	ended    map[string]int
@@ -120,7 +126,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n := &Node{
 		deps: deps, options: options, inbox: make(chan any, inboxSize), group: group, ctx: ctx, cancel: cancel,
-		ended: make(chan struct{}),
+		ended: make(chan struct{}), follow: make(chan struct{}, 1),
 		state: state{endpoints: map[string]damsonwinch.Endpoint{}, ended: map[string]int{}, waves: map[int]damsonwinch.Wave{}},
 	}
 	n.view.Store(&ownership.View{})
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -115,12 +115,12 @@
 }
 
 // leastFor returns how many boxes a pool keeps when another one asks. One whose
-// jobs can wait much longer gives a part of what it needs.
+// jobs can wait much longer keeps what it uses now.
 func (p *Planner) leastFor(donor, receiver *pool) int {
 	if donor.slack() < patientTimes*receiver.slack() {
-		return donor.need
+		return donor.held()
 	}
-	return max(leastBoxes, donor.report.Spread, donor.need*patientShare/100)
+	return min(donor.need, donor.firm)
 }
 
 func (p *Planner) isParking(name string) bool {
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -20,9 +20,8 @@
 	// comes unevenly, and boxes can't be packed to the last core.
 	growth = 45
 	// patientTimes is how many times as long as those of another pool a pool's jobs
-	// must be able to wait for it to keep only patientShare of its need, in percent.
+	// must be able to wait for it to give what it doesn't use now.
 	patientTimes = 2
-	patientShare = 65
 	// memoryGrowth is the same for memory.
 	memoryGrowth = 120
 	// lateShare is the part of the waiting work of late jobs, in percent, that a
@@ -51,6 +50,8 @@
 	// needs of late, which it keeps boxes for.
 	need  int
 	peaks []peak
+	// firm is how many boxes the work that is there takes.
+	firm int
 }
 
 // peak is a need at a moment.
@@ -85,6 +86,7 @@
 	reactive := l.report.RunningCpu + l.report.WaitingCpu + l.report.LateCpu*lateShare/100
 	cpu := max(reactive, p.predicted(l, boxCPU))
 	l.need = l.boxesFor(l.report.LastingCpu+cpu, boxCPU)
+	l.firm = l.boxesFor(l.report.LastingCpu+reactive, boxCPU)
 	steady := max(reactive, l.report.SteadyCpu*(100+growth)/100)
 	hold := time.Duration(int64(p.options.Hold) * int64(l.slack()) / int64(usualSlack))
 	l.remember(now, hold, l.boxesFor(l.report.LastingCpu+steady, boxCPU))
