Count on no lasting task that an earlier owner may have stopped; keep a job in one zone; see cuts sooner

Now: a run that an earlier owner started counts as at work only after the stop time and 300 ms since this owner's first look at its endpoint.

Now: a job's tasks are kept in one zone as far as there is room; an endpoint that leaves a call unanswered for 150 ms gets nothing new, nor does its zone while nothing at all comes from there; the planner leaves cut zones' boxes.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -32,7 +32,8 @@
 	// ranked holds the endpoints in order of their IDs, so that choices do not
 	// depend on the order of a map.
 	ranked []*endpoint
-	rooms  rooms
+	// zones holds the endpoints' zones in order of their names.
+	zones []*zone
 	// together says that more events follow before anything is done about them.
 	together bool
 	// unplaced says that something has happened since the last choice that may let
@@ -107,6 +108,7 @@
 	c.openRounds()
 	c.expireLeases()
 	c.retryOrders()
+	c.seeOverdue()
 	for _, e := range c.ranked {
 		c.empty(e)
 	}
--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -16,8 +16,8 @@
 	for _, e := range c.ranked {
 		boxMemory = max(boxMemory, e.info.Capacity.MemoryMB)
 		entry := wire.EndpointReport{
-			Endpoint: e.info.ID, Box: e.info.Box, Usable: e.usable(), Withdrawn: e.withdrawn && e.withdraw.recorded,
-			Silent: e.silent, Runs: len(e.runs), UsedCpu: e.used.CPU,
+			Endpoint: e.info.ID, Box: e.info.Box, Usable: e.usable() && !e.zone.isCut(now), Withdrawn: e.withdrawn && e.withdraw.recorded,
+			Silent: e.silent || e.zone.isCut(now), Runs: len(e.runs), UsedCpu: e.used.CPU,
 		}
 		if len(e.runs) == 0 {
 			entry.IdleMs = int(now.Sub(e.lastBusy).Milliseconds())
@@ -110,11 +110,11 @@
 	}
 }
 
-// LastingAway counts a phase's lasting tasks that are not at work.
-func (p *phase) lastingAway() int {
+// lastingAway counts a phase's lasting tasks that are not at work.
+func (c *Cell) lastingAway(p *phase) int {
 	away := 0
 	for _, t := range p.tasks {
-		if !t.atWork() {
+		if !c.atWork(t) {
 			away++
 		}
 	}
@@ -122,15 +122,26 @@
 }
 
 // atWork says whether a lasting task has started and is not being stopped.
-func (t *task) atWork() bool {
+func (c *Cell) atWork(t *task) bool {
 	for _, r := range t.runs {
-		if r.state == runConfirmed && !r.stopping && !r.at.silent && r.percent >= wholePercent {
+		if r.state == runConfirmed && !r.stopping && !r.at.silent && r.percent >= wholePercent && !c.mayBeStopping(r) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayBeStopping says whether an earlier owner may have stopped a run that is still
+// listed: it could do so until this owner's token came to the endpoint.
+func (c *Cell) mayBeStopping(r *run) bool {
+	return r.adopted && c.now.Sub(r.at.attachedAt) < c.options.StopTime+stopOnWay
+}
+
+// stopOnWay is how long an earlier owner's stop may have been on its way when it
+// reached the endpoint before this owner's first look did, beside the time that
+// the task then takes to end.
+const stopOnWay = 300 * time.Millisecond
+
 const wholePercent = 100
 
 // Endpoints returns what is known of the endpoints, for tests and status.
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -11,6 +11,7 @@
 // endpoint is a life of the program that runs tasks, as the owner knows it.
 type endpoint struct {
 	info damsonwinch.Endpoint
+	zone *zone
 	// listed says that the registry has its entry now.
 	listed bool
 	// lookDue says that the cell is to see whether a look is due.
@@ -23,6 +24,8 @@
 	// attached says that it has answered a look under this owner's token: older
 	// owners can't order there any more, and all its runs are known.
 	attached bool
+	// attachedAt is when it first did so.
+	attachedAt time.Time
 	// gone says that this life has ended for certain.
 	gone bool
 	// withdrawn says that it gets no more work, since its box is to be moved or
@@ -48,7 +51,9 @@
 	seen     int
 	recorded int
 	// silent says that the last look was not answered.
-	silent     bool
+	silent bool
+	// overdue says that it has left a call unanswered for longer than usual.
+	overdue    bool
 	pauseUntil time.Time
 	health     health
 	// pacedAt is when the speed of a task there was last changed, and calmSince
@@ -92,6 +97,7 @@
 	// An older owner may have prolonged leases until it noticed that it was one.
 	e.leaseBound = c.now.Add(c.options.TokenGrace + slack(c.options.MostLease))
 	c.endpoints[id] = e
+	c.settleIn(e)
 	at, _ := slices.BinarySearchFunc(c.ranked, e, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
 	c.ranked = slices.Insert(c.ranked, at, e)
 	return e
@@ -130,7 +136,7 @@
 			c.noteEndpoint("endpoint listed", e, "box "+info.Box+" at "+info.Address)
 		}
 		e.info, e.listed = info, true
-		c.rooms.put(e)
+		c.settleIn(e)
 	}
 	for _, e := range c.ranked {
 		if e.listed && !present[e.info.ID] {
@@ -148,7 +154,7 @@
 			return false
 		}
 		delete(c.endpoints, e.info.ID)
-		c.rooms.drop(e)
+		e.zone.rooms.drop(e)
 		c.dropEndpoint(e)
 		return true
 	})
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -33,6 +33,8 @@
 	runs int
 	// chains tells, by phase, how long the job takes from there on.
 	chains []int
+	// home is the zone where its tasks are started, as far as there is room.
+	home *zone
 	// specSaved says that the stream holds, or is being given, the job's text.
 	specSaved bool
 }
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -22,6 +22,7 @@
 type sentLook struct {
 	number int
 	step   int
+	at     time.Time
 }
 
 // lookAround sends the looks that are due: at the endpoints that something has
@@ -83,7 +84,7 @@
 func (c *Cell) sendLook(e *endpoint, wait time.Duration) {
 	e.looks.next++
 	e.looks.lastAt = c.now
-	sent := &sentLook{number: e.looks.next, step: c.step}
+	sent := &sentLook{number: e.looks.next, step: c.step, at: c.now}
 	if wait > 0 {
 		e.looks.waiting = sent
 	} else {
@@ -128,6 +129,7 @@
 		c.lookFailed(e, err)
 		return
 	}
+	c.answered(e)
 	if sent.step < e.looks.answered {
 		// A later look has been answered; this one is out of date.
 		return
@@ -143,7 +145,7 @@
 	c.judge(e)
 	c.share(e)
 	if !e.attached {
-		e.attached = true
+		e.attached, e.attachedAt = true, c.now
 		c.noteEndpoint("endpoint attached", e, "box "+e.info.Box)
 	}
 }
--- a/pkg/cell/rooms.go
+++ b/pkg/cell/rooms.go
@@ -13,14 +13,27 @@
 // milliCore is a core in the unit of resources.
 const milliCore = 1000
 
-// rooms holds the endpoints by their whole free cores, so that a choice looks only
-// at those that may have room: in a busy cell most are full.
+// rooms holds a zone's endpoints by their whole free cores, so that a choice looks
+// only at those that may have room: in a busy cell most are full.
 type rooms struct {
 	byCores [coresShown + 1][]*endpoint
 	// most is the highest number of free cores that any endpoint has had.
 	most int
 }
 
+// freeCPU returns the whole free cores of all usable endpoints.
+func (r *rooms) freeCPU() int {
+	sum := 0
+	for bucket := 1; bucket <= r.most; bucket++ {
+		for _, e := range r.byCores[bucket] {
+			if e.usable() && !e.overdue {
+				sum += bucket
+			}
+		}
+	}
+	return sum
+}
+
 // bucketOf returns the number of whole cores, as far as they are told apart.
 func bucketOf(cpu int) int {
 	return min(max(cpu/milliCore, 0), coresShown)
@@ -56,37 +69,60 @@
 // occupy takes room at an endpoint; release gives it back.
 func (c *Cell) occupy(e *endpoint, need damsonwinch.Resources) {
 	e.used = e.used.Plus(need)
-	c.rooms.put(e)
+	e.zone.rooms.put(e)
 }
 
 func (c *Cell) release(e *endpoint, need damsonwinch.Resources) {
 	e.used = e.used.Minus(need)
-	c.rooms.put(e)
+	e.zone.rooms.put(e)
 }
 
-// choose returns the endpoint that suits a task best, or nil. Work is packed on
-// few boxes, so that others stay empty and can be given away or maintained. A label
-// that isn't empty leaves only the endpoints that have it.
+// choose returns the endpoint that suits a task best, or nil: in its job's zone if
+// there is room. A label that isn't empty leaves only the endpoints that have it.
 func (c *Cell) choose(t *task, label string) *endpoint {
-	var best *endpoint
-	bestScore := 0
-	need := t.phase.need().CPU
-	for bucket := bucketOf(need); bucket <= c.rooms.most; bucket++ {
-		for _, e := range c.rooms.byCores[bucket] {
-			if !e.hasLabel(label) || !c.allowed(t, e) {
-				continue
-			}
-			score := c.score(t, e)
-			// Equal ones are told apart by their names: the order here depends on
-			// what happened before.
-			if best == nil || score > bestScore || score == bestScore && cmp.Less(e.info.ID, best.info.ID) {
-				best, bestScore = e, score
+	if home := c.home(t); home != nil {
+		if found := c.chooseIn(home.alone, t, label); found != nil {
+			return found
+		}
+	}
+	return c.chooseIn(c.zones, t, label)
+}
+
+// chooseIn returns the endpoint of some zones that suits a task best, or nil. Work
+// is packed on few boxes, so that others stay empty and can be given away or
+// maintained.
+func (c *Cell) chooseIn(zones []*zone, t *task, label string) *endpoint {
+	var choice choice
+	most := 0
+	for _, z := range zones {
+		most = max(most, z.rooms.most)
+	}
+	for bucket := bucketOf(t.phase.need().CPU); bucket <= most; bucket++ {
+		for _, z := range zones {
+			for _, e := range z.rooms.byCores[bucket] {
+				if e.hasLabel(label) && c.allowed(t, e) {
+					choice.offer(e, c.score(t, e))
+				}
 			}
 		}
 		// Endpoints with more room count for less, unless a rack makes up for it.
-		if best != nil && t.phase.spec.Rack == "" && bestScore >= -best.free().CPU {
+		if choice.best != nil && t.phase.spec.Rack == "" && choice.score >= -choice.best.free().CPU {
 			break
 		}
 	}
-	return best
+	return choice.best
+}
+
+// choice is the endpoint with the highest score of those offered.
+type choice struct {
+	best  *endpoint
+	score int
+}
+
+// offer takes the better one. Equal ones are told apart by their names: the order
+// in which they come depends on what happened before.
+func (c *choice) offer(e *endpoint, score int) {
+	if c.best == nil || score > c.score || score == c.score && cmp.Less(e.info.ID, c.best.info.ID) {
+		c.best, c.score = e, score
+	}
 }
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -108,7 +108,7 @@
 
 // sendStart orders a recorded run.
 func (c *Cell) sendStart(r *run) {
-	if r.task.phase.job().ended() || r.stopping || !r.at.usable() {
+	if r.task.phase.job().ended() || r.stopping || !r.at.usable() || r.at.zone.inDoubt() {
 		c.again(r)
 		c.abandonGang(r.task.phase, "a member of its gang can't be started")
 		return
@@ -133,6 +133,9 @@
 	if r == nil || r.state != runOrdered {
 		return
 	}
+	if err == nil || refusedStart(err) {
+		c.answered(r.at)
+	}
 	switch {
 	case err == nil:
 		r.state, r.knownAt = runConfirmed, c.step
@@ -226,6 +229,7 @@
 	}
 	switch {
 	case err == nil:
+		c.answered(r.at)
 		r.stopped, r.knownAt = true, c.step
 		c.wantLook(r.at)
 	case errors.Is(err, damsonwinch.ErrOtherLife):
--- a/pkg/cell/withdraw.go
+++ b/pkg/cell/withdraw.go
@@ -50,7 +50,7 @@
 		spec := r.task.phase.spec
 		switch {
 		case spec.Lasting:
-			if r.task.phase.lastingAway() < spec.AwayAtMost && c.roomElsewhere(r) {
+			if c.lastingAway(r.task.phase) < spec.AwayAtMost && c.roomElsewhere(r) {
 				c.stop(r, "its box is wanted")
 			}
 		case e.withdraw.hurry && spec.Checkpoints && !spec.Gang && (c.canWait(r) || c.roomElsewhere(r)):
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -77,8 +77,9 @@
 	var choice cheapest
 	for _, b := range p.byPool[parking] {
 		if p.free(b) && !b.refuses[name] {
-			// A box that is due for maintenance is better left where it costs nothing.
-			choice.offer(b, p.zoneCount(name, b.info.Zone)*2+boolInt(p.dueWave(b) != nil))
+			// A box that is due for maintenance is better left where it costs nothing,
+			// and one in a zone that is cut off would be of no use.
+			choice.offer(b, p.zoneCount(name, b.info.Zone)*2+boolInt(p.dueWave(b) != nil)+boolInt(p.cutZones[b.info.Zone])*cutZoneCost)
 		}
 	}
 	return choice.box
@@ -103,6 +104,9 @@
 	return choice.box
 }
 
+// cutZoneCost puts the boxes of a zone that is cut off behind all others.
+const cutZoneCost = 1_000_000
+
 // isBeingParked says whether a box that is up is being emptied to be parked.
 func (p *Planner) isBeingParked(b *box) bool {
 	return b.purpose != nil && b.purpose.wave == 0 && p.isParking(b.purpose.pool) && b.info.State == damsonwinch.BoxUp
--- a/pkg/supply/supply.go
+++ b/pkg/supply/supply.go
@@ -57,7 +57,9 @@
 	// byPool holds the boxes of each pool in order of their names.
 	byPool map[string][]*box
 	census census
-	waves  map[int]*wave
+	// cutZones are the zones whose boxes the cells can't reach.
+	cutZones map[string]bool
+	waves    map[int]*wave
 	// boxesAt is when the list of boxes was asked for.
 	boxesAt time.Time
 	orders  []Order
@@ -98,6 +100,7 @@
 	p.now = now
 	p.orders = nil
 	p.readReports()
+	p.findCutZones()
 	p.countBoxes()
 	p.learnNeeds()
 	p.maintain()
