Put no calls on a connection that is silent; call a node unready after 0.8 s without the store

Nodes called themselves ready for 2 s and more after they had lost the store, as long as a node of their own zone answered. Now: a connection with calls on their way that has been silent for 200 ms takes no new ones; a new connection that can't be made is a call that was not sent (test: a silent connection takes no new calls; it failed before). A node is ready while the store, or an owner that did what it was asked, answered within 0.8 s.

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -10,7 +10,6 @@
 	"net/rpc"
 	"reflect"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,20 +56,19 @@
 
 // Client calls one peer over one connection, made anew after a failure.
 type Client struct {
-	peer string
-	dial damsonwinch.Dial
+	peer  string
+	dial  damsonwinch.Dial
+	clock damsonwinch.Clock
 	// The lock guards only which connection is the present one: net/rpc's
 	// client may be used by many goroutines, and a task of its own would stand
 	// between each call and its connection.
-	mutex  sync.Mutex
-	client *rpc.Client
-	// answered counts answers, to tell a dead connection from a slow call.
-	answered atomic.Int64
+	mutex sync.Mutex
+	conn  *connection
 }
 
 // New returns a client that connects upon its first call.
-func New(peer string, dial damsonwinch.Dial) *Client {
-	return &Client{peer: peer, dial: dial}
+func New(peer string, dial damsonwinch.Dial, clock damsonwinch.Clock) *Client {
+	return &Client{peer: peer, dial: dial, clock: clock}
 }
 
 // Peer returns the peer's address.
@@ -83,7 +81,7 @@
 // reported as one that may have been carried out, since net/rpc can't take a call
 // back; it closes the connection unless other calls were answered meanwhile.
 func (c *Client) Do(ctx context.Context, method string, args, reply any) error {
-	client, err := c.connect(ctx)
+	conn, err := c.connect(ctx)
 	if err != nil {
 		return &Error{Step: method, Peer: c.peer, Err: err}
 	}
@@ -91,74 +89,103 @@
 	// deadline would otherwise be written into what the caller has moved on with,
 	// perhaps the reply of another peer.
 	answer := reflect.New(reflect.TypeOf(reply).Elem())
-	before := c.answered.Load()
-	call := client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
+	before := conn.answers()
+	call := conn.client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
+	defer c.done(conn)
 	select {
 	case <-call.Done:
 		if call.Error == nil {
 			reflect.ValueOf(reply).Elem().Set(answer.Elem())
 		}
-		c.answered.Add(1)
-		return c.finish(client, method, call.Error)
+		conn.heard(c.clock.Now())
+		return c.finish(conn, method, call.Error)
 	case <-ctx.Done():
-		if c.answered.Load() == before {
-			c.drop(client)
+		if conn.answers() == before {
+			c.drop(conn)
 		}
 		return &Error{Step: method, Peer: c.peer, Sent: true, Err: ctx.Err()}
 	}
 }
 
-func (c *Client) finish(client *rpc.Client, method string, err error) error {
+func (c *Client) finish(conn *connection, method string, err error) error {
 	if err == nil {
 		return nil
 	}
 	var answered rpc.ServerError
 	if !errors.As(err, &answered) {
-		c.drop(client)
+		c.drop(conn)
 	}
 	return &Error{Step: method, Peer: c.peer, Sent: true, Err: err}
 }
 
-func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
-	if client := c.present(); client != nil {
-		return client, nil
+// connect returns a connection on which the caller may make one call.
+func (c *Client) connect(ctx context.Context) (*connection, error) {
+	if conn := c.present(); conn != nil {
+		return conn, nil
 	}
 	limited, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := c.dial(limited, "tcp", c.peer)
+	made, err := c.dial(limited, "tcp", c.peer)
 	if err != nil {
 		return nil, err
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.client != nil {
-		closeQuietly(conn)
-		return c.client, nil
+	if c.conn != nil && c.conn.begin(c.clock.Now()) {
+		closeQuietly(made)
+		return c.conn, nil
 	}
-	c.client = rpc.NewClient(conn)
-	return c.client, nil
+	c.conn = &connection{client: rpc.NewClient(made)}
+	c.conn.begin(c.clock.Now())
+	return c.conn, nil
 }
 
-func (c *Client) present() *rpc.Client {
+// present returns the present connection, unless it leaves calls unanswered. One
+// that a cut has killed would take this call, too, and nobody could tell any more
+// whether it has been carried out; a connection that can't be made tells that.
+func (c *Client) present() *connection {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.client
+	if c.conn == nil {
+		return nil
+	}
+	if !c.conn.begin(c.clock.Now()) {
+		// Its calls go on; the last of them closes it.
+		c.conn = nil
+		return nil
+	}
+	return c.conn
 }
 
-func (c *Client) drop(client *rpc.Client) {
+// done ends a call on a connection, which is closed with the last one if another
+// has taken its place.
+func (c *Client) done(conn *connection) {
 	c.mutex.Lock()
-	if c.client == client {
-		c.client = nil
+	current := c.conn == conn
+	c.mutex.Unlock()
+	if last := conn.end(); last && !current {
+		// It may be closed already; there is nothing to do then.
+		_ = conn.client.Close()
+	}
+}
+
+func (c *Client) drop(conn *connection) {
+	c.mutex.Lock()
+	if c.conn == conn {
+		c.conn = nil
 	}
 	c.mutex.Unlock()
 	// The connection may be closed already; there is nothing to do then.
-	_ = client.Close()
+	_ = conn.client.Close()
 }
 
 // Close closes the connection.
 func (c *Client) Close() {
-	if client := c.present(); client != nil {
-		c.drop(client)
+	c.mutex.Lock()
+	conn := c.conn
+	c.mutex.Unlock()
+	if conn != nil {
+		c.drop(conn)
 	}
 }
 
--- a/pkg/call/call_test.go
+++ b/pkg/call/call_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
@@ -34,7 +35,7 @@
 	assert.NilError(t, err)
 	server, err := Serve(listener, "Gate", g)
 	assert.NilError(t, err)
-	client := New(listener.Addr().String(), (&net.Dialer{}).DialContext)
+	client := New(listener.Addr().String(), (&net.Dialer{}).DialContext, clockwork.NewRealClock())
 	return g, client, server
 }
 
@@ -74,3 +75,38 @@
 	assert.Equal(t, failed.Step, "Gate.Ask")
 	assert.Equal(t, failed.Peer, client.Peer())
 }
+
+// TestASilentConnectionTakesNoNewCalls so that those are known not to be sent.
+func TestASilentConnectionTakesNoNewCalls(t *testing.T) {
+	g := &gate{entered: make(chan struct{}), open: make(chan struct{}), left: make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := Serve(listener, "Gate", g)
+	assert.NilError(t, err)
+	clock := clockwork.NewFakeClock()
+	dials := 0
+	client := New(listener.Addr().String(), func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		if dials > 1 {
+			return nil, errors.New("cut off")
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}, clock)
+	reply := -1
+	var asking errgroup.Group
+	asking.Go(func() error { return client.Do(context.Background(), "Gate.Ask", 7, &reply) })
+	<-g.entered
+	other := -1
+	assert.NilError(t, client.Do(context.Background(), "Gate.Ask", 0, &other))
+	clock.Advance(doubtTime + 1)
+
+	err = client.Do(context.Background(), "Gate.Ask", 0, &other)
+
+	assert.ErrorContains(t, err, "cut off")
+	assert.Assert(t, !MaySent(err))
+	close(g.open)
+	assert.NilError(t, asking.Wait())
+	assert.Equal(t, reply, 7)
+	client.Close()
+	server.Close()
+}
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -123,7 +123,7 @@
 	f.inForce.Store(&deps.Empty)
 	f.sendUntil.Store(&time.Time{})
 	for _, keeper := range deps.Settings.Keepers {
-		f.keepers = append(f.keepers, call.New(keeper.Address, deps.Dial))
+		f.keepers = append(f.keepers, call.New(keeper.Address, deps.Dial, deps.Clock))
 	}
 	f.claims = claim.New(claim.Deps{
 		Log: deps.Log, Clock: deps.Clock, Node: deps.Settings.Node, Incarnation: incarnation,
--- a/pkg/front/leasing.go
+++ b/pkg/front/leasing.go
@@ -177,7 +177,7 @@
 // peer returns the client for an address.
 func (f *Front) peer(address string) *call.Client {
 	if f.peers[address] == nil {
-		f.peers[address] = call.New(address, f.deps.Dial)
+		f.peers[address] = call.New(address, f.deps.Dial, f.deps.Clock)
 	}
 	return f.peers[address]
 }
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -68,7 +68,7 @@
 	// share.
 	mutex sync.Mutex
 	peers map[string]*call.Client
-	// answeredAt and failedAt are when another node last answered, or could not be
+	// answeredAt and failedAt are when another node last did as asked, or could not be
 	// reached, in nanoseconds since 1970.
 	answeredAt atomic.Int64
 	failedAt   atomic.Int64
@@ -135,7 +135,7 @@
 	for {
 		reply, maySent := r.try(ctx, m, args)
 		open = open || maySent
-		if reply.Outcome != wire.JobOutcomeRefused && reply.Outcome != wire.JobOutcomeUnknown {
+		if !failed(reply) {
 			return reply
 		}
 		if ctx.Err() != nil || (!open && r.deps.Clock.Now().Sub(begun) > holdTime) {
@@ -179,7 +179,9 @@
 	var reply wire.JobReply
 	err := r.peer(claim.Address).Do(limited, m.name, args, &reply)
 	if err == nil {
-		r.answeredAt.Store(r.deps.Clock.Now().UnixNano())
+		if !failed(reply) {
+			r.answeredAt.Store(r.deps.Clock.Now().UnixNano())
+		}
 		return reply, reply.Outcome == wire.JobOutcomeUnknown
 	}
 	r.failedAt.Store(r.deps.Clock.Now().UnixNano())
@@ -190,9 +192,14 @@
 	return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: err.Error()}, call.MaySent(err)
 }
 
-// Reaches says whether calls to other nodes were answered within a time, the last
-// one included.
-func (r *Router) Reaches(within time.Duration) bool {
+// failed says whether an owner could not do what it was asked.
+func failed(reply wire.JobReply) bool {
+	return reply.Outcome == wire.JobOutcomeRefused || reply.Outcome == wire.JobOutcomeUnknown
+}
+
+// Serves says whether calls to other nodes were answered within a time as asked, the
+// last one included.
+func (r *Router) Serves(within time.Duration) bool {
 	answered := r.answeredAt.Load()
 	return answered > r.failedAt.Load() && r.deps.Clock.Now().UnixNano()-answered < within.Nanoseconds()
 }
@@ -222,7 +229,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.peers[address] == nil {
-		r.peers[address] = call.New(address, r.deps.Dial)
+		r.peers[address] = call.New(address, r.deps.Dial, r.deps.Clock)
 	}
 	return r.peers[address]
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -104,7 +104,7 @@
 	k.outbox = newOutbox(k.incarnation)
 	k.list = newListView()
 	for _, peer := range deps.Settings.Peers {
-		k.peers[peer.Node] = call.New(peer.Address, deps.Dial)
+		k.peers[peer.Node] = call.New(peer.Address, deps.Dial, deps.Clock)
 	}
 	server, err := call.Serve(deps.Listener, ServiceName, &service{keeper: k, ctx: ctx})
 	if err != nil {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -158,12 +158,15 @@
 	if n.version.Load() == 0 {
 		return false
 	}
-	return n.deps.Clock.Now().Sub(n.View().ConfirmedAt) < readyTime || n.router.Reaches(readyTime)
+	return n.deps.Clock.Now().Sub(n.ownership.AnsweredAt()) < readyTime || n.router.Serves(readyTime)
 }
 
-// readyTime is how long ago the store, or another node that owns a cell, may have
-// answered last: a node that is cut off from both sends its clients elsewhere.
-const readyTime = 2 * time.Second
+// readyTime is how long ago the store, or an owner of a cell that could do what it
+// was asked, may have answered last. A node that is cut off from both has its
+// clients sent elsewhere, and the balancer takes two seconds to see it. The node
+// proves to the store that it lives each 300 ms; an answer that is lost costs it
+// 600 ms.
+const readyTime = 800 * time.Millisecond
 
 // View implements intake.Cells.
 func (n *Node) View() ownership.View {
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -47,7 +47,7 @@
 // New returns a client that edits in the author's name. Empty is the state
 // before the first record.
 func New(address string, dial damsonwinch.Dial, clock damsonwinch.Clock, empty fold.State, author string) *Client {
-	return &Client{keeper: call.New(address, dial), clock: clock, empty: empty, author: author}
+	return &Client{keeper: call.New(address, dial, clock), clock: clock, empty: empty, author: author}
 }
 
 // Close closes the connection.
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -43,6 +43,7 @@
 		s.claims[record.Key] = Claim{CellClaim: claim, Token: record.Offset + 1}
 	}
 	s.end, s.claimsRead, s.confirmed = m.end, true, m.askedAt
+	o.answeredAt.Store(o.deps.Clock.Now().UnixNano())
 	o.publish()
 }
 
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -10,6 +10,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -106,6 +107,8 @@
 	ctx     context.Context // Ends with the task.
 	cancel  context.CancelFunc
 	state   state
+	// answeredAt is when the store last answered a call, in nanoseconds since 1970.
+	answeredAt atomic.Int64
 }
 
 // state is what the task knows.
@@ -216,6 +219,11 @@
 	}
 }
 
+// AnsweredAt returns when the store last answered this node.
+func (o *Ownership) AnsweredAt() time.Time {
+	return time.Unix(0, o.answeredAt.Load())
+}
+
 // Close ends the task and waits for its calls.
 func (o *Ownership) Close() error {
 	o.cancel()
@@ -262,6 +270,7 @@
 			return
 		}
 		s.generation = m.membership.Generation
+		o.answeredAt.Store(now.UnixNano())
 	case membersListed:
 		s.reading = false
 		if m.err != nil {
