Expect what a queue's jobs do over seconds, not what three of them did at once

Cause: the work that a pool was taken to get came from the highest rate of four windows, the shortest of 0.3 s, times a mean work that one giant among a few jobs doubled. Now: a rate counts by the shortest window that holds 16 jobs; a trend between two windows of 0.6 s and more counts as far as it is 1.5 standard deviations beyond chance, and only as far ahead as a box's way is longer than half a job's; mean work is taken from logarithms, whose variance is bounded.

--- /dev/null
+++ b/pkg/cell/arrivals_test.go
@@ -0,0 +1,56 @@
+package cell
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestArrivals plays jobs that arrive, slot by slot, and shows the rates that are
+// taken to come.
+func TestArrivals(t *testing.T) {
+	datadriven.Walk(t, "testdata/arrivals", func(t *testing.T, path string) {
+		var known arrivals
+		now := time.UnixMilli(1_700_000_000_000)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "arrive":
+				for _, count := range strings.Fields(d.Input) {
+					jobs, err := strconv.Atoi(count)
+					if err != nil {
+						t.Fatal(err)
+					}
+					now = now.Add(arrivalSlot)
+					for range jobs {
+						known.add(now)
+					}
+				}
+				known.turn(now)
+				return "arrived"
+			case "rates":
+				ahead := 0
+				d.MaybeScanArgs(t, "ahead_ms", &ahead)
+				found := known.perSecond(now, time.Duration(ahead)*time.Millisecond)
+				return fmt.Sprintf("steady %.1f, expected %.1f a second", found.steady, found.expected)
+			}
+			t.Fatalf("unknown command %s", d.Cmd)
+			return ""
+		})
+	})
+}
+
+// TestMeanWork is not doubled by one giant among few jobs.
+func TestMeanWork(t *testing.T) {
+	var known queueStats
+	now := time.UnixMilli(1_700_000_000_000)
+	for _, work := range []int{80_000, 110_000, 100_000, 3_000_000, 90_000} {
+		known.arrive(now, work, 1000, 1000)
+	}
+	if mean := known.meanWork(); mean < 100_000 || mean > 300_000 {
+		t.Errorf("mean work %.0f, want that of the usual jobs", mean)
+	}
+}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -171,6 +171,11 @@
 	return count
 }
 
+// Waits says whether tasks that may start have found no room.
+func (c *Cell) Waits() bool {
+	return len(c.open) > 0
+}
+
 // Show returns what may be told of a job.
 func (c *Cell) Show(id string) (wire.JobState, bool) {
 	j, known := c.jobs[id]
--- a/pkg/cell/learned.go
+++ b/pkg/cell/learned.go
@@ -30,7 +30,7 @@
 		known := c.learned[queue]
 		records = append(records, damsonwinch.Record{Key: learnedPrefix + queue, Value: encode(wire.QueueRecord{
 			Queue: queue, Actual: known.times.actual.record(), Error: known.times.error.record(), MeanMs: known.times.mean,
-			Jobs: known.jobs, Work: known.work, SlackMs: known.slack,
+			Jobs: known.jobs, Work: known.work.record(), SlackMs: known.slack, ChainMs: known.chain,
 		})})
 	}
 	return records
@@ -43,7 +43,8 @@
 	}
 	known := c.statsOf(saved.Queue)
 	known.times = runTimes{actual: spreadFrom(saved.Actual), error: spreadFrom(saved.Error), mean: saved.MeanMs}
-	known.jobs, known.work, known.slack = saved.Jobs, saved.Work, saved.SlackMs
+	known.jobs, known.work = saved.Jobs, spreadFrom(saved.Work)
+	known.slack, known.chain = saved.SlackMs, saved.ChainMs
 	return nil
 }
 
--- a/pkg/cell/options.go
+++ b/pkg/cell/options.go
@@ -25,6 +25,8 @@
 	IdleLook time.Duration
 	// RetryLook is the time between looks at an endpoint that doesn't answer.
 	RetryLook time.Duration
+	// BoxAhead is the time from the wish for another box until it can run tasks.
+	BoxAhead time.Duration
 	// KeepEnded is how long an ended job can still be asked for.
 	KeepEnded time.Duration
 }
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -34,7 +34,7 @@
 	// startLate bounds how late a start that was not answered may take effect.
 	startLate = 2500 * time.Millisecond
 	// commitGap makes what comes up within it share an append.
-	commitGap = 15 * time.Millisecond
+	commitGap = 30 * time.Millisecond
 	lookWait  = 500 * time.Millisecond
 	idleLook  = 2 * time.Second
 	retryLook = 300 * time.Millisecond
@@ -113,6 +113,7 @@
 		Cells: cell.Options{
 			MostLease: milliseconds(bounds.LeaseMostMs), TokenGrace: tokenGrace, StartLate: startLate, StopTime: milliseconds(bounds.StopMs), RestoreTime: milliseconds(bounds.RestoreMs), CommitGap: commitGap,
 			LookWait: lookWait, IdleLook: idleLook, RetryLook: retryLook, KeepEnded: time.Duration(bounds.KeepEndedS) * time.Second,
+			BoxAhead: seconds(bounds.MoveS) + supply.ArrivalTime,
 		},
 		Supply: supply.Options{
 			MoveTime: seconds(bounds.MoveS), MaintainTime: seconds(bounds.MaintainS), Hold: poolHold, HolderGap: milliseconds(bounds.HolderMs),
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -29,8 +29,8 @@
 	lateShare = 20
 	// usualTaskMs is the time of a task while none has ended yet.
 	usualTaskMs = 1000
-	// arrivalTime is added to a move's own time until a box has work.
-	arrivalTime = 500 * time.Millisecond
+	// ArrivalTime is added to a move's own time until a box has work.
+	ArrivalTime = 500 * time.Millisecond
 	// reserve is room that every pool keeps free for jobs to come, in thousandths
 	// of a box.
 	reserve = 1700
@@ -100,7 +100,7 @@
 		taskMs = usualTaskMs
 	}
 	short := max(0, l.report.OfferedCpu+l.report.LastingCpu-p.has(l.name)*boxCPU)
-	lead := p.options.MoveTime + arrivalTime
+	lead := p.options.MoveTime + ArrivalTime
 	behind := (l.report.WaitingCpu+l.report.LateCpu*lateShare/100)*taskMs + short*int(lead.Milliseconds())
 	// Half of the slack is left for what else comes.
 	return max(l.report.OfferedCpu*(100+growth)/100, l.report.RunningCpu) + 2*behind/int(l.slack().Milliseconds())
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -690,6 +690,9 @@
 	// Actual corresponds to the JSON schema field "actual".
 	Actual Spread `json:"actual"`
 
+	// Mean time that a job takes when nothing waits, in milliseconds.
+	ChainMs float64 `json:"chain_ms,omitempty,omitzero"`
+
 	// Error corresponds to the JSON schema field "error".
 	Error Spread `json:"error"`
 
@@ -705,8 +708,8 @@
 	// Mean time that a job can wait, in milliseconds.
 	SlackMs float64 `json:"slack_ms,omitempty,omitzero"`
 
-	// Mean work of a job, in thousandths of a core times milliseconds.
-	Work float64 `json:"work,omitempty,omitzero"`
+	// Logarithms of its jobs' work, in thousandths of a core times milliseconds.
+	Work Spread `json:"work"`
 }
 
 // ReadArgs asks a keeper for records from an offset on.
