Claim only after newer claims were read; give up renounced cells; fewer calls

(2) A cell whose owner had ended by itself stayed claimed if the one append that gave it up was lost; nobody else takes a cell whose claimant lives. Now: after a claim, made or too late, the next waits for newer claims; one that came too late ends the reading on its way, so that another connection is used; giving up is tried until the claims show it.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,8 +18,8 @@
 	// retryPause is the time between tries while the store doesn't answer.
 	retryPause = 200 * time.Millisecond
 	// answerMargin is added to a reading's wait before it is given up: the store
-	// answers in a few milliseconds, and 60 times as slow on a bad day.
-	answerMargin = 700 * time.Millisecond
+	// answers in a few milliseconds, and 70 times as slow on a bad day.
+	answerMargin = 600 * time.Millisecond
 )
 
 // Deps are what a feed works with.
@@ -33,9 +34,9 @@
 	Stream damsonwinch.Stream
 	// Wait is how long a reading waits for news at the store.
 	Wait time.Duration
-	// Pause is the time between readings, for streams that move all the time and
-	// are not needed to the millisecond.
-	Pause time.Duration
+	// Pause returns the time until the next reading, for streams that move all the
+	// time and are not needed to the millisecond; nil means none. Wake ends it.
+	Pause func() time.Duration
 	// Wanted says whether anybody needs the stream now; nil means always. While
 	// nobody does, nothing is read, and Wake ends the wait. What is then there comes
 	// as a snapshot.
@@ -49,11 +50,26 @@
 	Added func(records []damsonwinch.Record, end int, askedAt time.Time)
 }
 
-// Follow follows a stream until the context ends.
-func Follow(ctx context.Context, deps Deps, options Options) {
-	f := follower{Deps: deps, options: options}
+// Feed follows a stream.
+type Feed struct {
+	Deps
+	options Options
+	started bool
+	next    int
+	failing bool
+	// reading ends the reading on its way.
+	reading atomic.Pointer[context.CancelFunc]
+}
+
+// New returns a feed that reads nothing before Run.
+func New(deps Deps, options Options) *Feed {
+	return &Feed{Deps: deps, options: options}
+}
+
+// Run follows the stream until the context ends.
+func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if options.Wanted != nil && !options.Wanted() {
+		if f.options.Wanted != nil && !f.options.Wanted() {
 			f.started = false
 			f.rest(ctx)
 			continue
@@ -64,31 +80,43 @@
 			continue
 		}
 		f.recovered()
-		f.pause(ctx, options.Pause)
+		if f.options.Pause != nil {
+			f.pause(ctx, f.options.Pause())
+		}
 	}
 }
 
-type follower struct {
-	Deps
-	options Options
-	started bool
-	next    int
-	failing bool
+// Refresh has the stream read at once, on another connection than that of the
+// reading on its way: somebody has seen that there is news.
+func (f *Feed) Refresh() {
+	if end := f.reading.Load(); end != nil {
+		(*end)()
+	}
 }
 
-func (f *follower) step(ctx context.Context) error {
+func (f *Feed) step(ctx context.Context) error {
 	if !f.started {
 		return f.restart(ctx)
 	}
+	wait := f.options.Wait
+	if f.failing {
+		// Whether the store is back is worth knowing before there is news.
+		wait = 0
+	}
 	askedAt := f.Clock.Now()
-	limited, cancel := context.WithTimeout(ctx, f.options.Wait+answerMargin)
+	limited, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
-	page, err := f.Store.Read(limited, f.options.Stream, f.next, f.options.Wait)
-	if errors.Is(err, damsonwinch.ErrExpired) {
+	f.reading.Store(&cancel)
+	page, err := f.Store.Read(limited, f.options.Stream, f.next, wait)
+	f.reading.Store(nil)
+	switch {
+	case errors.Is(err, damsonwinch.ErrExpired):
 		f.started = false
 		return nil
-	}
-	if err != nil {
+	case err != nil && errors.Is(limited.Err(), context.Canceled) && ctx.Err() == nil:
+		// Refresh has ended it.
+		return nil
+	case err != nil:
 		return err
 	}
 	f.next += len(page.Records)
@@ -97,7 +125,7 @@
 }
 
 // restart reads the newest record of each key.
-func (f *follower) restart(ctx context.Context) error {
+func (f *Feed) restart(ctx context.Context) error {
 	records, end, err := Newest(ctx, f.Store, f.options.Stream)
 	if err != nil {
 		return err
@@ -131,7 +159,7 @@
 }
 
 // rest waits until somebody needs the stream.
-func (f *follower) rest(ctx context.Context) {
+func (f *Feed) rest(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-f.options.Wake:
@@ -139,7 +167,7 @@
 }
 
 // report logs a lost dependency once.
-func (f *follower) report(ctx context.Context, err error) {
+func (f *Feed) report(ctx context.Context, err error) {
 	if f.failing || ctx.Err() != nil {
 		return
 	}
@@ -147,14 +175,14 @@
 	f.Logger.WithError(err).WithField("stream", f.options.Stream.String()).Warn("stream lost")
 }
 
-func (f *follower) recovered() {
+func (f *Feed) recovered() {
 	if f.failing {
 		f.failing = false
 		f.Logger.WithField("stream", f.options.Stream.String()).Info("stream back")
 	}
 }
 
-func (f *follower) pause(ctx context.Context, length time.Duration) {
+func (f *Feed) pause(ctx context.Context, length time.Duration) {
 	if length <= 0 {
 		return
 	}
@@ -163,5 +191,6 @@
 	select {
 	case <-ctx.Done():
 	case <-timer.Chan():
+	case <-f.options.Wake:
 	}
 }
--- a/pkg/node/endpoints.go
+++ b/pkg/node/endpoints.go
@@ -9,19 +9,35 @@
 	"damsonwinch/pkg/owner"
 )
 
+// Times between two readings of the endpoints' entries. Each endpoint writes every
+// second or two: waiting for news would mean a call for each of them.
+const (
+	// hurriedPause is that time while tasks wait for boxes to come: quick jobs can
+	// wait for about a second.
+	hurriedPause = 100 * time.Millisecond
+	// usualPause is that time otherwise. A draining endpoint must be known within two
+	// seconds.
+	usualPause = 300 * time.Millisecond
+)
+
 func (n *Node) followEndpoints() error {
-	// Each endpoint writes every second or two: waiting for news would mean a call
-	// for each of them. A draining endpoint must be known within two seconds.
-	// Jobs that can wait a second wait for boxes that have just moved.
-	const pause = 100 * time.Millisecond
-	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
-		Stream: n.deps.Platform.EndpointStream, Pause: pause, Wanted: n.owning.Load, Wake: n.follow,
+	feed.New(n.feedDeps(), feed.Options{
+		Stream: n.deps.Platform.EndpointStream, Pause: n.endpointPause, Wanted: n.owning.Load, Wake: n.follow,
 		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(endpointRecords{records: records, snapshot: true}) },
 		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(endpointRecords{records: records}) },
-	})
+	}).Run(n.ctx)
 	return nil
 }
 
+func (n *Node) endpointPause() time.Duration {
+	for _, held := range *n.holdings.Load() {
+		if cellOwner, isOwner := held.(*owner.Owner); isOwner && cellOwner.Waits() {
+			return hurriedPause
+		}
+	}
+	return usualPause
+}
+
 // needEndpoints has the endpoints followed while this node owns a pool. Without one
 // it forgets them: what it knows would be out of date when it takes a pool over.
 func (n *Node) needEndpoints(held map[string]holding) {
@@ -36,6 +52,11 @@
 		n.state.endpointsKnown = false
 	}
 	n.owning.Store(owning)
+	n.readEndpoints()
+}
+
+// readEndpoints has the endpoints' entries read at once.
+func (n *Node) readEndpoints() {
 	select {
 	case n.follow <- struct{}{}:
 	default:
--- a/pkg/node/holdings.go
+++ b/pkg/node/holdings.go
@@ -82,7 +82,7 @@
 func (n *Node) startOwner(claim ownership.Claim) *owner.Owner {
 	started := owner.New(owner.Deps{
 		Store: n.deps.Platform.Store, Endpoints: n.deps.Platform.Endpoints, Fleet: n.deps.Platform.Fleet, Advisor: n.deps.Platform.Advisor, Clock: n.deps.Clock,
-		Logger: n.deps.Logger.WithField("cell", claim.Cell), Metrics: n.deps.Metrics,
+		Logger: n.deps.Logger.WithField("cell", claim.Cell), Metrics: n.deps.Metrics, RoomWanted: n.readEndpoints,
 	}, owner.Options{Cell: claim.Cell, Stream: streamOf(claim), Token: claim.Token, Cells: n.options.Cells})
 	started.Configure(n.state.configuration.Queues)
 	if n.state.endpointsKnown {
--- a/pkg/node/operator.go
+++ b/pkg/node/operator.go
@@ -14,12 +14,12 @@
 func (n *Node) followOperator() error {
 	// Configurations must be in force within two seconds, also where an answer is
 	// lost and the reading has to be given up.
-	const wait = 600 * time.Millisecond
-	feed.Follow(n.ctx, n.feedDeps(), feed.Options{
+	const wait = time.Second
+	feed.New(n.feedDeps(), feed.Options{
 		Stream: n.deps.Platform.OperatorStream, Wait: wait,
 		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(operatorRecords{records}) },
 		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(operatorRecords{records}) },
-	})
+	}).Run(n.ctx)
 	return nil
 }
 
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -30,6 +31,8 @@
 	Clock     damsonwinch.Clock
 	Logger    logrus.FieldLogger
 	Metrics   *metrics.Set
+	// RoomWanted is told when tasks begin to wait for room. It must not wait.
+	RoomWanted func()
 }
 
 // Options say what is owned.
@@ -60,6 +63,8 @@
 	plannerToken int
 	boxesAt      time.Time
 	boxesOut     bool
+	// waits says that tasks wait for room.
+	waits atomic.Bool
 	// ready is closed once the cell's state has been loaded.
 	ready chan struct{}
 	done  chan struct{}
@@ -207,11 +212,24 @@
 			o.deps.Logger.WithField("token", o.options.Token).Warn("cell lost: a newer owner has been at an endpoint")
 			return errDeposed
 		}
+		o.noteWaits()
 		now := o.deps.Clock.Now()
 		resetTimer(timer, o.cell.Wake(now).Sub(now))
 	}
 }
 
+// Waits says whether tasks of the cell wait for room.
+func (o *Owner) Waits() bool {
+	return o.waits.Load()
+}
+
+func (o *Owner) noteWaits() {
+	waits := o.cell.Waits()
+	if o.waits.Swap(waits) != waits && waits {
+		o.deps.RoomWanted()
+	}
+}
+
 // takeAll takes a message and those that wait behind it, as many as an inbox holds
 // at most.
 func (o *Owner) takeAll(m message) {
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,8 +14,8 @@
 	"damsonwinch/pkg/wire"
 )
 
-func (o *Ownership) follow() error {
-	feed.Follow(o.ctx, feed.Deps{Store: o.deps.Store, Clock: o.deps.Clock, Logger: o.deps.Logger}, feed.Options{
+func (o *Ownership) newFeed() *feed.Feed {
+	return feed.New(feed.Deps{Store: o.deps.Store, Clock: o.deps.Clock, Logger: o.deps.Logger}, feed.Options{
 		Stream: damsonwinch.Stream{Topic: claimTopic}, Wait: claimWait,
 		Snapshot: func(records []damsonwinch.Record, end int) {
 			o.send(claimsRead{records: records, end: end, snapshot: true, askedAt: o.deps.Clock.Now().Add(-callTimeout)})
@@ -22,7 +24,6 @@
 			o.send(claimsRead{records: records, end: end, askedAt: askedAt})
 		},
 	})
-	return nil
 }
 
 func (o *Ownership) takeClaims(m claimsRead) {
@@ -57,7 +58,6 @@
 		}
 		chosen, found := heir(cell, s.members, o.liveClaims())
 		if found && chosen.Node == o.options.Self.Node && chosen.Incarnation == o.options.Self.Incarnation {
-			s.claiming = true
 			o.claim(cell, claim, known)
 			return
 		}
@@ -92,24 +92,36 @@
 	if !known {
 		record.Partition = o.freePartition()
 	}
-	end := o.state.end
-	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": before.Node, "members": len(o.state.members), "end": end}).Info("claim cell")
-	o.group.Go(func() error {
-		o.send(claimed{cell: cell, err: o.appendClaim(record, end)})
-		return nil
-	})
+	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": before.Node, "members": len(o.state.members), "end": o.state.end}).Info("claim cell")
+	o.makeClaim(record)
 }
 
-// release appends that a cell is given up.
-func (o *Ownership) release(claim wire.CellClaim) {
+// makeClaim appends a claim, or that one is given up, after all claims that are known.
+func (o *Ownership) makeClaim(claim wire.CellClaim) {
 	end := o.state.end
 	o.state.claiming = true
 	o.group.Go(func() error {
-		o.send(claimed{cell: claim.Cell, err: o.appendClaim(claim, end)})
+		o.send(claimed{cell: claim.Cell, end: end, err: o.appendClaim(claim, end)})
 		return nil
 	})
 }
 
+// releaseOne gives up the first cell whose owner here has ended by itself, until the
+// claims show that. Nobody else would take the cell as long as this node lives.
+func (o *Ownership) releaseOne() {
+	s := &o.state
+	for _, cell := range slices.Sorted(maps.Keys(s.renounced)) {
+		claim := s.claims[cell]
+		if claim.Token != s.renounced[cell] || !claim.HeldBy(o.options.Self) {
+			delete(s.renounced, cell)
+			continue
+		}
+		claim.Released = true
+		o.makeClaim(claim.CellClaim)
+		return
+	}
+}
+
 func (o *Ownership) appendClaim(claim wire.CellClaim, at int) error {
 	value, err := json.Marshal(claim)
 	if err != nil {
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"damsonwinch"
+	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/wire"
 )
@@ -107,6 +108,7 @@
 	ctx     context.Context // Ends with the task.
 	cancel  context.CancelFunc
 	state   state
+	feed    *feed.Feed
 	// answeredAt is when the store last answered a call, in nanoseconds since 1970.
 	answeredAt atomic.Int64
 }
@@ -133,9 +135,14 @@
 	reading    bool
 	readAt     time.Time
 	claiming   bool
-	leaving    bool
-	asking     bool
-	askedAt    time.Time
+	// outdated is the end of the stream of claims at which one has been made since; no
+	// other is made before newer claims have been read.
+	outdated int
+	// renounced holds the tokens of this node's claims that are to be given up.
+	renounced map[string]int
+	leaving   bool
+	asking    bool
+	askedAt   time.Time
 	// asked counts the questions to peers, which take turns.
 	asked int
 	// suspects are owners whose address refused a connection.
@@ -164,7 +171,9 @@
 	}
 	claimed struct {
 		cell string
-		err  error
+		// end is the offset at which the claim was to be appended.
+		end int
+		err error
 	}
 	leave       struct{ done chan<- struct{} }
 	suspected   struct{ node string }
@@ -184,10 +193,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]Claim{}, startedAt: deps.Clock.Now(), suspects: map[string]bool{}, topics: 1},
+		state: state{claims: map[string]Claim{}, startedAt: deps.Clock.Now(), suspects: map[string]bool{}, topics: 1, outdated: noEnd, renounced: map[string]int{}},
 	}
+	o.feed = o.newFeed()
 	group.Go(o.run)
-	group.Go(o.follow)
+	group.Go(func() error {
+		o.feed.Run(ctx)
+		return nil
+	})
 	return o
 }
 
@@ -280,9 +293,7 @@
 		o.takeMembers(m)
 	case claimed:
 		s.claiming = false
-		if m.err != nil && !errors.Is(m.err, damsonwinch.ErrMoved) {
-			o.deps.Logger.WithError(m.err).WithField("cell", m.cell).Warn("claim not made")
-		}
+		o.takeClaimed(m)
 	case claimsHeard:
 		o.hear(m)
 	case suspected:
@@ -291,10 +302,7 @@
 			s.readAt = time.Time{}
 		}
 	case renounced:
-		if claim, known := s.claims[m.cell]; known && claim.Token == m.token && !claim.Released {
-			claim.Released = true
-			o.release(claim.CellClaim)
-		}
+		s.renounced[m.cell] = m.token
 	case leave:
 		o.leave(m, now)
 	}
@@ -305,6 +313,27 @@
 	o.deps.Changed(View{Claims: maps.Clone(s.claims), Members: slices.Clone(s.members), ConfirmedAt: s.confirmed})
 }
 
+// noEnd is no offset.
+const noEnd = -1
+
+// takeClaimed takes the answer to a claim.
+func (o *Ownership) takeClaimed(m claimed) {
+	switch {
+	case m.err == nil:
+		// The next one has to follow it.
+		o.state.outdated = m.end
+	case errors.Is(m.err, damsonwinch.ErrMoved):
+		// Somebody has made one that hasn't been read here.
+		o.deps.Metrics.Add("claims_outdated", 1)
+		if o.state.end == m.end {
+			o.state.outdated = m.end
+			o.feed.Refresh()
+		}
+	default:
+		o.deps.Logger.WithError(m.err).WithField("cell", m.cell).Warn("claim not made")
+	}
+}
+
 // act makes the calls that are due.
 func (o *Ownership) act() {
 	s := &o.state
@@ -324,7 +353,11 @@
 	if !s.asking && now.Sub(s.confirmed) >= staleAfter && now.Sub(s.askedAt) >= joinEvery {
 		o.askPeer(now)
 	}
-	if !s.claiming && s.claimsRead && !unsettled {
+	if s.claiming || !s.claimsRead || s.end == s.outdated {
+		return
+	}
+	o.releaseOne()
+	if !s.claiming && !unsettled {
 		o.claimOne()
 	}
 }
