Refuse what the store was never given; keep slow calls; let time pass in busy cells

(2) A call between nodes that waited for the store was given up after 0.8 s as on a dead connection, and new calls opened a connection each 0.2 s. (3) An owner that heard something more often than every 50 ms never let time pass: its timer was set anew with each message, so that leases, stops to be repeated and cut zones were looked after only in quiet moments. Now: a job that the store was never given is taken back whole and refused, which is true, when it can't be in time any more or its client is about to leave; the client's time goes to the owner with the call. A peer that is silent is asked whether it is there, and only one that doesn't answer that is given up. Ticks are due 50 ms after the last, whatever happens meanwhile. Test changed: TestASilentConnectionTakesNoNewCalls used a living peer as a silent one; such a peer now proves that it is there, so the test has one that answers nothing, and asserts more: the call on its way is given up, too.

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -76,10 +76,10 @@
 	return c.peer
 }
 
-// Do makes one call and waits for it until the context ends. The reply, a
-// pointer, is written only if there is no error. A call past its deadline is
-// reported as one that may have been carried out, since net/rpc can't take a call
-// back; it closes the connection unless other calls were answered meanwhile.
+// Do makes one call and waits for it until the context ends or the peer is silent: it
+// doesn't even answer that it is there. The reply, a pointer, is written only if there
+// is no error. A call that is given up is reported as one that may have been carried
+// out, since net/rpc can't take a call back.
 func (c *Client) Do(ctx context.Context, method string, args, reply any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
@@ -89,24 +89,32 @@
 	// deadline would otherwise be written into what the caller has moved on with,
 	// perhaps the reply of another peer.
 	answer := reflect.New(reflect.TypeOf(reply).Elem())
-	before := conn.answers()
 	call := conn.client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	defer c.done(conn)
-	select {
-	case <-call.Done:
-		if call.Error == nil {
-			reflect.ValueOf(reply).Elem().Set(answer.Elem())
+	watch := c.clock.NewTicker(watchTime)
+	defer watch.Stop()
+	for {
+		select {
+		case <-call.Done:
+			if call.Error == nil {
+				reflect.ValueOf(reply).Elem().Set(answer.Elem())
+			}
+			conn.heard(c.clock.Now())
+			return c.finish(conn, method, call.Error)
+		case <-ctx.Done():
+			return &Error{Step: method, Peer: c.peer, Sent: true, Err: ctx.Err()}
+		case <-watch.Chan():
+			if !conn.lives(c.clock.Now()) {
+				c.drop(conn)
+				return &Error{Step: method, Peer: c.peer, Sent: true, Err: errSilent}
+			}
 		}
-		conn.heard(c.clock.Now())
-		return c.finish(conn, method, call.Error)
-	case <-ctx.Done():
-		if conn.answers() == before {
-			c.drop(conn)
-		}
-		return &Error{Step: method, Peer: c.peer, Sent: true, Err: ctx.Err()}
 	}
 }
 
+// errSilent says that a peer has answered nothing for a while.
+var errSilent = errors.New("the peer is silent")
+
 func (c *Client) finish(conn *connection, method string, err error) error {
 	if err == nil {
 		return nil
--- a/pkg/call/call_test.go
+++ b/pkg/call/call_test.go
@@ -76,13 +76,36 @@
 	assert.Equal(t, failed.Peer, client.Peer())
 }
 
-// TestASilentConnectionTakesNoNewCalls so that those are known not to be sent.
-func TestASilentConnectionTakesNoNewCalls(t *testing.T) {
-	g := &gate{entered: make(chan struct{}), open: make(chan struct{}), left: make(chan struct{})}
+// silentPeer takes connections and answers nothing, not even that it is there.
+func silentPeer(t *testing.T) net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server, err := Serve(listener, "Gate", g)
-	assert.NilError(t, err)
+	var group errgroup.Group
+	group.Go(func() error {
+		var conns []net.Conn
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				break
+			}
+			conns = append(conns, conn)
+		}
+		for _, conn := range conns {
+			assert.Check(t, conn.Close())
+		}
+		return nil
+	})
+	t.Cleanup(func() {
+		assert.Check(t, listener.Close())
+		assert.Check(t, group.Wait())
+	})
+	return listener
+}
+
+// TestASilentConnectionTakesNoNewCalls so that those are known not to be sent, and
+// those on it are given up.
+func TestASilentConnectionTakesNoNewCalls(t *testing.T) {
+	listener := silentPeer(t)
 	clock := clockwork.NewFakeClock()
 	dials := 0
 	client := New(listener.Addr().String(), func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -94,19 +117,53 @@
 	}, clock)
 	reply := -1
 	var asking errgroup.Group
-	asking.Go(func() error { return client.Do(context.Background(), "Gate.Ask", 7, &reply) })
-	<-g.entered
-	other := -1
-	assert.NilError(t, client.Do(context.Background(), "Gate.Ask", 0, &other))
+	var silent error
+	asking.Go(func() error {
+		silent = client.Do(context.Background(), "Gate.Ask", 7, &reply)
+		return nil
+	})
+	assert.NilError(t, clock.BlockUntilContext(context.Background(), 1))
 	clock.Advance(doubtTime + 1)
+	other := -1
 
-	err = client.Do(context.Background(), "Gate.Ask", 0, &other)
+	err := client.Do(context.Background(), "Gate.Ask", 0, &other)
 
 	assert.ErrorContains(t, err, "cut off")
 	assert.Assert(t, !MaySent(err))
+	clock.Advance(deadTime)
+	assert.NilError(t, asking.Wait())
+	assert.Assert(t, errors.Is(silent, errSilent))
+	assert.Assert(t, MaySent(silent))
+	assert.Equal(t, reply, -1)
+	client.Close()
+}
+
+// TestASlowCallIsWaitedFor on the connection that it has: the peer answers that it is
+// there. Calls that waited for a slow store were given up, and each new one had a
+// connection made.
+func TestASlowCallIsWaitedFor(t *testing.T) {
+	g := &gate{entered: make(chan struct{}), open: make(chan struct{}), left: make(chan struct{})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := Serve(listener, "Gate", g)
+	assert.NilError(t, err)
+	clock := clockwork.NewRealClock()
+	dials := 0
+	client := New(listener.Addr().String(), func(ctx context.Context, network, address string) (net.Conn, error) {
+		dials++
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}, clock)
+	reply := -1
+	var asking errgroup.Group
+	asking.Go(func() error { return client.Do(context.Background(), "Gate.Ask", 7, &reply) })
+	<-g.entered
+	clock.Sleep(2 * deadTime)
+	other := -1
+	assert.NilError(t, client.Do(context.Background(), "Gate.Ask", 0, &other))
 	close(g.open)
 	assert.NilError(t, asking.Wait())
 	assert.Equal(t, reply, 7)
+	assert.Equal(t, dials, 1)
 	client.Close()
 	server.Close()
 }
--- a/pkg/call/connection.go
+++ b/pkg/call/connection.go
@@ -6,10 +6,19 @@
 	"time"
 )
 
-// doubtTime is how long a connection with calls on their way may be silent before
-// new calls go elsewhere: peers answer within some 20 ms. Where the store is slow
-// they take longer, and then a new connection costs a few milliseconds.
-const doubtTime = 200 * time.Millisecond
+const (
+	// watchTime is the time between two looks at how long a connection with calls on
+	// their way has been silent, and silentTime is how long that must be for its peer
+	// to be asked whether it is there: it answers most calls within some 20 ms, but
+	// those that wait for a slow store only later. Looks may come early.
+	watchTime  = 100 * time.Millisecond
+	silentTime = watchTime / 2
+	// doubtTime is how long such a connection may be silent before new calls go
+	// elsewhere, and deadTime before those on their way are given up. A peer answers
+	// within some milliseconds that it is there; a busy one within some ten.
+	doubtTime = 200 * time.Millisecond
+	deadTime  = 600 * time.Millisecond
+)
 
 // connection is one connection to a peer and the calls that wait on it.
 type connection struct {
@@ -19,8 +28,8 @@
 	// silentSince is when the last answer came, or when the first of the waiting
 	// calls was made, whichever is later.
 	silentSince time.Time
-	// answered counts answers, to tell a dead connection from a slow call.
-	answered int
+	// ping is the question on its way whether the peer is there.
+	ping *rpc.Call
 }
 
 // begin notes a call. It says no where earlier calls wait for an answer for so long
@@ -31,7 +40,7 @@
 	if c.waiting == 0 {
 		c.silentSince = now
 	}
-	if now.Sub(c.silentSince) > doubtTime {
+	if c.silentFor(now) > doubtTime {
 		return false
 	}
 	c.waiting++
@@ -50,13 +59,33 @@
 func (c *connection) heard(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.answered++
 	c.silentSince = now
 }
 
-// answers counts the answers so far.
-func (c *connection) answers() int {
+// lives asks a peer that has been silent for a while whether it is there. It says no
+// once the peer has left that unanswered for too long.
+func (c *connection) lives(now time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.answered
+	silent := c.silentFor(now)
+	if silent >= silentTime && c.ping == nil {
+		c.ping = c.client.Go(pingMethod, 0, new(int), make(chan *rpc.Call, 1))
+	}
+	return silent < deadTime
+}
+
+// silentFor returns how long the connection has been silent, with the answer to the
+// question whether the peer is there.
+func (c *connection) silentFor(now time.Time) time.Duration {
+	if c.ping != nil {
+		select {
+		case answered := <-c.ping.Done:
+			c.ping = nil
+			if answered.Error == nil {
+				c.silentSince = now
+			}
+		default:
+		}
+	}
+	return now.Sub(c.silentSince)
 }
--- a/pkg/call/server.go
+++ b/pkg/call/server.go
@@ -9,6 +9,20 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// Names of the call that tells that a process is there.
+const (
+	pingService = "Presence"
+	pingMethod  = pingService + ".Ping"
+)
+
+// presence answers that the process is there.
+type presence struct{}
+
+// Ping answers at once.
+func (*presence) Ping(int, *int) error {
+	return nil
+}
+
 // Server serves calls on one listener.
 type Server struct {
 	listener net.Listener
@@ -22,8 +36,10 @@
 // Serve starts to serve the methods of a receiver under a name.
 func Serve(listener net.Listener, name string, receiver any) (*Server, error) {
 	server := &Server{listener: listener, server: rpc.NewServer(), conns: map[net.Conn]bool{}}
-	if err := server.server.RegisterName(name, receiver); err != nil {
-		return nil, fmt.Errorf("register %s: %w", name, err)
+	for named, service := range map[string]any{name: receiver, pingService: &presence{}} {
+		if err := server.server.RegisterName(named, service); err != nil {
+			return nil, fmt.Errorf("register %s: %w", named, err)
+		}
 	}
 	server.group.Go(server.accept)
 	return server, nil
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -46,6 +46,8 @@
 	// each other; steps tell what was sent before what was known.
 	step int
 	now  time.Time
+	// tickedAt is when time was last let pass.
+	tickedAt time.Time
 	// confirmedAt is until when this owner's claim stood for certain.
 	confirmedAt time.Time
 	commits     commits
@@ -104,11 +106,13 @@
 // Tick lets time pass.
 func (c *Cell) Tick(now time.Time) {
 	c.begin(now)
+	c.tickedAt = now
 	c.changed()
 	c.openRounds()
 	c.expireLeases()
 	c.retryOrders()
 	c.seeOverdue()
+	c.refuseUnkept()
 	for _, e := range c.ranked {
 		c.empty(e)
 	}
--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -20,7 +20,7 @@
 	// of jobs that nobody knows; they too are forgotten only after a commit.
 	ends    []*endpoint
 	starts  []*run
-	replies []Reply
+	replies []waitingReply
 	// withdrawn are endpoints whose withdrawal counts once it is recorded.
 	withdrawn []*endpoint
 	number    int
@@ -33,12 +33,18 @@
 	at        time.Time
 	number    int
 	starts    []*run
-	replies   []Reply
+	replies   []waitingReply
 	withdrawn []*endpoint
 	shown     map[*job]wire.JobState
 	seen      map[*endpoint]int
 }
 
+// waitingReply answers a call on a job once the stream holds the job as it is.
+type waitingReply struct {
+	Reply
+	job *job
+}
+
 func newCommits() commits {
 	return commits{dirty: map[string]bool{}}
 }
@@ -59,11 +65,12 @@
 
 // replyRecorded answers a call once the stream holds the job as it is now.
 func (c *Cell) replyRecorded(j *job, ticket int, reply wire.JobReply) {
+	waiting := waitingReply{Reply: Reply{Ticket: ticket, Reply: reply}, job: j}
 	switch {
 	case c.commits.dirty[j.id]:
-		c.commits.replies = append(c.commits.replies, Reply{Ticket: ticket, Reply: reply})
+		c.commits.replies = append(c.commits.replies, waiting)
 	case c.commits.sent != nil && j.shown != j.state, c.commits.sent != nil && !j.recorded:
-		c.commits.sent.replies = append(c.commits.sent.replies, Reply{Ticket: ticket, Reply: reply})
+		c.commits.sent.replies = append(c.commits.sent.replies, waiting)
 	default:
 		c.reply(ticket, reply)
 	}
@@ -161,28 +168,23 @@
 	for _, r := range sent.starts {
 		c.sendStart(r)
 	}
-	c.effects.Replies = append(c.effects.Replies, sent.replies...)
-}
-
-// Outstanding returns the replies that can't be given any more when the owner
-// ends: whether their calls took effect is open.
-func (c *Cell) Outstanding() []Reply {
-	found := c.commits.replies
-	if c.commits.sent != nil {
-		found = append(found, c.commits.sent.replies...)
+	for _, waiting := range sent.replies {
+		c.effects.Replies = append(c.effects.Replies, waiting.Reply)
 	}
-	return found
 }
 
-// Wake returns when Tick should be called next.
-func (c *Cell) Wake(now time.Time) time.Time {
-	if c.commits.sent == nil && c.pendingCommit() {
-		return c.commits.startAt.Add(c.options.CommitGap)
-	}
+// Wake returns when Tick should be called next, however much else happens until then.
+func (c *Cell) Wake() time.Time {
+	wake := c.tickedAt.Add(idleTick)
 	if len(c.order) > 0 {
-		return now.Add(busyTick)
+		wake = c.tickedAt.Add(busyTick)
+	}
+	if c.commits.sent == nil && c.pendingCommit() {
+		if due := c.commits.startAt.Add(c.options.CommitGap); due.Before(wake) {
+			return due
+		}
 	}
-	return now.Add(idleTick)
+	return wake
 }
 
 // Times between ticks: retries and leases are looked after at this grain.
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -75,6 +75,8 @@
 	Completed int
 	Failed    int
 	Cancelled int
+	// Refused counts jobs that the store could not be given in time.
+	Refused   int
 	Starts    int
 	Reruns    int
 	Refusals  int
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -15,9 +15,11 @@
 	queue      string
 	spec       wire.JobSpec
 	acceptedMs int
-	dueMs      int
-	endedMs    int
-	priority   int
+	// waitedForUntil is until when a client waits to hear that the job is kept.
+	waitedForUntil time.Time
+	dueMs          int
+	endedMs        int
+	priority       int
 	// mostAttempts is the queue's limit when the job came; a newer one of the
 	// queue goes before it.
 	mostAttempts int
--- /dev/null
+++ b/pkg/cell/refuse.go
@@ -0,0 +1,90 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"damsonwinch/pkg/wire"
+)
+
+const (
+	// awayTime is the age of an append on its way from which the store counts as away;
+	// on a slow day it answers within some 350 ms.
+	awayTime = 600 * time.Millisecond
+	// mostHold bounds how long a job waits for a store that is away where its client
+	// doesn't tell how long it waits; the users' wait three seconds.
+	mostHold = 2400 * time.Millisecond
+	// answerTime is left of a client's time for the answer's way back.
+	answerTime = 150 * time.Millisecond
+	// comeBack tells a refused client when to try again: the store's outages that the
+	// users name last some seconds.
+	comeBack = time.Second
+)
+
+// refuseUnkept refuses the jobs that wait for a store that is away and can't be done in
+// time any more. The store has never been given them, so that they certainly don't run.
+func (c *Cell) refuseUnkept() {
+	sent := c.commits.sent
+	if sent == nil || c.now.Sub(sent.at) < awayTime {
+		return
+	}
+	for _, j := range slices.Clone(c.order) {
+		if _, given := sent.shown[j]; !j.recorded && !given && !j.ended() && !c.now.Before(c.holdUntil(j)) {
+			c.refuseJob(j, fmt.Sprintf("the store has not answered for %d ms", c.now.Sub(sent.at).Milliseconds()))
+		}
+	}
+}
+
+// holdUntil returns until when a job that isn't kept yet is worth holding.
+func (c *Cell) holdUntil(j *job) time.Time {
+	until := j.waitedForUntil
+	for _, r := range j.rounds {
+		for _, p := range r.phases {
+			if late := time.UnixMilli(int64(p.lateMs)); p.lateMs > 0 && late.Before(until) {
+				until = late
+			}
+		}
+	}
+	return until
+}
+
+// waitFor notes how long the caller who hands a job in waits for the answer.
+func (j *job) waitFor(now time.Time, waitMs int) {
+	until := now.Add(mostHold)
+	if waitMs > 0 {
+		until = now.Add(time.Duration(waitMs)*time.Millisecond - answerTime)
+	}
+	if until.After(j.waitedForUntil) {
+		j.waitedForUntil = until
+	}
+}
+
+// refuseJob takes back all that a job that was never recorded has led to.
+func (c *Cell) refuseJob(j *job, why string) {
+	c.noteJob("job refused", j, why)
+	c.stats.Refused++
+	var runs []*run
+	for _, r := range j.rounds {
+		for _, p := range r.phases {
+			c.closePhase(p)
+			for _, t := range p.tasks {
+				runs = append(runs, t.runs...)
+			}
+		}
+	}
+	for _, r := range runs {
+		c.resolve(r)
+	}
+	c.commits.starts = slices.DeleteFunc(c.commits.starts, func(r *run) bool { return slices.Contains(runs, r) })
+	c.commits.replies = slices.DeleteFunc(c.commits.replies, func(waiting waitingReply) bool {
+		if waiting.job != j {
+			return false
+		}
+		c.reply(waiting.Ticket, wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: why, RetryAfterMs: int(comeBack.Milliseconds())})
+		return true
+	})
+	delete(c.commits.dirty, j.id)
+	delete(c.jobs, j.id)
+	c.order = slices.DeleteFunc(c.order, func(other *job) bool { return other == j })
+}
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -100,12 +100,17 @@
 		s.cell.Withdraw(s.now, wire.SyncArgs{Withdraw: list(s.t, d, "withdraw"), Hurry: list(s.t, d, "hurry"), Restore: list(s.t, d, "restore"), Gone: list(s.t, d, "gone")})
 	case "boxes":
 		s.boxes(d)
+	case "pass":
+		// Time passes while the owner is busy with something else.
+		s.now = s.now.Add(time.Duration(number(s.t, d, "ms", 0)) * time.Millisecond)
 	case "wait":
 		s.now = s.now.Add(time.Duration(number(s.t, d, "ms", 0)) * time.Millisecond)
 		s.cell.Confirm(s.now)
 		s.cell.Tick(s.now)
 	case "explain":
 		return strings.Join(s.cell.Explain(arg(s.t, d, "id")), "\n") + "\n"
+	case "wake":
+		return fmt.Sprintf("in %d ms\n", s.cell.Wake().Sub(s.now).Milliseconds())
 	case "show":
 		state, known := s.cell.Show(arg(s.t, d, "id"))
 		return fmt.Sprintf("%q %v\n", state, known)
@@ -196,7 +201,7 @@
 		spec.Phases = append(spec.Phases, phase)
 	}
 	s.ticket++
-	s.cell.Submit(s.now, wire.JobArgs{Queue: "queue", Id: arg(s.t, d, "id"), Spec: &spec, ReceivedMs: int(s.now.UnixMilli())}, s.ticket)
+	s.cell.Submit(s.now, wire.JobArgs{Queue: "queue", Id: arg(s.t, d, "id"), Spec: &spec, ReceivedMs: int(s.now.UnixMilli()), WaitMs: number(s.t, d, "waits", 0)}, s.ticket)
 }
 
 // commitNow puts the append on its way into the stream.
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -16,6 +16,7 @@
 	defer c.settle()
 	if known, exists := c.jobs[args.Id]; exists {
 		// The client didn't hear the answer to an earlier call.
+		known.waitFor(now, args.WaitMs)
 		c.replyRecorded(known, ticket, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
 		return
 	}
@@ -24,6 +25,7 @@
 		return
 	}
 	j := c.newJob(args)
+	j.waitFor(now, args.WaitMs)
 	c.jobs[j.id] = j
 	c.order = append(c.order, j)
 	c.stats.Accepted++
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -22,11 +22,10 @@
 	// holdTime is how long a call waits for a cell that has no owner. A takeover is
 	// over in about a second; a client that is told to come back does so later.
 	holdTime = 500 * time.Millisecond
-	// tryTime bounds one try: an owner answers within two appends, some 20 ms, and
-	// within half a second when the store is slow. A try on a connection that a cut
-	// has killed would wait for ever.
-	tryTime = 800 * time.Millisecond
-	// openTime is how long a call is tried whose outcome is open; then the client
+	// ownerTime bounds the time in which an owner answers: it holds a job for a store
+	// that is away for at most 2.4 s. A peer that is cut off is noticed sooner.
+	ownerTime = 2600 * time.Millisecond
+	// openTime is how long a call is tried again whose outcome is open; then the client
 	// is told so, and may ask another node.
 	openTime = 1600 * time.Millisecond
 	// retryPause stands between two tries.
@@ -127,18 +126,19 @@
 // enough. Owners take a job or a cancel of the same ID but once, so a try whose
 // outcome is open may be repeated; but then "refused" can no longer be told.
 func (r *Router) route(ctx context.Context, m method, args wire.JobArgs) wire.JobReply {
-	ctx, done := context.WithTimeout(ctx, openTime)
+	ctx, done := context.WithTimeout(ctx, ownerTime)
 	defer done()
 	begun := r.deps.Clock.Now()
 	open := false
 	defer func() { r.deps.Metrics.Observe("call_"+m.name, r.deps.Clock.Since(begun)) }()
 	for {
+		args.WaitMs = waitMs(ctx, r.deps.Clock.Now())
 		reply, maySent := r.try(ctx, m, args)
 		open = open || maySent
 		if !failed(reply) {
 			return reply
 		}
-		if ctx.Err() != nil || (!open && r.deps.Clock.Now().Sub(begun) > holdTime) {
+		if ctx.Err() != nil || final(reply) || r.deps.Clock.Now().Sub(begun) > patience(open) {
 			return r.giveUp(m, args, reply, open, begun)
 		}
 		r.deps.Metrics.Add("route_retries", 1)
@@ -148,6 +148,28 @@
 	}
 }
 
+// waitMs returns how long a call still waits for its answer, in milliseconds.
+func waitMs(ctx context.Context, now time.Time) int {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return 0
+	}
+	return max(1, int(deadline.Sub(now).Milliseconds()))
+}
+
+// patience returns how long a call is tried again.
+func patience(open bool) time.Duration {
+	if open {
+		return openTime
+	}
+	return holdTime
+}
+
+// final says whether an owner has refused a call for good: it tells when to come back.
+func final(reply wire.JobReply) bool {
+	return reply.Outcome == wire.JobOutcomeRefused && reply.RetryAfterMs > 0
+}
+
 // giveUp words the final answer of a call that no owner has answered.
 func (r *Router) giveUp(m method, args wire.JobArgs, reply wire.JobReply, open bool, begun time.Time) wire.JobReply {
 	claim, _ := r.deps.Cells.View().Owner(args.Cell)
@@ -160,7 +182,9 @@
 		return wire.JobReply{Outcome: wire.JobOutcomeUnknown, Reason: reply.Reason}
 	}
 	r.deps.Metrics.Add("calls_refused", 1)
-	reply.RetryAfterMs = retryAfterMs
+	if reply.RetryAfterMs == 0 {
+		reply.RetryAfterMs = retryAfterMs
+	}
 	return reply
 }
 
@@ -174,10 +198,8 @@
 	if !known {
 		return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "the cell has no owner now"}, false
 	}
-	limited, cancel := context.WithTimeout(ctx, tryTime)
-	defer cancel()
 	var reply wire.JobReply
-	err := r.peer(claim.Address).Do(limited, m.name, args, &reply)
+	err := r.peer(claim.Address).Do(ctx, m.name, args, &reply)
 	if err == nil {
 		if !failed(reply) {
 			r.answeredAt.Store(r.deps.Clock.Now().UnixNano())
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -149,8 +149,7 @@
 			return stream.ErrDeposed
 		}
 		o.noteWaits()
-		now := o.deps.Clock.Now()
-		resetTimer(timer, o.cell.Wake(now).Sub(now))
+		resetTimer(timer, o.cell.Wake().Sub(o.deps.Clock.Now()))
 	}
 }
 
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -397,6 +397,10 @@
 
 	// Spec corresponds to the JSON schema field "spec".
 	Spec *JobSpec `json:"spec,omitempty,omitzero"`
+
+	// How long the caller waits for the answer, in milliseconds; 0 if it does not
+	// tell.
+	WaitMs int `json:"wait_ms,omitempty,omitzero"`
 }
 
 type JobOutcome string
