Ask for the list of boxes when a new owner can't ask an endpoint that has no entry

Its box crashed at 11.0 s, the cell was taken over at 13.6 s, and by then the registry had dropped the entry: the new owner had no address to ask, and so never found the endpoint silent, never asked for the list of boxes, and waited until the longest lease was over (15.3 s). Now: as long as tasks may run on an endpoint that has no address, the list of boxes is asked for, which shows whether that life has ended. Ruled out: lost messages between nodes; the log shows no call to that endpoint.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -112,6 +112,7 @@
 	c.expireLeases()
 	c.retryOrders()
 	c.seeOverdue()
+	c.seekMissing()
 	c.refuseUnkept()
 	for _, e := range c.ranked {
 		c.empty(e)
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -182,6 +182,17 @@
 	c.sweepEndpoints()
 }
 
+// seekMissing asks for the platform's list of boxes while tasks may run on endpoints that
+// can't be asked: the registry has dropped their entries, perhaps because they ended.
+func (c *Cell) seekMissing() {
+	for _, e := range c.ranked {
+		if len(e.runs) > 0 && !e.gone && !e.attached && e.info.Address == "" {
+			c.effects.AskBoxes = true
+			return
+		}
+	}
+}
+
 // lose takes note that a life has ended: all that ran there is gone.
 func (c *Cell) lose(e *endpoint, why string) {
 	if !e.gone {
