Ask owners that the group doesn't list themselves; hand cells over to stronger nodes

After all 32 nodes lost power it listed 12 of them, the strong owners not among them; they counted as dead 1.1 s after they had taken their cells back, and nodes of 0.19 core on 10 Mbit/s claimed all cells and stood still under them. Now: an owner that isn't listed is asked itself by the node that would come next, and lives as long as it answers and the store answers it. The number of topics that shows all members stands in the claims and is read off the list. A cell that a far weaker node holds for 3 s is released to the stronger one.

--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -40,6 +40,8 @@
 	Local(cell string) (CellOwner, bool)
 	// View returns what is believed of all cells.
 	View() ownership.View
+	// StoreAnsweredAt returns when the store last answered this node.
+	StoreAnsweredAt() time.Time
 	// Suspect tells that a node's life has refused a connection.
 	Suspect(node string, incarnation int)
 }
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -18,15 +19,16 @@
 // Service answers other nodes' calls for the cells that this node owns. It never
 // sends a call on.
 type Service struct {
+	self  ownership.Member
 	cells Cells
 	clock damsonwinch.Clock
 	// context ends the calls when the node does: net/rpc gives its methods none.
 	context context.Context
 }
 
-// NewService returns a service whose calls end with a context.
-func NewService(ctx context.Context, cells Cells, clock damsonwinch.Clock) *Service {
-	return &Service{cells: cells, clock: clock, context: ctx}
+// NewService returns a node's service, whose calls end with a context.
+func NewService(ctx context.Context, self ownership.Member, cells Cells, clock damsonwinch.Clock) *Service {
+	return &Service{self: self, cells: cells, clock: clock, context: ctx}
 }
 
 // Submit hands in a job.
@@ -59,10 +61,14 @@
 	return nil
 }
 
-// Claims tells the claims that this node knows.
+// Claims tells who this node is and the claims that it knows.
 func (s *Service) Claims(_ wire.ClaimsArgs, reply *wire.ClaimsReply) error {
 	view := s.cells.View()
-	*reply = wire.ClaimsReply{AgeMs: int(s.clock.Now().Sub(view.ConfirmedAt).Milliseconds())}
+	now := s.clock.Now()
+	*reply = wire.ClaimsReply{
+		Node: s.self.Node, Incarnation: s.self.Incarnation, AgeMs: int(now.Sub(view.ConfirmedAt).Milliseconds()),
+		StoreAgeMs: int(now.Sub(s.cells.StoreAnsweredAt()).Milliseconds()),
+	}
 	for _, claim := range view.Claims {
 		reply.Claims = append(reply.Claims, wire.HeardClaim{Claim: claim.CellClaim, Token: claim.Token})
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -132,7 +132,7 @@
 	n.view.Store(&ownership.View{})
 	n.holdings.Store(&map[string]holding{})
 	n.router = intake.New(intake.Deps{Cells: n, Dial: deps.Dial, Clock: deps.Clock, Metrics: deps.Metrics, Logger: deps.Logger})
-	calls, err := call.Serve(deps.CallListener, intake.ServiceName, intake.NewService(ctx, n, deps.Clock))
+	calls, err := call.Serve(deps.CallListener, intake.ServiceName, intake.NewService(ctx, options.Self, n, deps.Clock))
 	if err != nil {
 		cancel()
 		return nil, err
@@ -158,7 +158,7 @@
 	if n.version.Load() == 0 {
 		return false
 	}
-	return n.deps.Clock.Now().Sub(n.ownership.AnsweredAt()) < readyTime || n.router.Serves(readyTime)
+	return n.deps.Clock.Now().Sub(n.StoreAnsweredAt()) < readyTime || n.router.Serves(readyTime)
 }
 
 // readyTime is how long ago the store, or an owner of a cell that could do what it
@@ -179,6 +179,11 @@
 	return found, here
 }
 
+// StoreAnsweredAt implements intake.Cells.
+func (n *Node) StoreAnsweredAt() time.Time {
+	return n.ownership.AnsweredAt()
+}
+
 // Suspect implements intake.Cells.
 func (n *Node) Suspect(node string, incarnation int) {
 	n.ownership.Suspect(node, incarnation)
--- a/pkg/ownership/alive.go
+++ b/pkg/ownership/alive.go
@@ -7,15 +7,9 @@
 	"github.com/sirupsen/logrus"
 )
 
-const (
-	// refusalTime is how long a refused connection shows that a process has ended. By
-	// then the group has noticed, or it has been started anew.
-	refusalTime = 1500 * time.Millisecond
-	// newcomerTime is how long a claim counts whose maker the group doesn't list yet:
-	// a life of a node is listed only when its earlier one has been silent for the
-	// group's time.
-	newcomerTime = 1500 * time.Millisecond
-)
+// refusalTime is how long a refused connection shows that a process has ended. By then
+// the group has noticed, or it has been started anew.
+const refusalTime = 1500 * time.Millisecond
 
 // refusal is a connection that the address of a node's life refused.
 type refusal struct {
@@ -34,7 +28,7 @@
 	case slices.ContainsFunc(o.state.members, claim.HeldBy):
 		return true
 	}
-	return !o.outlived(claim) && o.deps.Clock.Since(claim.SeenAt) < newcomerTime
+	return !o.outlived(claim) && !o.silent(claim)
 }
 
 // ofEarlierLife says whether an earlier life of this node made a claim.
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -46,6 +46,8 @@
 			continue
 		}
 		s.claims[record.Key] = Claim{CellClaim: claim, Token: record.Offset + 1, SeenAt: seenAt}
+		// A restarted node need not find out again how many topics show all members.
+		s.topics = min(max(s.topics, claim.Topics), mostTopics)
 	}
 	s.end, s.claimsRead, s.confirmed = m.end, true, m.askedAt
 	o.answeredAt.Store(o.deps.Clock.Now().UnixNano())
@@ -72,7 +74,7 @@
 			continue
 		}
 		chosen, found := heir(cell, o.livingMembers(), o.liveClaims())
-		if found && chosen.Node == o.options.Self.Node && chosen.Incarnation == o.options.Self.Incarnation {
+		if found && chosen.is(o.options.Self) {
 			o.claim(cell, claim, known)
 			return
 		}
@@ -92,7 +94,7 @@
 func (o *Ownership) claim(cell string, before Claim, known bool) {
 	record := wire.CellClaim{
 		Cell: cell, Node: o.options.Self.Node, Address: o.options.Self.Address, Incarnation: o.options.Self.Incarnation,
-		Partition: before.Partition,
+		Partition: before.Partition, Topics: o.state.topics,
 	}
 	if !known {
 		record.Partition = o.freePartition()
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -29,7 +29,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
 		partitions, err := o.deps.Store.Owners(ctx, groupName)
-		o.send(membersListed{members: distinct(partitions), crowded: crowded(partitions), askedAt: now, err: err})
+		o.send(membersListed{members: distinct(partitions), topics: topicsOf(partitions), crowded: crowded(partitions), askedAt: now, err: err})
 		return nil
 	})
 }
@@ -40,6 +40,8 @@
 	if !s.membersAt.IsZero() && m.askedAt.Sub(s.membersAt) > o.readEvery()+callTimeout {
 		s.regroupedAt = m.askedAt
 	}
+	// Members that deal in fewer topics than others would hold no partition.
+	s.topics = min(max(s.topics, m.topics), mostTopics)
 	if m.crowded && s.topics < mostTopics {
 		s.topics++
 	}
@@ -69,6 +71,15 @@
 	return len(partitions) > 0 && len(holders) == len(partitions)
 }
 
+// topicsOf counts the topics whose partitions are dealt out.
+func topicsOf(partitions []damsonwinch.Partition) int {
+	topics := map[string]bool{}
+	for _, partition := range partitions {
+		topics[partition.Stream.Topic] = true
+	}
+	return len(topics)
+}
+
 // sparedHeirs is the number of members beyond one a cell that watch closely: some
 // may be lost at once.
 const sparedHeirs = 3
--- a/pkg/ownership/member.go
+++ b/pkg/ownership/member.go
@@ -16,6 +16,11 @@
 	Incarnation int
 }
 
+// is says whether two members are the same life of a node.
+func (m Member) is(other Member) bool {
+	return m.Node == other.Node && m.Incarnation == other.Incarnation
+}
+
 // memberSeparator stands between the parts of a member's name in the group: the
 // group keeps nothing about a member but its name.
 const (
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -121,7 +121,12 @@
 	regroupedAt time.Time
 	// topics is the number of topics over which the group is spread, so that each
 	// member holds a partition and is listed.
-	topics     int
+	topics int
+	// proofs holds, by node, whether it answers when it is asked if it lives.
+	proofs map[string]proof
+	// weakSince is since when this node has owned a cell that a far stronger one could
+	// have, zero if it doesn't.
+	weakSince  time.Time
 	generation int
 	startedAt  time.Time
 	joining    bool
@@ -160,6 +165,8 @@
 	}
 	membersListed struct {
 		members []Member
+		// topics is how many topics the members deal in, at most.
+		topics int
 		// crowded says that no partition was left over.
 		crowded bool
 		askedAt time.Time
@@ -184,6 +191,13 @@
 		cell  string
 		token int
 	}
+	proofHeard struct {
+		node        string
+		incarnation int
+		askedAt     time.Time
+		reply       wire.ClaimsReply
+		err         error
+	}
 )
 
 // New joins the group and begins to follow the claims.
@@ -192,7 +206,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]Claim{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topics: 1, outdated: noEnd, renounced: map[string]int{}},
+		state: state{claims: map[string]Claim{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topics: 1, outdated: noEnd, renounced: map[string]int{}, proofs: map[string]proof{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
@@ -297,6 +311,8 @@
 		o.hear(m)
 	case suspected:
 		o.suspect(m, now)
+	case proofHeard:
+		o.takeProof(m, now)
 	case renounced:
 		s.renounced[m.cell] = m.token
 	case leave:
@@ -328,6 +344,7 @@
 	if !s.asking && now.Sub(s.confirmed) >= staleAfter && now.Sub(s.askedAt) >= joinEvery {
 		o.askPeer(now)
 	}
+	o.watch(now)
 	if s.claiming || !s.claimsRead {
 		return
 	}
@@ -343,4 +360,7 @@
 	if !s.claiming && !unsettled {
 		o.claimOne()
 	}
+	if !s.claiming && !unsettled {
+		o.handOverOne(now)
+	}
 }
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -146,6 +146,10 @@
 
 	// The owner has given the cell up in a planned stop or handover.
 	Released bool `json:"released,omitempty,omitzero"`
+
+	// Number of topics over which the claimant spreads the group of nodes, so that
+	// each node is listed.
+	Topics int `json:"topics,omitempty,omitzero"`
 }
 
 // Checkpoint says what hash the state has at an offset, so that whoever folded
@@ -195,13 +199,23 @@
 	Node string `json:"node,omitempty,omitzero"`
 }
 
-// ClaimsReply is what a node knows of the claims, for one that has lost the store.
+// ClaimsReply is who a node is and what it knows of the claims, for one that has
+// lost the store or sight of it.
 type ClaimsReply struct {
 	// How long ago the store confirmed them.
 	AgeMs int `json:"age_ms,omitempty,omitzero"`
 
 	// Claims corresponds to the JSON schema field "claims".
 	Claims []HeardClaim `json:"claims,omitempty,omitzero"`
+
+	// Tells the lives of a node apart.
+	Incarnation int `json:"incarnation,omitempty,omitzero"`
+
+	// Node corresponds to the JSON schema field "node".
+	Node string `json:"node,omitempty,omitzero"`
+
+	// How long ago the store last answered the node.
+	StoreAgeMs int `json:"store_age_ms,omitempty,omitzero"`
 }
 
 type Class string
