Waves: begin with boxes of lasting tasks, move those once, and also into a full cell

Now: each pool begins with a box of lasting tasks and has one under way; such tasks prefer boxes that are not due; in a hurry they leave without waiting for room.

--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -91,11 +91,12 @@
 	c.changed()
 	defer c.settle()
 	for _, e := range c.ranked {
-		e.withdraw.wanted, e.withdraw.hurry = false, false
+		e.withdraw.wanted, e.withdraw.hurry, e.due = false, false, false
 	}
 	c.want(args.Gone, func(e *endpoint) { c.lose(e, "the fleet planner has seen its box without it") })
 	c.want(args.Withdraw, func(e *endpoint) { e.withdraw.wanted = true })
 	c.want(args.Hurry, func(e *endpoint) { e.withdraw.wanted, e.withdraw.hurry = true, true })
+	c.want(args.Due, func(e *endpoint) { e.due = true })
 	c.want(args.Restore, func(e *endpoint) { c.restore(e) })
 	for _, e := range c.ranked {
 		c.empty(e)
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -32,7 +32,9 @@
 	// maintained.
 	withdrawn bool
 	withdraw  withdrawal
-	runs      map[damsonwinch.Run]*run
+	// due says that its box is still to be maintained.
+	due  bool
+	runs map[damsonwinch.Run]*run
 	// ordered holds the same runs in the order in which they were started.
 	ordered  []*run
 	used     damsonwinch.Resources
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -117,6 +117,9 @@
 	scoreDoubt = -2_000_000
 	// scoreBeside keeps what serves and what fills apart while there is room.
 	scoreBeside = -500_000
+	// scoreDue keeps lasting tasks off boxes that are still to be maintained: each move
+	// takes some 1.5 s, and of one job often only one task may be away.
+	scoreDue = -3_000_000
 )
 
 func (c *Cell) score(t *task, e *endpoint) int {
@@ -133,5 +136,8 @@
 	if c.besides(t.phase, e) {
 		score += scoreBeside
 	}
+	if e.due && t.phase.spec.Lasting {
+		score += scoreDue
+	}
 	return score
 }
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -97,7 +97,7 @@
 	case "paced":
 		s.cell.Paced(s.now, arg(s.t, d, "at"), runOf(arg(s.t, d, "run")), errorOf(d, s.t))
 	case "sync":
-		s.cell.Withdraw(s.now, wire.SyncArgs{Withdraw: list(s.t, d, "withdraw"), Hurry: list(s.t, d, "hurry"), Restore: list(s.t, d, "restore"), Gone: list(s.t, d, "gone")})
+		s.cell.Withdraw(s.now, wire.SyncArgs{Withdraw: list(s.t, d, "withdraw"), Hurry: list(s.t, d, "hurry"), Restore: list(s.t, d, "restore"), Gone: list(s.t, d, "gone"), Due: list(s.t, d, "due")})
 	case "boxes":
 		s.boxes(d)
 	case "pass":
--- a/pkg/cell/withdraw.go
+++ b/pkg/cell/withdraw.go
@@ -50,7 +50,9 @@
 		spec := r.task.phase.spec
 		switch {
 		case spec.Lasting:
-			if c.lastingAway(r.task.phase) < spec.AwayAtMost && c.roomElsewhere(r) {
+			// In a hurry it waits for room elsewhere: it goes first there, as soon as a
+			// short task ends. In a full cell it would hold its box up for ever.
+			if c.lastingAway(r.task.phase) < spec.AwayAtMost && (e.withdraw.hurry || c.roomElsewhere(r)) {
 				c.stop(r, "its box is wanted")
 			}
 		case e.withdraw.hurry && spec.Checkpoints && !spec.Gang && (c.canWait(r) || c.roomElsewhere(r)):
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -286,7 +286,7 @@
 
 func (p *Planner) sync(cell string) {
 	wishes := p.supply.Wishes(cell)
-	args := wire.SyncArgs{Cell: cell, Token: p.options.Token, Withdraw: wishes.Withdraw, Hurry: wishes.Hurry, Restore: wishes.Restore, Gone: wishes.Gone}
+	args := wire.SyncArgs{Cell: cell, Token: p.options.Token, Withdraw: wishes.Withdraw, Hurry: wishes.Hurry, Restore: wishes.Restore, Gone: wishes.Gone, Due: wishes.Due}
 	p.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 		defer cancel()
--- a/pkg/supply/script_test.go
+++ b/pkg/supply/script_test.go
@@ -28,9 +28,11 @@
 	planner *supply.Planner
 	pools   []damsonwinch.Pool
 	boxes   []damsonwinch.Box
-	// busy holds the milliseconds in which a box is empty, by its name.
-	busy map[string]int
-	now  time.Time
+	// busy holds the milliseconds in which a box is empty, and lasting its lasting
+	// tasks, by its name.
+	busy    map[string]int
+	lasting map[string]int
+	now     time.Time
 }
 
 // TestScripts plays the planner's data files. Commands:
@@ -38,10 +40,12 @@
 //	fleet: lines "pool boxes", the first one's boxes are off
 //	report pool=P lasting=C running=C waiting=C late=C steady=C offered=C slack=MS: cores
 //	busy pool=P boxes=N ms=MS: the first N boxes of a pool have work for so long
+//	lasting box=B tasks=N: a box has lasting tasks
+//	wave number=N down=N s=S pools=(P, ...): all boxes of some pools are due
 //	plan at=MS: what is wanted of each pool, and the orders
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &script{t: t, busy: map[string]int{}, now: time.Unix(1_000_000, 0)}
+		s := &script{t: t, busy: map[string]int{}, lasting: map[string]int{}, now: time.Unix(1_000_000, 0)}
 		datadriven.RunTest(t, path, s.run)
 	})
 }
@@ -54,6 +58,12 @@
 		s.report(d)
 	case "busy":
 		s.setBusy(d)
+	case "lasting":
+		var box string
+		d.ScanArgs(t, "box", &box)
+		s.lasting[box] = number(t, d, "tasks")
+	case "wave":
+		s.wave(d)
 	case "plan":
 		s.now = time.Unix(1_000_000, 0).Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 		return s.plan()
@@ -113,12 +123,24 @@
 	}
 	for _, b := range s.boxes {
 		if b.Pool == pool {
-			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.Endpoint, Box: b.Name, Usable: true, EmptyMs: s.busy[b.Name]})
+			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.Endpoint, Box: b.Name, Usable: true, EmptyMs: s.busy[b.Name], Lasting: s.lasting[b.Name]})
 		}
 	}
 	s.planner.SetReport(s.now, pool, reply)
 }
 
+func (s *script) wave(d *datadriven.TestData) {
+	wave := damsonwinch.Wave{Number: number(s.t, d, "number"), MostDown: number(s.t, d, "down"), Duration: time.Duration(number(s.t, d, "s")) * time.Second}
+	for _, given := range d.CmdArgs {
+		for _, b := range s.boxes {
+			if given.Key == "pools" && slices.Contains(given.Vals, b.Pool) {
+				wave.Boxes = append(wave.Boxes, b.Name)
+			}
+		}
+	}
+	s.planner.SetWave(s.now, wave)
+}
+
 // plan says in words what the planner wants.
 func (s *script) plan() string {
 	var lines []string
--- a/pkg/supply/supply.go
+++ b/pkg/supply/supply.go
@@ -44,6 +44,8 @@
 	Restore  []string
 	// Gone are endpoints that have ended for certain.
 	Gone []string
+	// Due are those whose boxes are still to be maintained.
+	Due []string
 }
 
 // Planner keeps what it has decided until that is done.
@@ -117,6 +119,9 @@
 		if b.info.Endpoint == "" {
 			continue
 		}
+		if p.dueWave(b) != nil {
+			wishes.Due = append(wishes.Due, b.info.Endpoint)
+		}
 		switch {
 		case b.purpose != nil && b.purpose.hurry:
 			wishes.Hurry = append(wishes.Hurry, b.info.Endpoint)
--- a/pkg/supply/waves.go
+++ b/pkg/supply/waves.go
@@ -197,7 +197,9 @@
 	return min(w.MostDown, 1+int(time.Duration(left)*cycle/remaining))
 }
 
-// emptyForWave begins to empty boxes for a wave, the emptiest first.
+// emptyForWave begins to empty boxes for a wave: in each pool one with lasting tasks,
+// and else the emptiest first. Lasting tasks leave one after the other, some 1.5 s each,
+// so that boxes with several would be too late if they came last.
 func (p *Planner) emptyForWave(w *wave, due []*box, count int) {
 	var found []*box
 	for _, b := range due {
@@ -205,13 +207,37 @@
 			found = append(found, b)
 		}
 	}
-	for _, b := range sortBoxes(found, p.emptying) {
-		if count <= 0 {
-			return
+	moving := p.lastingMoving(w)
+	sortBoxes(found, p.emptying)
+	for _, b := range found {
+		if count > 0 && b.report.Lasting > 0 && !moving[b.info.Pool] {
+			moving[b.info.Pool] = true
+			p.takeForWave(w, b, len(due))
+			count--
 		}
-		p.take(b, purpose{wave: w.Number, cause: fmt.Sprintf("wave %d: %d boxes are due", w.Number, len(due))})
-		count--
 	}
+	for _, b := range found {
+		if count > 0 && b.purpose == nil {
+			p.takeForWave(w, b, len(due))
+			count--
+		}
+	}
+}
+
+func (p *Planner) takeForWave(w *wave, b *box, due int) {
+	p.take(b, purpose{wave: w.Number, cause: fmt.Sprintf("wave %d: %d boxes are due", w.Number, due)})
+}
+
+// lastingMoving returns the pools in which a box with lasting tasks is being emptied for
+// a wave.
+func (p *Planner) lastingMoving(w *wave) map[string]bool {
+	moving := map[string]bool{}
+	for _, b := range p.order {
+		if b.purpose != nil && b.purpose.wave == w.Number && b.report != nil && b.report.Lasting > 0 {
+			moving[b.info.Pool] = true
+		}
+	}
+	return moving
 }
 
 // hurryWave has tasks stopped where a wave runs late or a box takes too long.
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -881,6 +881,10 @@
 	// Cell corresponds to the JSON schema field "cell".
 	Cell string `json:"cell"`
 
+	// Endpoints whose boxes are still to be maintained in a wave: a lasting task that
+	// starts there has to move once more.
+	Due []string `json:"due,omitempty,omitzero"`
+
 	// Endpoints that have ended for certain, by a list of boxes that was asked for
 	// after the cell had reported them.
 	Gone []string `json:"gone,omitempty,omitzero"`
