Planner: boxes by a running mean of need; none for what runs out of reach

Now: tasks out of reach count neither as room nor as memory; donors keep the running mean (0.6 s) of their need, or of what their work takes if the other has work that waits, and no peaks.

--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -24,13 +24,17 @@
 		}
 		for _, r := range e.runs {
 			need := r.task.phase.need()
-			memory += need.MemoryMB
 			if r.task.phase.spec.Lasting {
+				memory += need.MemoryMB
 				entry.Lasting++
 				report.LastingCpu += need.CPU
 				continue
 			}
-			report.RunningCpu += need.CPU
+			if !entry.Silent {
+				// What runs out of reach takes no room of the boxes that are left.
+				memory += need.MemoryMB
+				report.RunningCpu += need.CPU
+			}
 			entry.EmptyMs = max(entry.EmptyMs, c.leftMs(r))
 		}
 		report.Endpoints = append(report.Endpoints, entry)
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -109,6 +109,9 @@
 		s.cell.Tick(s.now)
 	case "explain":
 		return strings.Join(s.cell.Explain(arg(s.t, d, "id")), "\n") + "\n"
+	case "report":
+		report := s.cell.Report(s.now)
+		return fmt.Sprintf("lasting %d, running %d, waiting %d, late %d, memory %d\n", report.LastingCpu, report.RunningCpu, report.WaitingCpu, report.LateCpu, report.MemoryShare)
 	case "wake":
 		return fmt.Sprintf("in %d ms\n", s.cell.Wake().Sub(s.now).Milliseconds())
 	case "show":
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"damsonwinch"
 )
@@ -119,15 +120,16 @@
 }
 
 // leastFor returns how many boxes a pool keeps when another one asks: what it uses now
-// if the other has work that waits, or can wait much less. What it has needed of late, or
-// may need soon, counts less than that: when demand turned to another pool, that one
+// if the other has work that waits, or can wait much less, and else what it needs. What it
+// has needed of late counts less than that: when demand turned to another pool, that one
 // waited for seconds beside idle boxes. Worth some 0.016 of a day's 1.0, by paired plays
 // of nine days with one trouble each.
 func (p *Planner) leastFor(donor, receiver *pool) int {
+	need := max(donor.need, int(math.Round(donor.usualNeed)))
 	if receiver.firm > p.has(receiver.name) || donor.slack() >= patientTimes*receiver.slack() {
-		return min(donor.need, donor.firm)
+		return min(need, max(donor.firm, int(math.Round(donor.usualFirm))))
 	}
-	return donor.held()
+	return need
 }
 
 func (p *Planner) isParking(name string) bool {
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -1,6 +1,7 @@
 package supply
 
 import (
+	"math"
 	"time"
 
 	"damsonwinch/pkg/wire"
@@ -34,6 +35,10 @@
 	// reserve is room that every pool keeps free for jobs to come, in thousandths
 	// of a box.
 	reserve = 1700
+	// averageTime is the time over which a pool's need is averaged where it is asked for
+	// boxes: what waits comes and goes within 0.1 s, and a box that is given and taken
+	// back has served nobody for some five seconds.
+	averageTime = 600 * time.Millisecond
 	// leastBoxes keeps a pool through the loss of a box or a zone.
 	leastBoxes = 2
 )
@@ -52,6 +57,10 @@
 	peaks []peak
 	// firm is how many boxes the work that is there takes.
 	firm int
+	// usualNeed and usualFirm are running means of both, by which the pool gives boxes.
+	usualNeed  float64
+	usualFirm  float64
+	averagedAt time.Time
 }
 
 // peak is a need at a moment.
@@ -87,6 +96,7 @@
 	cpu := max(reactive, p.predicted(l, boxCPU))
 	l.need = l.boxesFor(l.report.LastingCpu+cpu, boxCPU)
 	l.firm = l.boxesFor(l.report.LastingCpu+reactive, boxCPU)
+	l.average(now)
 	steady := max(reactive, l.report.SteadyCpu*(100+growth)/100)
 	hold := time.Duration(int64(p.options.Hold) * int64(l.slack()) / int64(usualSlack))
 	l.remember(now, hold, l.boxesFor(l.report.LastingCpu+steady, boxCPU))
@@ -112,6 +122,17 @@
 	return max(leastBoxes, l.report.Spread, (share+wholeBox-1)/wholeBox)
 }
 
+// average brings the running means up to date.
+func (l *pool) average(now time.Time) {
+	weight := 1.0
+	if !l.averagedAt.IsZero() {
+		weight = 1 - math.Exp(-float64(now.Sub(l.averagedAt))/float64(averageTime))
+	}
+	l.averagedAt = now
+	l.usualNeed += weight * (float64(l.need) - l.usualNeed)
+	l.usualFirm += weight * (float64(l.firm) - l.usualFirm)
+}
+
 // remember keeps the highest steady needs of the holding time.
 func (l *pool) remember(now time.Time, hold time.Duration, need int) {
 	keep := l.peaks[:0]
