Put off what can't be in time; tell boxes out of reach in the planner's summary

Cause: with a third of the boxes gone or after an outage more comes than can be in time; by urgency alone each task starts when it is just about too late for it (52 of 90 jobs of two seconds in time, 275 cores for 380 asked). Now: where the waiting work can't start within half of its time, the phase that is worth least for what its job still takes waits behind the others (pkg/triage).

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -114,6 +114,7 @@
 	c.seeOverdue()
 	c.seekMissing()
 	c.refuseUnkept()
+	c.putOff()
 	for _, e := range c.ranked {
 		c.empty(e)
 	}
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -35,6 +35,10 @@
 	runs int
 	// chains tells, by phase, how long the job takes from there on.
 	chains []int
+	// taskMs is the time that a task of each phase is expected to take, and work that
+	// of all of them times their room, in thousandths of a core times milliseconds.
+	taskMs []int
+	work   int
 	// home is the zone where its tasks are started, as far as there is room.
 	home *zone
 	// specSaved says that the stream holds, or is being given, the job's text.
@@ -74,6 +78,8 @@
 	advice     advice
 	// lateMs is when its job can hardly be done in time any more, 0 for never.
 	lateMs int
+	// deferred says that it waits behind others so that those are in time.
+	deferred bool
 	// open says that the phase stands among the cell's open ones.
 	open bool
 }
--- /dev/null
+++ b/pkg/cell/overload.go
@@ -0,0 +1,99 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"damsonwinch/pkg/triage"
+)
+
+// fixedWorth is the part of a job's worth that doesn't grow with its work, by which the
+// users measure: 0.3, and 0.7 times its work over the queue's mean.
+const fixedWorth = 0.3
+
+// putOff chooses the phases that wait behind the others because not all can be in time.
+func (c *Cell) putOff() {
+	for _, p := range c.open {
+		p.deferred = false
+	}
+	nowMs := int(c.now.UnixMilli())
+	waiting, needed := c.waitingInTime(nowMs)
+	room := c.room()
+	if needed <= room.Free {
+		return
+	}
+	slices.SortStableFunc(waiting, func(a, b *phase) int { return a.startBy() - b.startBy() })
+	items := make([]triage.Item, len(waiting))
+	for at, p := range waiting {
+		items[at] = c.item(p, nowMs)
+	}
+	for at, put := range triage.Defer(items, room) {
+		waiting[at].deferred = put
+	}
+}
+
+// waitingInTime returns the phases with waiting tasks whose jobs can be in time, and the
+// room that they need.
+func (c *Cell) waitingInTime(nowMs int) (waiting []*phase, needed int) {
+	for _, p := range c.open {
+		if !p.spec.Lasting && p.lateMs > 0 && !p.late(nowMs) && len(p.ready) > 0 {
+			waiting = append(waiting, p)
+			needed += len(p.ready) * p.need().CPU
+		}
+	}
+	return waiting, needed
+}
+
+// room returns what the cell's endpoints have free and how fast their tasks end.
+func (c *Cell) room() triage.Room {
+	free, turning := 0, 0
+	for _, e := range c.ranked {
+		if !e.usable() || e.overdue || e.zone.inDoubt() || !c.fit(e) {
+			continue
+		}
+		free += max(0, e.free().CPU)
+		turning += e.info.Capacity.CPU - e.lastingCPU()
+	}
+	taskMs := c.taskMs()
+	if taskMs == 0 {
+		taskMs = int(usualTask.Milliseconds())
+	}
+	return triage.Room{Free: free, PerMs: float64(turning) / float64(taskMs)}
+}
+
+// usualTask is the time of a task while none has ended yet.
+const usualTask = time.Second
+
+func (e *endpoint) lastingCPU() int {
+	sum := 0
+	for _, r := range e.ordered {
+		if r.task.phase.spec.Lasting {
+			sum += r.task.phase.need().CPU
+		}
+	}
+	return sum
+}
+
+// item says what a phase needs and what its job is worth.
+func (c *Cell) item(p *phase, nowMs int) triage.Item {
+	j := p.job()
+	rest := 0
+	for _, other := range p.round.phases {
+		left := other.left
+		if other == p {
+			left = len(p.ready)
+		}
+		rest += left * other.spec.Cpu * j.taskMs[other.number]
+	}
+	mean := c.statsOf(j.queue).meanWork()
+	return triage.Item{
+		Need: len(p.ready) * p.need().CPU, StartBy: p.startBy() - nowMs,
+		Worth: fixedWorth*mean + (1-fixedWorth)*float64(j.work), Rest: float64(rest),
+	}
+}
+
+// startBy returns until when a phase's tasks have to start for its job to be in time, if
+// they take as long as expected.
+func (p *phase) startBy() int {
+	return p.lateMs - p.job().chains[p.number]*(100-surePart)/100
+}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -7,23 +7,28 @@
 )
 
 // place starts the tasks that may start, as far as there is room: those of jobs
-// that can still be done in time first, and there the most urgent.
+// that can still be done in time first, and there the most urgent; then those that are
+// put off for them.
 func (c *Cell) place() {
 	if len(c.open) == 0 || !c.unplaced {
 		return
 	}
 	c.unplaced = false
 	inTime := make([]*phase, 0, len(c.open))
-	var late []*phase
+	var deferred, late []*phase
 	nowMs := int(c.now.UnixMilli())
 	for _, p := range c.open {
-		if p.late(nowMs) {
+		switch {
+		case p.late(nowMs):
 			late = append(late, p)
-		} else {
+		case p.deferred:
+			deferred = append(deferred, p)
+		default:
 			inTime = append(inTime, p)
 		}
 	}
 	full := c.placePhases(inTime, nil)
+	full = c.placePhases(deferred, full)
 	c.placePhases(late, full)
 }
 
--- a/pkg/cell/queue.go
+++ b/pkg/cell/queue.go
@@ -112,17 +112,3 @@
 	}
 	return int(sum / float64(runs))
 }
-
-// workOf estimates a job's work, in thousandths of a core times milliseconds.
-func (c *Cell) workOf(j *job) int {
-	known := c.statsOf(j.queue)
-	work := 0
-	for at := range j.spec.Phases {
-		phase := &j.spec.Phases[at]
-		if phase.Lasting || phase.Fills {
-			continue
-		}
-		work += phase.Count * phase.Cpu * known.times.estimate(phase.EstimateMs)
-	}
-	return work
-}
--- a/pkg/cell/recover.go
+++ b/pkg/cell/recover.go
@@ -60,7 +60,7 @@
 	if !hasSpec && !j.ended() {
 		return fmt.Errorf("job %s has a record and no text", j.id)
 	}
-	j.chains = c.chains(j.queue, spec)
+	c.expect(j)
 	c.jobs[j.id] = j
 	c.loadTasks(j, saved.Tasks)
 	if !j.ended() || j.runs > 0 {
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -31,7 +31,7 @@
 	c.stats.Accepted++
 	if !jobs.Lasting(j.spec) {
 		chain := slices.Max(j.chains)
-		c.statsOf(j.queue).arrive(now, c.workOf(j), j.dueMs-j.acceptedMs-chain, chain)
+		c.statsOf(j.queue).arrive(now, j.work, j.dueMs-j.acceptedMs-chain, chain)
 	}
 	c.touch(j)
 	c.noteJob("job accepted", j, fmt.Sprintf("queue %s by configuration %d, %d phases, %d ms of work in a row expected, to be done within %d ms",
--- a/pkg/cell/urgency.go
+++ b/pkg/cell/urgency.go
@@ -1,28 +1,29 @@
 package cell
 
-import (
-	"time"
+import "time"
 
-	"damsonwinch/pkg/wire"
-)
-
-// chains returns, for each phase, the time of the longest chain of tasks from its
-// start to the job's end, in milliseconds, as far as that can be told.
-func (c *Cell) chains(queue string, spec wire.JobSpec) []int {
-	times := &c.statsOf(queue).times
-	longest := make([]int, len(spec.Phases))
-	for number := len(spec.Phases) - 1; number >= 0; number-- {
-		longest[number] += times.estimate(spec.Phases[number].EstimateMs)
-		for _, earlier := range spec.Phases[number].After {
-			longest[earlier] = max(longest[earlier], longest[number])
+// expect works out what a job takes: the time of a task of each phase, that of the
+// longest chain of tasks from each phase's start to the job's end, and its work.
+func (c *Cell) expect(j *job) {
+	times := &c.statsOf(j.queue).times
+	phases := j.spec.Phases
+	j.taskMs, j.chains, j.work = make([]int, len(phases)), make([]int, len(phases)), 0
+	for number := len(phases) - 1; number >= 0; number-- {
+		phase := &phases[number]
+		j.taskMs[number] = times.estimate(phase.EstimateMs)
+		j.chains[number] += j.taskMs[number]
+		for _, earlier := range phase.After {
+			j.chains[earlier] = max(j.chains[earlier], j.chains[number])
+		}
+		if !phase.Lasting && !phase.Fills {
+			j.work += phase.Count * phase.Cpu * j.taskMs[number]
 		}
 	}
-	return longest
 }
 
 // setDue works out by when a job should be done.
 func (c *Cell) setDue(j *job) {
-	j.chains = c.chains(j.queue, j.spec)
+	c.expect(j)
 	queue := c.queues[j.queue]
 	chain := 0
 	for _, from := range j.chains {
--- a/pkg/supply/summary.go
+++ b/pkg/supply/summary.go
@@ -17,7 +17,7 @@
 			lines = append(lines, wait)
 		}
 		c := p.count(name)
-		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down", name, c.working, c.coming, c.emptying, c.maintained, c.down)
+		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down, %d out of reach", name, c.working, c.coming, c.emptying, c.maintained, c.down, c.silent)
 		if pool.parking {
 			lines = append(lines, boxes)
 			continue
@@ -46,7 +46,7 @@
 
 // counts are a pool's boxes by what they are doing.
 type counts struct {
-	working, coming, emptying, maintained, down int
+	working, coming, emptying, maintained, down, silent int
 }
 
 func (p *Planner) count(name string) counts {
@@ -62,6 +62,8 @@
 			c.maintained++
 		case b.info.State == damsonwinch.BoxDown:
 			c.down++
+		case b.report != nil && b.report.Silent:
+			c.silent++
 		case b.purpose != nil:
 			c.emptying++
 		default:
