Tell a reading that is broken off under way from one that nobody answers

The log line on a lost stream said only that a deadline had passed. Now: bytes received, the age of the last answer and the next offset on the line, a line each 5 s while a stream stays lost, counters readings_unanswered, readings_broken_off and readings_broken_off_bytes, and the gauge configuration_version. No decision changes.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
+	"damsonwinch/pkg/metrics"
 )
 
 // Times of a feed.
@@ -20,13 +21,16 @@
 	// answerMargin is added to a reading's wait before it is given up: the store
 	// answers in a few milliseconds, and 70 times as slow on a bad day.
 	answerMargin = 600 * time.Millisecond
+	// reportEvery is the time between two log lines on a stream that stays lost.
+	reportEvery = 5 * time.Second
 )
 
 // Deps are what a feed works with.
 type Deps struct {
-	Store  damsonwinch.Store
-	Clock  damsonwinch.Clock
-	Logger logrus.FieldLogger
+	Store   damsonwinch.Store
+	Clock   damsonwinch.Clock
+	Logger  logrus.FieldLogger
+	Metrics *metrics.Set
 }
 
 // Options say what is followed, and how closely.
@@ -57,6 +61,10 @@
 	started bool
 	next    int
 	failing bool
+	// answeredAt is when the last reading was answered, and reportedAt when the log was
+	// last told that none is.
+	answeredAt time.Time
+	reportedAt time.Time
 	// reading ends the reading on its way.
 	reading atomic.Pointer[context.CancelFunc]
 }
@@ -166,20 +174,47 @@
 	}
 }
 
-// report logs a lost dependency once.
+// report counts a failed reading, and logs a lost dependency: at first, and while it
+// stays lost.
 func (f *Feed) report(ctx context.Context, err error) {
-	if f.failing || ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return
 	}
-	f.failing = true
-	f.Logger.WithError(err).WithField("stream", f.options.Stream.String()).Warn("stream lost")
+	received := 0
+	if partial := (*damsonwinch.PartialError)(nil); errors.As(err, &partial) {
+		received = partial.Received
+		f.Metrics.Add("readings_broken_off", 1)
+		f.Metrics.Add("readings_broken_off_bytes", received)
+	} else {
+		f.Metrics.Add("readings_unanswered", 1)
+	}
+	now := f.Clock.Now()
+	if f.failing && now.Sub(f.reportedAt) < reportEvery {
+		return
+	}
+	what := "stream lost"
+	if f.failing {
+		what = "stream still lost"
+	}
+	f.failing, f.reportedAt = true, now
+	f.line().WithError(err).WithField("received_bytes", received).Warn(what)
 }
 
 func (f *Feed) recovered() {
 	if f.failing {
 		f.failing = false
-		f.Logger.WithField("stream", f.options.Stream.String()).Info("stream back")
+		f.line().Info("stream back")
+	}
+	f.answeredAt = f.Clock.Now()
+}
+
+// line begins a log line on the stream, with the age of what is known of it.
+func (f *Feed) line() logrus.FieldLogger {
+	fields := logrus.Fields{"stream": f.options.Stream.String(), "next": f.next}
+	if !f.answeredAt.IsZero() {
+		fields["answered_ms_ago"] = f.Clock.Since(f.answeredAt).Milliseconds()
 	}
+	return f.Logger.WithFields(fields)
 }
 
 func (f *Feed) pause(ctx context.Context, length time.Duration) {
--- a/pkg/node/operator.go
+++ b/pkg/node/operator.go
@@ -45,6 +45,7 @@
 func (n *Node) configure(configuration damsonwinch.Configuration) {
 	n.state.configuration = configuration
 	n.version.Store(int64(configuration.Version))
+	n.deps.Metrics.Put("configuration_version", configuration.Version)
 	n.deps.Logger.WithFields(logrus.Fields{"version": configuration.Version, "queues": len(configuration.Queues)}).Info("configuration in force")
 	n.deps.Configured(configuration)
 	n.ownership.Want(cellsOf(configuration))
--- a/store.go
+++ b/store.go
@@ -95,6 +95,24 @@
 	ErrRefused = errors.New("refused, nothing was done")
 )
 
+// PartialError says that a call ended while its answer was coming, and how much of it
+// had come: the peer was slow or the answer large, and not silent.
+type PartialError struct {
+	// Received is in bytes.
+	Received int
+	Err      error
+}
+
+// Error implements error.
+func (e *PartialError) Error() string {
+	return fmt.Sprintf("after %d bytes of the answer: %v", e.Received, e.Err)
+}
+
+// Unwrap returns what ended the call.
+func (e *PartialError) Unwrap() error {
+	return e.Err
+}
+
 // Store is the platform's log: streams of records, some of which keep the newest
 // record of each key for ever, and groups of members.
 type Store interface {
