--- a/pkg/process/node_test.go
+++ b/pkg/process/node_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"damsonwinch"
 	"damsonwinch/pkg/settings"
 	"damsonwinch/platform/standin"
 )
@@ -30,6 +31,8 @@
 	nodes    []*Node
 	configs  []settings.Node
 	closed   map[int]bool
+	// dial is by what the nodes that are started next make connections.
+	dial damsonwinch.Dial
 }
 
 func newStory(t *testing.T, nodes int) *story {
@@ -39,7 +42,7 @@
 		MostLease: 3 * time.Second, StopTime: 50 * time.Millisecond, Heartbeat: 200 * time.Millisecond,
 	})
 	assert.NilError(t, err)
-	s := &story{t: t, platform: platform, client: standin.NewClient(), closed: map[int]bool{}}
+	s := &story{t: t, platform: platform, client: standin.NewClient(), closed: map[int]bool{}, dial: (&net.Dialer{Timeout: time.Second}).DialContext}
 	assert.NilError(t, platform.PutConfiguration(1, standin.Queue{Name: "payslips", Host: testHost, Prefix: testPrefix, Pool: "runs", Attempts: 3}))
 	for number := range nodes {
 		s.start(number)
@@ -81,7 +84,7 @@
 func (s *story) env() Env {
 	logger := logrus.New()
 	logger.SetLevel(logrus.ErrorLevel)
-	return Env{Clock: clockwork.NewRealClock(), Dial: (&net.Dialer{Timeout: time.Second}).DialContext, Logger: logger, Breach: func(string, string) {}}
+	return Env{Clock: clockwork.NewRealClock(), Dial: s.dial, Logger: logger, Breach: func(string, string) {}}
 }
 
 func freeAddress(t testing.TB) string {
