Bound readings by silence, not by the length of their answers

A reading had its wait and 0.6 s, after a failure 0.6 s, whatever its answer's size; at 10 Mbit/s that is 0.6 of the 0.95 MB that a configuration of 4,450 queues takes, and each try began anew. The class: a bound on the whole of something whose size grows, together with retries that keep nothing of what had come.

A scan of newest records goes on with the page that failed. A reader of the operator's stream that is two versions or more behind reads the newest only. A refresh leaves an answer that is coming alone.

Ruled out: looks at endpoints (at most 500 ends, 40 KB), joins and the list of members (at most 480 rows, 40 KB), calls between nodes (their sizes follow a pool's boxes, some KB, and they are bounded by silence already).

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
+	"damsonwinch/pkg/idle"
 	"damsonwinch/pkg/metrics"
 )
 
@@ -18,9 +19,15 @@
 const (
 	// retryPause is the time between tries while the store doesn't answer.
 	retryPause = 200 * time.Millisecond
-	// answerMargin is added to a reading's wait before it is given up: the store
-	// answers in a few milliseconds, and 70 times as slow on a bad day.
+	// answerMargin is how long a reading may be silent beyond its wait, and between two
+	// parts of its answer, before it is given up: the store answers in a few
+	// milliseconds, and 70 times as slow on a bad day. It bounds no whole answer: of a
+	// configuration of 950 KB a link of 10 Mbit/s brings 600 KB in this time, and 35 of
+	// 43 nodes read them over and over without ever having all.
 	answerMargin = 600 * time.Millisecond
+	// farBehind is by how many records a reader is behind that had better read the newest
+	// ones anew: those are a third larger on the way, in base64, but come once.
+	farBehind = 2
 	// reportEvery is the time between two log lines on a stream that stays lost.
 	reportEvery = 5 * time.Second
 )
@@ -46,6 +53,10 @@
 	// as a snapshot.
 	Wanted func() bool
 	Wake   <-chan struct{}
+	// NewestOnly says that of the records of a key only the newest matters. A reader that
+	// is behind by more than one page then goes on with the newest records, not with
+	// those in between: a node with a slow link would fall ever further behind.
+	NewestOnly bool
 	// Snapshot is given all newest records, at first and whenever the store has
 	// dropped what came after the last reading.
 	Snapshot func(records []damsonwinch.Record, end int)
@@ -65,10 +76,21 @@
 	// last told that none is.
 	answeredAt time.Time
 	reportedAt time.Time
-	// reading ends the reading on its way.
-	reading atomic.Pointer[context.CancelFunc]
+	// reading is the reading on its way.
+	reading atomic.Pointer[reading]
+	// scan is the reading of all newest records on its way.
+	scan *Scan
 }
 
+// reading is a call on its way and what ends it.
+type reading struct {
+	ctx context.Context
+	end context.CancelCauseFunc
+}
+
+// errRefreshed ends a reading in whose place another is to be sent.
+var errRefreshed = errors.New("read anew")
+
 // New returns a feed that reads nothing before Run.
 func New(deps Deps, options Options) *Feed {
 	return &Feed{Deps: deps, options: options}
@@ -78,7 +100,7 @@
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if f.options.Wanted != nil && !f.options.Wanted() {
-			f.started = false
+			f.started, f.scan = false, nil
 			f.rest(ctx)
 			continue
 		}
@@ -95,10 +117,11 @@
 }
 
 // Refresh has the stream read at once, on another connection than that of the
-// reading on its way: somebody has seen that there is news.
+// reading on its way: somebody has seen that there is news. A reading whose answer is
+// coming is left alone; it may be large, and would never end if it were begun anew.
 func (f *Feed) Refresh() {
-	if end := f.reading.Load(); end != nil {
-		(*end)()
+	if r := f.reading.Load(); r != nil && !idle.Answering(r.ctx) {
+		r.end(errRefreshed)
 	}
 }
 
@@ -112,60 +135,42 @@
 		wait = 0
 	}
 	askedAt := f.Clock.Now()
-	limited, cancel := context.WithTimeout(ctx, wait+answerMargin)
-	defer cancel()
-	f.reading.Store(&cancel)
+	limited, end := idle.WithTimeout(ctx, f.Clock, wait+answerMargin, answerMargin)
+	defer end(nil)
+	f.reading.Store(&reading{ctx: limited, end: end})
 	page, err := f.Store.Read(limited, f.options.Stream, f.next, wait)
 	f.reading.Store(nil)
 	switch {
 	case errors.Is(err, damsonwinch.ErrExpired):
 		f.started = false
 		return nil
-	case err != nil && errors.Is(limited.Err(), context.Canceled) && ctx.Err() == nil:
-		// Refresh has ended it.
+	case err != nil && errors.Is(context.Cause(limited), errRefreshed):
 		return nil
 	case err != nil:
 		return err
 	}
 	f.next += len(page.Records)
 	f.options.Added(page.Records, page.End, askedAt)
+	if f.options.NewestOnly && page.End-f.next >= farBehind {
+		f.started = false
+	}
 	return nil
 }
 
 // restart reads the newest record of each key.
 func (f *Feed) restart(ctx context.Context) error {
-	records, end, err := Newest(ctx, f.Store, f.options.Stream)
-	if err != nil {
+	if f.scan == nil {
+		f.scan = NewScan(f.Store, f.Clock, f.options.Stream)
+	}
+	if err := f.scan.Run(ctx); err != nil {
 		return err
 	}
-	f.started, f.next = true, end
+	records, end := f.scan.Records()
+	f.scan, f.started, f.next = nil, true, end
 	f.options.Snapshot(records, end)
 	return nil
 }
 
-// Newest reads the newest record of each key of a stream. The end is that of the
-// first page: what came later is read again, which does no harm.
-func Newest(ctx context.Context, store damsonwinch.Store, stream damsonwinch.Stream) ([]damsonwinch.Record, int, error) {
-	var records []damsonwinch.Record
-	end, after := 0, ""
-	for page := 0; ; page++ {
-		limited, cancel := context.WithTimeout(ctx, answerMargin)
-		got, err := store.Newest(limited, stream, after)
-		cancel()
-		if err != nil {
-			return nil, 0, err
-		}
-		if page == 0 {
-			end = got.End
-		}
-		records = append(records, got.Records...)
-		if !got.More || len(got.Records) == 0 {
-			return records, end, nil
-		}
-		after = got.Records[len(got.Records)-1].Key
-	}
-}
-
 // rest waits until somebody needs the stream.
 func (f *Feed) rest(ctx context.Context) {
 	select {
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/idle"
 )
 
 // Times of calls to endpoints and to the control of boxes.
@@ -19,8 +20,8 @@
 	adviceTimeout = 5 * time.Second
 	// lookMargin is added to a look's own wait.
 	lookMargin = 500 * time.Millisecond
-	// boxesTimeout is given to a reading of the list of boxes, and boxesPause
-	// stands between two.
+	// boxesTimeout is how long a reading of the list of boxes, which is as large as the
+	// fleet, may be silent, and boxesPause stands between two.
 	boxesTimeout = time.Second
 	boxesPause   = 400 * time.Millisecond
 )
@@ -151,8 +152,8 @@
 	}
 	o.boxesOut, o.boxesAt = true, now
 	o.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(o.ctx, boxesTimeout)
-		defer cancel()
+		ctx, cancel := idle.WithTimeout(o.ctx, o.deps.Clock, boxesTimeout, boxesTimeout)
+		defer cancel(nil)
 		boxes, err := o.deps.Fleet.Boxes(ctx)
 		o.send(boxesListed{boxes: boxes, err: err})
 		return nil
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"damsonwinch"
+	"damsonwinch/pkg/idle"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/stream"
 	"damsonwinch/pkg/supply"
@@ -26,7 +27,8 @@
 	round = 100 * time.Millisecond
 	// boxesEvery is the time between two readings of the list of boxes.
 	boxesEvery = 400 * time.Millisecond
-	// callTimeout bounds a call to a cell's owner or the control of boxes.
+	// callTimeout bounds a call to a cell's owner or the control of boxes. The list of
+	// boxes may be silent for so long; it is as large as the fleet, 1.7 MB with 5,800.
 	callTimeout = 800 * time.Millisecond
 	// poolsLogged is the time between two log lines on the pools.
 	poolsLogged = time.Second
@@ -276,8 +278,8 @@
 
 func (p *Planner) readBoxes(now time.Time) {
 	p.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
-		defer cancel()
+		ctx, cancel := idle.WithTimeout(p.ctx, p.deps.Clock, callTimeout, callTimeout)
+		defer cancel(nil)
 		boxes, err := p.deps.Fleet.Boxes(ctx)
 		p.send(boxesListed{boxes: boxes, askedAt: now, err: err})
 		return nil
--- a/pkg/process/slow_link_test.go
+++ b/pkg/process/slow_link_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
@@ -79,3 +80,23 @@
 	status, _, err := s.client.Do(context.Background(), http.MethodGet, s.address(number), testHost, prefix, nil)
 	return err == nil && status == http.StatusOK
 }
+
+// A new owner whose link is slow reads the records of its cell page by page. A bound on
+// all pages together, or on one page of some 270 KB, kept it from ever having them.
+func TestACellIsTakenOverThroughASlowLink(t *testing.T) {
+	s := newStory(t, 1)
+	const bytesPerSecond, jobs = 200_000, 120
+	var group errgroup.Group
+	for number := range jobs {
+		group.Go(func() error {
+			s.submit(id(number), standin.Work{Ms: 10, Note: text(3900)}, standin.Phase{Count: 1, CPU: 1000, Lasting: true, MayMiss: 1})
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+	s.dial = slowLink(s.dial, bytesPerSecond)
+	s.start(1)
+	s.until("the first configuration is in force", func() bool { return s.known(1, testPrefix) })
+	s.kill(0)
+	s.until("the last job is known", func() bool { return s.state(id(jobs-1)) == "running" || s.state(id(jobs-1)) == "queued" })
+}
--- a/pkg/stream/writer.go
+++ b/pkg/stream/writer.go
@@ -11,13 +11,15 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/idle"
 	"damsonwinch/pkg/metrics"
 )
 
 // Times of calls to the store.
 const (
-	// leastTimeout is given to a call at first, and doubled with each try: the store
-	// answers in about 5 ms, and in 70 times that on a slow day.
+	// leastTimeout is how long a call may be silent at first, and doubled with each try:
+	// the store answers in about 5 ms, and in 70 times that on a slow day. While a call
+	// makes progress it may go on: 2 MB of records need 1.6 s on a link of 10 Mbit/s.
 	leastTimeout = 250 * time.Millisecond
 	// mostTimeout bounds it. A call that was sent while the store was silent is not
 	// answered any more when it is back, so that this is how late that is noticed.
@@ -61,12 +63,9 @@
 	if err := w.Append(ctx, nil, w.fence()); err != nil {
 		return nil, err
 	}
-	var records []damsonwinch.Record
-	err := w.insist(ctx, func(ctx context.Context) error {
-		var err error
-		records, _, err = feed.Newest(ctx, w.deps.Store, w.stream)
-		return err
-	})
+	scan := feed.NewScan(w.deps.Store, w.deps.Clock, w.stream)
+	err := w.insist(ctx, scan.Run)
+	records, _ := scan.Records()
 	return records, err
 }
 
@@ -95,9 +94,9 @@
 	pause := leastPause
 	for {
 		begun := w.deps.Clock.Now()
-		limited, cancel := context.WithTimeout(ctx, timeout)
+		limited, cancel := idle.WithTimeout(ctx, w.deps.Clock, timeout, timeout)
 		err := call(limited)
-		cancel()
+		cancel(nil)
 		switch {
 		case err == nil:
 			w.took.Store(int64(w.deps.Clock.Since(begun)))
