Cut commits that are larger than the store takes in a call

A commit is cut between jobs, so that a job's text and its state stay together, and counts once all of it is appended. The limit is a setting, filled in by the platform.

--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -27,7 +27,7 @@
 	Notes []Note
 }
 
-// Commit is one append to the cell's stream.
+// Commit is what is to be appended to the cell's stream next.
 type Commit struct {
 	Number  int
 	Records []damsonwinch.Record
--- a/pkg/node/holdings.go
+++ b/pkg/node/holdings.go
@@ -83,7 +83,7 @@
 	started := owner.New(owner.Deps{
 		Store: n.deps.Platform.Store, Endpoints: n.deps.Platform.Endpoints, Fleet: n.deps.Platform.Fleet, Advisor: n.deps.Platform.Advisor, Clock: n.deps.Clock,
 		Logger: n.deps.Logger.WithField("cell", claim.Cell), Metrics: n.deps.Metrics, RoomWanted: n.readEndpoints,
-	}, owner.Options{Cell: claim.Cell, Stream: streamOf(claim), Token: claim.Token, Cells: n.options.Cells})
+	}, owner.Options{Cell: claim.Cell, Stream: streamOf(claim), Token: claim.Token, CallBytes: n.options.CallBytes, Cells: n.options.Cells})
 	started.Configure(n.state.configuration.Queues)
 	if n.state.endpointsKnown {
 		started.SetEndpoints(n.endpointsOf(claim.Cell))
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"damsonwinch"
 	"damsonwinch/pkg/cell"
 	"damsonwinch/pkg/idle"
 )
@@ -79,15 +80,20 @@
 
 // commit appends to the cell's stream until that is done.
 func (o *Owner) commit(commit cell.Commit) {
-	fence := o.writer.Next()
+	batches := commit.Batches(o.options.CallBytes)
+	fences := make([]damsonwinch.Fence, len(batches))
+	for number := range batches {
+		fences[number] = o.writer.Next()
+	}
 	begun := o.deps.Clock.Now()
 	o.group.Go(func() error {
-		err := o.writer.Append(o.ctx, commit.Records, fence)
-		o.deps.Metrics.Observe("commit", o.deps.Clock.Since(begun))
-		if err != nil {
-			// Ends the owner: what it decided from here on could not be kept.
-			return err
+		for number, records := range batches {
+			if err := o.writer.Append(o.ctx, records, fences[number]); err != nil {
+				// Ends the owner: what it decided from here on could not be kept.
+				return err
+			}
 		}
+		o.deps.Metrics.Observe("commit", o.deps.Clock.Since(begun))
 		o.send(committed{number: commit.Number})
 		return nil
 	})
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -42,7 +42,9 @@
 	Stream damsonwinch.Stream
 	// Token is the epoch of the claim by which the cell is owned.
 	Token int
-	Cells cell.Options
+	// CallBytes is the most that the store takes in a call.
+	CallBytes int
+	Cells     cell.Options
 }
 
 // Owner owns one cell until it is closed or deposed.
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -25,6 +25,7 @@
 const (
 	usualPartitions = 24
 	usualTTLMs      = 1000
+	usualCallBytes  = 2 << 20
 )
 
 // Times by which an owner decides that no setting gives.
@@ -120,6 +121,7 @@
 		},
 		TTL:        milliseconds(orUsual(config.GroupTtlMs, usualTTLMs)),
 		Partitions: orUsual(config.Partitions, usualPartitions),
+		CallBytes:  orUsual(config.StoreCallBytes, usualCallBytes),
 		FirstStart: config.FirstStart,
 	}
 }
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -250,6 +250,9 @@
 	// The platform's log.
 	Store string `json:"store"`
 
+	// Most bytes that the log takes in a call; larger appends are cut.
+	StoreCallBytes int `json:"store_call_bytes,omitempty,omitzero"`
+
 	// Availability zone it stands in.
 	Zone string `json:"zone"`
 }
