--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -22,7 +22,7 @@
 	// answerMargin is how long a reading may be silent beyond its wait, and between two
 	// parts of its answer, before it is given up: the store answers in a few
 	// milliseconds, and 70 times as slow on a bad day. It bounds no whole answer: of a
-	// configuration of 950 KB a link of 10 Mbit/s brings 600 KB in this time, and 35 of
+	// configuration of 870 KB a link of 10 Mbit/s brings 600 KB in this time, and 35 of
 	// 43 nodes read them over and over without ever having all.
 	answerMargin = 600 * time.Millisecond
 	// farBehind is by how many records a reader is behind that had better read the newest
