Planner: work that is late anyway takes no boxes from work that can be in time

Cause: after a burst of five times the traffic the pool that had it kept 39 of 49 boxes for 12 s for jobs that could not be in time any more, since their running tasks and a fifth of the waiting ones counted as need beyond doubt. The next pool, in its turn, had 4 boxes: 19 of its 145 jobs were in time, half of them took 24 s. Now: cells tell apart what runs whose job was late when it was started; the firm need, down to which a pool gives boxes to one whose work waits, is that of work in time only; of late work, running or not, a fifth is asked for.

--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -30,8 +30,12 @@
 				report.LastingCpu += need.CPU
 				continue
 			}
-			if !entry.Silent {
+			switch {
+			case entry.Silent:
 				// What runs out of reach takes no room of the boxes that are left.
+			case r.late:
+				report.RunningLateCpu += need.CPU
+			default:
 				memory += need.MemoryMB
 				report.RunningCpu += need.CPU
 			}
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -49,7 +49,9 @@
 	// owner started it: its time tells nothing of its task's.
 	resumed bool
 	adopted bool
-	pace    pace
+	// late says that its job could hardly be in time any more when it was started.
+	late bool
+	pace pace
 	// judged says that its pace has been taken for a sign of its endpoint's health.
 	judged bool
 	// load is its newest figure of load: a serving task's tail in milliseconds.
@@ -65,7 +67,7 @@
 // intend reserves room for a new attempt; it is ordered once it is recorded.
 func (c *Cell) intend(t *task, at *endpoint) {
 	t.attempt++
-	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != "", speed: wholePercent}
+	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != "", speed: wholePercent, late: t.phase.late(int(c.now.UnixMilli()))}
 	c.attach(r)
 	t.phase.job().begun = true
 	if t.attempt > 1 {
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -25,8 +25,8 @@
 	patientTimes = 2
 	// memoryGrowth is the same for memory.
 	memoryGrowth = 120
-	// lateShare is the part of the waiting work of late jobs, in percent, that a
-	// pool gets boxes for: they are worth little, but must be done.
+	// lateShare is the part of the work of late jobs, in percent, that a pool gets boxes
+	// for: they are worth little, but must be done.
 	lateShare = 20
 	// usualTaskMs is the time of a task while none has ended yet.
 	usualTaskMs = 1000
@@ -55,7 +55,9 @@
 	// needs of late, which it keeps boxes for.
 	need  int
 	peaks []peak
-	// firm is how many boxes the work that is there takes.
+	// firm is how many boxes the work that is there and can be in time takes. What is late
+	// doesn't count: after a burst a pool kept 39 of 49 boxes for 12 s for work that was
+	// worth nothing any more, while 126 of the next pool's 145 jobs became late.
 	firm int
 	// usualNeed and usualFirm are running means of both, by which the pool gives boxes.
 	usualNeed  float64
@@ -92,10 +94,11 @@
 	if boxCPU == 0 || !l.report.Known {
 		return
 	}
-	reactive := l.report.RunningCpu + l.report.WaitingCpu + l.report.LateCpu*lateShare/100
+	inTime := l.report.RunningCpu + l.report.WaitingCpu
+	reactive := inTime + l.lateCPU()
 	cpu := max(reactive, p.predicted(l, boxCPU))
 	l.need = l.boxesFor(l.report.LastingCpu+cpu, boxCPU)
-	l.firm = l.boxesFor(l.report.LastingCpu+reactive, boxCPU)
+	l.firm = l.boxesFor(l.report.LastingCpu+inTime, boxCPU)
 	l.average(now)
 	steady := max(reactive, l.report.SteadyCpu*(100+growth)/100)
 	hold := time.Duration(int64(p.options.Hold) * int64(l.slack()) / int64(usualSlack))
@@ -111,11 +114,16 @@
 	}
 	short := max(0, l.report.OfferedCpu+l.report.LastingCpu-p.has(l.name)*boxCPU)
 	lead := p.options.MoveTime + ArrivalTime
-	behind := (l.report.WaitingCpu+l.report.LateCpu*lateShare/100)*taskMs + short*int(lead.Milliseconds())
+	behind := (l.report.WaitingCpu+l.lateCPU())*taskMs + short*int(lead.Milliseconds())
 	// Half of the slack is left for what else comes.
 	return max(l.report.OfferedCpu*(100+growth)/100, l.report.RunningCpu) + 2*behind/int(l.slack().Milliseconds())
 }
 
+// lateCPU returns the processor room that the pool gets for late jobs' work.
+func (l *pool) lateCPU() int {
+	return (l.report.RunningLateCpu + l.report.LateCpu) * lateShare / 100
+}
+
 // boxesFor returns the number of boxes for a need of processor.
 func (l *pool) boxesFor(cpu, boxCPU int) int {
 	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*memoryGrowth/100) + reserve
--- a/pkg/supply/script_test.go
+++ b/pkg/supply/script_test.go
@@ -118,7 +118,7 @@
 	d.ScanArgs(s.t, "pool", &pool)
 	cores := func(key string) int { return number(s.t, d, key) * 1000 }
 	reply := wire.SyncReply{
-		Known: true, TaskMs: 1000, SlackMs: number(s.t, d, "slack"), LastingCpu: cores("lasting"), RunningCpu: cores("running"),
+		Known: true, TaskMs: 1000, SlackMs: number(s.t, d, "slack"), LastingCpu: cores("lasting"), RunningCpu: cores("running"), RunningLateCpu: cores("running-late"),
 		WaitingCpu: cores("waiting"), LateCpu: cores("late"), SteadyCpu: cores("steady"), OfferedCpu: max(cores("steady"), cores("offered")),
 	}
 	for _, b := range s.boxes {
--- a/pkg/supply/summary.go
+++ b/pkg/supply/summary.go
@@ -23,8 +23,8 @@
 			continue
 		}
 		r := pool.report
-		lines = append(lines, fmt.Sprintf("%s; needs %d, lately %d; cores: lasting %d, running %d, waiting %d and %d late, arriving %d a second; %d ms a task, %d ms to wait",
-			boxes, pool.need, pool.held(), r.LastingCpu/1000, r.RunningCpu/1000, r.WaitingCpu/1000, r.LateCpu/1000, r.OfferedCpu/1000, r.TaskMs, r.SlackMs))
+		lines = append(lines, fmt.Sprintf("%s; needs %d, lately %d; cores: lasting %d, running %d and %d late, waiting %d and %d late, arriving %d a second; %d ms a task, %d ms to wait",
+			boxes, pool.need, pool.held(), r.LastingCpu/1000, r.RunningCpu/1000, r.RunningLateCpu/1000, r.WaitingCpu/1000, r.LateCpu/1000, r.OfferedCpu/1000, r.TaskMs, r.SlackMs))
 	}
 	return append(lines, p.waveSummary()...)
 }
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -925,9 +925,14 @@
 	// Core-thousandths of work that arrives, each second.
 	OfferedCpu int `json:"offered_cpu,omitempty,omitzero"`
 
-	// Thousandths of a core that other tasks take.
+	// Thousandths of a core that other tasks take whose jobs could be in time when
+	// they were started.
 	RunningCpu int `json:"running_cpu,omitempty,omitzero"`
 
+	// Thousandths of a core that tasks take whose jobs couldn't be in time any more
+	// when they were started.
+	RunningLateCpu int `json:"running_late_cpu,omitempty,omitzero"`
+
 	// Time, in milliseconds, that the jobs that arrive can usually wait and still be
 	// done in time.
 	SlackMs int `json:"slack_ms,omitempty,omitzero"`
