Planner: two pools that are both short share boxes by their need

Cause: in a burst the pool that had it first kept all boxes for as long as it had work in time, and the pool whose turn came next got none until that was gone (4 of 49 boxes, 1,440 cores waiting in time). Now a pool that is short itself keeps its share of the two pools' boxes by their needs, and a quarter more.

--- /dev/null
+++ b/pkg/cell/ends.go
@@ -0,0 +1,131 @@
+package cell
+
+import (
+	"slices"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// finished takes note of a run's end.
+func (c *Cell) finished(e *endpoint, end damsonwinch.Finished) {
+	t := c.findTask(end.Task)
+	if t == nil {
+		return
+	}
+	r := e.runs[end.Run]
+	if r == nil {
+		// An earlier look, or an earlier owner, has taken note of it, or its lease
+		// was taken to have run out. Only its success still tells something new.
+		if end.How == damsonwinch.EndedDone && !t.done && !t.phase.spec.Lasting {
+			c.complete(t)
+		}
+		return
+	}
+	if end.Checkpoint != "" {
+		t.saved = end.Checkpoint
+	}
+	c.resolve(r)
+	c.learn(r, end.How)
+	switch {
+	case end.How == damsonwinch.EndedDone && !t.phase.spec.Lasting:
+		if !r.adopted && !r.resumed {
+			c.statsOf(t.phase.job().queue).times.finished(c.now.Sub(r.since), t.phase.spec.EstimateMs)
+			c.learnedNew = true
+		}
+		c.complete(t)
+	case end.How == damsonwinch.EndedFailed && !t.phase.spec.Lasting:
+		c.note("run failed", r, "")
+		c.fail(t, r)
+	case len(t.runs) == 0:
+		c.makeReady(t)
+	}
+}
+
+// fail counts a failed attempt, and ends the job with the last one.
+func (c *Cell) fail(t *task, r *run) {
+	t.failed++
+	t.avoid = r.at.info.ID
+	j := t.phase.job()
+	if !j.ended() && failures(t) >= c.attemptsOf(j) {
+		c.stats.Failed++
+		c.end(j, wire.JobStateFailed, "task "+t.id().String()+" has failed too often")
+		return
+	}
+	if len(t.runs) == 0 {
+		c.makeReady(t)
+	}
+}
+
+// failures counts what fails a job: a task's failed attempts, or those of a whole
+// gang.
+func failures(t *task) int {
+	if !t.phase.spec.Gang {
+		return t.failed
+	}
+	sum := 0
+	for _, member := range t.phase.tasks {
+		sum += member.failed
+	}
+	return sum
+}
+
+// complete notes that a task is done, and what follows from that. A gang's members
+// are done together: one end stands for all.
+func (c *Cell) complete(t *task) {
+	if !t.phase.spec.Gang {
+		c.completeOne(t)
+		return
+	}
+	for _, member := range t.phase.tasks {
+		c.completeOne(member)
+	}
+}
+
+func (c *Cell) completeOne(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	p := t.phase
+	p.unready(t)
+	if !p.spec.Gang {
+		for _, copied := range slices.Clone(t.runs) {
+			c.stop(copied, "another attempt is done")
+		}
+	}
+	p.left--
+	c.touch(p.job())
+	if p.left == 0 {
+		c.completePhase(p)
+	}
+}
+
+// completePhase opens the phases that waited for this one, and ends the job with
+// its last phase.
+func (c *Cell) completePhase(p *phase) {
+	c.closePhase(p)
+	r := p.round
+	r.left--
+	for _, later := range r.phases {
+		for _, waited := range later.spec.After {
+			if waited == p.number {
+				later.waitsFor--
+			}
+		}
+		if later.waitsFor == 0 && later.left > 0 && !later.open {
+			c.openPhase(later)
+		}
+	}
+	j := r.job
+	if r.left > 0 || j.ended() || len(j.rounds) < j.roundsInAll() {
+		return
+	}
+	for _, other := range j.rounds {
+		if other.left > 0 {
+			return
+		}
+	}
+	c.stats.Completed++
+	c.end(j, wire.JobStateCompleted, "all tasks are done")
+}
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -127,11 +127,24 @@
 func (p *Planner) leastFor(donor, receiver *pool) int {
 	need := max(donor.need, int(math.Round(donor.usualNeed)))
 	if receiver.firm > p.has(receiver.name) || donor.slack() >= patientTimes*receiver.slack() {
-		return min(need, max(donor.firm, int(math.Round(donor.usualFirm))))
+		return min(need, max(donor.firm, int(math.Round(donor.usualFirm))), p.fairShare(donor, receiver))
 	}
 	return need
 }
 
+// fairShare returns how many boxes a pool keeps beside another one where both have more
+// work than boxes.
+func (p *Planner) fairShare(donor, receiver *pool) int {
+	wanted := min(float64(receiver.firm), receiver.usualFirm)
+	keeps := max(float64(donor.firm), donor.usualFirm)
+	both := float64(p.has(donor.name) + p.has(receiver.name))
+	return int(math.Ceil(both * keeps / (keeps + wanted) * shareMargin))
+}
+
+// shareMargin is how much more than its share of two short pools' boxes a pool keeps: two
+// moves cost about six seconds of a box.
+const shareMargin = 1.25
+
 func (p *Planner) isParking(name string) bool {
 	known := p.pools[name]
 	return known != nil && known.parking
