--- /dev/null
+++ b/pkg/cell/decode_test.go
@@ -0,0 +1,78 @@
+package cell_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/wire"
+)
+
+// FuzzSubmit hands in whatever clients may send, on a cell with an endpoint, and has the
+// next owner read what was recorded.
+func FuzzSubmit(f *testing.F) {
+	for _, spec := range []wire.JobSpec{
+		{Text: "text", Phases: []wire.Phase{{Count: 3, Cpu: 1000, MemoryMb: 10, EstimateMs: 500}, {Count: 1, After: []int{0}}}},
+		{Text: "gang", Phases: []wire.Phase{{Count: 4, Cpu: 500, Gang: true, SameRack: true}}},
+		{Text: "lasts", Phases: []wire.Phase{{Count: 2, Cpu: 500, Lasting: true, AwayAtMost: 1, MostPerBox: 1}, {Count: 1, Fills: true, Lasting: true}}},
+		{Text: "times", Rounds: 5, EveryMs: 100, FirstMs: 1, Phases: []wire.Phase{{Count: 1, Copies: true, Checkpoints: true}}},
+	} {
+		text, err := json.Marshal(spec)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	options := cell.Options{MostLease: 10 * time.Second, TokenGrace: 5 * time.Second, StopTime: 400 * time.Millisecond, StartLate: 2 * time.Second, KeepEnded: time.Minute}
+	queues := []damsonwinch.Queue{{Name: "queue", Pool: "pool", MostAttempts: 3, Extension: 2, Target: time.Second}}
+	listed := []damsonwinch.Endpoint{{ID: "e1", Pool: "pool", Box: "b1", Zone: "z", Rack: "r1-1", Labels: []string{"r1-1"}, Capacity: damsonwinch.Resources{CPU: 8000, MemoryMB: 16000}}}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var spec wire.JobSpec
+		if json.Unmarshal(text, &spec) != nil || rounds(spec) > 1000 {
+			return
+		}
+		now := time.UnixMilli(1_700_000_000_000)
+		c := cell.New(options, 1)
+		c.Configure(now, queues)
+		c.SetEndpoints(now, listed)
+		c.Submit(now, wire.JobArgs{Id: "job", Queue: "queue", Cell: "pool", Spec: &spec, ReceivedMs: int(now.UnixMilli())}, 1)
+		var records []damsonwinch.Record
+		for range 40 {
+			now = now.Add(100 * time.Millisecond)
+			c.Tick(now)
+			effects := c.Take()
+			for _, look := range effects.Looks {
+				c.Looked(now, look.At.ID, look.Number, damsonwinch.Look{}, nil)
+			}
+			if effects.Commit != nil {
+				records = append(records, effects.Commit.Records...)
+				c.Committed(now, effects.Commit.Number)
+			}
+		}
+		newest := map[string]damsonwinch.Record{}
+		for _, record := range records {
+			newest[record.Key] = record
+			if len(record.Value) == 0 {
+				delete(newest, record.Key)
+			}
+		}
+		left := make([]damsonwinch.Record, 0, len(newest))
+		for _, record := range newest {
+			left = append(left, record)
+		}
+		if err := cell.New(options, 2).Load(now, left); err != nil {
+			t.Errorf("the next owner can't read what was recorded: %v", err)
+		}
+	})
+}
+
+// rounds bounds what one run of the test may take.
+func rounds(spec wire.JobSpec) int {
+	tasks := 0
+	for _, phase := range spec.Phases {
+		tasks += max(0, phase.Count)
+	}
+	return max(1, tasks) * max(1, spec.Rounds)
+}
