--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -58,8 +58,9 @@
 	// those in between: a node with a slow link would fall ever further behind.
 	NewestOnly bool
 	// Snapshot is given all newest records, at first and whenever the store has
-	// dropped what came after the last reading.
-	Snapshot func(records []damsonwinch.Record, end int)
+	// dropped what came after the last reading. AskedAt is when the first page was asked
+	// for: a record is as it was at that time or later.
+	Snapshot func(records []damsonwinch.Record, end int, askedAt time.Time)
 	// Added is given what was added, in order. It may be empty: the store has
 	// answered that there is nothing new. AskedAt is when the reading was sent.
 	Added func(records []damsonwinch.Record, end int, askedAt time.Time)
@@ -165,9 +166,9 @@
 	if err := f.scan.Run(ctx); err != nil {
 		return err
 	}
-	records, end := f.scan.Records()
+	records, end, askedAt := f.scan.Records()
 	f.scan, f.started, f.next = nil, true, end
-	f.options.Snapshot(records, end)
+	f.options.Snapshot(records, end, askedAt)
 	return nil
 }
 
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -45,7 +45,7 @@
 	}
 	f := New(Deps{Store: store, Clock: clockwork.NewRealClock(), Logger: logger, Metrics: metrics.New()}, Options{
 		Stream: damsonwinch.Stream{Topic: "keyed.test"}, NewestOnly: newestOnly,
-		Snapshot: func(records []damsonwinch.Record, _ int) { give(records) },
+		Snapshot: func(records []damsonwinch.Record, _ int, _ time.Time) { give(records) },
 		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { give(records) },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -81,12 +81,46 @@
 	for tries := 1; scan.Run(t.Context()) != nil; tries++ {
 		assert.Assert(t, tries < pages)
 	}
-	records, from := scan.Records()
+	records, from, _ := scan.Records()
 	assert.Equal(t, len(records), pages)
 	assert.Equal(t, from, 101, "the first page's end: what came meanwhile is read again")
 	assert.Equal(t, asked[""], 1, "the first page is read once")
 }
 
+// TestASnapshotIsAsOldAsItsFirstPage also where a later page came after an outage: who
+// goes by the age of what it knows, as owners of cells do, must not take it for newer.
+func TestASnapshotIsAsOldAsItsFirstPage(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	begun, tries := clock.Now(), 0
+	store := &stored{
+		newest: func(after string) (damsonwinch.KeyPage, error) {
+			if after == "" {
+				return damsonwinch.KeyPage{Records: value("first"), More: true, End: 1}, nil
+			}
+			tries++
+			clock.Advance(time.Second)
+			if tries < 5 {
+				return damsonwinch.KeyPage{}, errLost
+			}
+			return damsonwinch.KeyPage{Records: []damsonwinch.Record{{Key: "last"}}, End: 1}, nil
+		},
+		read: func(ctx context.Context, _ int) (damsonwinch.Page, error) {
+			<-ctx.Done()
+			return damsonwinch.Page{}, ctx.Err()
+		},
+	}
+	given := make(chan time.Time, 1)
+	f := New(Deps{Store: store, Clock: clock, Logger: logrus.New(), Metrics: metrics.New()}, Options{
+		Snapshot: func(_ []damsonwinch.Record, _ int, askedAt time.Time) { given <- askedAt },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for f.step(ctx) != nil {
+		assert.Assert(t, tries < 5)
+	}
+	assert.Equal(t, <-given, begun)
+}
+
 // TestAReaderFarBehindGoesOnWithTheNewest where only the newest record of a key matters:
 // on a slow link the versions in between took longer to read than to be written.
 func TestAReaderFarBehindGoesOnWithTheNewest(t *testing.T) {
--- a/pkg/feed/scan.go
+++ b/pkg/feed/scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"damsonwinch"
 	"damsonwinch/pkg/idle"
@@ -16,10 +17,11 @@
 	stream damsonwinch.Stream
 
 	records []damsonwinch.Record
-	begun   bool
 	done    bool
-	// end is that of the first page: what came later is read again, which does no harm.
-	end int
+	// askedAt is when the first page that came was asked for, and end the stream's end
+	// that it told: what came later is read again, which does no harm.
+	askedAt time.Time
+	end     int
 }
 
 // NewScan returns a scan that has read nothing yet.
@@ -37,9 +39,9 @@
 	return nil
 }
 
-// Records returns what has been read, and the stream's end when that began.
-func (s *Scan) Records() ([]damsonwinch.Record, int) {
-	return s.records, s.end
+// Records returns what has been read, and the stream's end and the time when that began.
+func (s *Scan) Records() (records []damsonwinch.Record, end int, askedAt time.Time) {
+	return s.records, s.end, s.askedAt
 }
 
 func (s *Scan) page(ctx context.Context) error {
@@ -49,12 +51,13 @@
 	if last := len(s.records) - 1; last >= 0 {
 		after = s.records[last].Key
 	}
+	askedAt := s.clock.Now()
 	got, err := s.store.Newest(limited, s.stream, after)
 	if err != nil {
 		return err
 	}
-	if !s.begun {
-		s.begun, s.end = true, got.End
+	if s.askedAt.IsZero() {
+		s.askedAt, s.end = askedAt, got.End
 	}
 	s.records = append(s.records, got.Records...)
 	s.done = !got.More || len(got.Records) == 0
--- a/pkg/node/endpoints.go
+++ b/pkg/node/endpoints.go
@@ -23,8 +23,10 @@
 func (n *Node) followEndpoints() error {
 	feed.New(n.feedDeps(), feed.Options{
 		Stream: n.deps.Platform.EndpointStream, Pause: n.endpointPause, Wanted: n.owning.Load, Wake: n.follow,
-		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(endpointRecords{records: records, snapshot: true}) },
-		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(endpointRecords{records: records}) },
+		Snapshot: func(records []damsonwinch.Record, _ int, _ time.Time) {
+			n.send(endpointRecords{records: records, snapshot: true})
+		},
+		Added: func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(endpointRecords{records: records}) },
 	}).Run(n.ctx)
 	return nil
 }
--- a/pkg/node/operator.go
+++ b/pkg/node/operator.go
@@ -17,7 +17,7 @@
 	const wait = time.Second
 	feed.New(n.feedDeps(), feed.Options{
 		Stream: n.deps.Platform.OperatorStream, Wait: wait, NewestOnly: true,
-		Snapshot: func(records []damsonwinch.Record, _ int) { n.send(operatorRecords{records}) },
+		Snapshot: func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(operatorRecords{records}) },
 		Added:    func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(operatorRecords{records}) },
 	}).Run(n.ctx)
 	return nil
--- a/pkg/stream/writer.go
+++ b/pkg/stream/writer.go
@@ -65,7 +65,7 @@
 	}
 	scan := feed.NewScan(w.deps.Store, w.deps.Clock, w.stream)
 	err := w.insist(ctx, scan.Run)
-	records, _ := scan.Records()
+	records, _, _ := scan.Records()
 	return records, err
 }
 
