Correct figures on the burst that went beyond the logs that were read

Read whole, it shows 39 boxes until 30.4 s, of which 10 s with nothing in time left; of 139 jobs owed, 19 were in time, 60 late and 60 failed.

--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -56,9 +56,9 @@
 	need  int
 	peaks []peak
 	// firm is how many boxes the work that is there and can be in time takes. What is late
-	// doesn't count: after a burst a pool kept 39 of 49 boxes for 12 s for work that was
-	// worth nothing any more, while 126 of the next pool's 145 jobs became late. Worth 0.034
-	// of a day's 1.0 with a burst of five times the traffic for 10 s, by eight paired plays.
+	// doesn't count: after a burst a pool kept 39 of 49 boxes for 10 s in which it had late
+	// work only, and 120 of the next pool's 139 jobs were not in time. Worth 0.034 of a
+	// day's 1.0 with a burst of five times the traffic for 10 s, by eight paired plays.
 	firm int
 	// usualNeed and usualFirm are running means of both, by which the pool gives boxes.
 	usualNeed  float64
