Planner: boxes for the largest tasks beside lasting ones, and for late jobs that stand still

All 38 boxes of its cell had a lasting task each; 593 of 1,216 cores were in use, so that by sums of cores the cell needed no box more. Ruled out: the placing of tasks (no box had 29 cores free) and parked boxes (303 to 700 were idle). The fault is older than shards, where it was hidden by boxes that the rest of the pool had. Change: cells report boxes that tasks too large for the room beside lasting ones take or wait for, and a task's room for each late job of which nothing runs; the planner counts the first beside the boxes with lasting tasks, and the second where most of the pool's room is idle. What a cell keeps free for jobs to come is less by the root of the number of shards, its least boxes are the pool's two divided. A core sees to 400 busy boxes (0.25 ms a task): three shards for 1,100 boxes, one for 349. Tests: scripts of a cell's report and of the planner, which ask for the boxes; without the change nothing moves.

--- a/pkg/cell/demand.go
+++ b/pkg/cell/demand.go
@@ -48,9 +48,57 @@
 		report.MemoryShare = memory * wholeBox / boxMemory
 	}
 	report.Spread = c.spread()
+	c.reportWhole(&report)
 	return report
 }
 
+// reportWhole adds what asks for boxes without lasting tasks: the largest tasks don't fit
+// beside one. A job of tasks of 29 cores stood still for 15 s beside 38 boxes of 32 cores,
+// half of whose room was free in sum.
+func (c *Cell) reportWhole(report *wire.SyncReply) {
+	var box, beside damsonwinch.Resources
+	for _, e := range c.ranked {
+		box = most(box, e.info.Capacity)
+		if lasting := e.lastingNeed(); lasting != (damsonwinch.Resources{}) {
+			report.LastingBoxes++
+			beside = most(beside, e.info.Capacity.Minus(lasting))
+		}
+	}
+	if report.LastingBoxes == 0 {
+		return
+	}
+	nowMs := int(c.now.UnixMilli())
+	add := func(p *phase, count int, late bool) {
+		need := p.need()
+		if p.spec.Lasting || beside.Holds(need) {
+			return
+		}
+		if late {
+			report.WholeLateBoxes += count * wholeBox / perBox(box, need)
+			return
+		}
+		report.WholeBoxes += count * wholeBox / perBox(box, need)
+	}
+	for _, p := range c.open {
+		add(p, len(p.ready), p.late(nowMs))
+	}
+	for _, e := range c.ranked {
+		for _, r := range e.ordered {
+			add(r.task.phase, 1, r.late)
+		}
+	}
+}
+
+// most returns the larger one of each kind of room.
+func most(a, b damsonwinch.Resources) damsonwinch.Resources {
+	return damsonwinch.Resources{CPU: max(a.CPU, b.CPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPU: max(a.GPU, b.GPU)}
+}
+
+// perBox returns how many tasks of a need an empty box holds, 1 at least.
+func perBox(box, need damsonwinch.Resources) int {
+	return max(1, min(box.CPU/max(1, need.CPU), box.MemoryMB/max(1, need.MemoryMB)))
+}
+
 // wholeBox is a box's room in the unit of shares.
 const wholeBox = 1000
 
@@ -66,6 +114,9 @@
 		}
 		if p.late(nowMs) {
 			report.LateCpu += len(p.ready) * need.CPU
+			if p.job().runs == 0 {
+				report.StalledCpu += need.CPU
+			}
 			continue
 		}
 		memory += len(p.ready) * need.MemoryMB
--- a/pkg/cell/overload.go
+++ b/pkg/cell/overload.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"damsonwinch"
 	"damsonwinch/pkg/triage"
 )
 
@@ -52,7 +53,7 @@
 			continue
 		}
 		free += max(0, e.free().CPU)
-		turning += e.info.Capacity.CPU - e.lastingCPU()
+		turning += e.info.Capacity.CPU - e.lastingNeed().CPU
 	}
 	taskMs := c.taskMs()
 	if taskMs == 0 {
@@ -64,11 +65,12 @@
 // usualTask is the time of a task while none has ended yet.
 const usualTask = time.Second
 
-func (e *endpoint) lastingCPU() int {
-	sum := 0
+// lastingNeed returns the room that lasting tasks take at an endpoint.
+func (e *endpoint) lastingNeed() damsonwinch.Resources {
+	var sum damsonwinch.Resources
 	for _, r := range e.ordered {
 		if r.task.phase.spec.Lasting {
-			sum += r.task.phase.need().CPU
+			sum = sum.Plus(r.task.phase.need())
 		}
 	}
 	return sum
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -112,6 +112,9 @@
 	case "report":
 		report := s.cell.Report(s.now)
 		return fmt.Sprintf("lasting %d, running %d, waiting %d, late %d, memory %d\n", report.LastingCpu, report.RunningCpu, report.WaitingCpu, report.LateCpu, report.MemoryShare)
+	case "report-whole":
+		report := s.cell.Report(s.now)
+		return fmt.Sprintf("lasting on %d boxes, whole boxes %d, late %d, stalled %d\n", report.LastingBoxes, report.WholeBoxes, report.WholeLateBoxes, report.StalledCpu)
 	case "wake":
 		return fmt.Sprintf("in %d ms\n", s.cell.Wake().Sub(s.now).Milliseconds())
 	case "show":
--- a/pkg/shard/count.go
+++ b/pkg/shard/count.go
@@ -4,9 +4,11 @@
 
 // Grounds of the number of shards.
 const (
-	// boxesPerCore is the number of busy boxes whose work a whole core can see to: a box
-	// of 32 cores ends some nine tasks a second, and a task takes its owner up to 0.35 ms.
-	boxesPerCore = 310
+	// boxesPerCore is the number of busy boxes whose work a whole core can see to: one of
+	// 32 cores ends some 4.5 tasks a second when demand is at its highest, and a task takes
+	// its owner 0.25 ms. More than half of the core is left for takeovers, clients' calls
+	// and a machine that is slower than it should be.
+	boxesPerCore = 400
 	// busyShare is the part of a fleet's boxes, in percent, that a single pool may have
 	// when demand turns to it.
 	busyShare = 80
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -33,7 +33,8 @@
 	// ArrivalTime is added to a move's own time until a box has work.
 	ArrivalTime = 500 * time.Millisecond
 	// reserve is room that every pool keeps free for jobs to come, in thousandths
-	// of a box.
+	// of a box. That of each cell of a pool in several shards is less by the root of
+	// their number, as what comes by chance is.
 	reserve = 1700
 	// averageTime is the time over which a pool's need is averaged where it is asked for
 	// boxes: what waits comes and goes within 0.1 s, and a box that is given and taken
@@ -41,15 +42,24 @@
 	averageTime = 600 * time.Millisecond
 	// leastBoxes keeps a pool through the loss of a box or a zone.
 	leastBoxes = 2
+	// busyShare is the part of a pool's room, in percent, from which late jobs of which
+	// nothing runs have to wait for those that do. Below, each gets room for a task: the
+	// pool's other cells can't help, and users see a job that stands still beside idle
+	// boxes.
+	busyShare = 50
 )
 
 // cell is a pool's boxes of one shard as the planner knows them.
 type cell struct {
 	name string
 	// pool and shard are those of which it is.
-	pool       string
-	shard      int
-	parking    bool
+	pool    string
+	shard   int
+	parking bool
+	// shards is the number of the pool's cells.
+	shards int
+	// idle says that most of the pool's room isn't used.
+	idle       bool
 	report     wire.SyncReply
 	reportedAt time.Time
 	// unread says that the report is newer than the need.
@@ -80,16 +90,34 @@
 	return l.report.Known && now.Sub(l.reportedAt) <= reportTime
 }
 
-// learnNeeds works out the needs of the pools that have reported.
+// learnNeeds works out the needs of the cells that have reported.
 func (p *Planner) learnNeeds() {
+	idle := p.idlePools()
 	for _, name := range p.names {
 		if l := p.cells[name]; l.unread {
 			l.unread = false
+			l.idle = idle[l.pool]
 			p.learnNeed(l, p.now)
 		}
 	}
 }
 
+// idlePools returns the pools most of whose room isn't used, over all shards.
+func (p *Planner) idlePools() map[string]bool {
+	used, room := map[string]int{}, map[string]int{}
+	for _, b := range p.order {
+		if b.report != nil && b.report.Usable {
+			used[b.info.Pool] += b.report.UsedCpu
+			room[b.info.Pool] += b.info.Capacity.CPU
+		}
+	}
+	idle := make(map[string]bool, len(room))
+	for pool, cpu := range room {
+		idle[pool] = used[pool]*100 < cpu*busyShare
+	}
+	return idle
+}
+
 // learnNeed works out how many boxes the pool should have: for the work that
 // comes, for what waits, and for what will have piled up by the time that new
 // boxes come.
@@ -100,13 +128,16 @@
 	}
 	inTime := l.report.RunningCpu + l.report.WaitingCpu
 	reactive := inTime + l.lateCPU()
+	if l.idle {
+		reactive = max(reactive, inTime+l.report.RunningLateCpu+l.report.StalledCpu)
+	}
 	cpu := max(reactive, p.predicted(l, boxCPU))
-	l.need = l.boxesFor(l.report.LastingCpu+cpu, boxCPU)
-	l.firm = l.boxesFor(l.report.LastingCpu+inTime, boxCPU)
+	l.need = max(l.boxesFor(l.report.LastingCpu+cpu, boxCPU), l.wholeBoxes(l.wholeLate()))
+	l.firm = max(l.boxesFor(l.report.LastingCpu+inTime, boxCPU), l.wholeBoxes(0))
 	l.average(now)
 	steady := max(reactive, l.report.SteadyCpu*(100+growth)/100)
 	hold := time.Duration(int64(p.options.Hold) * int64(l.slack()) / int64(usualSlack))
-	l.remember(now, hold, l.boxesFor(l.report.LastingCpu+steady, boxCPU))
+	l.remember(now, hold, max(l.boxesFor(l.report.LastingCpu+steady, boxCPU), l.wholeBoxes(l.wholeLate())))
 }
 
 // predicted returns the processor room, in thousandths of a core, for the work that
@@ -123,15 +154,30 @@
 	return max(l.report.OfferedCpu*(100+growth)/100, l.report.RunningCpu) + 2*behind/int(l.slack().Milliseconds())
 }
 
-// lateCPU returns the processor room that the pool gets for late jobs' work.
+// lateCPU returns the processor room that the cell gets for late jobs' work.
 func (l *cell) lateCPU() int {
 	return (l.report.RunningLateCpu + l.report.LateCpu) * lateShare / 100
 }
 
+// wholeBoxes returns the number of boxes for lasting tasks and for the tasks that don't fit
+// beside them, those of late jobs as far as told, in thousandths of a box.
+func (l *cell) wholeBoxes(late int) int {
+	return l.report.LastingBoxes + (l.report.WholeBoxes+late+wholeBox-1)/wholeBox
+}
+
+// wholeLate returns what such tasks of late jobs get, in thousandths of a box: some of it
+// goes on in any case.
+func (l *cell) wholeLate() int {
+	if l.report.WholeLateBoxes == 0 {
+		return 0
+	}
+	return max(wholeBox, l.report.WholeLateBoxes*lateShare/100)
+}
+
 // boxesFor returns the number of boxes for a need of processor.
 func (l *cell) boxesFor(cpu, boxCPU int) int {
-	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*memoryGrowth/100) + reserve
-	return max(leastBoxes, l.report.Spread, (share+wholeBox-1)/wholeBox)
+	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*memoryGrowth/100) + int(reserve/math.Sqrt(float64(l.shards)))
+	return max((leastBoxes+l.shards-1)/l.shards, l.report.Spread, (share+wholeBox-1)/wholeBox)
 }
 
 // average brings the running means up to date.
--- a/pkg/supply/script_test.go
+++ b/pkg/supply/script_test.go
@@ -40,7 +40,8 @@
 // TestScripts plays the planner's data files. Commands:
 //
 //	fleet shards=N: lines "pool boxes", the first one's boxes are off
-//	report pool=P shard=N lasting=C running=C waiting=C late=C steady=C offered=C slack=MS: cores
+//	report pool=P shard=N lasting=C running=C waiting=C late=C steady=C offered=C slack=MS stalled=C: cores,
+//	  spread=N lasting-boxes=N: boxes, whole=N whole-late=N: thousandths of a box
 //	busy pool=P boxes=N ms=MS: the first N boxes of a pool have work for so long
 //	lasting box=B tasks=N: a box has lasting tasks
 //	wave number=N down=N s=S pools=(P, ...): all boxes of some pools are due
@@ -122,6 +123,8 @@
 	cores := func(key string) int { return number(s.t, d, key) * 1000 }
 	reply := wire.SyncReply{
 		Known: true, TaskMs: 1000, SlackMs: number(s.t, d, "slack"), LastingCpu: cores("lasting"), RunningCpu: cores("running"), RunningLateCpu: cores("running-late"),
+		LastingBoxes: number(s.t, d, "lasting-boxes"), Spread: number(s.t, d, "spread"), StalledCpu: cores("stalled"),
+		WholeBoxes: number(s.t, d, "whole"), WholeLateBoxes: number(s.t, d, "whole-late"),
 		WaitingCpu: cores("waiting"), LateCpu: cores("late"), SteadyCpu: cores("steady"), OfferedCpu: max(cores("steady"), cores("offered")),
 	}
 	in := number(s.t, d, "shard")
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -947,6 +947,9 @@
 	// This node owns the cell and has loaded it.
 	Known bool `json:"known"`
 
+	// Boxes on which lasting tasks run.
+	LastingBoxes int `json:"lasting_boxes,omitempty,omitzero"`
+
 	// Thousandths of a core that lasting tasks take or ask for.
 	LastingCpu int `json:"lasting_cpu,omitempty,omitzero"`
 
@@ -976,6 +979,10 @@
 	// Boxes that lasting tasks need so as not to share one.
 	Spread int `json:"spread,omitempty,omitzero"`
 
+	// Thousandths of a core that one ready task of each late job takes of which
+	// nothing runs.
+	StalledCpu int `json:"stalled_cpu,omitempty,omitzero"`
+
 	// The same without the rise that is expected to go on.
 	SteadyCpu int `json:"steady_cpu,omitempty,omitzero"`
 
@@ -984,6 +991,13 @@
 
 	// Thousandths of a core that ready tasks wait for.
 	WaitingCpu int `json:"waiting_cpu,omitempty,omitzero"`
+
+	// Boxes that tasks take or wait for, in thousandths, which are too large for the
+	// room beside any lasting task, and whose jobs can be in time.
+	WholeBoxes int `json:"whole_boxes,omitempty,omitzero"`
+
+	// The same for those of late jobs.
+	WholeLateBoxes int `json:"whole_late_boxes,omitempty,omitzero"`
 }
 
 // WaveRecord is how far a wave is, in the planner's stream.
