An owner that works is not taken for lost; one that can't keep up refuses new jobs

Cause: an heir took a cell whose owner had left questions unanswered for 0.35 s. Submissions of unknown jobs that waited 0.7 s in an owner's inbox are refused, with times to come back spread over 0.7 to 2 s; of a job that is known a refusal would not be true.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -182,6 +182,11 @@
 	return len(c.open) > 0
 }
 
+// Knows says whether a job has been handed in, and not been forgotten or refused.
+func (c *Cell) Knows(id string) bool {
+	return c.jobs[id] != nil
+}
+
 // Show returns what may be told of a job.
 func (c *Cell) Show(id string) (wire.JobState, bool) {
 	j, known := c.jobs[id]
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -146,7 +146,7 @@
 	n.ownership = ownership.New(ownership.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, Changed: n.viewChanged,
 		AskPeer: n.router.Claims,
-	}, ownership.Options{Self: options.Self, TTL: options.TTL, FirstStart: options.FirstStart})
+	}, ownership.Options{Self: options.Self, TTL: options.TTL, Partitions: options.Partitions, FirstStart: options.FirstStart})
 	group.Go(n.run)
 	group.Go(n.followOperator)
 	group.Go(n.followEndpoints)
--- a/pkg/owner/calls.go
+++ b/pkg/owner/calls.go
@@ -13,13 +13,13 @@
 // Submit implements damsonwinch.Jobs.
 func (o *Owner) Submit(ctx context.Context, args wire.JobArgs) wire.JobReply {
 	reply := make(chan wire.JobReply, 1)
-	return o.ask(ctx, clientCall{args: args, reply: reply}, reply)
+	return o.ask(ctx, clientCall{args: args, at: o.deps.Clock.Now(), reply: reply}, reply)
 }
 
 // Cancel implements damsonwinch.Jobs.
 func (o *Owner) Cancel(ctx context.Context, args wire.JobArgs) wire.JobReply {
 	reply := make(chan wire.JobReply, 1)
-	return o.ask(ctx, clientCall{args: args, cancel: true, reply: reply}, reply)
+	return o.ask(ctx, clientCall{args: args, at: o.deps.Clock.Now(), cancel: true, reply: reply}, reply)
 }
 
 // Show implements damsonwinch.Jobs.
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -92,12 +92,18 @@
 
 // clientCall is a client's call that changes a job.
 type clientCall struct {
-	args   wire.JobArgs
+	args wire.JobArgs
+	// at is when the call came to the owner.
+	at     time.Time
 	cancel bool
 	reply  chan<- wire.JobReply
 }
 
 func (m clientCall) apply(o *Owner, now time.Time) {
+	if !m.cancel && o.behind(now, m) {
+		m.reply <- o.refuseBehind(now, m)
+		return
+	}
 	o.ticket++
 	o.calls[o.ticket] = m.reply
 	if m.cancel {
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -50,6 +50,9 @@
 			o.deps.Logger.WithError(err).WithField("cell", record.Key).Error("claim not understood")
 			continue
 		}
+		if !m.snapshot && s.claims[record.Key].Token != record.Offset+1 {
+			s.claimedAt[record.Key] = o.deps.Clock.Now()
+		}
 		s.claims[record.Key] = Claim{CellClaim: claim, Token: record.Offset + 1}
 		// A restarted node need not find out again how many topics show all members.
 		s.topics = min(max(s.topics, claim.Topics), mostTopics)
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -92,6 +92,8 @@
 	Self Member
 	// TTL is how long the group keeps a silent node.
 	TTL time.Duration
+	// Partitions is how many partitions a topic has.
+	Partitions int
 	// FirstStart says that the system starts for the first time.
 	FirstStart bool
 }
@@ -112,8 +114,10 @@
 
 // state is what the task knows.
 type state struct {
-	cells      []string
-	claims     map[string]Claim
+	cells  []string
+	claims map[string]Claim
+	// claimedAt is when a cell's claim was seen to be made, zero for one that stood before.
+	claimedAt  map[string]time.Time
 	end        int
 	claimsRead bool
 	confirmed  time.Time
@@ -207,6 +211,14 @@
 		cell  string
 		token int
 	}
+	// workRead is the sum of the ends of the streams of a node's cells.
+	workRead struct {
+		node        string
+		incarnation int
+		askedAt     time.Time
+		ends        int
+		err         error
+	}
 	proofHeard struct {
 		node        string
 		incarnation int
@@ -222,7 +234,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]Claim{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topics: 1, outdated: noEnd, renounced: map[string]int{}, proofs: map[string]proof{}},
+		state: state{claims: map[string]Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topics: 1, outdated: noEnd, renounced: map[string]int{}, proofs: map[string]proof{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
@@ -329,6 +341,8 @@
 		o.suspect(m, now)
 	case proofHeard:
 		o.takeProof(m, now)
+	case workRead:
+		o.takeWork(m, now)
 	case layoutDecided:
 		s.layoutWanted = m.layout
 	case layoutWritten:
