Pending counts jobs until a task is known to have started

A job counted as begun when an endpoint was chosen for a task; while an owner's records were seconds late, hundreds of starts were chosen and none ordered. Ruled out: the sum over nodes (one owner then) and jobs not kept yet. Change: a start that is answered, a look or an end shows that a job has begun; its state is shown as before.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -193,7 +193,7 @@
 	if !known || !j.recorded {
 		return "", false
 	}
-	if j.shown == wire.JobStateQueued && j.begun {
+	if j.shown == wire.JobStateQueued && j.placed {
 		return wire.JobStateRunning, true
 	}
 	return j.shown, true
--- a/pkg/cell/ends.go
+++ b/pkg/cell/ends.go
@@ -13,6 +13,7 @@
 	if t == nil {
 		return
 	}
+	t.phase.job().begun = true
 	r := e.runs[end.Run]
 	if r == nil {
 		// An earlier look, or an earlier owner, has taken note of it, or its lease
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -28,7 +28,9 @@
 	shown wire.JobState
 	// recorded says that the stream holds the job.
 	recorded bool
-	// begun says that a task has started.
+	// placed says that an endpoint has been chosen for a task, and begun that a task is
+	// known to have started.
+	placed bool
 	begun  bool
 	rounds []*round
 	// runs counts attempts that may be running.
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -217,6 +217,7 @@
 }
 
 func (c *Cell) seenRunning(r *run, row damsonwinch.Running) {
+	r.task.phase.job().begun = true
 	r.pace.see(c.now, row.Percent)
 	c.signal(r)
 	r.percent, r.load = row.Percent, row.Load
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -124,7 +124,8 @@
 	if t == nil {
 		return fmt.Errorf("no task %v", row[:columnAttempt])
 	}
-	j.begun = true
+	j.placed = true
+	j.begun = j.begun || row[columnDone] != 0 || row[columnFailed] > 0
 	t.attempt, t.failed = row[columnAttempt], row[columnFailed]
 	for runs := row[columnRuns:]; len(runs) > 0; runs = runs[runColumns:] {
 		attempt, at := runs[0], runs[1]
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -68,7 +68,7 @@
 	t.attempt++
 	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != "", speed: wholePercent, late: t.phase.late(int(c.now.UnixMilli()))}
 	c.attach(r)
-	t.phase.job().begun = true
+	t.phase.job().placed = true
 	if t.attempt > 1 {
 		c.stats.Reruns++
 	}
@@ -140,6 +140,7 @@
 	switch {
 	case err == nil:
 		r.state, r.knownAt = runConfirmed, c.step
+		r.task.phase.job().begun = true
 		if r.stopping {
 			c.stop(r, "asked for before it began")
 		}
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -117,6 +117,8 @@
 		return fmt.Sprintf("lasting on %d boxes, whole boxes %d, late %d, stalled %d\n", report.LastingBoxes, report.WholeBoxes, report.WholeLateBoxes, report.StalledCpu)
 	case "wake":
 		return fmt.Sprintf("in %d ms\n", s.cell.Wake().Sub(s.now).Milliseconds())
+	case "pending":
+		return fmt.Sprintf("%d\n", s.cell.Pending("queue"))
 	case "show":
 		state, known := s.cell.Show(arg(s.t, d, "id"))
 		return fmt.Sprintf("%q %v\n", state, known)
