--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -46,6 +46,8 @@
 	// endpoint is heard of before.
 	leaseBound time.Time
 	looks      looks
+	// lapses are attempts there of which it isn't known how they ended.
+	lapses []lapse
 	// wantLook asks for a look that doesn't wait.
 	wantLook bool
 	// seen is the highest end that has been taken into the state, and recorded the
@@ -149,12 +151,17 @@
 	c.sweepEndpoints()
 }
 
+// lapseTime is how long an endpoint whose entry has gone may come back and tell how attempts
+// there have ended, once their leases have run out. The users' cuts last up to 14 s.
+const lapseTime = 15 * time.Second
+
 // sweepEndpoints forgets endpoints that are neither listed nor hold a run.
 func (c *Cell) sweepEndpoints() {
 	c.ranked = slices.DeleteFunc(c.ranked, func(e *endpoint) bool {
-		if e.listed || len(e.runs) > 0 {
+		if e.listed || len(e.runs) > 0 || len(e.lapses) > 0 && !e.gone && c.now.Before(e.leaseBound.Add(lapseTime)) {
 			return false
 		}
+		c.forgetLapses(e)
 		delete(c.endpoints, e.info.ID)
 		e.zone.rooms.drop(e)
 		c.dropEndpoint(e)
@@ -201,6 +208,7 @@
 		c.noteEndpoint("endpoint lost", e, why)
 	}
 	e.gone = true
+	c.forgetLapses(e)
 	for _, r := range e.sortedRuns() {
 		if r.state == runIntended {
 			// The commit takes it back.
@@ -221,8 +229,7 @@
 		c.noteEndpoint("leases lapsed", e, "out of reach")
 		for _, r := range e.sortedRuns() {
 			if r.state != runIntended {
-				c.stats.Lapsed++
-				c.again(r)
+				c.lapsed(r)
 			}
 		}
 	}
--- a/pkg/cell/ends.go
+++ b/pkg/cell/ends.go
@@ -17,7 +17,10 @@
 	r := e.runs[end.Run]
 	if r == nil {
 		// An earlier look, or an earlier owner, has taken note of it, or its lease
-		// was taken to have run out. Only its success still tells something new.
+		// was taken to have run out.
+		if c.takeLapse(e, end) && end.How == damsonwinch.EndedFailed && !t.phase.spec.Lasting {
+			c.countFailure(t)
+		}
 		if end.How == damsonwinch.EndedDone && !t.done && !t.phase.spec.Lasting {
 			c.complete(t)
 		}
@@ -43,18 +46,23 @@
 	}
 }
 
-// fail counts a failed attempt, and ends the job with the last one.
+// fail takes note of a failed attempt.
 func (c *Cell) fail(t *task, r *run) {
-	t.failed++
 	t.avoid = r.at.info.ID
+	c.countFailure(t)
+	if len(t.runs) == 0 {
+		c.makeReady(t)
+	}
+}
+
+// countFailure counts a failed attempt, and ends the job with the last one.
+func (c *Cell) countFailure(t *task) {
+	t.failed++
 	j := t.phase.job()
-	if !j.ended() && failures(t) >= c.attemptsOf(j) {
+	c.touch(j)
+	if !t.done && !j.ended() && failures(t) >= c.attemptsOf(j) {
 		c.stats.Failed++
 		c.end(j, wire.JobStateFailed, "task "+t.id().String()+" has failed too often")
-		return
-	}
-	if len(t.runs) == 0 {
-		c.makeReady(t)
 	}
 }
 
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -64,6 +64,9 @@
 
 // whyNot says why no endpoint takes a task now.
 func (c *Cell) whyNot(t *task) string {
+	if c.held(t) {
+		return fmt.Sprintf("%d attempts at endpoints out of reach may have failed", t.lapses)
+	}
 	reasons := map[string]int{}
 	for _, e := range c.ranked {
 		reasons[c.obstacle(t, e)]++
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -157,7 +157,7 @@
 func (c *Cell) rescue(e *endpoint, times float64) {
 	c.copyRuns(e)
 	for _, r := range e.sortedRuns() {
-		if r.stopping || r.state != runConfirmed || r.task.phase.spec.Lasting || r.task.phase.spec.Copies {
+		if r.stopping || r.state != runConfirmed || r.task.phase.spec.Lasting || r.task.phase.spec.Copies || !c.fitsElsewhere(r) {
 			continue
 		}
 		here := r.leftMs()
@@ -168,6 +168,18 @@
 	}
 }
 
+// fitsElsewhere says whether another endpoint that is well has room for a run, now or once
+// short tasks have ended there. The largest ones may have no other place than where they
+// are, and come to nothing if they are stopped there again and again.
+func (c *Cell) fitsElsewhere(r *run) bool {
+	for _, e := range c.ranked {
+		if e != r.at && e.usable() && !c.now.Before(e.health.until) && e.info.Capacity.Minus(e.lastingNeed()).Holds(r.task.phase.need()) {
+			return true
+		}
+	}
+	return false
+}
+
 // elsewhereMs estimates how long a run would take on another endpoint, where what
 // is left of it here takes leftMs.
 func (c *Cell) elsewhereMs(r *run, leftMs float64) float64 {
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -112,6 +112,8 @@
 	// saved is the newest known checkpoint.
 	saved string
 	runs  []*run
+	// lapses counts the attempts of which it isn't known how they ended.
+	lapses int
 	// avoid names the endpoint where the task failed last.
 	avoid string
 }
--- /dev/null
+++ b/pkg/cell/lapsed.go
@@ -0,0 +1,92 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// lapse is an attempt on an endpoint out of reach whose lease must have run out. How it
+// ended is not known: it may have failed before that, and the endpoint tells so once it can
+// be reached again.
+type lapse struct {
+	task    *task
+	attempt int
+}
+
+// lapsed takes back a run whose lease must have run out, and keeps in mind that it may have
+// failed.
+func (c *Cell) lapsed(r *run) {
+	c.stats.Lapsed++
+	r.at.lapses = append(r.at.lapses, lapse{task: r.task, attempt: r.attempt})
+	r.task.lapses++
+	c.again(r)
+}
+
+// takeLapse takes note of the end of an attempt that was taken to have lapsed, and says
+// whether it was one.
+func (c *Cell) takeLapse(e *endpoint, end damsonwinch.Finished) bool {
+	at := slices.IndexFunc(e.lapses, func(l lapse) bool { return l.attempt == end.Attempt && l.task.id() == end.Task })
+	if at < 0 {
+		return false
+	}
+	c.dropLapse(e.lapses[at])
+	e.lapses = slices.Delete(e.lapses, at, at+1)
+	return true
+}
+
+// forgetLapses drops the attempts whose ends an endpoint has not listed, or never will: they
+// are known not to have failed, or not to count.
+func (c *Cell) forgetLapses(e *endpoint) {
+	for _, l := range e.lapses {
+		c.dropLapse(l)
+	}
+	e.lapses = nil
+}
+
+func (c *Cell) dropLapse(l lapse) {
+	l.task.lapses--
+	c.unplaced = true
+	c.touch(l.task.phase.job())
+}
+
+// held says whether a task must wait until it is known how attempts at it have ended: with
+// those that may have failed it has failed as often as it is tried.
+func (c *Cell) held(t *task) bool {
+	return t.lapses > 0 && !t.phase.spec.Lasting && failures(t)+t.lapses >= c.attemptsOf(t.phase.job())
+}
+
+// lapseColumns is the number of columns of a lapse in a job's record: the place of its
+// task's row, its attempt and the place of its endpoint.
+const lapseColumns = 3
+
+// writeLapses adds the lapses of a job's tasks to its record, whose rows hold the tasks.
+func (c *Cell) writeLapses(j *job, rows map[*task]int, record *wire.JobRecord) {
+	if len(rows) == 0 {
+		return
+	}
+	for _, e := range c.ranked {
+		for _, l := range e.lapses {
+			if row, known := rows[l.task]; known && l.task.phase.job() == j {
+				record.Lapsed = append(record.Lapsed, []int{row, l.attempt, placeOf(e, record)})
+			}
+		}
+	}
+}
+
+// readLapses takes over the lapses of a job's record.
+func (c *Cell) readLapses(j *job, record wire.JobRecord) error {
+	for _, row := range record.Lapsed {
+		if len(row) != lapseColumns || row[0] < 0 || row[0] >= len(record.Tasks) || row[2] < 0 || row[2] >= len(record.Endpoints) {
+			return fmt.Errorf("job %s has a lapse %v", j.id, row)
+		}
+		if t := c.findTask(idOf(j, record.Tasks[row[0]])); t != nil {
+			e := c.endpointOf(record.Endpoints[row[2]])
+			e.lapses = append(e.lapses, lapse{task: t, attempt: row[1]})
+			t.lapses++
+		}
+	}
+	return nil
+}
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -25,6 +25,9 @@
 	at     time.Time
 }
 
+// mostEnds is the most ends that an endpoint lists at once; others may follow.
+const mostEnds = 500
+
 // lookAround sends the looks that are due: at the endpoints that something has
 // happened to and, from time to time, at all.
 func (c *Cell) lookAround() {
@@ -141,6 +144,9 @@
 	e.silent = false
 	e.clockSample, e.clockAt = look.Clock, c.now
 	c.takeEnds(e, look.Finished)
+	if len(look.Finished) < mostEnds {
+		c.forgetLapses(e)
+	}
 	c.takeRunning(e, look.Running, sent.step)
 	c.judge(e)
 	c.share(e)
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -69,11 +69,16 @@
 	return p.spec.Label == "" && p.spec.MostPerBox == 0 && !c.needsPermit(p)
 }
 
-// placeTasks places a phase's tasks one by one. It says whether all found room.
+// placeTasks places a phase's tasks one by one. It says whether all that may start found
+// room.
 func (c *Cell) placeTasks(p *phase) bool {
 	waiting := p.ready
 	p.ready = nil
 	for at, t := range waiting {
+		if c.held(t) {
+			p.ready = append(p.ready, t)
+			continue
+		}
 		e := c.choose(t, "")
 		if e == nil {
 			p.ready = append(p.ready, waiting[at:]...)
@@ -87,7 +92,7 @@
 
 // allowed says whether a task may be started at an endpoint now.
 func (c *Cell) allowed(t *task, e *endpoint) bool {
-	return c.couldTake(t, e) && c.permitted(t.phase, e)
+	return !c.held(t) && c.couldTake(t, e) && c.permitted(t.phase, e)
 }
 
 // couldTake says whether an endpoint has room for a task and may run it, as far as
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -44,22 +44,32 @@
 	}
 	record := wire.JobRecord{State: j.state, EndedMs: j.endedMs}
 	if !j.ended() || j.runs > 0 {
-		writeTasks(j, &record)
+		c.writeLapses(j, writeTasks(j, &record), &record)
 	}
 	return append(records, damsonwinch.Record{Key: j.id, Value: encode(record)})
 }
 
-// writeTasks adds the tasks that have begun to a job's record.
-func writeTasks(j *job, record *wire.JobRecord) {
+// writeTasks adds the tasks that have begun to a job's record, and returns the places of
+// those that have lapses.
+func writeTasks(j *job, record *wire.JobRecord) map[*task]int {
+	var rows map[*task]int
 	for _, r := range j.rounds {
 		for _, p := range r.phases {
 			for _, t := range p.tasks {
-				if t.attempt > 0 || t.done {
-					writeTask(t, record)
+				if t.attempt == 0 && !t.done {
+					continue
 				}
+				if t.lapses > 0 {
+					if rows == nil {
+						rows = map[*task]int{}
+					}
+					rows[t] = len(record.Tasks)
+				}
+				writeTask(t, record)
 			}
 		}
 	}
+	return rows
 }
 
 func writeTask(t *task, record *wire.JobRecord) {
@@ -72,16 +82,20 @@
 		record.Saved = append(record.Saved, wire.SavedTask{Row: len(record.Tasks), Checkpoint: t.saved})
 	}
 	for _, r := range t.runs {
-		at := slices.Index(record.Endpoints, r.at.info.ID)
-		if at < 0 {
-			at = len(record.Endpoints)
-			record.Endpoints = append(record.Endpoints, r.at.info.ID)
-		}
-		row = append(row, r.attempt, at)
+		row = append(row, r.attempt, placeOf(r.at, record))
 	}
 	record.Tasks = append(record.Tasks, row)
 }
 
+// placeOf returns the place of an endpoint among those of a job's record.
+func placeOf(e *endpoint, record *wire.JobRecord) int {
+	if at := slices.Index(record.Endpoints, e.info.ID); at >= 0 {
+		return at
+	}
+	record.Endpoints = append(record.Endpoints, e.info.ID)
+	return len(record.Endpoints) - 1
+}
+
 // encode writes a record's value. Plain structs of strings and numbers can't fail
 // to encode.
 func encode(value any) []byte {
@@ -107,7 +121,7 @@
 			t.saved = saved.Checkpoint
 		}
 	}
-	return nil
+	return c.readLapses(j, record)
 }
 
 func (c *Cell) readTask(j *job, record wire.JobRecord, row []int) error {
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -13,9 +13,13 @@
 
 // simOwner is an owner of the cell, with the calls that it makes.
 type simOwner struct {
-	world    *world
-	name     string
-	token    int
+	world *world
+	name  string
+	token int
+	// stream is the place of the cell's stream among the world's. A moving owner gives no
+	// orders that hang on its records any more.
+	stream   int
+	moving   bool
 	cell     *cell.Cell
 	sequence int
 	ready    bool
@@ -31,7 +35,7 @@
 // addOwner lets a new owner claim the cell. Earlier ones may not know.
 func (w *world) addOwner() *simOwner {
 	w.token++
-	o := &simOwner{world: w, name: string(rune('A' + (w.token-1)%26)), token: w.token, calls: map[int]func(wire.JobReply){}}
+	o := &simOwner{world: w, stream: len(w.streams) - 1, name: string(rune('A' + (w.token-1)%26)), token: w.token, calls: map[int]func(wire.JobReply){}}
 	o.cell = cell.New(simOptions(w.sabotage), o.token)
 	w.owners = append(w.owners, o)
 	w.logf("owner %s claims with %d", o.name, o.token)
@@ -49,11 +53,11 @@
 		if o.dead {
 			return
 		}
-		if o.cutFromStore || w.chance(0.1) {
+		if o.cutFromStore || w.out[o.stream] || w.chance(0.1) {
 			w.after(100*time.Millisecond, o.takeOver)
 			return
 		}
-		if w.stream.append(o.token, 0, nil) != nil {
+		if w.streams[o.stream].append(o.token, 0, nil) != nil {
 			o.die("fenced at takeover")
 			return
 		}
@@ -61,7 +65,7 @@
 			if o.dead {
 				return
 			}
-			if err := o.cell.Load(w.now, w.stream.records()); err != nil {
+			if err := o.cell.Load(w.now, w.streams[o.stream].records()); err != nil {
 				w.rules.fail("load: %v", err)
 				return
 			}
@@ -110,6 +114,9 @@
 		}
 		o.cell.SetEndpoints(o.world.now, o.world.listed())
 		o.cell.Tick(o.world.now)
+		if o.cell.Stuck(o.world.now) > simStuck && !o.cutFromStore {
+			o.move()
+		}
 		o.world.after(50*time.Millisecond, o.tick)
 	})
 }
@@ -161,7 +168,7 @@
 	if w.sabotage.startBeforeRecord || w.sabotage.answerEarly {
 		// The owner goes on as if the record were there; it comes much later.
 		o.whenAwakeSoon(func() { o.cell.Committed(w.now, commit.Number) })
-		w.after(400*time.Millisecond, func() { _ = w.stream.append(o.token, sequence, commit.Records) })
+		w.after(400*time.Millisecond, func() { _ = w.streams[o.stream].append(o.token, sequence, commit.Records) })
 		return
 	}
 	var try func()
@@ -169,13 +176,13 @@
 		if o.dead {
 			return
 		}
-		if o.cutFromStore || w.chance(0.05) {
-			// The call is lost on its way there.
+		if o.cutFromStore || w.out[o.stream] || w.chance(0.05) {
+			// The call is lost on its way there, or turned away.
 			w.after(250*time.Millisecond, try)
 			return
 		}
 		w.after(w.between(2*time.Millisecond, 15*time.Millisecond), func() {
-			err := w.stream.append(o.token, sequence, commit.Records)
+			err := w.streams[o.stream].append(o.token, sequence, commit.Records)
 			if w.chance(0.05) {
 				// It was done, and the answer is lost.
 				w.after(250*time.Millisecond, try)
@@ -185,12 +192,50 @@
 				o.die("append: " + err.Error())
 				return
 			}
-			o.whenAwake(func() { o.cell.Committed(w.now, commit.Number) })
+			o.whenAwake(func() {
+				if !o.moving || w.sabotage.moveAndCommit {
+					o.cell.Committed(w.now, commit.Number)
+				}
+			})
 		})
 	}
 	try()
 }
 
+// simStuck is how long an append may be stuck until its owner moves its cell.
+const simStuck = 300 * time.Millisecond
+
+// move goes on with the cell in a new stream: a snapshot first, then the claim that names
+// it. Others may claim the cell in between, and the snapshot may come to nothing.
+func (o *simOwner) move() {
+	w := o.world
+	if o.moving {
+		return
+	}
+	o.moving = true
+	snapshot := o.cell.Snapshot()
+	w.logf("owner %s moves its cell, %d records", o.name, len(snapshot))
+	w.after(w.between(5*time.Millisecond, 400*time.Millisecond), func() {
+		if o.dead {
+			return
+		}
+		fresh := newSimStream()
+		if fresh.append(o.token, 1, snapshot) != nil {
+			return
+		}
+		w.after(w.between(5*time.Millisecond, 400*time.Millisecond), func() {
+			if o.dead || o.token < w.token {
+				// A newer claim names the old stream.
+				o.die("sees a newer claim")
+				return
+			}
+			w.streams = append(w.streams, fresh)
+			w.addOwner()
+			o.die("has moved its cell")
+		})
+	})
+}
+
 func (o *simOwner) whenAwakeSoon(do func()) {
 	o.world.after(time.Millisecond, func() { o.whenAwake(do) })
 }
--- a/pkg/cell/sim_test.go
+++ b/pkg/cell/sim_test.go
@@ -27,6 +27,7 @@
 		w.after(w.between(0, simTrouble), w.mishap)
 	}
 	w.at(begin.Add(simTrouble), w.heal)
+	w.at(begin.Add(simTrouble+time.Second), w.supply)
 	w.run(begin.Add(simTrouble + simCalm))
 	if w.rules.broken == "" {
 		w.rules.finished()
@@ -69,7 +70,7 @@
 	}
 	newest := w.owners[len(w.owners)-1]
 	box := fmt.Sprintf("box-%d", w.random.IntN(3))
-	switch w.random.IntN(8) {
+	switch w.random.IntN(9) {
 	case 0:
 		w.logf("owner %s is killed", newest.name)
 		newest.die("killed")
@@ -94,6 +95,11 @@
 		w.after(w.between(0, 500*time.Millisecond), func() { w.addOwner() })
 	case 7:
 		w.crash(box)
+	case 8:
+		stream := len(w.streams) - 1
+		w.logf("stream %d is out", stream)
+		w.out[stream] = true
+		w.after(w.between(100*time.Millisecond, 5*time.Second), func() { delete(w.out, stream) })
 	}
 }
 
@@ -119,14 +125,36 @@
 	w.logf("calm from here on")
 	w.trouble = false
 	clear(w.cuts)
+	clear(w.out)
 	for _, o := range w.owners {
 		o.cutFromStore = false
 	}
 	w.after(100*time.Millisecond, func() { w.addOwner() })
 }
 
-// failedSeeds are kept with what they found.
-var failedSeeds = []uint64{}
+// supply brings another box where a newest owner reports tasks that are too large for the
+// room beside lasting ones, as the fleet planner does.
+func (w *world) supply() {
+	newest := w.owners[len(w.owners)-1]
+	if newest.ready && !newest.dead {
+		report := newest.cell.Report(w.now)
+		if report.WholeBoxes+report.WholeLateBoxes > 0 && w.boxesInUse() <= report.LastingBoxes {
+			w.logf("another box")
+			w.addEndpoint(fmt.Sprintf("box-%d", w.lives+1))
+		}
+	}
+	w.after(time.Second, w.supply)
+}
+
+func (w *world) boxesInUse() int {
+	return len(w.listed())
+}
+
+// failedSeeds are kept with what they found: 10946, lasting tasks on every box left room in
+// sum and none for a larger task (no planner brought a box, and jobs stood to the end);
+// 14538, an attempt on an endpoint out of reach failed, which was not counted when the
+// endpoint told so later, and its task was tried once too often.
+var failedSeeds = []uint64{10946, 14538}
 
 // TestRandomTrouble plays seeds: owners are killed, frozen, cut and replaced, calls
 // are lost, done and unanswered, or done late, endpoints crash and are cut off.
@@ -164,6 +192,7 @@
 		"no fencing":                 {noFencing: true},
 		"records without runs":       {dropRuns: true},
 		"leases over at once":        {impatient: true},
+		"commits after a snapshot":   {moveAndCommit: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed < 2000; seed++ {
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -32,6 +32,7 @@
 	dropRuns          bool // Records don't say where attempts run.
 	answerEarly       bool // Clients are answered before the record is there.
 	impatient         bool // Leases are taken to be over at once.
+	moveAndCommit     bool // An owner goes on with its old stream after a snapshot for a new one.
 }
 
 // event is something that happens at a moment.
@@ -59,13 +60,16 @@
 // world is one run of owners, a stream, endpoints and clients on a fake clock and
 // a fake network. Everything that happens follows from its seed.
 type world struct {
-	random    *rand.Rand
-	now       time.Time
-	events    events
-	number    int
-	sabotage  sabotage
-	rules     *rules
-	stream    simStream
+	random   *rand.Rand
+	now      time.Time
+	events   events
+	number   int
+	sabotage sabotage
+	rules    *rules
+	// streams are those that the cell has had, the newest last, and out says of which the
+	// store turns calls away.
+	streams   []*simStream
+	out       map[int]bool
 	endpoints []*simEndpoint
 	lives     int
 	owners    []*simOwner
@@ -92,7 +96,7 @@
 func newWorld(seed uint64, broken sabotage) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000), sabotage: broken,
-		stream: simStream{newest: map[string][]byte{}}, tasks: map[string]simTask{}, trouble: true, cuts: map[string]bool{},
+		streams: []*simStream{newSimStream()}, out: map[int]bool{}, tasks: map[string]simTask{}, trouble: true, cuts: map[string]bool{},
 	}
 	w.rules = newRules(w)
 	w.boxCPU = 5000 + 1000*w.random.IntN(5)
@@ -188,6 +192,10 @@
 	last   int // Highest sequence that counted in this epoch.
 }
 
+func newSimStream() *simStream {
+	return &simStream{newest: map[string][]byte{}}
+}
+
 // append is as the store has it: all or nothing, fenced, each sequence once.
 func (s *simStream) append(epoch, sequence int, records []damsonwinch.Record) error {
 	switch {
--- /dev/null
+++ b/pkg/cell/snapshot.go
@@ -0,0 +1,60 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// Stuck returns for how long the append on its way has not been done, 0 for none.
+func (c *Cell) Stuck(now time.Time) time.Duration {
+	if c.commits.sent == nil {
+		return 0
+	}
+	return now.Sub(c.commits.sent.at)
+}
+
+// Snapshot returns the records by which another stream would hold the cell as it is now, so
+// that the cell can go on there while the store turns its own stream's calls away. From then
+// on Committed must not be called: what it would set off isn't in the snapshot.
+//
+// Jobs that were never given to the store are left out. They may be refused still, and what
+// is refused must not run.
+func (c *Cell) Snapshot() []damsonwinch.Record {
+	var records []damsonwinch.Record
+	for _, e := range c.ranked {
+		if e.withdrawn {
+			records = append(records, e.markRecord(c.now))
+		}
+	}
+	c.learnedAt = time.Time{}
+	records = append(records, c.learnedRecords()...)
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if j := c.jobs[id]; c.given(j) {
+			// The text isn't in the new stream.
+			j.specSaved = false
+			records = append(records, c.jobRecords(j)...)
+		}
+	}
+	return records
+}
+
+// given says whether the store may hold a job.
+func (c *Cell) given(j *job) bool {
+	if j.recorded {
+		return true
+	}
+	if c.commits.sent == nil {
+		return false
+	}
+	_, sent := c.commits.sent.shown[j]
+	return sent
+}
+
+// markRecord returns the record of an endpoint that is withdrawn.
+func (e *endpoint) markRecord(now time.Time) damsonwinch.Record {
+	return damsonwinch.Record{Key: markPrefix + e.info.ID, Value: encode(wire.EndpointRecord{Withdrawn: true, AtMs: int(now.UnixMilli())})}
+}
--- a/pkg/cell/withdraw.go
+++ b/pkg/cell/withdraw.go
@@ -94,8 +94,7 @@
 
 // mark records that an endpoint is withdrawn.
 func (c *Cell) mark(e *endpoint) {
-	value := encode(wire.EndpointRecord{Withdrawn: true, AtMs: int(c.now.UnixMilli())})
-	c.commits.marks = append(c.commits.marks, damsonwinch.Record{Key: markPrefix + e.info.ID, Value: value})
+	c.commits.marks = append(c.commits.marks, e.markRecord(c.now))
 	c.commits.withdrawn = append(c.commits.withdrawn, e)
 }
 
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -467,6 +467,11 @@
 	// Lives that were asked to run the attempts.
 	Endpoints []string `json:"endpoints,omitempty,omitzero"`
 
+	// Attempts on endpoints out of reach whose leases must have run out, and whose
+	// ends are not known: the place of the task's row, the attempt, and the place of
+	// its endpoint.
+	Lapsed [][]int `json:"lapsed,omitempty,omitzero"`
+
 	// Saved corresponds to the JSON schema field "saved".
 	Saved []SavedTask `json:"saved,omitempty,omitzero"`
 
