A cell goes on in another partition when the store turns its stream away

The owner takes a partition that no cell has had, writes the cell there as it is in memory, and has it claimed in it.

Criterion: two failed tries and 0.6 s.

The run was longer than the calm. A run in which work is left and some of it is done in each 3 s is played on now, for 25 s more at most; one that stands still fails as before.

Left: the planner's stream and the claims don't move.

--- a/pkg/cell/sim_client_test.go
+++ b/pkg/cell/sim_client_test.go
@@ -159,3 +159,12 @@
 	}
 	return kept
 }
+
+// unfinished tells whether the client's job was accepted, comes to an end by itself and
+// hasn't yet.
+func (c *simClient) unfinished() bool {
+	if !c.accepted || c.cancelling || c.spec.Phases[0].Lasting {
+		return false
+	}
+	return c.state != wire.JobStateCompleted && c.state != wire.JobStateFailed
+}
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -19,9 +19,11 @@
 	simGrace = 1500 * time.Millisecond
 	simStop  = 400 * time.Millisecond
 	// simTrouble is how long things go wrong, and simCalm how long they go right
-	// afterwards, until everything must be done.
+	// afterwards, until everything must be done. Where work is left and some of it is done
+	// in each simStep, the calm goes on, at most for as long again.
 	simTrouble = 12 * time.Second
 	simCalm    = 25 * time.Second
+	simStep    = 3 * time.Second
 )
 
 // sabotage takes out a mechanism, to show that the rules see it missing.
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -41,7 +41,13 @@
 
 type committed struct{ number int }
 
-func (m committed) apply(o *Owner, now time.Time) { o.cell.Committed(now, m.number) }
+func (m committed) apply(o *Owner, now time.Time) {
+	if o.move.frozen {
+		o.move.withheld = &m
+		return
+	}
+	o.cell.Committed(now, m.number)
+}
 
 type started struct {
 	endpoint string
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -32,6 +32,13 @@
 	Clock     damsonwinch.Clock
 	Logger    logrus.FieldLogger
 	Metrics   *metrics.Set
+	// StoreAnsweredAt returns when the store last answered this node.
+	StoreAnsweredAt func() time.Time
+	// TakePartition takes a partition of the store that no cell has had, StreamAt returns its
+	// stream, and Move has the cell that is owned by a token claimed anew in it.
+	TakePartition func(take func(number int))
+	StreamAt      func(number int) damsonwinch.Stream
+	Move          func(cell string, token, number int)
 	// RoomWanted is told when tasks begin to wait for room. It must not wait.
 	RoomWanted func()
 }
@@ -67,6 +74,7 @@
 	plannerToken int
 	boxesAt      time.Time
 	boxesOut     bool
+	move         move
 	// waits says that tasks wait for room.
 	waits atomic.Bool
 	// ready is closed once the cell's state has been loaded.
@@ -147,7 +155,9 @@
 		case m := <-o.inbox:
 			o.cell.Together(func() { o.takeAll(m) })
 		case <-timer.Chan():
-			o.cell.Tick(o.deps.Clock.Now())
+			now := o.deps.Clock.Now()
+			o.cell.Tick(now)
+			o.considerMove(now)
 		}
 		if o.carryOut() {
 			o.deps.Logger.WithField("token", o.options.Token).Warn("cell lost: a newer owner has been at an endpoint")
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -6,7 +6,6 @@
 	"errors"
 	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,9 +33,13 @@
 		maps.DeleteFunc(s.claims, func(_ string, claim Claim) bool { return claim.Token <= m.end })
 	}
 	for _, record := range m.records {
-		if record.Key == layoutKey {
+		switch record.Key {
+		case layoutKey:
 			o.takeLayout(record)
 			continue
+		case partitionsKey:
+			o.takePartitions(record)
+			continue
 		}
 		var claim wire.CellClaim
 		if s.claims[record.Key].Token > record.Offset+1 {
@@ -107,7 +110,7 @@
 		Partition: before.Partition, Topics: o.state.topics,
 	}
 	if !known {
-		record.Partition = o.freePartition()
+		record.Partition = o.nextPartition()
 	}
 	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": before.Node, "members": len(o.state.roster.members), "end": o.state.end}).Info("claim cell")
 	o.makeClaim(record)
@@ -144,38 +147,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-	defer cancel()
-	return o.deps.Store.AppendAt(ctx, damsonwinch.Stream{Topic: claimTopic}, []damsonwinch.Record{{Key: claim.Cell, Value: value}}, at)
-}
-
-// freePartition returns the lowest partition that no cell has.
-func (o *Ownership) freePartition() int {
-	used := map[int]bool{}
-	for _, claim := range o.state.claims {
-		used[claim.Partition] = true
-	}
-	partition := 0
-	for used[partition] {
-		partition++
-	}
-	return partition
+	return o.appendRecord(damsonwinch.Record{Key: claim.Cell, Value: value}, at)
 }
 
-// StreamOf returns the stream of the cell of a claim. Cells are numbered through the
-// partitions of as many topics as they need.
-func StreamOf(claim Claim, partitions int) damsonwinch.Stream {
-	return damsonwinch.Stream{
-		Topic: numbered(cellTopic, 1+claim.Partition/partitions), Partition: claim.Partition % partitions,
-	}
-}
-
-// numbered returns the name of the n-th topic of a kind, from 1.
-func numbered(topic string, number int) string {
-	if number == 1 {
-		return topic
-	}
-	return topic + "-" + strconv.Itoa(number)
+// appendRecord appends to the stream of claims, after all that has been read of it.
+func (o *Ownership) appendRecord(record damsonwinch.Record, at int) error {
+	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	defer cancel()
+	return o.deps.Store.AppendAt(ctx, damsonwinch.Stream{Topic: claimTopic}, []damsonwinch.Record{record}, at)
 }
 
 // noEnd is no offset.
--- a/pkg/ownership/layout.go
+++ b/pkg/ownership/layout.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"time"
@@ -57,9 +56,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-	defer cancel()
-	return o.deps.Store.AppendAt(ctx, damsonwinch.Stream{Topic: claimTopic}, []damsonwinch.Record{{Key: layoutKey, Value: value}}, at)
+	return o.appendRecord(damsonwinch.Record{Key: layoutKey, Value: value}, at)
 }
 
 // takeWritten takes the answer to the append of a layout.
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -112,64 +112,6 @@
 	answeredAt atomic.Int64
 }
 
-// state is what the task knows.
-type state struct {
-	cells  []string
-	claims map[string]Claim
-	// claimedAt is when a cell's claim was seen to be made, zero for one that stood before.
-	claimedAt  map[string]time.Time
-	end        int
-	claimsRead bool
-	confirmed  time.Time
-	roster     roster
-	// membersAt is when the members were last read, and regroupedAt when that was
-	// possible again after a while in which it was not.
-	membersAt   time.Time
-	regroupedAt time.Time
-	// steadySince is since when the list of members has been as long as it is, and steady
-	// says that it is taken for complete.
-	steadySince time.Time
-	steady      bool
-	// layout is in force, and layoutWanted the one to put in force if there is none.
-	layout       shard.Layout
-	layoutWanted shard.Layout
-	// topics is the number of topics over which the group is spread, so that each
-	// member holds a partition and is listed.
-	topics int
-	// proofs holds, by node, whether it answers when it is asked if it lives, watched
-	// the cells whose owners this node asks, and watchedOld that those may be others.
-	proofs     map[string]proof
-	watched    []string
-	watchedOld bool
-	// weakSince is since when this node has owned a cell that a far stronger one could
-	// have, zero if it doesn't.
-	weakSince  time.Time
-	generation int
-	// unlisted says that the group has dealt this node nothing, so that its list doesn't
-	// show it.
-	unlisted  bool
-	startedAt time.Time
-	joining   bool
-	joinedAt  time.Time
-	reading   bool
-	readAt    time.Time
-	claiming  bool
-	// outdated is the end of the stream of claims at which one has been made since; no
-	// other is made before newer claims have been read.
-	outdated int
-	// outdatedAt is since when newer claims are awaited.
-	outdatedAt time.Time
-	// renounced holds the tokens of this node's claims that are to be given up.
-	renounced map[string]int
-	leaving   bool
-	asking    bool
-	askedAt   time.Time
-	// asked counts the questions to peers, which take turns.
-	asked int
-	// refusals holds, by node, the last refused connection.
-	refusals map[string]refusal
-}
-
 // Messages to the task.
 type (
 	cellsWanted struct{ cells []string }
@@ -234,7 +176,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topics: 1, outdated: noEnd, renounced: map[string]int{}, proofs: map[string]proof{}},
+		state: state{claims: map[string]Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topics: 1, outdated: noEnd, renounced: map[string]int{}, moves: map[string]moveWanted{}, proofs: map[string]proof{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
@@ -343,6 +285,13 @@
 		o.takeProof(m, now)
 	case workRead:
 		o.takeWork(m, now)
+	case partitionWanted:
+		s.takers = append(s.takers, m.take)
+	case partitionTaken:
+		s.claiming = false
+		o.takePartition(m)
+	case moveWanted:
+		s.moves[m.cell] = m
 	case layoutDecided:
 		s.layoutWanted = m.layout
 	case layoutWritten:
@@ -388,12 +337,10 @@
 		return
 	}
 	s.outdatedAt = time.Time{}
-	o.writeLayout()
-	if !s.claiming {
-		o.releaseOne()
-	}
-	if !s.claiming {
-		o.reclaimOne()
+	for _, due := range []func(){o.writeLayout, o.moveOne, o.takeOnePartition, o.releaseOne, o.reclaimOne} {
+		if !s.claiming {
+			due()
+		}
 	}
 	if !s.claiming && !unsettled {
 		o.claimOne()
--- a/pkg/stream/writer.go
+++ b/pkg/stream/writer.go
@@ -48,8 +48,10 @@
 	producer string
 	epoch    int
 	sequence int
-	// took is how long the last call took, in nanoseconds.
-	took atomic.Int64
+	// took is how long the last call took, in nanoseconds, and failed how many tries of the
+	// present one have not been answered, or not with yes.
+	took   atomic.Int64
+	failed atomic.Int64
 }
 
 // New returns a writer that has written nothing yet.
@@ -69,6 +71,11 @@
 	return records, err
 }
 
+// Failed returns how many tries of the call that is on its way have failed.
+func (w *Writer) Failed() int {
+	return int(w.failed.Load())
+}
+
 // Next returns the fence of the next append, which must follow the last one.
 func (w *Writer) Next() damsonwinch.Fence {
 	w.sequence++
@@ -92,6 +99,7 @@
 func (w *Writer) insist(ctx context.Context, call func(ctx context.Context) error) error {
 	timeout := min(mostTimeout, max(leastTimeout, usualTimes*time.Duration(w.took.Load())))
 	pause := leastPause
+	defer w.failed.Store(0)
 	for {
 		begun := w.deps.Clock.Now()
 		limited, cancel := idle.WithTimeout(ctx, w.deps.Clock, timeout, timeout)
@@ -106,6 +114,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		}
+		w.failed.Add(1)
 		w.deps.Metrics.Add("store_retries", 1)
 		if err := w.sleep(ctx, pause); err != nil {
 			return err
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -639,6 +639,13 @@
 const OutcomeNotRun Outcome = "not-run"
 const OutcomeUnknown Outcome = "unknown"
 
+// Partitions is how many partitions cells have had, in the stream of claims. One
+// that a cell has left is not used again: it holds records of that cell.
+type Partitions struct {
+	// Taken corresponds to the JSON schema field "taken".
+	Taken int `json:"taken"`
+}
+
 // Phase is a set of like tasks of a job.
 type Phase struct {
 	// Numbers, from 0, of earlier phases that must be done first.
