Appends are sent again beside a try that isn't answered

Cause: while three in ten answers of the store to writes are lost, an append waited 250 ms for its next try, and 750 for the one after. Commits of a cell wait for each other, so that each start and each end waited 0.13 s in the mean.

Ruled out: a shorter time-out (a slow store answers in 200 ms and would never be heard); more commits at a time (order of records); asking the stream's end (one call more for each).

A try that isn't answered in 40 ms, or in four times what the last answered one took, gets another one beside it, three at most; the fence makes them count once. Appends of more than 16 KB are not sent beside themselves: they fill a slow link.

--- a/pkg/stream/writer.go
+++ b/pkg/stream/writer.go
@@ -89,10 +89,14 @@
 // Append adds records, trying again until that is done, the owner is deposed or the
 // context ends. Its fence keeps a try that was carried out from counting twice.
 func (w *Writer) Append(ctx context.Context, records []damsonwinch.Record, fence damsonwinch.Fence) error {
-	return w.insist(ctx, func(ctx context.Context) error {
+	call := func(ctx context.Context) error {
 		_, err := w.deps.Store.Append(ctx, w.stream, records, fence)
 		return err
-	})
+	}
+	if bytesOf(records) > mostHedgedBytes {
+		return w.insist(ctx, call)
+	}
+	return w.hedge(ctx, call)
 }
 
 // insist repeats a call to the store until it is done or can't be any more.
@@ -101,21 +105,9 @@
 	pause := leastPause
 	defer w.failed.Store(0)
 	for {
-		begun := w.deps.Clock.Now()
-		limited, cancel := idle.WithTimeout(ctx, w.deps.Clock, timeout, timeout)
-		err := call(limited)
-		cancel(nil)
-		switch {
-		case err == nil:
-			w.took.Store(int64(w.deps.Clock.Since(begun)))
-			return nil
-		case errors.Is(err, damsonwinch.ErrFenced), errors.Is(err, damsonwinch.ErrSequence):
-			return fmt.Errorf("%w: %w", ErrDeposed, err)
-		case ctx.Err() != nil:
-			return ctx.Err()
+		if over, err := w.judge(ctx, w.try(ctx, timeout, call)); over {
+			return err
 		}
-		w.failed.Add(1)
-		w.deps.Metrics.Add("store_retries", 1)
 		if err := w.sleep(ctx, pause); err != nil {
 			return err
 		}
@@ -123,6 +115,33 @@
 	}
 }
 
+// try makes a call once, for as long as it makes progress.
+func (w *Writer) try(ctx context.Context, timeout time.Duration, call func(ctx context.Context) error) error {
+	begun := w.deps.Clock.Now()
+	limited, cancel := idle.WithTimeout(ctx, w.deps.Clock, timeout, timeout)
+	defer cancel(nil)
+	err := call(limited)
+	if err == nil {
+		w.took.Store(int64(w.deps.Clock.Since(begun)))
+	}
+	return err
+}
+
+// judge tells whether a call is over with what a try of it gave, and what it comes to.
+func (w *Writer) judge(ctx context.Context, err error) (bool, error) {
+	switch {
+	case err == nil:
+		return true, nil
+	case errors.Is(err, damsonwinch.ErrFenced), errors.Is(err, damsonwinch.ErrSequence):
+		return true, fmt.Errorf("%w: %w", ErrDeposed, err)
+	case ctx.Err() != nil:
+		return true, ctx.Err()
+	}
+	w.failed.Add(1)
+	w.deps.Metrics.Add("store_retries", 1)
+	return false, nil
+}
+
 func (w *Writer) sleep(ctx context.Context, length time.Duration) error {
 	timer := w.deps.Clock.NewTimer(length)
 	defer timer.Stop()
--- a/pkg/stream/writer_test.go
+++ b/pkg/stream/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,31 +17,41 @@
 // answer is what the store does with one append.
 type answer struct {
 	err error
-	// silent appends are not answered at all.
+	// silent appends are not answered at all, and others after a time.
 	silent bool
+	after  time.Duration
 }
 
 // scripted is a store that answers appends as it is told, and then well.
 type scripted struct {
 	damsonwinch.Store
+	mutex   sync.Mutex
 	answers []answer
 	fences  []damsonwinch.Fence
 }
 
 func (s *scripted) Append(ctx context.Context, _ damsonwinch.Stream, _ []damsonwinch.Record, fence damsonwinch.Fence) (int, error) {
-	s.fences = append(s.fences, fence)
-	if len(s.answers) == 0 {
-		return 0, nil
-	}
-	next := s.answers[0]
-	s.answers = s.answers[1:]
+	next := s.next(fence)
 	if next.silent {
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
+	clockwork.NewRealClock().Sleep(next.after)
 	return 0, next.err
 }
 
+func (s *scripted) next(fence damsonwinch.Fence) answer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fences = append(s.fences, fence)
+	if len(s.answers) == 0 {
+		return answer{}
+	}
+	next := s.answers[0]
+	s.answers = s.answers[1:]
+	return next
+}
+
 func (s *scripted) Newest(context.Context, damsonwinch.Stream, string) (damsonwinch.KeyPage, error) {
 	return damsonwinch.KeyPage{Records: []damsonwinch.Record{{Key: "job"}}, End: 1}, nil
 }
