See what an endpoint takes with it when it ends, and count it

'endpoint lost' tells when it ended, how many runs went with it and the age of the youngest; 'run lost' (the first time of a task at debug level, since some twenty go at once) tells a run's age and how often its task was lost. Counters jobs_*, runs_* and endpoints_* are served at the metrics address.

--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -84,6 +84,10 @@
 	Looks     int
 	Lapsed    int
 	Ejections int
+	// EndpointsLost counts lives that ended while tasks may have run there, and RunsLost
+	// those tasks.
+	EndpointsLost int
+	RunsLost      int
 }
 
 // Stats returns the counters.
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -54,8 +54,9 @@
 	// highest one in the stream.
 	seen     int
 	recorded int
-	// silent says that the last look was not answered.
-	silent bool
+	// silent says that the last look was not answered, since silentAt.
+	silent   bool
+	silentAt time.Time
 	// overdue says that it has left a call unanswered for longer than usual.
 	overdue    bool
 	pauseUntil time.Time
@@ -202,23 +203,6 @@
 	}
 }
 
-// lose takes note that a life has ended: all that ran there is gone.
-func (c *Cell) lose(e *endpoint, why string) {
-	if !e.gone {
-		c.noteEndpoint("endpoint lost", e, why)
-	}
-	e.gone = true
-	c.forgetLapses(e)
-	for _, r := range e.sortedRuns() {
-		if r.state == runIntended {
-			// The commit takes it back.
-			r.stopping = true
-			continue
-		}
-		c.again(r)
-	}
-}
-
 // expireLeases takes back runs on endpoints out of reach once their leases must
 // have run out.
 func (c *Cell) expireLeases() {
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -112,6 +112,8 @@
 	// saved is the newest known checkpoint.
 	saved string
 	runs  []*run
+	// lost counts the attempts that ended with their endpoint.
+	lost int
 	// lapses counts the attempts of which it isn't known how they ended.
 	lapses int
 	// avoid names the endpoint where the task failed last.
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -165,8 +165,8 @@
 	default:
 		if !e.silent {
 			c.noteEndpoint("endpoint silent", e, err.Error())
+			e.silent, e.silentAt = true, c.now
 		}
-		e.silent = true
 		if len(e.runs) > 0 {
 			c.effects.AskBoxes = true
 			c.copyRuns(e)
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -75,6 +75,8 @@
 	boxesAt      time.Time
 	boxesOut     bool
 	move         move
+	// published are the figures of the cell that the node's counters have.
+	published cell.Stats
 	// waits says that tasks wait for room.
 	waits atomic.Bool
 	// ready is closed once the cell's state has been loaded.
@@ -158,6 +160,7 @@
 			now := o.deps.Clock.Now()
 			o.cell.Tick(now)
 			o.considerMove(now)
+			o.publish()
 		}
 		if o.carryOut() {
 			o.deps.Logger.WithField("token", o.options.Token).Warn("cell lost: a newer owner has been at an endpoint")
