Give tasks up that crash the endpoints they start on

Cause: the end of an endpoint counted as no end of a run. Only ends that an endpoint tells as failed were counted against a task; what went with an endpoint was made ready at once, without a count. Class: an end that no budget counts, with a start behind it that costs others. Ruled out by the incident's logs: a count that a takeover loses, and crashes that are taken for cuts.

pkg/crash tells crashing tasks from those that lose their places beside them: a suspect is started where nothing else begins until it has outlived twice the age at which its endpoint ended; if that endpoint ends as well it is given up and its job shown as failed at once. After three ends it is started twice more in any case. The count stands in the job's record ahead of the next start. A start that was never sent (connection refused) is known as such and counts for nothing.

--- a/endpoint.go
+++ b/endpoint.go
@@ -179,6 +179,8 @@
 	ErrUnhealthy = errors.New("the endpoint is unwell")
 	// ErrInvalid says that the endpoint can't make sense of the order.
 	ErrInvalid = errors.New("the endpoint refuses the order as invalid")
+	// ErrNotSent says that no connection came about, so that nothing has been ordered.
+	ErrNotSent = errors.New("not sent")
 )
 
 // EndpointControl gives orders to endpoints. An error that is none of the
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/crash"
 	"damsonwinch/pkg/wire"
 )
 
@@ -34,6 +35,10 @@
 	ranked []*endpoint
 	// zones holds the endpoints' zones in order of their names.
 	zones []*zone
+	// suspects are tasks that are to be started on trial, and trials the endpoints where one
+	// is on trial or is about to be.
+	suspects []*task
+	trials   []*endpoint
 	// together says that more events follow before anything is done about them.
 	together bool
 	// unplaced says that something has happened since the last choice that may let
@@ -65,6 +70,9 @@
 // New returns an empty cell for an owner with a fencing token. It orders nothing
 // before Load has been called.
 func New(options Options, token int) *Cell {
+	if options.Blame == (crash.Rules{}) {
+		options.Blame = crash.Usual()
+	}
 	return &Cell{
 		options: options, token: token,
 		queues:    map[string]damsonwinch.Queue{},
@@ -113,6 +121,7 @@
 	c.retryOrders()
 	c.seeOverdue()
 	c.seekMissing()
+	c.watchTrials()
 	c.refuseUnkept()
 	c.putOff()
 	for _, e := range c.ranked {
--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -35,7 +35,13 @@
 	replies   []waitingReply
 	withdrawn []*endpoint
 	shown     map[*job]wire.JobState
-	seen      map[*endpoint]int
+	seen      []seenEnds
+}
+
+// seenEnds is the highest end of an endpoint that an append holds.
+type seenEnds struct {
+	at     *endpoint
+	number int
 }
 
 // waitingReply answers a call on a job once the stream holds the job as it is.
@@ -89,10 +95,10 @@
 	}
 	w.number++
 	w.startAt = c.now
-	sent := &sentCommit{number: w.number, at: c.now, starts: w.starts, replies: w.replies, withdrawn: w.withdrawn, shown: map[*job]wire.JobState{}, seen: map[*endpoint]int{}}
+	sent := &sentCommit{number: w.number, at: c.now, starts: w.starts, replies: w.replies, withdrawn: w.withdrawn, shown: map[*job]wire.JobState{}}
 	records := c.compose(sent)
 	for _, e := range w.ends {
-		sent.seen[e] = e.seen
+		sent.seen = append(sent.seen, seenEnds{at: e, number: e.seen})
 	}
 	clear(w.dirty)
 	w.dropped, w.marks, w.ends, w.starts, w.replies, w.withdrawn = nil, nil, nil, nil, nil, nil
@@ -157,9 +163,9 @@
 	for j, state := range sent.shown {
 		j.recorded, j.shown = true, state
 	}
-	for e, seen := range sent.seen {
-		e.recorded = max(e.recorded, seen)
-		c.lookSoon(e)
+	for _, seen := range sent.seen {
+		seen.at.recorded = max(seen.at.recorded, seen.number)
+		c.lookSoon(seen.at)
 	}
 	for _, e := range sent.withdrawn {
 		e.withdraw.recorded = true
--- a/pkg/cell/copies.go
+++ b/pkg/cell/copies.go
@@ -5,10 +5,11 @@
 const mostCopies = 2
 
 // copyRuns has the tasks of an endpoint tried elsewhere as well, as far as their
-// phases allow copies. What the endpoint does in the end still counts.
+// phases allow copies. What the endpoint does in the end still counts. A suspect is tried once
+// at a time.
 func (c *Cell) copyRuns(e *endpoint) {
 	for _, r := range e.sortedRuns() {
-		if r.task.phase.spec.Copies && !r.stopping && len(r.task.runs) < mostCopies {
+		if r.task.phase.spec.Copies && !r.stopping && len(r.task.runs) < mostCopies && !r.task.suspected {
 			r.task.avoid = e.info.ID
 			c.makeReady(r.task)
 		}
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -88,6 +88,8 @@
 	// those tasks.
 	EndpointsLost int
 	RunsLost      int
+	// GivenUp counts jobs that were given up since a task crashes its endpoints.
+	GivenUp int
 }
 
 // Stats returns the counters.
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -54,9 +54,15 @@
 	// highest one in the stream.
 	seen     int
 	recorded int
-	// silent says that the last look was not answered, since silentAt.
+	// silent says that the last look was not answered, since silentAt, and broke that it broke
+	// off while it waited: whatever ended the endpoint, it was then.
 	silent   bool
 	silentAt time.Time
+	broke    bool
+	// trial is the run that is on trial there, and promised the task that is to be started on
+	// trial there next: no other starts meanwhile.
+	trial    *run
+	promised *task
 	// overdue says that it has left a call unanswered for longer than usual.
 	overdue    bool
 	pauseUntil time.Time
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -50,6 +50,9 @@
 
 func (c *Cell) explainTask(t *task) string {
 	line := fmt.Sprintf("task %s: %d attempts, %d failed", t.id(), t.attempt, t.failed)
+	if t.crashes.Count > 0 {
+		line += fmt.Sprintf("; %d endpoints ended under it, %d ms after its start at most", t.crashes.Count, t.crashes.Age.Milliseconds())
+	}
 	for _, r := range t.runs {
 		line += fmt.Sprintf("; attempt %d on %s is %s", r.attempt, r.at.info.ID, runStateNames[r.state])
 		if r.stopping {
@@ -67,6 +70,9 @@
 	if c.held(t) {
 		return fmt.Sprintf("%d attempts at endpoints out of reach may have failed", t.lapses)
 	}
+	if t.suspected && !t.phase.spec.Gang && len(c.trials) > 0 {
+		return fmt.Sprintf("it must be started where nothing else begins, and %d endpoints are in use for that", len(c.trials))
+	}
 	reasons := map[string]int{}
 	for _, e := range c.ranked {
 		reasons[c.obstacle(t, e)]++
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/crash"
 	"damsonwinch/pkg/wire"
 )
 
@@ -112,8 +113,10 @@
 	// saved is the newest known checkpoint.
 	saved string
 	runs  []*run
-	// lost counts the attempts that ended with their endpoint.
-	lost int
+	// crashes tells of the endpoints that have ended under it, and suspected that it stands
+	// among the cell's suspects.
+	crashes   crash.Record
+	suspected bool
 	// lapses counts the attempts of which it isn't known how they ended.
 	lapses int
 	// avoid names the endpoint where the task failed last.
@@ -176,7 +179,7 @@
 // makeReady puts a task among those that may start.
 func (c *Cell) makeReady(t *task) {
 	p := t.phase
-	if t.ready || t.done || p.waitsFor > 0 || p.job().ended() {
+	if t.ready || t.done || p.waitsFor > 0 || p.job().ended() || c.giveUpSpent(t) {
 		return
 	}
 	t.ready = true
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -23,6 +23,8 @@
 	number int
 	step   int
 	at     time.Time
+	// wait is how long it may wait for an end.
+	wait time.Duration
 }
 
 // mostEnds is the most ends that an endpoint lists at once; others may follow.
@@ -87,7 +89,7 @@
 func (c *Cell) sendLook(e *endpoint, wait time.Duration) {
 	e.looks.next++
 	e.looks.lastAt = c.now
-	sent := &sentLook{number: e.looks.next, step: c.step, at: c.now}
+	sent := &sentLook{number: e.looks.next, step: c.step, at: c.now, wait: wait}
 	if wait > 0 {
 		e.looks.waiting = sent
 	} else {
@@ -129,7 +131,7 @@
 		return
 	}
 	if err != nil {
-		c.lookFailed(e, err)
+		c.lookFailed(e, sent, err)
 		return
 	}
 	c.answered(e)
@@ -143,6 +145,7 @@
 	}
 	e.silent = false
 	e.clockSample, e.clockAt = look.Clock, c.now
+	c.outlive(e, sent.at)
 	c.takeEnds(e, look.Finished)
 	if len(look.Finished) < mostEnds {
 		c.forgetLapses(e)
@@ -156,7 +159,7 @@
 	}
 }
 
-func (c *Cell) lookFailed(e *endpoint, err error) {
+func (c *Cell) lookFailed(e *endpoint, sent *sentLook, err error) {
 	switch {
 	case errors.Is(err, damsonwinch.ErrOtherLife):
 		c.lose(e, "another life answers at its address")
@@ -165,7 +168,7 @@
 	default:
 		if !e.silent {
 			c.noteEndpoint("endpoint silent", e, err.Error())
-			e.silent, e.silentAt = true, c.now
+			e.silent, e.silentAt, e.broke = true, c.now, c.now.Sub(sent.at) < sent.wait
 		}
 		if len(e.runs) > 0 {
 			c.effects.AskBoxes = true
--- a/pkg/cell/lost.go
+++ b/pkg/cell/lost.go
@@ -3,30 +3,111 @@
 import (
 	"fmt"
 	"time"
+
+	"damsonwinch/pkg/crash"
+	"damsonwinch/pkg/wire"
 )
 
 // lose takes note that a life has ended: all that ran there is gone.
 func (c *Cell) lose(e *endpoint, why string) {
-	if !e.gone {
-		c.noteLost(e, why)
+	if e.gone {
+		return
 	}
+	c.noteLost(e, why)
 	e.gone = true
+	c.blameLapsed(e)
 	c.forgetLapses(e)
+	blamed := c.blamed(e)
 	for _, r := range e.sortedRuns() {
 		if r.state == runIntended {
 			// The commit takes it back.
 			r.stopping = true
 			continue
 		}
-		r.task.lost++
 		c.stats.RunsLost++
-		c.noteRunLost(r)
-		c.again(r)
+		end := c.endOf(r)
+		end.Explained = end.Explained || blamed != nil && blamed != r
+		c.resolve(r)
+		c.endedUnder(r, end)
+		if len(r.task.runs) == 0 {
+			c.makeReady(r.task)
+		}
+	}
+}
+
+// blamed returns the run that was on trial on an endpoint that has ended and is to blame,
+// nil if there is none: then all tasks there may have ended it.
+func (c *Cell) blamed(e *endpoint) *run {
+	if r := e.trial; r != nil && r.state != runIntended && c.options.Blame.Blames(r.task.crashes, c.endOf(r)) {
+		return r
+	}
+	return nil
+}
+
+// endOf describes the end of a run's endpoint.
+func (c *Cell) endOf(r *run) crash.End {
+	endedAt := r.at.endedAt(c.now)
+	exact := r.at.silent && r.at.broke
+	return crash.End{
+		// The look that broke off would have told of the run's end. Otherwise it may have ended
+		// before, unheard of.
+		Age: r.age(endedAt), Exact: exact && !r.adopted, Sure: exact && r.state == runConfirmed, Explained: c.endShared(r.at, endedAt), Trial: r.at.trial == r,
+	}
+}
+
+// endedUnder counts the end of a run's endpoint against its task, and gives the task up if
+// that is enough.
+func (c *Cell) endedUnder(r *run, end crash.End) {
+	t, before := r.task, r.task.crashes
+	t.crashes = c.options.Blame.Add(before, end)
+	c.noteRunLost(r, end)
+	j := t.phase.job()
+	if t.done || j.ended() {
+		return
+	}
+	if c.options.Blame.Blames(before, end) {
+		c.giveUp(t, fmt.Sprintf("task %s crashes its endpoints: %d have ended under it, the last one, %s, %d ms after its start, where nothing else had begun",
+			t.id(), t.crashes.Count, r.at.info.ID, end.Age.Milliseconds()))
+		return
+	}
+	c.suspect(t)
+}
+
+// giveUp ends a job with a task that must not be started any more.
+func (c *Cell) giveUp(t *task, why string) {
+	c.stats.GivenUp++
+	c.end(t.phase.job(), wire.JobStateFailed, why)
+}
+
+// giveUpSpent ends the job of a task that has been started too often. It says whether it is
+// one.
+func (c *Cell) giveUpSpent(t *task) bool {
+	if !c.options.Blame.Spent(t.crashes) {
+		return false
+	}
+	c.giveUp(t, fmt.Sprintf("%d endpoints have ended under task %s, and it has come to nothing since in %d more starts", t.crashes.Count, t.id(), t.crashes.Starts))
+	return true
+}
+
+// countStarts counts a start of a task under which many endpoints have ended, or takes it
+// back where its endpoint has certainly not begun it.
+func (c *Cell) countStarts(t *task, more int) {
+	if c.options.Blame.Counts(t.crashes) {
+		t.crashes = t.crashes.WithStarts(more)
+	}
+}
+
+// blameLapsed counts the end of an endpoint against the tasks that were taken to have lapsed
+// there: it may have ended before that, and because of them.
+func (c *Cell) blameLapsed(e *endpoint) {
+	for _, l := range e.lapses {
+		l.task.crashes = c.options.Blame.Add(l.task.crashes, crash.End{})
+		c.suspect(l.task)
 	}
 }
 
 // endedAt is when an endpoint that is lost has ended, as far as that can be told: a look
-// waits there nearly always, and fails at once.
+// waits there nearly always, and breaks off at once.
 func (e *endpoint) endedAt(now time.Time) time.Time {
 	if e.silent {
 		return e.silentAt
@@ -34,14 +115,30 @@
 	return now
 }
 
-// age returns how long a run had been under way when its endpoint ended. The time before a
-// takeover isn't known.
+// sharedTime is how close the ends of two endpoints must be to have one cause. The rack or
+// zone that they share ends within some milliseconds.
+const sharedTime = 50 * time.Millisecond
+
+// endShared says whether another endpoint has ended at the same moment, and not under a task
+// on trial there.
+func (c *Cell) endShared(e *endpoint, endedAt time.Time) bool {
+	for _, other := range c.ranked {
+		if other == e || other.trial != nil || !other.silent {
+			continue
+		}
+		if apart := other.silentAt.Sub(endedAt).Abs(); apart <= sharedTime {
+			return true
+		}
+	}
+	return false
+}
+
+// age returns how long a run had been under way when its endpoint ended.
 func (r *run) age(endedAt time.Time) time.Duration {
 	return max(0, endedAt.Sub(r.since))
 }
 
-// noteLost tells what a lost endpoint takes with it: a task that crashes it shows by how
-// shortly before it was started.
+// noteLost tells what a lost endpoint takes with it.
 func (c *Cell) noteLost(e *endpoint, why string) {
 	if len(e.runs) == 0 {
 		c.noteEndpoint("endpoint lost", e, why)
@@ -55,9 +152,37 @@
 }
 
 // noteRunLost tells of a run that went with its endpoint. The first time it is one of many.
-func (c *Cell) noteRunLost(r *run) {
+func (c *Cell) noteRunLost(r *run, end crash.End) {
 	c.effects.Notes = append(c.effects.Notes, Note{
-		What: "run lost", Job: r.task.phase.job().id, Task: r.order().Task.String(), Endpoint: r.at.info.ID, Minor: r.task.lost == 1,
-		Why: fmt.Sprintf("its endpoint ended %d ms after its start; attempt %d, lost %d times", r.age(r.at.endedAt(c.now)).Milliseconds(), r.attempt, r.task.lost),
+		What: "run lost", Job: r.task.phase.job().id, Task: r.order().Task.String(), Endpoint: r.at.info.ID, Minor: r.task.crashes.Count == 1,
+		Why: fmt.Sprintf("its endpoint ended %d ms after its start (exact %t, explained %t, on trial %t); attempt %d, %d endpoints ended under its task",
+			end.Age.Milliseconds(), end.Exact, end.Explained, end.Trial, r.attempt, r.task.crashes.Count),
 	})
 }
+
+// crashColumns is the number of columns of a task under which endpoints have ended, in its
+// job's record: the place of its row, how many, on how many of them it certainly ran, its
+// age then in milliseconds, and its starts since there were many.
+const crashColumns = 5
+
+// writeCrashes adds what is known of a task's crashes to its job's record, whose next row is
+// the task's.
+func writeCrashes(t *task, record *wire.JobRecord) {
+	if t.crashes.Count > 0 && !t.done {
+		record.Crashed = append(record.Crashed, []int{len(record.Tasks), t.crashes.Count, t.crashes.Sure, int(t.crashes.Age.Milliseconds()), t.crashes.Starts})
+	}
+}
+
+// readCrashes takes over what a job's record tells of its tasks' crashes.
+func (c *Cell) readCrashes(j *job, record wire.JobRecord) error {
+	for _, row := range record.Crashed {
+		if len(row) != crashColumns || row[0] < 0 || row[0] >= len(record.Tasks) {
+			return fmt.Errorf("job %s has a crashed task %v", j.id, row)
+		}
+		if t := c.findTask(idOf(j, record.Tasks[row[0]])); t != nil {
+			t.crashes = crash.Record{Count: row[1], Sure: row[2], Age: time.Duration(row[3]) * time.Millisecond, Starts: row[4]}
+			c.suspect(t)
+		}
+	}
+	return nil
+}
--- a/pkg/cell/options.go
+++ b/pkg/cell/options.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"damsonwinch/pkg/crash"
+)
 
 // Options are the times by which a cell decides. Those without another source
 // come from the deployment's settings.
@@ -27,6 +31,9 @@
 	RetryLook time.Duration
 	// BoxAhead is the time from the wish for another box until it can run tasks.
 	BoxAhead time.Duration
+	// Blame are the rules by which tasks that crash their endpoints are told, zero for the
+	// usual ones.
+	Blame crash.Rules
 	// KeepEnded is how long an ended job can still be asked for.
 	KeepEnded time.Duration
 }
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -14,6 +14,7 @@
 		return
 	}
 	c.unplaced = false
+	c.placeSuspects()
 	inTime := make([]*phase, 0, len(c.open))
 	var deferred, late []*phase
 	nowMs := int(c.now.UnixMilli())
@@ -75,7 +76,7 @@
 	waiting := p.ready
 	p.ready = nil
 	for at, t := range waiting {
-		if c.held(t) {
+		if c.held(t) || t.suspected {
 			p.ready = append(p.ready, t)
 			continue
 		}
@@ -92,7 +93,7 @@
 
 // allowed says whether a task may be started at an endpoint now.
 func (c *Cell) allowed(t *task, e *endpoint) bool {
-	return !c.held(t) && c.couldTake(t, e) && c.permitted(t.phase, e)
+	return !c.held(t) && c.couldTake(t, e) && c.undisturbed(t, e) && c.permitted(t.phase, e)
 }
 
 // couldTake says whether an endpoint has room for a task and may run it, as far as
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -84,6 +84,7 @@
 	for _, r := range t.runs {
 		row = append(row, r.attempt, placeOf(r.at, record))
 	}
+	writeCrashes(t, record)
 	record.Tasks = append(record.Tasks, row)
 }
 
@@ -121,6 +122,9 @@
 			t.saved = saved.Checkpoint
 		}
 	}
+	if err := c.readCrashes(j, record); err != nil {
+		return err
+	}
 	return c.readLapses(j, record)
 }
 
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -68,6 +68,10 @@
 	t.attempt++
 	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != "", speed: wholePercent, late: t.phase.late(int(c.now.UnixMilli()))}
 	c.attach(r)
+	if t.suspected {
+		c.beginTrial(r)
+	}
+	c.countStarts(t, 1)
 	t.phase.job().placed = true
 	if t.attempt > 1 {
 		c.stats.Reruns++
@@ -94,6 +98,9 @@
 	c.release(r.at, r.task.phase.need())
 	r.task.phase.job().runs--
 	r.at.lastBusy = c.now
+	if r.at.trial == r {
+		r.at.trial = nil
+	}
 	c.unplaced = true
 	c.lookSoon(r.at)
 	c.touch(r.task.phase.job())
@@ -110,6 +117,7 @@
 // sendStart orders a recorded run.
 func (c *Cell) sendStart(r *run) {
 	if r.task.phase.job().ended() || r.stopping || !r.at.usable() || r.at.zone.inDoubt() {
+		c.countStarts(r.task, -1)
 		c.again(r)
 		c.abandonGang(r.task.phase, "a member of its gang can't be started")
 		return
@@ -138,6 +146,8 @@
 		c.answered(r.at)
 	}
 	switch {
+	case errors.Is(err, damsonwinch.ErrNotSent):
+		c.notSent(r, err)
 	case err == nil:
 		r.state, r.knownAt = runConfirmed, c.step
 		r.task.phase.job().begun = true
@@ -170,6 +180,7 @@
 // refused takes back a run that its endpoint has turned away.
 func (c *Cell) refused(r *run, err error) {
 	c.stats.Refusals++
+	c.countStarts(r.task, -1)
 	c.note("start refused", r, err.Error())
 	defer c.abandonGang(r.task.phase, "a member of its gang was refused")
 	switch {
@@ -190,6 +201,16 @@
 	c.again(r)
 }
 
+// notSent takes back a run whose order has certainly not come to its endpoint.
+func (c *Cell) notSent(r *run, err error) {
+	c.note("start not sent", r, err.Error())
+	c.countStarts(r.task, -1)
+	c.wantLook(r.at)
+	r.at.pauseUntil = c.now.Add(refusalPause)
+	c.again(r)
+	c.abandonGang(r.task.phase, "a member of its gang could not be started")
+}
+
 // refusalPause keeps an endpoint that turned a task away from being asked again
 // at once; several looks come back within it.
 const refusalPause = 300 * time.Millisecond
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"damsonwinch"
 	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/crash"
 	"damsonwinch/pkg/wire"
 )
 
@@ -38,6 +40,9 @@
 	answerEarly       bool // Clients are answered before the record is there.
 	impatient         bool // Leases are taken to be over at once.
 	moveAndCommit     bool // An owner goes on with its old stream after a snapshot for a new one.
+	dropCrashes       bool // Records don't say how many endpoints have ended under a task.
+	blameNobody       bool // The ends of endpoints count against nobody.
+	blameByCount      bool // A task is given up with the second end, without a trial.
 }
 
 // event is something that happens at a moment.
@@ -86,6 +91,9 @@
 	// resets says that connections to an endpoint that ends break at once, as those to a
 	// program that crashes do; otherwise nothing tells.
 	resets bool
+	// attentive says that a look that waits tells of an end at once; otherwise it shows what
+	// was when it began to wait.
+	attentive bool
 	// late says that the order being carried out comes long after it was sent.
 	late bool
 	// trouble says that things may go wrong.
@@ -254,6 +262,12 @@
 	if broken.impatient {
 		options.MostLease, options.TokenGrace = 50*time.Millisecond, 0
 	}
+	switch {
+	case broken.blameNobody:
+		options.Blame = crash.Rules{Prompt: -1, Most: math.MaxInt}
+	case broken.blameByCount:
+		options.Blame = crash.Rules{Prompt: -1, Most: 2}
+	}
 	return options
 }
 
--- /dev/null
+++ b/pkg/cell/trial.go
@@ -0,0 +1,189 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"damsonwinch/pkg/crash"
+)
+
+const (
+	// trialShare is the most of a cell's endpoints, in percent, on which tasks are on trial or
+	// about to be: a trial may cost an endpoint, and keeps others from starting there.
+	trialShare = 12
+	// outlivedTime is how long a lasting task that was a suspect must have been at work to be
+	// one no more.
+	outlivedTime = 20 * time.Second
+	// lastingBeside weighs a lasting task beside a trial, in short ones: it takes seconds to be
+	// at work again elsewhere.
+	lastingBeside = 10
+)
+
+// suspect puts a task among the suspects if the ends of endpoints under it call for that.
+func (c *Cell) suspect(t *task) {
+	if !t.suspected && !t.done && c.options.Blame.Suspects(t.crashes) {
+		t.suspected = true
+		c.suspects = append(c.suspects, t)
+	}
+}
+
+// placeSuspects starts the tasks that must be started on trial: each at an endpoint where
+// nothing has begun just now, and none of them beside another.
+func (c *Cell) placeSuspects() {
+	if len(c.suspects) == 0 {
+		return
+	}
+	c.dropSuspects()
+	for _, t := range c.suspects {
+		if !t.ready || len(t.runs) > 0 || t.phase.spec.Gang || c.held(t) {
+			continue
+		}
+		if e := c.trialPlace(t); e != nil {
+			t.phase.unready(t)
+			c.intend(t, e)
+		} else {
+			c.promise(t)
+		}
+	}
+}
+
+// dropSuspects drops what has been settled: tasks and promised endpoints.
+func (c *Cell) dropSuspects() {
+	c.suspects = slices.DeleteFunc(c.suspects, func(t *task) bool {
+		if t.done || t.phase.job().ended() {
+			t.suspected = false
+		}
+		return !t.suspected
+	})
+	c.trials = slices.DeleteFunc(c.trials, func(e *endpoint) bool {
+		if t := e.promised; t != nil && (!t.suspected || !t.ready || !e.usable()) {
+			e.promised = nil
+		}
+		return e.trial == nil && e.promised == nil
+	})
+	nowMs := int(c.now.UnixMilli())
+	slices.SortStableFunc(c.suspects, func(a, b *task) int {
+		if late := a.phase.late(nowMs); late != b.phase.late(nowMs) {
+			if late {
+				return 1
+			}
+			return -1
+		}
+		return comparePhases(a.phase, b.phase)
+	})
+}
+
+// trialPlace returns the endpoint for a trial where the least is lost if that ends it.
+func (c *Cell) trialPlace(t *task) *endpoint {
+	var choice choice
+	for _, e := range c.ranked {
+		if c.allowed(t, e) {
+			choice.offer(e, -e.atStake())
+		}
+	}
+	return choice.best
+}
+
+// atStake weighs what an endpoint takes with it when it ends.
+func (e *endpoint) atStake() int {
+	sum := 0
+	for _, r := range e.ordered {
+		if r.task.phase.spec.Lasting {
+			sum += lastingBeside
+		} else {
+			sum++
+		}
+	}
+	return sum
+}
+
+// undisturbed says whether a task may start at an endpoint as far as trials go.
+func (c *Cell) undisturbed(t *task, e *endpoint) bool {
+	if e.trial != nil || e.promised != nil && e.promised != t {
+		return false
+	}
+	return !t.suspected || t.phase.spec.Gang || c.mayTry(e) && c.quiet(e)
+}
+
+// mayTry says whether one more endpoint may be used for a trial.
+func (c *Cell) mayTry(e *endpoint) bool {
+	return e.promised != nil || len(c.trials) < max(1, len(c.ranked)*trialShare/wholePercent)
+}
+
+// quiet says whether nothing has begun at an endpoint of late that may end it yet.
+func (c *Cell) quiet(e *endpoint) bool {
+	for _, r := range e.ordered {
+		if c.now.Sub(r.since) < c.options.Blame.Prompt {
+			return false
+		}
+	}
+	return true
+}
+
+// promise keeps an endpoint for a task until nothing young runs there and there is room.
+func (c *Cell) promise(t *task) {
+	if slices.ContainsFunc(c.trials, func(e *endpoint) bool { return e.promised == t }) {
+		return
+	}
+	var choice choice
+	for _, e := range c.ranked {
+		if e.trial == nil && e.promised == nil && c.mayTry(e) && c.couldHold(t, e) {
+			choice.offer(e, -e.atStake())
+		}
+	}
+	if choice.best != nil {
+		choice.best.promised = t
+		c.trials = append(c.trials, choice.best)
+	}
+}
+
+// couldHold says whether a task could run at an endpoint once the short tasks there have ended.
+func (c *Cell) couldHold(t *task, e *endpoint) bool {
+	p := t.phase
+	if !e.usable() || e.overdue || e.zone.inDoubt() || !c.fit(e) || !e.hasLabel(p.spec.Label) || !c.permitted(p, e) {
+		return false
+	}
+	return e.info.Capacity.Minus(e.lastingNeed()).Holds(p.need()) && (p.spec.MostPerBox == 0 || onEndpoint(p, e) < p.spec.MostPerBox)
+}
+
+// beginTrial notes that a run is on trial: nothing else starts at its endpoint until it has
+// outlived that.
+func (c *Cell) beginTrial(r *run) {
+	r.at.trial, r.at.promised = r, nil
+	if !slices.Contains(c.trials, r.at) {
+		c.trials = append(c.trials, r.at)
+	}
+}
+
+// watchTrials looks at endpoints where a trial should be over, and clears lasting tasks that
+// have been at work for long.
+func (c *Cell) watchTrials() {
+	for _, e := range c.trials {
+		if e.trial != nil && e.trial.state == runConfirmed && !c.now.Before(c.outlivesAt(e.trial)) {
+			c.wantLook(e)
+		}
+	}
+	for _, t := range c.suspects {
+		if !t.phase.spec.Lasting || len(t.runs) == 0 {
+			continue
+		}
+		if r := t.runs[0]; r.percent >= wholePercent && c.now.Sub(r.since) >= outlivedTime {
+			t.crashes, t.suspected = crash.Record{}, false
+			c.touch(t.phase.job())
+		}
+	}
+}
+
+// outlivesAt returns when a run on trial has outlived it.
+func (c *Cell) outlivesAt(r *run) time.Time {
+	return r.since.Add(c.options.Blame.Watch(r.task.crashes))
+}
+
+// outlive ends the trial at an endpoint that has answered a look which was sent after it
+// should be over.
+func (c *Cell) outlive(e *endpoint, sentAt time.Time) {
+	if e.trial != nil && e.trial.state == runConfirmed && !sentAt.Before(c.outlivesAt(e.trial)) {
+		e.trial = nil
+		c.unplaced = true
+	}
+}
--- /dev/null
+++ b/pkg/crash/crash_test.go
@@ -0,0 +1,53 @@
+package crash_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"damsonwinch/pkg/crash"
+)
+
+// TestBlame leads a task through ends of endpoints under it.
+func TestBlame(t *testing.T) {
+	rules := crash.Usual()
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var known crash.Record
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			verdict := ""
+			switch d.Cmd {
+			case "fresh":
+				known = crash.Record{}
+			case "end":
+				end := crash.End{Exact: d.HasArg("exact"), Sure: d.HasArg("sure"), Explained: d.HasArg("explained"), Trial: d.HasArg("trial")}
+				var ms int
+				d.ScanArgs(t, "age", &ms)
+				end.Age = time.Duration(ms) * time.Millisecond
+				if rules.Blames(known, end) {
+					verdict = "; it is to blame"
+				}
+				known = rules.Add(known, end)
+			case "start":
+				if rules.Counts(known) {
+					known = known.WithStarts(1)
+				}
+			default:
+				d.Fatalf(t, "unknown command")
+			}
+			return fmt.Sprintf("%d ended, %d surely under it, aged %v; %s%s\n", known.Count, known.Sure, known.Age, next(rules, known), verdict)
+		})
+	})
+}
+
+// next says how a task is started next.
+func next(rules crash.Rules, known crash.Record) string {
+	switch {
+	case rules.Spent(known):
+		return "never again"
+	case rules.Suspects(known):
+		return fmt.Sprintf("on trial for %v", rules.Watch(known))
+	}
+	return "as any other"
+}
--- a/pkg/owner/counters.go
+++ b/pkg/owner/counters.go
@@ -12,6 +12,7 @@
 	{"jobs_accepted", func(s cell.Stats) int { return s.Accepted }},
 	{"jobs_completed", func(s cell.Stats) int { return s.Completed }},
 	{"jobs_failed", func(s cell.Stats) int { return s.Failed }},
+	{"jobs_given_up", func(s cell.Stats) int { return s.GivenUp }},
 	{"jobs_cancelled", func(s cell.Stats) int { return s.Cancelled }},
 	{"jobs_refused", func(s cell.Stats) int { return s.Refused }},
 	{"runs_started", func(s cell.Stats) int { return s.Starts }},
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -460,6 +460,11 @@
 // written each time that a task begins or ends, and so holds no names of fields
 // for each task.
 type JobRecord struct {
+	// Tasks under which endpoints have ended: the place of the task's row, how many,
+	// on how many of them it certainly ran, how long at most it had been under way
+	// then, in milliseconds, and how often it was started since there were many.
+	Crashed [][]int `json:"crashed,omitempty,omitzero"`
+
 	// When it was completed, failed or cancelled, in milliseconds since 1970; 0
 	// before.
 	EndedMs int `json:"ended_ms,omitempty,omitzero"`
