Weigh the evidence against tasks that lose their endpoints; lasting jobs go on

Now: an end in a trial weighs by how likely it is by chance, from the rate of ends of late and from how well its age fits the earlier ones; suspects are those with ends at like ages; a quarter of the endpoints may be on trial or lost in one, and who finds no place within 1 s starts as any other; a lasting job goes on without the task. An owner that has just woken, or an answer of another life, no longer vouches for the time of an end.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -39,6 +39,9 @@
 	// is on trial or is about to be.
 	suspects []*task
 	trials   []*endpoint
+	// ends tells how often endpoints end, and trialEnds how often they do in trials.
+	ends      ends
+	trialEnds ends
 	// together says that more events follow before anything is done about them.
 	together bool
 	// unplaced says that something has happened since the last choice that may let
@@ -51,6 +54,9 @@
 	// each other; steps tell what was sent before what was known.
 	step int
 	now  time.Time
+	// wokeAt is when this owner last went on after it had stood still: what it hears for a
+	// moment after that has happened before.
+	wokeAt time.Time
 	// tickedAt is when time was last let pass.
 	tickedAt time.Time
 	// confirmedAt is until when this owner's claim stood for certain.
@@ -85,10 +91,26 @@
 
 // begin notes an event and the time at which it came.
 func (c *Cell) begin(now time.Time) {
+	if !c.now.IsZero() && now.Sub(c.now) > stillGap {
+		c.wokeAt = now
+	}
 	c.now = now
 	c.step++
 }
 
+const (
+	// stillGap is the time between two events from which an owner has stood still: it ticks
+	// four times a second when nothing happens.
+	stillGap = 400 * time.Millisecond
+	// wakeTime is how long it takes to hear of what happened meanwhile.
+	wakeTime = 100 * time.Millisecond
+)
+
+// awake says whether this owner hears of things when they happen.
+func (c *Cell) awake() bool {
+	return c.now.Sub(c.wokeAt) >= wakeTime
+}
+
 // Configure takes the queues in force. Queues that have gone are remembered for
 // the jobs that still run.
 func (c *Cell) Configure(now time.Time, queues []damsonwinch.Queue) {
--- a/pkg/cell/copies.go
+++ b/pkg/cell/copies.go
@@ -5,11 +5,12 @@
 const mostCopies = 2
 
 // copyRuns has the tasks of an endpoint tried elsewhere as well, as far as their
-// phases allow copies. What the endpoint does in the end still counts. A suspect is tried once
-// at a time.
+// phases allow copies. What the endpoint does in the end still counts. A task under which
+// an endpoint has ended is tried once at a time, so that each end is counted before the next
+// start.
 func (c *Cell) copyRuns(e *endpoint) {
 	for _, r := range e.sortedRuns() {
-		if r.task.phase.spec.Copies && !r.stopping && len(r.task.runs) < mostCopies && !r.task.suspected {
+		if r.task.phase.spec.Copies && !r.stopping && len(r.task.runs) < mostCopies && r.task.crashes.Count == 0 {
 			r.task.avoid = e.info.ID
 			c.makeReady(r.task)
 		}
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -59,6 +59,8 @@
 	silent   bool
 	silentAt time.Time
 	broke    bool
+	// heardAt is when it last answered a call.
+	heardAt time.Time
 	// trial is the run that is on trial there, and promised the task that is to be started on
 	// trial there next: no other starts meanwhile.
 	trial    *run
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -51,7 +51,8 @@
 func (c *Cell) explainTask(t *task) string {
 	line := fmt.Sprintf("task %s: %d attempts, %d failed", t.id(), t.attempt, t.failed)
 	if t.crashes.Count > 0 {
-		line += fmt.Sprintf("; %d endpoints ended under it, %d ms after its start at most", t.crashes.Count, t.crashes.Age.Milliseconds())
+		line += fmt.Sprintf("; %d endpoints ended under it, the last %d between %d and %d ms after its start",
+			t.crashes.Count, t.crashes.Like, t.crashes.Low.Milliseconds(), t.crashes.High.Milliseconds())
 	}
 	for _, r := range t.runs {
 		line += fmt.Sprintf("; attempt %d on %s is %s", r.attempt, r.at.info.ID, runStateNames[r.state])
@@ -70,8 +71,9 @@
 	if c.held(t) {
 		return fmt.Sprintf("%d attempts at endpoints out of reach may have failed", t.lapses)
 	}
-	if t.suspected && !t.phase.spec.Gang && len(c.trials) > 0 {
-		return fmt.Sprintf("it must be started where nothing else begins, and %d endpoints are in use for that", len(c.trials))
+	if t.suspected && !t.phase.spec.Gang && !c.triedInVain(t) {
+		return fmt.Sprintf("for %d ms it is only started where nothing else begins; %d endpoints are in use for that, and %d have ended so of late",
+			t.triedFrom.Add(trialWait).Sub(c.now).Milliseconds(), len(c.trials), c.trialEnds.within(c.now, backTime))
 	}
 	reasons := map[string]int{}
 	for _, e := range c.ranked {
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -117,6 +117,10 @@
 	// among the cell's suspects.
 	crashes   crash.Record
 	suspected bool
+	// triedFrom is since when it waits for a trial, if it is a suspect.
+	triedFrom time.Time
+	// givenUp says that it is not started any more.
+	givenUp bool
 	// lapses counts the attempts of which it isn't known how they ended.
 	lapses int
 	// avoid names the endpoint where the task failed last.
@@ -179,10 +183,10 @@
 // makeReady puts a task among those that may start.
 func (c *Cell) makeReady(t *task) {
 	p := t.phase
-	if t.ready || t.done || p.waitsFor > 0 || p.job().ended() || c.giveUpSpent(t) {
+	if t.ready || t.done || p.waitsFor > 0 || p.job().ended() || t.givenUp || c.giveUpSpent(t) {
 		return
 	}
-	t.ready = true
+	t.ready, t.triedFrom = true, c.now
 	c.unplaced = true
 	p.ready = append(p.ready, t)
 	if !p.open {
--- a/pkg/cell/lapsed.go
+++ b/pkg/cell/lapsed.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"damsonwinch"
 	"damsonwinch/pkg/wire"
@@ -14,13 +15,15 @@
 type lapse struct {
 	task    *task
 	attempt int
+	// outlived is for how long at least it had been under way.
+	outlived time.Duration
 }
 
 // lapsed takes back a run whose lease must have run out, and keeps in mind that it may have
 // failed.
 func (c *Cell) lapsed(r *run) {
 	c.stats.Lapsed++
-	r.at.lapses = append(r.at.lapses, lapse{task: r.task, attempt: r.attempt})
+	r.at.lapses = append(r.at.lapses, lapse{task: r.task, attempt: r.attempt, outlived: r.age(r.at.heardAt)})
 	r.task.lapses++
 	c.again(r)
 }
--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -134,7 +134,7 @@
 		c.lookFailed(e, sent, err)
 		return
 	}
-	c.answered(e)
+	c.heard(e)
 	if sent.step < e.looks.answered {
 		// A later look has been answered; this one is out of date.
 		return
@@ -168,7 +168,7 @@
 	default:
 		if !e.silent {
 			c.noteEndpoint("endpoint silent", e, err.Error())
-			e.silent, e.silentAt, e.broke = true, c.now, c.now.Sub(sent.at) < sent.wait
+			e.silent, e.silentAt, e.broke = true, c.now, c.awake() && c.now.Sub(sent.at) < sent.wait
 		}
 		if len(e.runs) > 0 {
 			c.effects.AskBoxes = true
--- a/pkg/cell/lost.go
+++ b/pkg/cell/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"damsonwinch/pkg/crash"
@@ -18,6 +19,12 @@
 	c.blameLapsed(e)
 	c.forgetLapses(e)
 	blamed := c.blamed(e)
+	if blamed == nil && len(e.runs) > 0 {
+		c.ends.add(c.now)
+	}
+	if e.trial != nil {
+		c.trialEnds.add(c.now)
+	}
 	for _, r := range e.sortedRuns() {
 		if r.state == runIntended {
 			// The commit takes it back.
@@ -47,40 +54,42 @@
 // endOf describes the end of a run's endpoint.
 func (c *Cell) endOf(r *run) crash.End {
 	endedAt := r.at.endedAt(c.now)
-	exact := r.at.silent && r.at.broke
-	return crash.End{
+	end := crash.End{Age: r.age(endedAt), Least: r.age(r.at.heardAt), Explained: c.endShared(r.at, endedAt), Trial: r.at.trial == r, Rate: c.ends.rate(c.now, len(c.ranked))}
+	if r.at.silent && r.at.broke {
 		// The look that broke off would have told of the run's end. Otherwise it may have ended
 		// before, unheard of.
-		Age: r.age(endedAt), Exact: exact && !r.adopted, Sure: exact && r.state == runConfirmed, Explained: c.endShared(r.at, endedAt), Trial: r.at.trial == r,
+		end.Least, end.Sure = end.Age, r.state == runConfirmed
+	}
+	if r.adopted {
+		end.Age = max(end.Age, c.options.Blame.Settled)
 	}
+	return end
 }
 
 // endedUnder counts the end of a run's endpoint against its task, and gives the task up if
 // that is enough.
 func (c *Cell) endedUnder(r *run, end crash.End) {
-	t, before := r.task, r.task.crashes
-	t.crashes = c.options.Blame.Add(before, end)
+	t := r.task
+	t.crashes = c.options.Blame.Add(t.crashes, end)
 	c.noteRunLost(r, end)
-	j := t.phase.job()
-	if t.done || j.ended() {
-		return
-	}
-	if c.options.Blame.Blames(before, end) {
-		c.giveUp(t, fmt.Sprintf("task %s crashes its endpoints: %d have ended under it, the last one, %s, %d ms after its start, where nothing else had begun",
-			t.id(), t.crashes.Count, r.at.info.ID, end.Age.Milliseconds()))
+	if t.done || t.phase.job().ended() || c.giveUpConvicted(t, r) {
 		return
 	}
 	c.suspect(t)
 }
 
-// giveUp ends a job with a task that must not be started any more.
-func (c *Cell) giveUp(t *task, why string) {
-	c.stats.GivenUp++
-	c.end(t.phase.job(), wire.JobStateFailed, why)
+// giveUpConvicted ends the job of a task whose trials have shown that it crashes its
+// endpoints. It says whether it is one.
+func (c *Cell) giveUpConvicted(t *task, last *run) bool {
+	if !c.options.Blame.Convicted(t.crashes) {
+		return false
+	}
+	c.giveUp(t, fmt.Sprintf("task %s crashes its endpoints: %d have ended under it, the last one, %s, %d ms after its start, where nothing else had begun",
+		t.id(), t.crashes.Count, last.at.info.ID, last.age(last.at.endedAt(c.now)).Milliseconds()))
+	return true
 }
 
-// giveUpSpent ends the job of a task that has been started too often. It says whether it is
-// one.
+// giveUpSpent gives a task up that has been started too often. It says whether it is one.
 func (c *Cell) giveUpSpent(t *task) bool {
 	if !c.options.Blame.Spent(t.crashes) {
 		return false
@@ -89,6 +98,33 @@
 	return true
 }
 
+// giveUp ends the job of a task that must not be started any more. A lasting job goes on with
+// what is left of it: its other tasks serve, and more of them may not be away than it allows.
+func (c *Cell) giveUp(t *task, why string) {
+	if t.givenUp {
+		return
+	}
+	t.givenUp = true
+	c.stats.GivenUp++
+	if j := t.phase.job(); !t.phase.spec.Lasting || j.runs == 0 && !j.hopes() {
+		c.end(j, wire.JobStateFailed, why)
+	} else {
+		c.noteJob("task given up", j, why)
+	}
+}
+
+// hopes says whether a job has a task that isn't given up.
+func (j *job) hopes() bool {
+	for _, r := range j.rounds {
+		for _, p := range r.phases {
+			if slices.ContainsFunc(p.tasks, func(t *task) bool { return !t.done && !t.givenUp }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // countStarts counts a start of a task under which many endpoints have ended, or takes it
 // back where its endpoint has certainly not begun it.
 func (c *Cell) countStarts(t *task, more int) {
@@ -101,7 +137,7 @@
 // there: it may have ended before that, and because of them.
 func (c *Cell) blameLapsed(e *endpoint) {
 	for _, l := range e.lapses {
-		l.task.crashes = c.options.Blame.Add(l.task.crashes, crash.End{})
+		l.task.crashes = c.options.Blame.Add(l.task.crashes, crash.End{Least: l.outlived, Age: c.options.Blame.Settled})
 		c.suspect(l.task)
 	}
 }
@@ -154,22 +190,23 @@
 // noteRunLost tells of a run that went with its endpoint. The first time it is one of many.
 func (c *Cell) noteRunLost(r *run, end crash.End) {
 	c.effects.Notes = append(c.effects.Notes, Note{
-		What: "run lost", Job: r.task.phase.job().id, Task: r.order().Task.String(), Endpoint: r.at.info.ID, Minor: r.task.crashes.Count == 1,
-		Why: fmt.Sprintf("its endpoint ended %d ms after its start (exact %t, explained %t, on trial %t); attempt %d, %d endpoints ended under its task",
-			end.Age.Milliseconds(), end.Exact, end.Explained, end.Trial, r.attempt, r.task.crashes.Count),
+		What: "run lost", Job: r.task.phase.job().id, Task: r.order().Task.String(), Endpoint: r.at.info.ID, Minor: r.task.crashes.Count <= 1,
+		Why: fmt.Sprintf("its endpoint ended %d to %d ms after its start (surely under it %t, explained %t, on trial %t, rate %.3f a second); attempt %d, %d endpoints ended under its task, weight %d, %d starts since",
+			end.Least.Milliseconds(), end.Age.Milliseconds(), end.Sure, end.Explained, end.Trial, end.Rate, r.attempt, r.task.crashes.Count, r.task.crashes.Weight, r.task.crashes.Starts),
 	})
 }
 
 // crashColumns is the number of columns of a task under which endpoints have ended, in its
-// job's record: the place of its row, how many, on how many of them it certainly ran, its
-// age then in milliseconds, and its starts since there were many.
-const crashColumns = 5
+// job's record: the place of its row, how many, on how many of them it certainly ran, how many
+// in a row were alike, between which ages in milliseconds, the weight of the evidence, and its
+// starts since there were many.
+const crashColumns = 8
 
 // writeCrashes adds what is known of a task's crashes to its job's record, whose next row is
 // the task's.
 func writeCrashes(t *task, record *wire.JobRecord) {
 	if t.crashes.Count > 0 && !t.done {
-		record.Crashed = append(record.Crashed, []int{len(record.Tasks), t.crashes.Count, t.crashes.Sure, int(t.crashes.Age.Milliseconds()), t.crashes.Starts})
+		record.Crashed = append(record.Crashed, []int{len(record.Tasks), t.crashes.Count, t.crashes.Sure, t.crashes.Like, int(t.crashes.Low.Milliseconds()), int(t.crashes.High.Milliseconds()), t.crashes.Weight, t.crashes.Starts})
 	}
 }
 
@@ -180,7 +217,11 @@
 			return fmt.Errorf("job %s has a crashed task %v", j.id, row)
 		}
 		if t := c.findTask(idOf(j, record.Tasks[row[0]])); t != nil {
-			t.crashes = crash.Record{Count: row[1], Sure: row[2], Age: time.Duration(row[3]) * time.Millisecond, Starts: row[4]}
+			t.crashes = crash.Record{
+				Count: row[1], Sure: row[2], Like: row[3], Low: time.Duration(row[4]) * time.Millisecond, High: time.Duration(row[5]) * time.Millisecond,
+				Weight: row[6], Starts: row[7],
+			}
+			t.givenUp = c.options.Blame.Convicted(t.crashes)
 			c.suspect(t)
 		}
 	}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -76,7 +76,7 @@
 	waiting := p.ready
 	p.ready = nil
 	for at, t := range waiting {
-		if c.held(t) || t.suspected {
+		if c.held(t) || t.suspected && !t.phase.spec.Gang && !c.triedInVain(t) {
 			p.ready = append(p.ready, t)
 			continue
 		}
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -68,7 +68,7 @@
 	t.attempt++
 	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != "", speed: wholePercent, late: t.phase.late(int(c.now.UnixMilli()))}
 	c.attach(r)
-	if t.suspected {
+	if t.suspected && !c.triedInVain(t) {
 		c.beginTrial(r)
 	}
 	c.countStarts(t, 1)
@@ -142,8 +142,11 @@
 	if r == nil || r.state != runOrdered {
 		return
 	}
-	if err == nil || refusedStart(err) {
+	switch {
+	case errors.Is(err, damsonwinch.ErrOtherLife):
 		c.answered(r.at)
+	case err == nil, refusedStart(err):
+		c.heard(r.at)
 	}
 	switch {
 	case errors.Is(err, damsonwinch.ErrNotSent):
@@ -252,7 +255,7 @@
 	}
 	switch {
 	case err == nil:
-		c.answered(r.at)
+		c.heard(r.at)
 		r.stopped, r.knownAt = true, c.step
 		c.wantLook(r.at)
 	case errors.Is(err, damsonwinch.ErrOtherLife):
--- a/pkg/cell/sim_test.go
+++ b/pkg/cell/sim_test.go
@@ -29,6 +29,14 @@
 
 // begin sets up boxes, an owner, clients and what goes wrong.
 func (w *world) begin(jobs int) {
+	w.beginCalm(jobs)
+	for range mishaps {
+		w.after(w.between(0, simTrouble), w.mishap)
+	}
+}
+
+// beginCalm sets up boxes, an owner and clients.
+func (w *world) beginCalm(jobs int) {
 	for box := range w.boxCount {
 		w.addEndpoint(fmt.Sprintf("box-%d", box))
 	}
@@ -36,9 +44,6 @@
 	for number := range jobs {
 		w.after(w.between(0, simTrouble*3/4), func() { w.client(fmt.Sprintf("job%d", number)) })
 	}
-	for range mishaps {
-		w.after(w.between(0, simTrouble), w.mishap)
-	}
 }
 
 // finish lets a run happen and judges its end.
--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -66,7 +66,7 @@
 	e.zone.rooms.put(e)
 }
 
-// answered takes note that an endpoint has answered a call.
+// answered takes note that a call at an endpoint has been answered.
 func (c *Cell) answered(e *endpoint) {
 	e.zone.answeredAt = c.now
 	e.overdue = false
@@ -76,6 +76,15 @@
 	}
 }
 
+// heard takes note that an endpoint has answered a call itself, and not another life at its
+// address.
+func (c *Cell) heard(e *endpoint) {
+	c.answered(e)
+	if c.awake() {
+		e.heardAt = c.now
+	}
+}
+
 // seeOverdue finds the endpoints that leave calls unanswered, and the zones from
 // which nothing comes any more. A look would tell only after its whole time.
 func (c *Cell) seeOverdue() {
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -7,19 +7,37 @@
 // them apart: beside two tasks that crash their endpoints, a sound one loses its place seven
 // times. What does tell is a trial: a suspect is started where nothing else has begun just
 // now and nothing else may begin until it is seen to have outlived the age at which it was
-// under way when an endpoint ended. If that endpoint ends as well, the suspect is to blame.
+// under way when an endpoint ended. If that endpoint ends as well, the suspect is to blame,
+// unless endpoints end so often that it may be chance.
 package crash
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Rules are the figures by which blame is laid.
 type Rules struct {
 	// Prompt is the age up to which a task is a suspect the first time that an endpoint ends
-	// under it. Older ones become suspects the second time.
+	// under it. Older ones become suspects when another does at a like age.
 	Prompt time.Duration
-	// LeastWatch and MostWatch bound how long a trial lasts.
+	// Settled is the age from which a task has nothing to do with the end of its endpoint, and
+	// has outlived what was held against it.
+	Settled time.Duration
+	// LeastWatch and MostWatch bound how long a trial lasts, usually for as long as the task had
+	// been under way at most.
 	LeastWatch time.Duration
 	MostWatch  time.Duration
+	// Jitter is by how much longer than measured a task may have been under way, and Lag by how
+	// much shorter: a busy owner hears of ends late. Beside that two ages may differ by LikePart
+	// of them to be alike.
+	Jitter   time.Duration
+	Lag      time.Duration
+	LikePart float64
+	// LeastRate is how often an endpoint ends by itself, a second, where fewer do.
+	LeastRate float64
+	// Enough is the weight of evidence with which a task is given up.
+	Enough int
 	// Most is the number of endpoints that may end under a task, after which it may be started
 	// MoreStarts times more, whatever comes of that. Then it is given up.
 	Most       int
@@ -30,19 +48,31 @@
 //
 // A task may be given up once two endpoints have crashed under it, and must not be started
 // a third time more once three have: hence Most and MoreStarts. Tasks that crash their
-// endpoints have been seen to do so 10 ms after their start. Prompt is twenty times that, and
-// holds about a fifth of what runs on a busy endpoint (20 starts a second, 0.8 s each).
+// endpoints have been seen to do so 10 ms after their start. Prompt is ten times that, and
+// holds about a tenth of what runs on a busy endpoint (20 starts a second, 0.8 s each).
+// Settled is eighty times that: what runs longer isn't told from what is sound, while a
+// lasting task would be there for the end of many an endpoint.
 //
-// A sound task is given up if it is a suspect and its trial meets an ordinary crash. Where
-// a seventh of the endpoints crash twice in 40 s, one ends in a trial of 0.4 s (a suspect of
-// 200 ms) with a chance of 0.3%; with four suspects for each endpoint that ends, and two
-// that do so in a day, one sound task in 40 days is lost.
+// Where a seventh of the endpoints crash twice in 40 s, each does at a rate of 0.0075 a
+// second. A task whose ages at two ends are 10 ms apart is met by that in a trial once in
+// 3,000 times; Enough asks for once in 500. With two suspects for each end and two ends in
+// a day, one sound task in 700 days is lost. Where endpoints end thirty times as often, each
+// 4 s, a second trial must end badly, and one sound task in 3,000 suspects is lost.
 func Usual() Rules {
 	return Rules{
-		Prompt: 200 * time.Millisecond, LeastWatch: 150 * time.Millisecond, MostWatch: time.Second, Most: 3, MoreStarts: 2,
+		Prompt: 100 * time.Millisecond, Settled: 800 * time.Millisecond, LeastWatch: 60 * time.Millisecond, MostWatch: time.Second,
+		Jitter: 20 * time.Millisecond, Lag: 150 * time.Millisecond, LikePart: 0.25, LeastRate: 0.0075, Enough: Weight(1.0 / 500), Most: 3, MoreStarts: 2,
 	}
 }
 
+// weightPerTen is the weight of what has a chance of one in ten.
+const weightPerTen = 1000
+
+// Weight returns the weight of what has such a chance to happen by itself.
+func Weight(chance float64) int {
+	return int(math.Round(-weightPerTen * math.Log10(min(1, chance))))
+}
+
 // Record is what is known of a task.
 type Record struct {
 	// Count is the number of endpoints that have ended under it.
@@ -50,8 +80,13 @@
 	// Sure is the number of those where it certainly ran: the order to start it may have been
 	// lost, or the answer that it had ended.
 	Sure int
-	// Age is how long at most it had been under way then.
-	Age time.Duration
+	// Like is the number of the last ones in a row at which it may have been under way for
+	// the same time, which is between Low and High then.
+	Like int
+	Low  time.Duration
+	High time.Duration
+	// Weight is that of the evidence of its trials.
+	Weight int
 	// Starts counts how often it was started since Most endpoints have ended under it.
 	Starts int
 }
@@ -64,11 +99,10 @@
 
 // End is the end of an endpoint under a task.
 type End struct {
-	// Age is how long the task had been under way there, at most.
-	Age time.Duration
-	// Exact says that the age is known: the connection broke. Otherwise the endpoint was
-	// silent, and has ended at some time since it was last heard of.
-	Exact bool
+	// Age is how long the task had been under way there, at most, and Least at least: where no
+	// connection broke, the endpoint has ended at some time since it was last heard of.
+	Age   time.Duration
+	Least time.Duration
 	// Sure says that the task certainly ran.
 	Sure bool
 	// Explained says that something else has probably ended it: others ended with it, a rack
@@ -76,38 +110,70 @@
 	Explained bool
 	// Trial says that the task was on trial there, and not seen to have outlived it.
 	Trial bool
+	// Rate is how often an endpoint ends by itself, a second, as seen of late.
+	Rate float64
 }
 
 // Add returns a task's record with one more end.
 func (r Rules) Add(known Record, end End) Record {
-	age := end.Age
-	if !end.Exact || end.Explained {
-		// No task is a suspect for a single end that is explained, or that may have come long
-		// after its start: when a rack goes dark, hundreds would wait for their trials. It
-		// counts all the same, since the explanation may be wrong.
-		age = max(age, r.Prompt+time.Millisecond)
+	if r.low(end.Least) >= r.Settled {
+		return Record{}
 	}
+	known.Weight += r.weigh(known, end)
 	known.Count++
 	if end.Sure {
 		known.Sure++
 	}
-	known.Age = max(known.Age, age)
+	low, high := r.low(end.Least), r.high(end.Age)
+	switch {
+	case known.Like > 0 && high < known.Low:
+		// It has ended before it could tell.
+	case known.Like > 0 && low <= known.High:
+		known.Like, known.Low, known.High = known.Like+1, max(known.Low, low), min(known.High, high)
+	case !end.Explained:
+		// No task becomes a suspect for an end that is explained: when a rack goes dark,
+		// hundreds would wait for their trials.
+		known.Like, known.Low, known.High = 1, low, high
+	}
 	return known
 }
 
-// Suspects says whether a task must be started on trial.
-func (r Rules) Suspects(known Record) bool {
-	return known.Count > 1 || known.Count == 1 && known.Age <= r.Prompt
+// low and high return between what the ages are that are like one as measured.
+func (r Rules) low(age time.Duration) time.Duration {
+	return max(0, age-time.Duration(r.LikePart*float64(age))-r.Lag)
 }
 
-// Watch returns how long a task on trial must be under way until it has outlived that.
-func (r Rules) Watch(known Record) time.Duration {
-	return min(max(2*known.Age, r.LeastWatch), r.MostWatch)
+func (r Rules) high(age time.Duration) time.Duration {
+	return age + time.Duration(r.LikePart*float64(age)) + r.Jitter
+}
+
+// weigh returns the weight of an end as evidence against a task: how unlikely it is that an
+// endpoint ends by itself in the task's trial, and there at the same age as before.
+func (r Rules) weigh(known Record, end End) int {
+	watch := r.Watch(known)
+	if !r.Suspects(known) || !end.Trial || !end.Sure || end.Explained || end.Age > watch {
+		return 0
+	}
+	like := min(watch, known.High) - known.Low
+	if end.Age < known.Low || end.Age > known.High {
+		like = watch
+	}
+	return Weight(max(end.Rate, r.LeastRate) * like.Seconds())
 }
 
 // Blames says whether the end of an endpoint is a task's doing, by what was known before.
 func (r Rules) Blames(before Record, end End) bool {
-	return end.Trial && end.Sure && before.Sure > 0 && !end.Explained && r.Suspects(before) && (!end.Exact || end.Age <= r.Watch(before))
+	return r.weigh(before, end) >= r.Enough
+}
+
+// Suspects says whether a task must be started on trial.
+func (r Rules) Suspects(known Record) bool {
+	return known.Like > 1 || known.Like == 1 && known.High <= r.high(r.Prompt)
+}
+
+// Watch returns how long a task on trial must be under way until it has outlived that.
+func (r Rules) Watch(known Record) time.Duration {
+	return min(max(known.High, r.LeastWatch), r.MostWatch)
 }
 
 // Counts says whether the starts of a task are counted.
@@ -115,7 +181,12 @@
 	return known.Count >= r.Most
 }
 
-// Spent says whether a task must not be started any more.
+// Spent says whether a task must not be started any more, whatever ended its endpoints.
 func (r Rules) Spent(known Record) bool {
 	return r.Counts(known) && known.Starts >= r.MoreStarts
 }
+
+// Convicted says whether its trials are evidence enough against a task.
+func (r Rules) Convicted(known Record) bool {
+	return known.Sure > 1 && known.Weight >= r.Enough
+}
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -461,8 +461,9 @@
 // for each task.
 type JobRecord struct {
 	// Tasks under which endpoints have ended: the place of the task's row, how many,
-	// on how many of them it certainly ran, how long at most it had been under way
-	// then, in milliseconds, and how often it was started since there were many.
+	// on how many of them it certainly ran, how many of the last in a row were alike,
+	// between which ages in milliseconds, the weight of the evidence of its trials,
+	// and how often it was started since there were many.
 	Crashed [][]int `json:"crashed,omitempty,omitzero"`
 
 	// When it was completed, failed or cancelled, in milliseconds since 1970; 0
