--- /dev/null
+++ b/pkg/cell/refused_test.go
@@ -0,0 +1,47 @@
+package cell_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/wire"
+)
+
+// TestStartsThatAreRefusedComeFurtherApart: an end of a run that no budget counts, as the end
+// of an endpoint was. What each endpoint refuses as invalid was ordered anew with each append,
+// 500 times in 5 s for a single task.
+func TestStartsThatAreRefusedComeFurtherApart(t *testing.T) {
+	for _, refusal := range []error{damsonwinch.ErrInvalid, damsonwinch.ErrOldRun, damsonwinch.ErrLate} {
+		now := time.UnixMilli(1_700_000_000_000)
+		c := cell.New(simOptions(sabotage{}), 1)
+		assert.NilError(t, c.Load(now, nil))
+		c.Configure(now, simQueues)
+		c.SetEndpoints(now, []damsonwinch.Endpoint{
+			{ID: "e1", Address: "e1:1", Pool: "pool", Capacity: damsonwinch.Resources{CPU: 4000, MemoryMB: 4000}},
+			{ID: "e2", Address: "e2:1", Pool: "pool", Capacity: damsonwinch.Resources{CPU: 4000, MemoryMB: 4000}},
+		})
+		spec := simSpec(wire.Phase{Count: 1, Cpu: 1000, EstimateMs: 300})
+		c.Submit(now, wire.JobArgs{Queue: "queue", Id: "job", Spec: &spec, ReceivedMs: int(now.UnixMilli())}, 1)
+		starts := 0
+		for end := now.Add(5 * time.Second); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			c.Confirm(now)
+			c.Tick(now)
+			effects := c.Take()
+			if effects.Commit != nil {
+				c.Committed(now, effects.Commit.Number)
+			}
+			for _, look := range effects.Looks {
+				c.Looked(now, look.At.ID, look.Number, damsonwinch.Look{Clock: int(now.UnixMilli())}, nil)
+			}
+			for _, start := range append(effects.Starts, c.Take().Starts...) {
+				starts++
+				c.Started(now, start.At.ID, start.Order.Run, refusal)
+			}
+		}
+		assert.Assert(t, starts >= 3 && starts <= 8, "%d starts in 5 s: %v", starts, refusal)
+	}
+}
