Starts that endpoints refuse for good come further apart

Cause: a refused start counts against no budget, rightly, since nothing ran; but it was ordered anew with the next append. 499 starts and records in 5 s for one task that each endpoint calls invalid; now pauses of 0.1 s doubled up to 2 s, 3 to 8 starts.

--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -68,6 +68,9 @@
 
 // whyNot says why no endpoint takes a task now.
 func (c *Cell) whyNot(t *task) string {
+	if c.now.Before(t.notBefore) {
+		return fmt.Sprintf("endpoints have refused it %d times in a row; it is tried again in %d ms", t.refusals, t.notBefore.Sub(c.now).Milliseconds())
+	}
 	if c.held(t) {
 		return fmt.Sprintf("%d attempts at endpoints out of reach may have failed", t.lapses)
 	}
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -123,6 +123,10 @@
 	givenUp bool
 	// lapses counts the attempts of which it isn't known how they ended.
 	lapses int
+	// refusals counts the starts in a row that endpoints have refused for good, and notBefore
+	// is when it may be started again.
+	refusals  int
+	notBefore time.Time
 	// avoid names the endpoint where the task failed last.
 	avoid string
 }
--- a/pkg/cell/lapsed.go
+++ b/pkg/cell/lapsed.go
@@ -55,10 +55,11 @@
 	c.touch(l.task.phase.job())
 }
 
-// held says whether a task must wait until it is known how attempts at it have ended: with
-// those that may have failed it has failed as often as it is tried.
+// held says whether a task must wait: since endpoints have refused it, or until it is known how
+// attempts at it have ended. With those that may have failed it has failed as often as it is
+// tried.
 func (c *Cell) held(t *task) bool {
-	return t.lapses > 0 && !t.phase.spec.Lasting && failures(t)+t.lapses >= c.attemptsOf(t.phase.job())
+	return c.now.Before(t.notBefore) || t.lapses > 0 && !t.phase.spec.Lasting && failures(t)+t.lapses >= c.attemptsOf(t.phase.job())
 }
 
 // lapseColumns is the number of columns of a lapse in a job's record: the place of its
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -154,6 +154,7 @@
 	case err == nil:
 		r.state, r.knownAt = runConfirmed, c.step
 		r.task.phase.job().begun = true
+		r.task.refusals = 0
 		if r.stopping {
 			c.stop(r, "asked for before it began")
 		}
@@ -201,9 +202,24 @@
 		return
 	}
 	r.task.avoid = r.at.info.ID
+	c.putBack(r.task)
 	c.again(r)
 }
 
+// putBack lets the starts of a task come further apart that endpoints refuse for good: each
+// costs a record and a call, and what one calls invalid the next one will as well.
+func (c *Cell) putBack(t *task) {
+	t.notBefore = c.now.Add(min(mostPutBack, leastPutBack<<min(t.refusals, 8)))
+	t.refusals++
+}
+
+// Times by which a refused start is put back: as long as another endpoint may take it soon, and
+// until a change of the endpoints' programs would be noticed.
+const (
+	leastPutBack = 100 * time.Millisecond
+	mostPutBack  = 2 * time.Second
+)
+
 // notSent takes back a run whose order has certainly not come to its endpoint.
 func (c *Cell) notSent(r *run, err error) {
 	c.note("start not sent", r, err.Error())
