Known red: endpoints whose room has shrunk are overfilled

In the simulation boxes' rooms shrink and grow, endpoints start whatever they are told, and the registry is away for up to 7 s.

--- a/endpoint.go
+++ b/endpoint.go
@@ -51,6 +51,8 @@
 	Remaining time.Duration
 	// Offset is where the store has this entry.
 	Offset int
+	// SeenAt is when this node read the entry as it was last written.
+	SeenAt time.Time
 }
 
 // TaskID names a task.
--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -26,6 +26,8 @@
 	// the life ends.
 	waiting  []func()
 	breaking []func()
+	// before are the rooms that it has had.
+	before []roomBefore
 }
 
 // simRun is a run on an endpoint.
@@ -77,7 +79,9 @@
 	e.prolong(order.Until)
 	task := e.world.task(order.Task)
 	need := task.need
-	if !e.info.Capacity.Minus(e.used()).Holds(need) {
+	if e.world.room != nil {
+		e.world.rules.fills(e, order, need)
+	} else if !e.info.Capacity.Minus(e.used()).Holds(need) {
 		return damsonwinch.ErrNoRoom
 	}
 	e.world.rules.started(e, order)
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -115,7 +115,9 @@
 			}
 			o.cell.Confirm(o.world.now)
 		}
-		o.cell.SetEndpoints(o.world.now, o.world.listed())
+		if o.world.room == nil || !o.world.room.out {
+			o.cell.SetEndpoints(o.world.now, o.world.listed())
+		}
 		o.cell.Tick(o.world.now)
 		if o.cell.Stuck(o.world.now) > simStuck && !o.cutFromStore {
 			o.move()
--- a/pkg/cell/sim_rules_test.go
+++ b/pkg/cell/sim_rules_test.go
@@ -110,6 +110,14 @@
 	r.active[order.Task]++
 }
 
+// fills judges the room that a start takes at an endpoint that starts whatever it is told.
+func (r *rules) fills(e *simEndpoint, order damsonwinch.StartOrder, need damsonwinch.Resources) {
+	used, lately := e.used().CPU, e.roomLately()
+	if !r.world.late && used+need.CPU > lately {
+		r.fail("LIMIT: %s brings %s to %d of %d", order.Task, e.info.ID, used+need.CPU, lately)
+	}
+}
+
 func (r *rules) ended(e *simEndpoint, run *simRun, how damsonwinch.Ending) {
 	if how == damsonwinch.EndedDone {
 		r.doneAt = r.world.now
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -94,6 +94,9 @@
 	// attentive says that a look that waits tells of an end at once; otherwise it shows what
 	// was when it began to wait.
 	attentive bool
+	// room is the registry where boxes change their room, and endpoints start whatever they
+	// are told; nil in other runs.
+	room *simRooms
 	// late says that the order being carried out comes long after it was sent.
 	late bool
 	// trouble says that things may go wrong.
@@ -177,6 +180,9 @@
 			Capacity: damsonwinch.Resources{CPU: w.boxCPU, MemoryMB: 8000},
 		},
 	})
+	if w.room != nil {
+		w.endpoints[len(w.endpoints)-1].beat()
+	}
 }
 
 func (w *world) endpoint(id string) *simEndpoint {
@@ -190,6 +196,9 @@
 
 // listed are the endpoints that the registry shows.
 func (w *world) listed() []damsonwinch.Endpoint {
+	if w.room != nil {
+		return w.listedRooms()
+	}
 	var found []damsonwinch.Endpoint
 	for _, e := range w.endpoints {
 		if !e.dead {
