Known red: a suspended owner goes on as if no time had passed

Leases, proofs of claims and silence are measured by the steady clock, which doesn't count the time for which a machine is suspended.

--- a/pkg/cell/overload.go
+++ b/pkg/cell/overload.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		free += max(0, e.free().CPU)
-		turning += e.info.Capacity.CPU - e.lastingNeed().CPU
+		turning += max(0, e.info.Capacity.CPU-e.lastingNeed().CPU)
 	}
 	taskMs := c.taskMs()
 	if taskMs == 0 {
--- a/pkg/cell/sim_client_test.go
+++ b/pkg/cell/sim_client_test.go
@@ -107,11 +107,11 @@
 				o.calls[o.ticket] = done
 			}
 			if cancel {
-				o.cell.Cancel(w.now, c.id, o.ticket)
+				o.cell.Cancel(o.now(), c.id, o.ticket)
 				return
 			}
 			spec := c.spec
-			o.cell.Submit(w.now, wire.JobArgs{Queue: "queue", Id: c.id, Spec: &spec, ReceivedMs: int(w.now.UnixMilli())}, o.ticket)
+			o.cell.Submit(o.now(), wire.JobArgs{Queue: "queue", Id: c.id, Spec: &spec, ReceivedMs: int(w.now.UnixMilli())}, o.ticket)
 		})
 	})
 }
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -29,6 +29,10 @@
 	dead     bool
 	// pausedUntil is when it goes on after a freeze.
 	pausedUntil time.Time
+	// slept is for how long its machine has been suspended: its clock doesn't count that.
+	slept time.Duration
+	// blindUntil is when it next reads the claims.
+	blindUntil time.Time
 	// cutFromStore says that its calls to the store get no answer.
 	cutFromStore bool
 	ticket       int
@@ -68,13 +72,13 @@
 			if o.dead {
 				return
 			}
-			if err := o.cell.Load(w.now, w.streams[o.stream].records()); err != nil {
+			if err := o.cell.Load(o.now(), w.streams[o.stream].records()); err != nil {
 				w.rules.fail("load: %v", err)
 				return
 			}
-			o.cell.Configure(w.now, simQueues)
-			o.cell.SetGuarded(w.now, w.room == nil || w.sabotage.oldRoom)
-			o.cell.SetEndpoints(w.now, w.listed())
+			o.cell.Configure(o.now(), simQueues)
+			o.cell.SetGuarded(o.now(), w.room == nil || w.sabotage.oldRoom)
+			o.cell.SetEndpoints(o.now(), w.listed())
 			o.ready = true
 			o.tick()
 			o.act()
@@ -82,6 +86,11 @@
 	})
 }
 
+// now is the time by its clock.
+func (o *simOwner) now() time.Time {
+	return o.world.now.Add(-o.slept)
+}
+
 func (o *simOwner) die(why string) {
 	if o.dead {
 		return
@@ -109,18 +118,18 @@
 
 func (o *simOwner) tick() {
 	o.whenAwake(func() {
-		if !o.cutFromStore {
+		if !o.cutFromStore && !o.world.now.Before(o.blindUntil) {
 			if o.token < o.world.token {
 				o.die("sees a newer claim")
 				return
 			}
-			o.cell.Confirm(o.world.now)
+			o.cell.Confirm(o.now())
 		}
 		if o.world.room == nil || !o.world.room.out {
-			o.cell.SetEndpoints(o.world.now, o.world.listed())
+			o.cell.SetEndpoints(o.now(), o.world.listed())
 		}
-		o.cell.Tick(o.world.now)
-		if o.cell.Stuck(o.world.now) > simStuck && !o.cutFromStore {
+		o.cell.Tick(o.now())
+		if o.cell.Stuck(o.now()) > simStuck && !o.cutFromStore {
 			o.move()
 		}
 		o.world.after(50*time.Millisecond, o.tick)
@@ -165,7 +174,7 @@
 	if effects.AskBoxes {
 		w.after(w.between(5*time.Millisecond, 50*time.Millisecond), func() {
 			boxes := w.boxes()
-			w.after(5*time.Millisecond, func() { o.whenAwake(func() { o.cell.SetBoxes(w.now, boxes) }) })
+			w.after(5*time.Millisecond, func() { o.whenAwake(func() { o.cell.SetBoxes(o.now(), boxes) }) })
 		})
 	}
 }
@@ -185,7 +194,7 @@
 	}
 	if w.sabotage.startBeforeRecord || w.sabotage.answerEarly {
 		// The owner goes on as if the record were there; it comes much later.
-		o.whenAwakeSoon(func() { o.cell.Committed(w.now, commit.Number) })
+		o.whenAwakeSoon(func() { o.cell.Committed(o.now(), commit.Number) })
 		w.after(400*time.Millisecond, func() { _ = w.streams[o.stream].append(o.token, sequence, commit.Records) })
 		return
 	}
@@ -212,7 +221,7 @@
 			}
 			o.whenAwake(func() {
 				if !o.moving || w.sabotage.moveAndCommit {
-					o.cell.Committed(w.now, commit.Number)
+					o.cell.Committed(o.now(), commit.Number)
 				}
 			})
 		})
@@ -308,7 +317,7 @@
 		err := e.start(start.Order)
 		return func() error { return err }
 	}, func(err error) {
-		o.whenAwake(func() { o.cell.Started(o.world.now, start.At.ID, start.Order.Run, err) })
+		o.whenAwake(func() { o.cell.Started(o.now(), start.At.ID, start.Order.Run, err) })
 	})
 }
 
@@ -317,7 +326,7 @@
 		err := e.stop(stop.Order)
 		return func() error { return err }
 	}, func(err error) {
-		o.whenAwake(func() { o.cell.Stopped(o.world.now, stop.At.ID, stop.Order.Run, err) })
+		o.whenAwake(func() { o.cell.Stopped(o.now(), stop.At.ID, stop.Order.Run, err) })
 	})
 }
 
@@ -343,7 +352,7 @@
 			wait = order.Wait
 		}
 		w.after(wait, func() {
-			o.whenAwake(func() { o.cell.Looked(w.now, look.At.ID, look.Number, found, err) })
+			o.whenAwake(func() { o.cell.Looked(o.now(), look.At.ID, look.Number, found, err) })
 		})
 	})
 }
@@ -364,7 +373,7 @@
 			found, err = e.look(order)
 		}
 		w.after(delay, func() {
-			o.whenAwake(func() { o.cell.Looked(w.now, look.At.ID, look.Number, found, err) })
+			o.whenAwake(func() { o.cell.Looked(o.now(), look.At.ID, look.Number, found, err) })
 		})
 	}
 	ended := func() { answer(w.between(time.Millisecond, 10*time.Millisecond), nil) }
--- a/pkg/cell/sim_test.go
+++ b/pkg/cell/sim_test.go
@@ -73,7 +73,7 @@
 // client adds a client with a job drawn at random.
 func (w *world) client(id string) {
 	behaviour := simTask{
-		need: damsonwinch.Resources{CPU: 1000 + w.random.IntN(3000), MemoryMB: 500}, length: w.between(50*time.Millisecond, 1500*time.Millisecond),
+		need: damsonwinch.Resources{CPU: 1000 + w.random.IntN(3000), MemoryMB: 500}, length: w.between(50*time.Millisecond, w.longest),
 	}
 	if w.random.Float64() < 0.15 {
 		behaviour.failing = 0.4
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -89,6 +89,8 @@
 	tasks     map[string]simTask // By job.
 	// boxCount is the number of boxes at the start.
 	boxCount int
+	// longest is the time of the longest tasks.
+	longest time.Duration
 	// resets says that connections to an endpoint that ends break at once, as those to a
 	// program that crashes do; otherwise nothing tells.
 	resets bool
@@ -125,7 +127,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000), sabotage: broken,
 		streams: []*simStream{newSimStream()}, out: map[int]bool{}, tasks: map[string]simTask{}, trouble: true, cuts: map[string]bool{},
-		boxCount: usualBoxes,
+		boxCount: usualBoxes, longest: 1500 * time.Millisecond,
 	}
 	w.rules = newRules(w)
 	w.boxCPU = 5000 + 1000*w.random.IntN(5)
