A machine that was suspended gives its cells and its planning up

Cause: leases, proofs of claims and silence are measured by the steady clock, which doesn't count the time for which a machine is suspended. An owner that wakes took its claim for proved and prolonged leases at boxes that its successor couldn't reach, which counts on that having ended.

Right before it gives orders an owner looks at how far the clock since boot has gone ahead of the steady one; after 0.1 s or more it drops what it has decided, answers only what the store holds, and ends, as the planner does. Weighed: a clock that counts suspensions in place of the steady one (it would have to be a time of day or be read by a call each time, and deadlines of connections are compared with the steady one), and prolonging only what is proved anew (each of some twenty times would have to be looked at).

The calm after a run's trouble is longer for its long tasks.

--- a/damsonwinch.go
+++ b/damsonwinch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -15,6 +16,22 @@
 // Clock is the source of time for everything that decides by it.
 type Clock = clockwork.Clock
 
+// Slept returns for how long the machine has been suspended since the process began, which a
+// Clock doesn't count. A nil one says that it never was.
+type Slept func() time.Duration
+
+// Total is the same, also for nil.
+func (s Slept) Total() time.Duration {
+	if s == nil {
+		return 0
+	}
+	return s()
+}
+
+// NegligibleSleep is for how long a machine may be suspended without any consequence: the
+// margins of leases and proofs are longer.
+const NegligibleSleep = 100 * time.Millisecond
+
 // Names of the log streams that the system keeps.
 const (
 	// StreamFleet carries every proposal on the fleet.
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -11,6 +11,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -56,6 +57,8 @@
 	// each other; steps tell what was sent before what was known.
 	step int
 	now  time.Time
+	// slept is for how long this owner's machine has been suspended.
+	slept time.Duration
 	// wokeAt is when this owner last went on after it had stood still: what it hears for a
 	// moment after that has happened before.
 	wokeAt time.Time
@@ -108,6 +111,20 @@
 	wakeTime = 100 * time.Millisecond
 )
 
+// Slept takes for how long the machine has been suspended since this owner began. The steady
+// clock hasn't counted that: what this owner holds for certain may long be over, and another
+// may own the cell. It gives no order any more. Slept says whether that is so.
+func (c *Cell) Slept(total time.Duration) bool {
+	slept := total - c.slept
+	if slept < damsonwinch.NegligibleSleep {
+		return false
+	}
+	c.slept = total
+	c.effects.Deposed = true
+	c.effects.Notes = append(c.effects.Notes, Note{What: "owner was suspended", Why: fmt.Sprintf("for %d ms; it gives its cell up", slept.Milliseconds())})
+	return true
+}
+
 // awake says whether this owner hears of things when they happen.
 func (c *Cell) awake() bool {
 	return c.now.Sub(c.wokeAt) >= wakeTime
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -19,7 +19,8 @@
 	Looks []Look
 	// Replies answer clients' calls by the tickets they came with.
 	Replies []Reply
-	// Deposed says that a newer owner has been at an endpoint.
+	// Deposed says that a newer owner has been at an endpoint, or may have come unnoticed: no
+	// order is to be given any more.
 	Deposed bool
 	// AskBoxes asks for the platform's list of boxes: an endpoint is silent.
 	AskBoxes bool
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -113,6 +113,9 @@
 		return
 	}
 	do()
+	if !o.world.sabotage.sleepless {
+		o.cell.Slept(o.slept)
+	}
 	o.act()
 }
 
--- a/pkg/cell/sim_suspend_test.go
+++ b/pkg/cell/sim_suspend_test.go
@@ -23,7 +23,7 @@
 // passed.
 func playSuspended(seed uint64, broken sabotage) *world {
 	w := newWorld(seed, broken)
-	w.attentive, w.resets, w.longest = true, true, 6*time.Second
+	w.attentive, w.resets, w.longest, w.lastingWork = true, true, 6*time.Second, 20*time.Second
 	w.beginCalm(usualJobs)
 	for range suspensions {
 		w.after(w.between(0, simTrouble), w.suspend)
@@ -68,3 +68,14 @@
 	}
 	t.Logf("%d seeds, %d starts", len(seeds), starts)
 }
+
+// TestSuspensionsAreSeen: where an owner isn't told some seed is broken.
+func TestSuspensionsAreSeen(t *testing.T) {
+	for _, seed := range freshSeeds(400) {
+		if broken := playSuspended(seed, sabotage{sleepless: true}).rules.broken; broken != "" {
+			t.Logf("seed %d: %s", seed, broken)
+			return
+		}
+	}
+	t.Fatal("no seed found that the mechanism is missing")
+}
--- a/pkg/cell/sim_test.go
+++ b/pkg/cell/sim_test.go
@@ -64,7 +64,7 @@
 // worksOn tells whether jobs are left and tasks still end one after the other: lasting jobs
 // may leave so little room that a run's work is longer than the calm.
 func (w *world) worksOn() bool {
-	if w.rules.broken != "" || w.now.Sub(w.rules.doneAt) > simStep {
+	if w.rules.broken != "" || w.now.Sub(w.rules.doneAt) > max(simStep, w.lastingWork) {
 		return false
 	}
 	return slices.ContainsFunc(w.clients, func(c *simClient) bool { return c.unfinished() })
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -43,6 +43,7 @@
 	dropCrashes       bool // Records don't say how many endpoints have ended under a task.
 	blameNobody       bool // The ends of endpoints count against nobody.
 	blameByCount      bool // A task is given up with the second end, without a trial.
+	sleepless         bool // An owner isn't told for how long its machine was suspended.
 	oldRoom           bool // What was known of an endpoint's room counts however old it is.
 }
 
@@ -91,6 +92,8 @@
 	boxCount int
 	// longest is the time of the longest tasks.
 	longest time.Duration
+	// lastingWork is how long a task may take with its attempts where that is long.
+	lastingWork time.Duration
 	// resets says that connections to an endpoint that ends break at once, as those to a
 	// program that crashes do; otherwise nothing tells.
 	resets bool
--- a/pkg/command/daemon.go
+++ b/pkg/command/daemon.go
@@ -9,11 +9,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"damsonwinch"
 	"damsonwinch/pkg/check"
 	"damsonwinch/pkg/dial"
 	"damsonwinch/pkg/plan"
 	"damsonwinch/pkg/process"
 	"damsonwinch/pkg/settings"
+	"damsonwinch/pkg/suspend"
 )
 
 // stopTimeout bounds a planned stop.
@@ -87,12 +89,24 @@
 	}
 }
 
+// newSlept watches for suspensions of the machine. Without the clock that counts them the
+// process goes on as if there were none.
+func newSlept(clock damsonwinch.Clock, logger logrus.FieldLogger) damsonwinch.Slept {
+	watch, err := suspend.New(clock, suspend.BootTime)
+	if err != nil {
+		logger.WithError(err).Warn("suspensions of the machine are not seen")
+		return nil
+	}
+	return watch.Slept
+}
+
 // newEnv returns what a real process finds around it.
 func newEnv(cmd *cobra.Command) process.Env {
 	logger := newLogger(cmd.ErrOrStderr(), logrus.InfoLevel)
 	clock := clockwork.NewRealClock()
 	return process.Env{
 		Clock:  clock,
+		Slept:  newSlept(clock, logger),
 		Dial:   dial.New(newDialer().DialContext),
 		Logger: logger,
 		Breach: func(name, detail string) { logger.WithField("invariant", name).Error(detail) },
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -48,6 +48,8 @@
 	Dial     damsonwinch.Dial
 	Logger   logrus.FieldLogger
 	Metrics  *metrics.Set
+	// Slept tells of suspensions of the machine.
+	Slept damsonwinch.Slept
 	// CallListener takes the calls of other nodes.
 	CallListener net.Listener
 	// Configured is told each configuration that comes into force.
@@ -147,7 +149,7 @@
 	n.calls = calls
 	n.ownership = ownership.New(ownership.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, Changed: n.viewChanged,
-		AskPeer: n.router.Claims,
+		AskPeer: n.router.Claims, Slept: deps.Slept,
 	}, ownership.Options{Self: options.Self, TTL: options.TTL, Partitions: options.Partitions, FirstStart: options.FirstStart})
 	group.Go(n.run)
 	group.Go(n.followOperator)
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -40,6 +40,9 @@
 			delete(o.calls, reply.Ticket)
 		}
 	}
+	if effects.Deposed {
+		return true
+	}
 	if effects.Commit != nil {
 		o.commit(*effects.Commit)
 	}
@@ -61,7 +64,7 @@
 	if effects.AskBoxes {
 		o.askBoxes()
 	}
-	return effects.Deposed
+	return false
 }
 
 func (o *Owner) log(note cell.Note) {
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -32,6 +32,8 @@
 	Clock     damsonwinch.Clock
 	Logger    logrus.FieldLogger
 	Metrics   *metrics.Set
+	// Slept tells of suspensions of the machine.
+	Slept damsonwinch.Slept
 	// StoreAnsweredAt returns when the store last answered this node.
 	StoreAnsweredAt func() time.Time
 	// TakePartition takes a partition of the store that no cell has had, StreamAt returns its
@@ -75,6 +77,8 @@
 	boxesAt      time.Time
 	boxesOut     bool
 	move         move
+	// sleptBefore is for how long the machine had been suspended when this owner began.
+	sleptBefore time.Duration
 	// published are the figures of the cell that the node's counters have.
 	published cell.Stats
 	// waits says that tasks wait for room.
@@ -92,7 +96,7 @@
 		deps: deps, options: options, cell: cell.New(options.Cells, options.Token), inbox: make(chan message, inboxSize),
 		writer: stream.New(stream.Deps{Store: deps.Store, Clock: deps.Clock, Metrics: deps.Metrics}, options.Stream, options.Cell, options.Token),
 		group:  group, calling: workers.New(ctx, group), ctx: ctx, cancel: cancel, calls: map[int]chan<- wire.JobReply{},
-		ready: make(chan struct{}), done: make(chan struct{}),
+		ready: make(chan struct{}), done: make(chan struct{}), sleptBefore: deps.Slept.Total(),
 	}
 	group.Go(o.run)
 	return o
@@ -162,8 +166,9 @@
 			o.considerMove(now)
 			o.publish()
 		}
+		o.wake()
 		if o.carryOut() {
-			o.deps.Logger.WithField("token", o.options.Token).Warn("cell lost: a newer owner has been at an endpoint")
+			o.deps.Logger.WithField("token", o.options.Token).Warn("cell lost: a newer owner may give orders")
 			return stream.ErrDeposed
 		}
 		o.noteWaits()
@@ -171,6 +176,12 @@
 	}
 }
 
+// wake tells the cell for how long the machine has been suspended. It must come right before
+// orders are given: what was decided before a suspension is no longer true.
+func (o *Owner) wake() bool {
+	return o.cell.Slept(o.deps.Slept.Total() - o.sleptBefore)
+}
+
 // Waits says whether tasks of the cell wait for room.
 func (o *Owner) Waits() bool {
 	return o.waits.Load()
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -61,6 +61,8 @@
 	Clock   damsonwinch.Clock
 	Logger  logrus.FieldLogger
 	Metrics *metrics.Set
+	// Slept tells of suspensions of the machine.
+	Slept damsonwinch.Slept
 	// AskPeer asks another node for the claims that it knows.
 	AskPeer func(ctx context.Context, address string, args wire.ClaimsArgs) (wire.ClaimsReply, error)
 	// Changed is told the claims in force after each change, and what was asked
@@ -247,6 +249,7 @@
 			o.take(m)
 		case <-ticker.Chan():
 		}
+		o.wake()
 		o.act()
 	}
 }
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -30,6 +30,8 @@
 	// topics is the number of topics over which the group is spread, so that each
 	// member holds a partition and is listed.
 	topics int
+	// slept is for how long the machine had been suspended when that was last looked at.
+	slept time.Duration
 	// proofs holds, by node, whether it answers when it is asked if it lives, watched
 	// the cells whose owners this node asks, and watchedOld that those may be others.
 	proofs     map[string]proof
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -43,6 +43,8 @@
 	Clock   damsonwinch.Clock
 	Logger  logrus.FieldLogger
 	Metrics *metrics.Set
+	// Slept tells of suspensions of the machine.
+	Slept damsonwinch.Slept
 	// Sync asks the owner of a cell.
 	Sync func(ctx context.Context, args wire.SyncArgs) (wire.SyncReply, error)
 	// BoxesListed is told how many boxes the first list that was read has.
@@ -83,6 +85,8 @@
 	appending bool
 	telling   map[int]bool
 	loggedAt  time.Time
+	// sleptBefore is for how long the machine had been suspended when this planner began.
+	sleptBefore time.Duration
 }
 
 // Messages to the task.
@@ -125,6 +129,7 @@
 		deps: deps, options: options, supply: supply.New(options.Supply), inbox: make(chan any, inboxSize),
 		writer: stream.New(stream.Deps{Store: deps.Store, Clock: deps.Clock, Metrics: deps.Metrics}, options.Stream, options.Cell, options.Token),
 		group:  group, ctx: ctx, cancel: cancel, done: make(chan struct{}), syncing: map[string]bool{}, telling: map[int]bool{},
+		sleptBefore: deps.Slept.Total(),
 	}
 	group.Go(p.run)
 	return p
@@ -176,20 +181,38 @@
 	ticker := p.deps.Clock.NewTicker(round)
 	defer ticker.Stop()
 	for {
+		var due func() error
 		select {
 		case <-p.ctx.Done():
 			return p.ctx.Err()
 		case m := <-p.inbox:
-			if err := p.take(m); err != nil {
-				p.deps.Logger.WithError(err).Warn("planning lost")
-				return err
-			}
+			due = func() error { return p.take(m) }
 		case <-ticker.Chan():
-			p.plan()
+			due = func() error { p.plan(); return nil }
+		}
+		if err := p.awake(); err != nil {
+			return err
+		}
+		if err := due(); err != nil {
+			p.deps.Logger.WithError(err).Warn("planning lost")
+			return err
 		}
 	}
 }
 
+var errSlept = errors.New("the machine was suspended")
+
+// awake returns an error once the machine has been suspended: another node may plan by then,
+// and what this one knows of boxes is old. It gives no order any more.
+func (p *Planner) awake() error {
+	slept := p.deps.Slept.Total() - p.sleptBefore
+	if slept < damsonwinch.NegligibleSleep {
+		return nil
+	}
+	p.deps.Logger.WithField("slept_ms", slept.Milliseconds()).Warn("planning given up: the machine was suspended")
+	return errSlept
+}
+
 // takeOver loads what earlier planners recorded, after they are kept out of the stream.
 func (p *Planner) takeOver() error {
 	records, err := p.writer.TakeOver(p.ctx)
--- a/pkg/process/node_test.go
+++ b/pkg/process/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,8 @@
 	closed   map[int]bool
 	// dial is by what the nodes that are started next make connections.
 	dial damsonwinch.Dial
+	// slept is for how long each node's machine has been suspended, in nanoseconds.
+	slept []*atomic.Int64
 	// coreShare is the share of a core of the nodes that are started next.
 	coreShare float64
 }
@@ -74,7 +77,9 @@
 // start starts a node, or one that was killed anew.
 func (s *story) start(number int) {
 	config := s.config(s.t, number)
-	node, err := NewNode(config, s.env())
+	env := s.env()
+	env.Slept = s.sleeping(number)
+	node, err := NewNode(config, env)
 	assert.NilError(s.t, err)
 	if number < len(s.nodes) {
 		s.nodes[number], s.configs[number], s.closed[number] = node, config, false
--- a/pkg/process/process.go
+++ b/pkg/process/process.go
@@ -23,7 +23,9 @@
 
 // Env is what a process finds around it.
 type Env struct {
-	Clock  damsonwinch.Clock
+	Clock damsonwinch.Clock
+	// Slept tells of suspensions of the machine.
+	Slept  damsonwinch.Slept
 	Dial   damsonwinch.Dial
 	Logger logrus.FieldLogger
 	// Breach is called upon the first breach of each invariant.
