Ends under a task are no evidence for it; a suspect that has waited is still tried where it is quiet

Seen on whole nodes with the stand-in (eight endpoints): a crashing task cost five endpoints. Its own ends made the rate at which endpoints end by themselves, so that the next one in a trial seemed likely by chance; and in so small a cell, where one endpoint at a time may be lost to trials, it started as any other after a second though the endpoint was quiet.

--- a/pkg/cell/endrate.go
+++ b/pkg/cell/endrate.go
@@ -33,9 +33,13 @@
 	return count
 }
 
-// rate returns how often one of so many endpoints ends, a second.
-func (e *ends) rate(now time.Time, endpoints int) float64 {
-	usual := float64(e.within(now, rateTime)) / rateTime.Seconds()
-	burst := float64(e.within(now, burstTime)) / burstTime.Seconds()
-	return max(usual, burst) / float64(max(1, endpoints))
+// rate returns how often one of so many endpoints ends by itself, a second. Ends under the task
+// that is judged are what is to be explained.
+func (e *ends) rate(now time.Time, endpoints int, underTask *ends) float64 {
+	most := 0.0
+	for _, length := range []time.Duration{rateTime, burstTime} {
+		count := max(0, e.within(now, length)-underTask.within(now, length))
+		most = max(most, float64(count)/length.Seconds())
+	}
+	return most / float64(max(1, endpoints))
 }
--- a/pkg/cell/lost.go
+++ b/pkg/cell/lost.go
@@ -54,7 +54,7 @@
 // endOf describes the end of a run's endpoint.
 func (c *Cell) endOf(r *run) crash.End {
 	endedAt := r.at.endedAt(c.now)
-	end := crash.End{Age: r.age(endedAt), Least: r.age(r.at.heardAt), Explained: c.endShared(r.at, endedAt), Trial: r.at.trial == r, Rate: c.ends.rate(c.now, len(c.ranked))}
+	end := crash.End{Age: r.age(endedAt), Least: r.age(r.at.heardAt), Explained: c.endShared(r.at, endedAt), Trial: r.at.trial == r, Rate: c.ends.rate(c.now, len(c.ranked), &r.task.ends)}
 	if r.at.silent && r.at.broke {
 		// The look that broke off would have told of the run's end. Otherwise it may have ended
 		// before, unheard of.
@@ -70,6 +70,7 @@
 // that is enough.
 func (c *Cell) endedUnder(r *run, end crash.End) {
 	t := r.task
+	t.ends.add(c.now)
 	t.crashes = c.options.Blame.Add(t.crashes, end)
 	c.noteRunLost(r, end)
 	if t.done || t.phase.job().ended() || c.giveUpConvicted(t, r) {
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -67,8 +67,9 @@
 func (c *Cell) intend(t *task, at *endpoint) {
 	t.attempt++
 	r := &run{task: t, attempt: t.attempt, at: at, since: c.now, resumed: t.saved != "", speed: wholePercent, late: t.phase.late(int(c.now.UnixMilli()))}
+	trial := t.suspected && c.quiet(at)
 	c.attach(r)
-	if t.suspected && !c.triedInVain(t) {
+	if trial {
 		c.beginTrial(r)
 	}
 	c.countStarts(t, 1)
--- a/pkg/cell/trial.go
+++ b/pkg/cell/trial.go
@@ -40,13 +40,13 @@
 	}
 	c.dropSuspects()
 	for _, t := range c.suspects {
-		if !t.ready || len(t.runs) > 0 || t.phase.spec.Gang || c.held(t) || c.triedInVain(t) {
+		if !t.ready || len(t.runs) > 0 || t.phase.spec.Gang || c.held(t) {
 			continue
 		}
 		if e := c.trialPlace(t); e != nil {
 			t.phase.unready(t)
 			c.intend(t, e)
-		} else {
+		} else if !c.triedInVain(t) {
 			c.promise(t)
 		}
 	}
@@ -87,7 +87,7 @@
 func (c *Cell) trialPlace(t *task) *endpoint {
 	var choice choice
 	for _, e := range c.ranked {
-		if c.allowed(t, e) {
+		if c.quiet(e) && c.allowed(t, e) {
 			choice.offer(e, -e.atStake())
 		}
 	}
