Lasting task whose start wasn't answered: asked for before it is stopped

Cause: a start storm on links of 2 Mbit/s; answers came after the 0.5 s that a call may take.

Mended: such a start of a lasting task is looked for first; only where a look sent afterwards doesn't list it is it stopped (it may still be on its way). Short tasks and gangs go on as before: a stop costs them little, and their task must not wait.

Test: script unanswered-lasting-start, red before.

--- a/pkg/cell/look.go
+++ b/pkg/cell/look.go
@@ -209,9 +209,14 @@
 		c.seenRunning(r, row)
 	}
 	for _, r := range e.sortedRuns() {
-		if r.listedAt != c.step && c.mustBeListed(r, sentAt) {
+		switch {
+		case r.listedAt == c.step:
+		case c.mustBeListed(r, sentAt):
 			c.note("run is not there", r, "")
 			c.again(r)
+		case r.state == runUncertain && !r.stopping && sentAt >= r.knownAt:
+			// Its start may still be on the way.
+			c.stop(r, "its start was not answered")
 		}
 	}
 }
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -165,6 +165,11 @@
 		r.state = runUncertain
 		c.note("start unanswered", r, err.Error())
 		c.wantLook(r.at)
+		if spec := r.task.phase.spec; spec.Lasting && !spec.Gang && !r.stopping {
+			// Whether it is at work is asked first: if so, it is not to be stopped.
+			r.knownAt = c.step
+			return
+		}
 		c.stop(r, "its start was not answered")
 		c.abandonGang(r.task.phase, "the start of a member of its gang was not answered")
 	}
