Parked boxes are lent between shards; lasting tasks get boxes first

Cause: a box belonged to one shard for good.

Mended: an order takes a box to a shard of the pool it moves to (Placement). A life is sorted by the newest order read since it was first seen, so that no two nodes sort it differently (tests in pkg/shard, pkg/node). Nodes of fleets in one shard read nothing more.

Cells that lack boxes for lasting tasks now come first, and after 4 s others give them theirs.

--- a/pkg/node/endpoints.go
+++ b/pkg/node/endpoints.go
@@ -55,6 +55,9 @@
 	}
 	n.owning.Store(owning)
 	n.readEndpoints()
+	if n.sortLives() {
+		n.tellEndpoints(func(string) bool { return true })
+	}
 }
 
 // readEndpoints has the endpoints' entries read at once.
@@ -70,6 +73,7 @@
 	if !n.owning.Load() {
 		return
 	}
+	m.takenAt = n.deps.Clock.Now()
 	changed, refused := n.state.registry.take(m)
 	for _, err := range refused {
 		n.deps.Metrics.Add("endpoint_entries_refused", 1)
@@ -78,9 +82,18 @@
 	if len(m.records) == 0 && !m.snapshot {
 		return
 	}
+	changed = n.sortLives() || changed
+	// Owners of endpoints that don't guard their room must know how old their word of it is.
+	n.tellEndpoints(func(cell string) bool { return changed || !n.guarded(cell) })
+}
+
+// tellEndpoints tells owners of cells that need it of the endpoints.
+func (n *Node) tellEndpoints(needs func(cell string) bool) {
+	if !n.state.registry.told(n.state.layout, &n.state.placements) {
+		return
+	}
 	for name, held := range *n.holdings.Load() {
-		// Owners of endpoints that don't guard their room must know how old their word of it is.
-		if cellOwner, isOwner := held.(*owner.Owner); isOwner && (changed || !n.guarded(name)) {
+		if cellOwner, isOwner := held.(*owner.Owner); isOwner && needs(name) {
 			cellOwner.SetEndpoints(n.state.registry.of(name, n.state.layout))
 		}
 	}
--- a/pkg/node/holdings.go
+++ b/pkg/node/holdings.go
@@ -32,6 +32,7 @@
 		}
 	}
 	n.holdings.Store(&next)
+	n.needPlacements()
 	n.needEndpoints(next)
 }
 
@@ -83,7 +84,7 @@
 		StreamAt: func(number int) damsonwinch.Stream { return ownership.StreamAt(number, n.options.Partitions) },
 	}, owner.Options{Cell: claim.Cell, Stream: ownership.StreamOf(claim, n.options.Partitions), Token: claim.Token, CallBytes: n.options.CallBytes, Cells: n.options.Cells})
 	started.Configure(n.state.configuration.Queues, n.guarded(claim.Cell))
-	if n.state.registry.complete {
+	if n.state.registry.complete && n.state.registry.told(n.state.layout, &n.state.placements) {
 		started.SetEndpoints(n.state.registry.of(claim.Cell, n.state.layout))
 	}
 	return started
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -88,7 +88,9 @@
 	// endpoints.
 	owning atomic.Bool
 	follow chan struct{}
-	state  state
+	// place wakes what then follows where the planner takes boxes.
+	place chan struct{}
+	state state
 	// ended is closed once the node's own task has ended.
 	ended chan struct{}
 }
@@ -97,7 +99,10 @@
 type state struct {
 	configuration damsonwinch.Configuration
 	registry      registry
-	waves         map[int]damsonwinch.Wave
+	placements    placements
+	// placing says that the placements are followed.
+	placing bool
+	waves   map[int]damsonwinch.Wave
 	// layout says into how many cells each pool is cut, and boxes how many boxes there
 	// are, 0 while that is not known.
 	layout shard.Layout
@@ -115,8 +120,9 @@
 	endpointRecords struct {
 		records  []damsonwinch.Record
 		snapshot bool
-		// askedAt is when the store was asked for them.
+		// askedAt is when the store was asked for them, and takenAt when they had come.
 		askedAt time.Time
+		takenAt time.Time
 	}
 	holdingEnded struct {
 		cell string
@@ -135,8 +141,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n := &Node{
 		deps: deps, options: options, inbox: make(chan any, inboxSize), group: group, ctx: ctx, cancel: cancel,
-		ended: make(chan struct{}), follow: make(chan struct{}, 1),
-		state: state{registry: newRegistry(deps.Platform.DecodeEndpoint), ended: map[string]int{}, waves: map[int]damsonwinch.Wave{}},
+		ended: make(chan struct{}), follow: make(chan struct{}, 1), place: make(chan struct{}, 1),
+		state: state{registry: newRegistry(deps.Platform.DecodeEndpoint), placements: newPlacements(), ended: map[string]int{}, waves: map[int]damsonwinch.Wave{}},
 	}
 	n.view.Store(&ownership.View{})
 	n.holdings.Store(&map[string]holding{})
@@ -271,6 +277,8 @@
 		n.decideLayout()
 		n.manageHoldings()
 		n.confirm()
+	case placementRecords:
+		n.takePlacements(m)
 	case operatorRecords:
 		n.takeOperator(m.records)
 	case endpointRecords:
--- a/pkg/node/registry.go
+++ b/pkg/node/registry.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"damsonwinch"
 	"damsonwinch/pkg/shard"
@@ -15,28 +16,48 @@
 	endpoints map[string]damsonwinch.Endpoint
 	// spoilt holds the IDs of entries that name no endpoint to use.
 	spoilt map[string]bool
+	// lives holds to which shard each endpoint that has been listed belongs.
+	lives map[string]life
 	// complete says that all that are listed have been read.
 	complete bool
+	// readAt is when the first reading had come, zero before.
+	readAt time.Time
+}
+
+// life is a life of an endpoint's, which belongs to one shard to its end.
+type life struct {
+	// sorted says that its shard is known.
+	sorted bool
+	shard  int
+	// seenAt is when it was first seen: orders that led to it are in the planner's stream
+	// since before.
+	seenAt time.Time
 }
 
 func newRegistry(decode func(damsonwinch.Record) (damsonwinch.Endpoint, error)) registry {
-	return registry{decode: decode, endpoints: map[string]damsonwinch.Endpoint{}, spoilt: map[string]bool{}}
+	return registry{decode: decode, endpoints: map[string]damsonwinch.Endpoint{}, spoilt: map[string]bool{}, lives: map[string]life{}}
 }
 
 // forget drops all that is known.
 func (r *registry) forget() {
 	clear(r.endpoints)
 	clear(r.spoilt)
-	r.complete = false
+	clear(r.lives)
+	r.complete, r.readAt = false, time.Time{}
 }
 
 // take takes records of entries. It says whether owners have something new to learn of the
 // endpoints, and returns why entries were refused that were not before: an endpoint writes
 // one each second or two.
 func (r *registry) take(m endpointRecords) (changed bool, refused []error) {
+	if r.readAt.IsZero() {
+		r.readAt = m.takenAt
+	}
 	if m.snapshot {
-		r.forget()
+		clear(r.endpoints)
+		clear(r.spoilt)
 		r.complete, changed = true, true
+		defer r.dropLives()
 	}
 	for _, record := range m.records {
 		before, known := r.endpoints[record.Key]
@@ -55,6 +76,9 @@
 		case after.Pool != "":
 			after.SeenAt = m.askedAt
 			r.endpoints[record.Key] = after
+			if _, seen := r.lives[record.Key]; !seen {
+				r.lives[record.Key] = life{seenAt: m.takenAt}
+			}
 			changed = changed || !known || differs(before, after)
 		}
 		delete(r.spoilt, record.Key)
@@ -68,15 +92,60 @@
 		before.Box != after.Box || before.Capacity != after.Capacity || !slices.Equal(before.Labels, after.Labels)
 }
 
+// dropLives forgets the lives that aren't listed any more.
+func (r *registry) dropLives() {
+	for id := range r.lives {
+		if _, listed := r.endpoints[id]; !listed && !r.spoilt[id] {
+			delete(r.lives, id)
+		}
+	}
+}
+
+// sort sorts the lives in some pools by their shards, those for which the placements read are
+// new enough. It says whether any were, and whether others wait for newer placements.
+func (r *registry) sort(layout shard.Layout, pools map[string]bool, placed *placements) (sorted, waiting bool) {
+	if !layout.Cut() {
+		return false, false
+	}
+	for id, l := range r.lives {
+		endpoint, listed := r.endpoints[id]
+		switch {
+		case l.sorted || !listed || !pools[endpoint.Pool]:
+		case placed.readAt.Before(l.seenAt):
+			waiting = true
+		default:
+			l.sorted, l.shard = true, layout.OfLife(endpoint.Box, endpoint.Pool, id, placed.of(endpoint.Box))
+			r.lives[id] = l
+			sorted = true
+		}
+	}
+	return sorted, waiting
+}
+
+// told says whether owners can be told of the endpoints: those that were listed at first have
+// been sorted, so that no owner takes the others for all there are.
+func (r *registry) told(layout shard.Layout, placed *placements) bool {
+	return !layout.Cut() || !r.readAt.IsZero() && !placed.readAt.Before(r.readAt)
+}
+
 // of returns the endpoints of a cell.
 func (r *registry) of(cell string, layout shard.Layout) []damsonwinch.Endpoint {
 	var found []damsonwinch.Endpoint
 	pool, number := shard.Split(cell)
 	for _, endpoint := range r.endpoints {
-		if endpoint.Pool == pool && layout.OfBox(endpoint.Box) == number {
+		if endpoint.Pool == pool && r.isIn(endpoint.ID, number, layout) {
 			found = append(found, endpoint)
 		}
 	}
 	slices.SortFunc(found, func(a, b damsonwinch.Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return found
 }
+
+// isIn says whether a life belongs to a shard.
+func (r *registry) isIn(id string, number int, layout shard.Layout) bool {
+	if !layout.Cut() {
+		return number == 0
+	}
+	found := r.lives[id]
+	return found.sorted && found.shard == number
+}
--- a/pkg/node/registry_test.go
+++ b/pkg/node/registry_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/wire"
 )
 
 var errSpoilt = errors.New("spoilt")
@@ -85,3 +87,70 @@
 	later.Offset = 7
 	assert.Assert(t, !differs(before, later))
 }
+
+// orderOn is the planner's record of an order that takes a box to a shard of a pool.
+func orderOn(t *testing.T, box, pool, ended string, from, to int) damsonwinch.Record {
+	t.Helper()
+	value, err := json.Marshal(wire.OrderRecord{Box: box, Pool: pool, Endpoint: ended, Placement: &wire.PlacementRecord{Shard: to, Before: from}})
+	assert.NilError(t, err)
+	return damsonwinch.Record{Key: "order/" + box, Value: value}
+}
+
+// TestALifeIsSortedByPlacementsNewerThanItself: an order is in the planner's stream before the
+// life that it leads to, so that of two nodes none counts that life to the shard it came from.
+func TestALifeIsSortedByPlacementsNewerThanItself(t *testing.T) {
+	layout := shard.New(4, []string{"p"})
+	home := layout.OfBox("box-a")
+	away := (home + 1) % layout.Shards
+	at := func(ms int) time.Time { return time.UnixMilli(1_700_000_000_000 + int64(ms)) }
+	r, placed := newRegistry(decodeEntry), newPlacements()
+	pools := map[string]bool{"p": true}
+	listed := func(ms int, id string) {
+		_, _ = r.take(endpointRecords{snapshot: true, records: []damsonwinch.Record{entry(id, "p")}, askedAt: at(ms - 10), takenAt: at(ms)})
+	}
+	cellOf := func() int {
+		for number := range layout.Shards {
+			if len(r.of(shard.Cell("p", number), layout)) > 0 {
+				return number
+			}
+		}
+		return -1
+	}
+
+	listed(100, "a")
+	assert.Equal(t, len(placed.take(placementRecords{snapshot: true, askedAt: at(50)})), 0)
+	sorted, waiting := r.sort(layout, pools, &placed)
+	assert.Assert(t, !sorted && waiting, "the placements are older than what was first seen")
+	assert.Assert(t, !r.told(layout, &placed))
+
+	_ = placed.take(placementRecords{records: []damsonwinch.Record{orderOn(t, "box-a", "p", "", home, away)}, end: 2, askedAt: at(120)})
+	sorted, waiting = r.sort(layout, pools, &placed)
+	assert.Assert(t, !sorted && waiting, "not all of the placements have been read")
+
+	_ = placed.take(placementRecords{records: []damsonwinch.Record{{Key: "wave/1"}}, end: 2, askedAt: at(130)})
+	sorted, waiting = r.sort(layout, pools, &placed)
+	assert.Assert(t, sorted && !waiting && r.told(layout, &placed))
+	assert.Equal(t, cellOf(), away)
+
+	// An order that ends this life leaves it where it is, also where it is listed anew.
+	_ = placed.take(placementRecords{records: []damsonwinch.Record{orderOn(t, "box-a", "p", "a", away, home)}, end: 3, askedAt: at(200)})
+	listed(210, "a")
+	_, waiting = r.sort(layout, pools, &placed)
+	assert.Assert(t, !waiting)
+	assert.Equal(t, cellOf(), away)
+	fresh := newRegistry(decodeEntry)
+	r = fresh
+	listed(190, "a")
+	_, _ = r.sort(layout, pools, &placed)
+	assert.Equal(t, cellOf(), away, "for a node that sees it first after that, too")
+}
+
+// TestAFleetInOneShardWaitsForNoPlacements.
+func TestAFleetInOneShardWaitsForNoPlacements(t *testing.T) {
+	r, placed := newRegistry(decodeEntry), newPlacements()
+	one := shard.New(1, []string{"p"})
+	_, _ = r.take(endpointRecords{snapshot: true, records: []damsonwinch.Record{entry("a", "p")}, takenAt: time.UnixMilli(1_700_000_000_000)})
+	_, waiting := r.sort(one, map[string]bool{"p": true}, &placed)
+	assert.Assert(t, !waiting && r.told(one, &placed))
+	assert.DeepEqual(t, idsOf(r.of("p", one)), []string{"a"})
+}
--- a/pkg/planner/records.go
+++ b/pkg/planner/records.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/supply"
 	"damsonwinch/pkg/wire"
 )
@@ -20,6 +22,20 @@
 	return nil
 }
 
+// PlacementOf reads from a record of a planner's stream to which shard an order takes its box;
+// the box is empty for a record that is of no order, and the placement nil for an order that
+// tells none.
+func PlacementOf(record damsonwinch.Record) (box string, placement *shard.Placement, err error) {
+	if !strings.HasPrefix(record.Key, orderPrefix) {
+		return "", nil, nil
+	}
+	var order wire.OrderRecord
+	if err := json.Unmarshal(record.Value, &order); err != nil {
+		return "", nil, fmt.Errorf("read %s: %w", record.Key, err)
+	}
+	return order.Box, supply.PlacementOf(order), nil
+}
+
 func (p *Planner) recallWave(record damsonwinch.Record) error {
 	var wave wire.WaveRecord
 	if err := json.Unmarshal(record.Value, &wave); err != nil {
@@ -34,6 +50,7 @@
 func (p *Planner) record(order supply.Order, now time.Time) {
 	p.add(orderPrefix+order.Box, wire.OrderRecord{
 		Box: order.Box, Pool: order.Pool, Wave: order.Wave, AtMs: int(now.UnixMilli()), Endpoint: order.Endpoint, Cause: order.Cause,
+		Placement: &wire.PlacementRecord{Shard: order.Shard, Before: order.Before},
 	})
 	if order.Wave > 0 {
 		p.add(wavePrefix+strconv.Itoa(order.Wave), p.supply.WaveRecord(order.Wave))
--- a/pkg/shard/layout.go
+++ b/pkg/shard/layout.go
@@ -2,10 +2,11 @@
 // pool's jobs: an owner on 0.8 core sees some 2,000 tasks a second to their end, and a
 // pool of 900 busy boxes asks for 4,000.
 //
-// All pools of a fleet have the same number of shards. A box belongs to one shard for
-// good, whatever pool it is in, by a hash of its name, and a job to one by a hash of its
-// ID. Cells share nothing: an endpoint has one owner at a time and a job is in one stream,
-// so that the rules which hold within a cell need not know of the others.
+// All pools of a fleet have the same number of shards. A box belongs to one shard by a hash
+// of its name, until the planner takes it to another one with a move to another pool; a job
+// belongs to one for good, by a hash of its ID. Cells share nothing: an endpoint has one owner
+// for its life and a job is in one stream, so that the rules which hold within a cell need not
+// know of the others.
 package shard
 
 import (
@@ -34,12 +35,17 @@
 	return l.Shards > 0
 }
 
+// Cut says whether the fleet is in more shards than one.
+func (l Layout) Cut() bool {
+	return l.Shards > 1
+}
+
 // Equal says whether two layouts are the same.
 func (l Layout) Equal(other Layout) bool {
 	return l.Shards == other.Shards && slices.Equal(l.Pools, other.Pools)
 }
 
-// OfBox returns a box's shard.
+// OfBox returns the shard of a box on which there has been no order.
 func (l Layout) OfBox(box string) int {
 	return l.hashed(box)
 }
--- a/pkg/shard/shard_test.go
+++ b/pkg/shard/shard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"testing"
@@ -93,3 +94,48 @@
 		}
 	}
 }
+
+// TestALifeStaysInItsShard through all later orders on its box: orders, crashes and orders that
+// are never carried out follow each other by chance, and whoever reads the newest order since
+// the life began finds the same shard.
+func TestALifeStaysInItsShard(t *testing.T) {
+	layout := shard.New(5, []string{"p", "q", "r"})
+	moves := 0
+	for seed := range uint64(2000) {
+		chance := rand.New(rand.NewPCG(seed, 1))
+		box, pool, number := fmt.Sprintf("box-%d", seed), "p", 0
+		var placed *shard.Placement
+		life := func() string { return fmt.Sprintf("life-%d", number) }
+		of := layout.OfLife(box, pool, life(), placed)
+		for range 40 {
+			switch chance.IntN(3) {
+			case 0:
+				// It crashes and starts again, where it is.
+				number++
+				of = layout.OfLife(box, pool, life(), placed)
+			case 1:
+				// An order is recorded, and perhaps carried out.
+				target := []string{"", "p", "q", "r"}[chance.IntN(4)]
+				if target == pool {
+					target = ""
+				}
+				next := &shard.Placement{Pool: target, Endpoint: life(), Shard: of, Before: of}
+				if target != "" {
+					next.Shard = chance.IntN(layout.Shards)
+				}
+				placed = next
+				if chance.IntN(2) == 0 {
+					number++
+					if target != "" {
+						pool = target
+						moves++
+					}
+					of = layout.OfLife(box, pool, life(), placed)
+					assert.Equal(t, of, next.Shard, "seed %d: where the order takes it", seed)
+				}
+			}
+			assert.Equal(t, layout.OfLife(box, pool, life(), placed), of, "seed %d", seed)
+		}
+	}
+	assert.Assert(t, moves > 5_000, "only %d moves", moves)
+}
--- a/pkg/supply/box.go
+++ b/pkg/supply/box.go
@@ -23,8 +23,9 @@
 // box is a box as the planner knows it.
 type box struct {
 	info damsonwinch.Box
-	// shard is the one to which it belongs in whatever pool it is.
+	// shard is the one to which its present life belongs, by placed, the newest order on it.
 	shard  int
+	placed *shard.Placement
 	report *wire.EndpointReport
 	// purpose is why it is being emptied.
 	purpose *purpose
@@ -40,8 +41,9 @@
 
 // purpose is why a box is being emptied.
 type purpose struct {
-	// pool is where it goes; empty for maintenance where it is.
+	// pool and shard are where it goes; an empty pool is for maintenance where it is.
 	pool  string
+	shard int
 	wave  int
 	since time.Time
 	hurry bool
@@ -76,6 +78,7 @@
 			b.dropPurpose()
 		}
 		b.info = info
+		p.place(b)
 		p.settle(b, askedAt)
 	}
 	p.order = slices.DeleteFunc(p.order, func(b *box) bool {
@@ -91,12 +94,18 @@
 
 // addBox makes a box known.
 func (p *Planner) addBox(name string) *box {
-	b := &box{info: damsonwinch.Box{Name: name}, shard: p.layout.OfBox(name), refuses: map[string]bool{}}
+	b := &box{info: damsonwinch.Box{Name: name}, refuses: map[string]bool{}}
+	p.place(b)
 	p.boxes[name] = b
 	p.order = append(p.order, b)
 	return b
 }
 
+// place notes the shard of a box's present life.
+func (p *Planner) place(b *box) {
+	b.shard = p.layout.OfLife(b.info.Name, b.info.Pool, b.info.Endpoint, b.placed)
+}
+
 // groupBoxes sorts the boxes by their cells.
 func (p *Planner) groupBoxes() {
 	p.byCell = make(map[string][]*box, len(p.names))
@@ -148,12 +157,14 @@
 }
 
 // orderNow gives an order on a box in which nothing runs.
-func (p *Planner) orderNow(b *box, pool string, wave int, cause string) {
-	order := Order{Box: b.info.Name, Pool: pool, Wave: wave, Endpoint: b.info.Endpoint, Cause: cause}
+func (p *Planner) orderNow(b *box, why purpose) {
+	order := Order{Box: b.info.Name, Pool: why.pool, Shard: why.shard, Before: b.shard, Wave: why.wave, Endpoint: b.info.Endpoint, Cause: why.cause}
 	p.change(b, func() {
 		b.ordered = &given{Order: order, at: p.now, onTheWay: true, triedAt: p.now}
+		b.placed = order.placement()
 		b.purpose = nil
 	})
+	wave := why.wave
 	if w := p.waves[wave]; w != nil {
 		w.done[b.info.Name] = true
 	}
@@ -166,7 +177,7 @@
 	for _, b := range p.order {
 		switch {
 		case b.purpose != nil && b.report != nil && b.report.Withdrawn:
-			p.orderNow(b, b.purpose.pool, b.purpose.wave, b.purpose.cause)
+			p.orderNow(b, *b.purpose)
 		case b.ordered != nil && !b.ordered.answered && !b.ordered.onTheWay && p.now.Sub(b.ordered.triedAt) >= orderRetry &&
 			p.now.Sub(b.foreignAt) >= p.options.HolderGap:
 			b.ordered.onTheWay, b.ordered.triedAt = true, p.now
@@ -210,17 +221,35 @@
 	}
 }
 
+// placement returns to which shard an order takes its box.
+func (o Order) placement() *shard.Placement {
+	return &shard.Placement{Pool: o.Pool, Endpoint: o.Endpoint, Shard: o.Shard, Before: o.Before}
+}
+
+// PlacementOf returns to which shard a recorded order takes its box, nil if it tells none.
+func PlacementOf(record wire.OrderRecord) *shard.Placement {
+	if record.Placement == nil {
+		return nil
+	}
+	return &shard.Placement{Pool: record.Pool, Endpoint: record.Endpoint, Shard: record.Placement.Shard, Before: record.Placement.Before}
+}
+
 // Recall takes over an order that an earlier holder recorded.
 func (p *Planner) Recall(record wire.OrderRecord) {
 	b := p.boxes[record.Box]
 	if b == nil {
 		b = p.addBox(record.Box)
 	}
+	b.placed = PlacementOf(record)
+	p.place(b)
+	order := Order{Box: record.Box, Pool: record.Pool, Wave: record.Wave, Endpoint: record.Endpoint, Cause: record.Cause, Shard: b.shard, Before: b.shard}
+	if b.placed != nil {
+		order.Shard, order.Before = b.placed.Shard, b.placed.Before
+	}
 	b.foreignAt = time.UnixMilli(int64(record.AtMs))
 	// Whether it was carried out is not known; unless the list of boxes shows it, it
 	// is repeated.
 	b.ordered = &given{
-		Order: Order{Box: record.Box, Pool: record.Pool, Wave: record.Wave, Endpoint: record.Endpoint, Cause: record.Cause},
-		at:    b.foreignAt, recalled: true,
+		Order: order, at: b.foreignAt, recalled: true,
 	}
 }
--- a/pkg/supply/census.go
+++ b/pkg/supply/census.go
@@ -56,7 +56,14 @@
 	if pool == "" {
 		return ""
 	}
-	return shard.Cell(pool, b.shard)
+	number := b.shard
+	switch {
+	case b.ordered != nil:
+		number = b.ordered.Shard
+	case b.purpose != nil:
+		number = b.purpose.shard
+	}
+	return shard.Cell(pool, number)
 }
 
 // servedPool returns the pool that a box serves, or will without another decision;
--- a/pkg/supply/moves.go
+++ b/pkg/supply/moves.go
@@ -3,15 +3,16 @@
 import (
 	"fmt"
 	"math"
+	"time"
 
 	"damsonwinch"
-	"damsonwinch/pkg/shard"
 )
 
 // fillCells brings boxes to cells that need more: parked ones first, then what
 // other pools can spare, of the same shard.
 func (p *Planner) fillCells() {
 	clear(p.waits)
+	p.noteLacking()
 	for {
 		name, missing := p.shortest()
 		if name == "" {
@@ -25,7 +26,9 @@
 	}
 }
 
-// shortest returns the cell that lacks most, for its size.
+// shortest returns the cell that lacks most, for its size. Those whose lasting tasks have
+// too few boxes come first: such a job lacks one box of 14 where a heap of work lacks 290 of
+// 320, and until it gets it, a task that is to last stands still.
 func (p *Planner) shortest() (string, int) {
 	worst, worstMissing, worstShare := "", 0, 0
 	for _, name := range p.names {
@@ -36,6 +39,9 @@
 		missing := pool.need - p.has(name)
 		// What can't wait comes first.
 		share := missing * wholeBox / max(1, pool.need) * int(usualSlack) / int(pool.slack())
+		if lacking := p.lacksLasting(pool); lacking > 0 {
+			missing, share = max(missing, lacking), share+lacking*lastingFirst
+		}
 		if missing > 0 && share > worstShare {
 			worst, worstMissing, worstShare = name, missing, share
 		}
@@ -43,6 +49,30 @@
 	return worst, worstMissing
 }
 
+// lastingFirst puts a lasting task's box before all other wants, whose shares are below it.
+const lastingFirst = 1_000_000
+
+// lastingPatience is how long a cell lacks boxes for its lasting tasks before others give up
+// theirs: one that is maintained comes back in that time.
+const lastingPatience = 4 * time.Second
+
+// noteLacking notes which cells have begun to lack boxes for their lasting tasks.
+func (p *Planner) noteLacking() {
+	for _, name := range p.names {
+		switch l := p.cells[name]; {
+		case p.lacksLasting(l) <= 0:
+			l.lackingSince = time.Time{}
+		case l.lackingSince.IsZero():
+			l.lackingSince = p.now
+		}
+	}
+}
+
+// lacksLasting returns how many boxes a cell has too few for its lasting tasks.
+func (p *Planner) lacksLasting(l *cell) int {
+	return l.lasting - p.has(l.name)
+}
+
 // bring begins to bring one box to a cell.
 func (p *Planner) bring(name, cause string) bool {
 	pool := p.cells[name].pool
@@ -50,11 +80,11 @@
 		return true
 	}
 	if b := p.parked(name); b != nil {
-		p.orderNow(b, pool, 0, cause)
+		p.orderNow(b, purpose{pool: pool, shard: p.cells[name].shard, cause: cause})
 		return true
 	}
 	if b := p.spare(name); b != nil {
-		p.take(b, purpose{pool: pool, cause: cause, hurry: true})
+		p.take(b, purpose{pool: pool, shard: p.cells[name].shard, cause: cause, hurry: true})
 		return true
 	}
 	return false
@@ -71,7 +101,7 @@
 	return false
 }
 
-// parked returns the parked box that suits a cell best.
+// parked returns the parked box that suits a cell best, of whatever shard.
 func (p *Planner) parked(name string) *box {
 	parking, exists := p.parkingPool()
 	if !exists {
@@ -79,27 +109,30 @@
 	}
 	receiver := p.cells[name]
 	var choice cheapest
-	for _, b := range p.byCell[shard.Cell(parking, receiver.shard)] {
-		if p.free(b) && !b.refuses[receiver.pool] {
-			// A box that is due for maintenance is better left where it costs nothing,
-			// and one in a zone that is cut off would be of no use.
-			choice.offer(b, p.zoneCount(name, b.info.Zone)*2+boolInt(p.dueWave(b) != nil)+boolInt(p.cutZones[b.info.Zone])*cutZoneCost)
+	for _, from := range p.layout.Cells(parking) {
+		for _, b := range p.byCell[from] {
+			if p.free(b) && !b.refuses[receiver.pool] {
+				// A box that is due for maintenance is better left where it costs nothing,
+				// and one in a zone that is cut off would be of no use.
+				choice.offer(b, p.zoneCount(name, b.info.Zone)*2+boolInt(p.dueWave(b) != nil)+boolInt(p.cutZones[b.info.Zone])*cutZoneCost)
+			}
 		}
 	}
 	return choice.box
 }
 
-// spare returns a box of its shard that another pool can do without, or one that is
-// already being emptied to be parked.
+// spare returns a box that another pool can do without in the cell's shard, or one of any
+// shard that is already being emptied to be parked. Who keeps how much is weighed between two
+// cells: where those of all shards took from one, each left it its share of the two.
 func (p *Planner) spare(name string) *box {
 	var choice cheapest
 	receiver := p.cells[name]
 	for _, other := range p.names {
 		donor := p.cells[other]
-		if donor == receiver || donor.parking || donor.shard != receiver.shard {
+		if donor.pool == receiver.pool || donor.parking {
 			continue
 		}
-		gives := donor.fresh(p.now) && p.has(donor.name) > p.leastFor(donor, receiver)
+		gives := donor.fresh(p.now) && p.gives(donor, receiver)
 		for _, b := range p.byCell[other] {
 			if !b.refuses[receiver.pool] && (p.isBeingParked(b) || gives && p.isIdle(b)) {
 				choice.offer(b, p.emptying(b)+p.zoneCount(name, b.info.Zone)*zoneMs)
@@ -109,6 +142,16 @@
 	return choice.box
 }
 
+// gives says whether a cell gives a box to another one. For lasting tasks that have been short
+// of boxes for a while, the cells of all shards give what their own lasting tasks and the loss
+// of a box leave them.
+func (p *Planner) gives(donor, receiver *cell) bool {
+	if p.lacksLasting(receiver) > 0 && p.now.Sub(receiver.lackingSince) >= lastingPatience && p.has(donor.name) > max(donor.lasting, donor.least()) {
+		return true
+	}
+	return donor.shard == receiver.shard && p.has(donor.name) > p.leastFor(donor, receiver)
+}
+
 // cutZoneCost puts the boxes of a zone that is cut off behind all others.
 const cutZoneCost = 1_000_000
 
@@ -187,7 +230,7 @@
 			if b == nil {
 				break
 			}
-			p.take(b, purpose{pool: parking, cause: fmt.Sprintf("cell %s has needed no more than %d boxes", name, pool.held())})
+			p.take(b, purpose{pool: parking, shard: b.shard, cause: fmt.Sprintf("cell %s has needed no more than %d boxes", name, pool.held())})
 		}
 	}
 }
--- a/pkg/supply/need.go
+++ b/pkg/supply/need.go
@@ -73,6 +73,10 @@
 	// work only, and 120 of the next pool's 139 jobs were not in time. Worth 0.034 of a
 	// day's 1.0 with a burst of five times the traffic for 10 s, by eight paired plays.
 	firm int
+	// lasting is how many boxes the lasting tasks take by themselves.
+	lasting int
+	// lackingSince is since when the cell has had fewer, zero if it hasn't.
+	lackingSince time.Time
 	// usualNeed and usualFirm are running means of both, by which the pool gives boxes.
 	usualNeed  float64
 	usualFirm  float64
@@ -134,6 +138,7 @@
 	cpu := max(reactive, p.predicted(l, boxCPU))
 	l.need = max(l.boxesFor(l.report.LastingCpu+cpu, boxCPU), l.wholeBoxes(l.wholeLate()))
 	l.firm = max(l.boxesFor(l.report.LastingCpu+inTime, boxCPU), l.wholeBoxes(0))
+	l.lasting = max(l.report.Spread, (l.report.LastingCpu+boxCPU-1)/boxCPU)
 	l.average(now)
 	steady := max(reactive, l.report.SteadyCpu*(100+growth)/100)
 	hold := time.Duration(int64(p.options.Hold) * int64(l.slack()) / int64(usualSlack))
@@ -177,7 +182,12 @@
 // boxesFor returns the number of boxes for a need of processor.
 func (l *cell) boxesFor(cpu, boxCPU int) int {
 	share := max(cpu*wholeBox/boxCPU, l.report.MemoryShare*memoryGrowth/100) + int(reserve/math.Sqrt(float64(l.shards)))
-	return max((leastBoxes+l.shards-1)/l.shards, l.report.Spread, (share+wholeBox-1)/wholeBox)
+	return max(l.least(), l.report.Spread, (share+wholeBox-1)/wholeBox)
+}
+
+// least is how many boxes the cell keeps in any case.
+func (l *cell) least() int {
+	return (leastBoxes + l.shards - 1) / l.shards
 }
 
 // average brings the running means up to date.
--- a/pkg/supply/script_test.go
+++ b/pkg/supply/script_test.go
@@ -161,7 +161,7 @@
 func (s *script) plan() string {
 	var lines []string
 	for _, order := range s.planner.Plan(s.now) {
-		lines = append(lines, fmt.Sprintf("move %s to %s", order.Box, order.Pool))
+		lines = append(lines, fmt.Sprintf("move %s to %s", order.Box, shard.Cell(order.Pool, order.Shard)))
 	}
 	for _, cell := range s.cells() {
 		wishes := s.planner.Wishes(cell)
--- a/pkg/supply/supply.go
+++ b/pkg/supply/supply.go
@@ -31,6 +31,9 @@
 	Box string
 	// Pool is where it moves to; empty for maintenance.
 	Pool string
+	// Shard is the one to which it belongs after that, and Before the one until then.
+	Shard  int
+	Before int
 	// Wave is what it is maintained for.
 	Wave int
 	// Endpoint is the life that runs on the box, empty for none.
@@ -103,7 +106,7 @@
 	}
 	p.layout = layout
 	for _, b := range p.order {
-		b.shard = layout.OfBox(b.info.Name)
+		p.place(b)
 	}
 	p.groupBoxes()
 }
--- a/pkg/supply/waves.go
+++ b/pkg/supply/waves.go
@@ -136,7 +136,7 @@
 			break
 		}
 		if p.isParking(b.info.Pool) && p.free(b) {
-			p.orderNow(b, "", w.Number, fmt.Sprintf("wave %d: the box is parked", w.Number))
+			p.orderNow(b, purpose{wave: w.Number, shard: b.shard, cause: fmt.Sprintf("wave %d: the box is parked", w.Number)})
 			begun++
 		}
 	}
@@ -225,7 +225,7 @@
 }
 
 func (p *Planner) takeForWave(w *wave, b *box, due int) {
-	p.take(b, purpose{wave: w.Number, cause: fmt.Sprintf("wave %d: %d boxes are due", w.Number, due)})
+	p.take(b, purpose{wave: w.Number, shard: b.shard, cause: fmt.Sprintf("wave %d: %d boxes are due", w.Number, due)})
 }
 
 // lastingMoving returns the pools in which a box with lasting tasks is being emptied for
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -632,6 +632,9 @@
 	// Life that ran on the box then; empty for none.
 	Endpoint string `json:"endpoint,omitempty,omitzero"`
 
+	// Placement corresponds to the JSON schema field "placement".
+	Placement *PlacementRecord `json:"placement,omitempty,omitzero"`
+
 	// Pool that it moves to; empty for maintenance.
 	Pool string `json:"pool,omitempty,omitzero"`
 
@@ -711,6 +714,15 @@
 	TargetMs int `json:"target_ms,omitempty,omitzero"`
 }
 
+// PlacementRecord is to which shard an order takes a box.
+type PlacementRecord struct {
+	// Its shard until then.
+	Before int `json:"before"`
+
+	// Shard of the box's next life.
+	Shard int `json:"shard"`
+}
+
 // Proposal asks for one change; the fold accepts it or refuses it with a reason.
 type Proposal struct {
 	// Author corresponds to the JSON schema field "author".
