--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -38,6 +38,9 @@
 	Clock   damsonwinch.Clock
 	Logger  logrus.FieldLogger
 	Metrics *metrics.Set
+	// StoreAnsweredAt tells when the store has last answered any call of this node; nil where
+	// nobody knows.
+	StoreAnsweredAt func() time.Time
 }
 
 // Options say what is followed, and how closely.
