Let the operator evacuate an availability zone

Change: the adapter decodes the record, nodes follow it, owners start nothing in evacuated zones and move away what may be moved, the planner counts no boxes there and moves none into pools. An owner starts nothing at all while it can't know evacuations up to the bound. Endpoints that are cold come after warm ones.

--- a/configuration.go
+++ b/configuration.go
@@ -105,6 +105,26 @@
 	Offset int
 }
 
+// Evacuation is an operator's request that no task start in an availability zone, or the end of
+// that request.
+type Evacuation struct {
+	Zone string
+	// Ended reports whether tasks may start in the zone again.
+	Ended bool
+	// Offset is the offset of the request's record in its stream.
+	Offset int
+}
+
+// OperatorRecord is a decoded record of the operator's stream. At most one of its fields is set; none
+// is set for a record of an unknown kind.
+type OperatorRecord struct {
+	Configuration *Configuration
+	Wave          *Wave
+	// CancelledWave is the number of a wave that the operator has cancelled.
+	CancelledWave int
+	Evacuation    *Evacuation
+}
+
 // JobService handles clients' calls on jobs. A call returns at the latest when its context ends.
 type JobService interface {
 	// Submit submits a job. Only the outcome "accepted" guarantees that the job is stored,
--- a/endpoint.go
+++ b/endpoint.go
@@ -44,6 +44,9 @@
 	Rack     string
 	Labels   []string
 	Capacity Resources
+	// Cold reports whether the endpoint still runs tasks more slowly than usual, because it has
+	// started recently or had no work for long.
+	Cold bool
 	// Draining reports whether the endpoint accepts no new tasks and will exit on its own.
 	Draining bool
 	// Remaining is the shortest time after which a draining endpoint exits.
--- a/pkg/boxplan/box_counts.go
+++ b/pkg/boxplan/box_counts.go
@@ -69,8 +69,12 @@
 }
 
 // servedPool returns the pool that a box serves, or will serve by the decisions made so far; empty for
-// none. A box that is being maintained counts for its pool, since it is back soon.
+// none. A box that is being maintained counts for its pool, since it is back soon. A box in an evacuated
+// zone counts for no pool.
 func (p *Planner) servedPool(b *box) string {
+	if p.isEvacuated(b) {
+		return ""
+	}
 	if b.issued != nil {
 		if b.issued.Pool != "" {
 			return b.issued.Pool
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -81,6 +81,8 @@
 	boxCounts   boxCounts
 	// cutOffZones are the zones whose boxes the owners of the cells can't reach.
 	cutOffZones map[string]bool
+	// evacuatedZones are the zones in which the operator wants no task to start.
+	evacuatedZones map[string]bool
 	// waves are the maintenance waves by number.
 	waves map[int]*wave
 	// boxesRequestedAt is when the newest list of boxes was requested.
@@ -144,6 +146,7 @@
 	p.orders = nil
 	p.attachReports()
 	p.findCutOffZones()
+	p.cancelMovesInEvacuatedZones()
 	p.countBoxes()
 	p.updateDemands()
 	p.planWaves()
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -98,7 +98,7 @@
 // one.
 func (p *Planner) cancelPowerOff(cellName string) bool {
 	for _, b := range p.boxesByCell[cellName] {
-		if b.planned != nil && p.isPoweredOff(b.planned.pool) {
+		if b.planned != nil && p.isPoweredOff(b.planned.pool) && !p.isEvacuated(b) {
 			p.updateBox(b, func() { b.planned = nil })
 			return true
 		}
@@ -117,7 +117,7 @@
 	var choice cheapest
 	for _, from := range p.layout.CellNames(poweredOff) {
 		for _, b := range p.boxesByCell[from] {
-			if p.isAvailable(b) && !b.refusedPools[receiver.pool] {
+			if p.isAvailable(b) && !p.isEvacuated(b) && !b.refusedPools[receiver.pool] {
 				// A box that is due for maintenance is chosen late: its maintenance costs nothing
 				// while it is powered off. A box in a zone that is cut off would be of no use.
 				choice.offer(b, p.zoneBoxCount(cellName, b.info.Zone)*2+boolInt(p.dueWave(b) != nil)+boolInt(p.cutOffZones[b.info.Zone])*cutOffZoneCost)
@@ -142,7 +142,7 @@
 		}
 		mayDonate := donor.hasFreshReport(p.now) && p.mayDonate(donor, receiver)
 		for _, b := range p.boxesByCell[other] {
-			if !b.refusedPools[receiver.pool] && (p.isBeingPoweredOff(b) || mayDonate && p.canEmptySoon(b)) {
+			if !b.refusedPools[receiver.pool] && !p.isEvacuated(b) && (p.isBeingPoweredOff(b) || mayDonate && p.canEmptySoon(b)) {
 				choice.offer(b, p.estimateEmptyMs(b)+p.zoneBoxCount(cellName, b.info.Zone)*zoneCostMs)
 			}
 		}
@@ -169,9 +169,9 @@
 }
 
 // canEmptySoon reports whether a box is in use and can soon be empty because it has no long-running
-// tasks.
+// tasks. A box in an evacuated zone isn't in use.
 func (p *Planner) canEmptySoon(b *box) bool {
-	return p.isAvailable(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0
+	return p.isAvailable(b) && !p.isEvacuated(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0
 }
 
 // minRetained returns how many boxes a cell keeps when another one needs boxes. If the receiver lacks
--- a/pkg/boxplan/script_test.go
+++ b/pkg/boxplan/script_test.go
@@ -34,7 +34,9 @@
 	// long-running tasks, by the name of the box.
 	emptyMs     map[string]int
 	longRunning map[string]int
-	now         time.Time
+	// evacuated holds the evacuated zones.
+	evacuated []string
+	now       time.Time
 }
 
 // TestScripts runs the data files of testdata and compares the output of their plan commands. Commands:
@@ -47,6 +49,7 @@
 //	lasting box=B tasks=N: a box has N long-running tasks
 //	wave number=N down=N s=S pools=(P, ...): a wave for all boxes of some pools, of which at most N may
 //	  be down at the same time, to be completed within S seconds
+//	evacuate zones=(Z, ...): the operator evacuates these zones and no others
 //	plan at=MS: prints the orders and the withdrawals that the planner decides at that time
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -70,6 +73,8 @@
 		s.longRunning[box] = number(t, d, "tasks")
 	case "wave":
 		s.wave(d)
+	case "evacuate":
+		s.evacuate(d)
 	case "plan":
 		s.now = time.Unix(1_000_000, 0).Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 		return s.plan()
@@ -137,7 +142,7 @@
 	shardNumber := number(s.t, d, "shard")
 	for _, b := range s.boxes {
 		if b.Pool == pool && s.layout.BoxShard(b.Name) == shardNumber {
-			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: true, EmptyMs: s.emptyMs[b.Name], Lasting: s.longRunning[b.Name]})
+			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: !slices.Contains(s.evacuated, b.Zone), EmptyMs: s.emptyMs[b.Name], Lasting: s.longRunning[b.Name]})
 		}
 	}
 	s.planner.SetReport(s.now, shard.CellName(pool, shardNumber), reply)
@@ -156,6 +161,15 @@
 	s.planner.SetWave(s.now, wave)
 }
 
+// evacuate gives the planner the evacuated zones. The endpoints there are not usable from then on.
+func (s *script) evacuate(d *datadriven.TestData) {
+	s.evacuated = nil
+	for _, arg := range d.CmdArgs {
+		s.evacuated = append(s.evacuated, arg.Vals...)
+	}
+	s.planner.SetEvacuatedZones(s.evacuated)
+}
+
 // cells returns the names of all cells.
 func (s *script) cells() []string {
 	var names []string
--- a/pkg/boxplan/summary.go
+++ b/pkg/boxplan/summary.go
@@ -18,7 +18,7 @@
 			lines = append(lines, shortage)
 		}
 		n := p.countByState(name)
-		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down, %d out of reach", name, n.working, n.coming, n.emptying, n.maintained, n.down, n.silent)
+		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down, %d out of reach, %d in evacuated zones", name, n.working, n.coming, n.emptying, n.maintained, n.down, n.silent, n.evacuated)
 		if c.poweredOff {
 			lines = append(lines, boxes)
 			continue
@@ -46,9 +46,10 @@
 }
 
 // stateCounts holds the numbers of a cell's boxes by their states, in the order of the Summary's text:
-// in use, on their way to the cell, being withdrawn, being maintained, down, not answering.
+// in use, on their way to the cell, being withdrawn, being maintained, down, not answering, in evacuated
+// zones.
 type stateCounts struct {
-	working, coming, emptying, maintained, down, silent int
+	working, coming, emptying, maintained, down, silent, evacuated int
 }
 
 // countByState counts the boxes of a cell, and those on their way to it, by their states.
@@ -69,6 +70,8 @@
 			n.silent++
 		case b.planned != nil:
 			n.emptying++
+		case p.isEvacuated(b):
+			n.evacuated++
 		default:
 			n.working++
 		}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -80,6 +80,7 @@
 	// confirmedAt is the last time at which this owner's claim of the cell is known to have been
 	// valid.
 	confirmedAt time.Time
+	evacuations evacuations
 	commits     commits
 	// permitCalls is the number of calls for permits in flight.
 	permitCalls int
@@ -202,6 +203,7 @@
 	for _, e := range c.sortedEndpoints {
 		c.continueWithdrawal(e)
 	}
+	c.leaveEvacuatedZones()
 	c.forgetEndedJobs()
 	c.logQuotaWaits()
 	c.finishEvent()
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -73,6 +73,7 @@
 	Job      string
 	Task     string
 	Endpoint string
+	Zone     string
 	Reason   string
 	// Debug marks lines that occur for every task. They are logged at debug level, since the log
 	// has limited space.
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -92,7 +92,7 @@
 
 // usable reports whether new work may be started on the endpoint.
 func (e *endpoint) usable() bool {
-	return e.listed && e.attached && !e.exited && !e.withdrawn && !e.withdrawal.requested && !e.silent && !e.info.Draining
+	return e.listed && e.attached && !e.exited && !e.withdrawn && !e.withdrawal.requested && !e.silent && !e.info.Draining && !e.zone.evacuated
 }
 
 // free returns the capacity that no run occupies.
--- /dev/null
+++ b/pkg/cell/evacuation.go
@@ -0,0 +1,93 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// evacuations holds the operator's requests that no task start in some availability zones. A task
+// that runs there when its zone is evacuated is not killed: a long-running task, or one with a
+// checkpoint, is moved once another zone can take it, and all others run to their end.
+type evacuations struct {
+	// zones are the evacuated zones, also those in which the cell has no endpoint.
+	zones []string
+	// confirmedAt is when all requests of the operator were last known, or zero.
+	confirmedAt time.Time
+}
+
+// SetEvacuations sets the availability zones in which the operator wants no task to start.
+// confirmedAt is a time at which no others were evacuated.
+func (c *Cell) SetEvacuations(now time.Time, zones []string, confirmedAt time.Time) {
+	c.beginEvent(now)
+	defer c.finishEvent()
+	if !c.evacuationsKnown() {
+		c.placementDue = true
+	}
+	if confirmedAt.After(c.evacuations.confirmedAt) {
+		c.evacuations.confirmedAt = confirmedAt
+	}
+	if slices.Equal(zones, c.evacuations.zones) {
+		return
+	}
+	c.evacuations.zones = slices.Clone(zones)
+	for _, z := range c.zones {
+		if evacuated := slices.Contains(zones, z.name); evacuated != z.evacuated {
+			z.evacuated = evacuated
+			c.logEvacuation(z)
+		}
+	}
+	c.endpointsChanged()
+}
+
+// evacuationsKnown reports whether the operator's evacuations are known well enough to start tasks.
+// An owner that has just taken over, or that can't read the operator's requests, could otherwise
+// start tasks in a zone that was evacuated long ago.
+func (c *Cell) evacuationsKnown() bool {
+	return c.options.MaxEvacuationAge == 0 || c.now.Sub(c.evacuations.confirmedAt) < c.options.MaxEvacuationAge
+}
+
+// leaveEvacuatedZones stops the runs in evacuated zones whose tasks can start in another zone now,
+// as far as that interrupts no job too much. Their tasks are then placed there.
+func (c *Cell) leaveEvacuatedZones() {
+	if len(c.evacuations.zones) == 0 || !c.evacuationsKnown() {
+		return
+	}
+	for _, e := range c.sortedEndpoints {
+		if !e.zone.evacuated || e.exited {
+			continue
+		}
+		for _, r := range e.sortedRuns() {
+			if !r.stopping && r.state == runConfirmed && c.mayLeaveZone(r) && c.canStartElsewhere(r) {
+				c.stop(r, "its zone is evacuated")
+			}
+		}
+	}
+}
+
+// mayLeaveZone reports whether a run may be stopped because its zone is evacuated: the run of a
+// long-running task while enough others of its phase are available, and a run with a checkpoint if
+// its job can still meet its deadline.
+func (c *Cell) mayLeaveZone(r *run) bool {
+	spec := r.task.phase.spec
+	if spec.Lasting {
+		return c.mayInterrupt(r.task.phase)
+	}
+	return spec.Checkpoints && !spec.Gang && c.canWaitForCapacity(r)
+}
+
+// logEvacuation logs that the evacuation of a zone has begun or ended, and what the cell has there.
+func (c *Cell) logEvacuation(z *zone) {
+	endpoints, runs := 0, 0
+	for _, e := range c.sortedEndpoints {
+		if e.zone == z && !e.exited {
+			endpoints++
+			runs += len(e.runs)
+		}
+	}
+	message := "zone is used again"
+	if z.evacuated {
+		message = "zone is evacuated"
+	}
+	c.effects.LogLines = append(c.effects.LogLines, LogLine{Message: message, Zone: z.name, Reason: fmt.Sprintf("the cell has %d endpoints with %d runs there", endpoints, runs)})
+}
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -71,6 +71,9 @@
 
 // explainWait says why a ready task has not been started yet.
 func (c *Cell) explainWait(t *task) string {
+	if !c.evacuationsKnown() {
+		return "the operator's evacuations of zones are not known at present"
+	}
 	if c.now.Before(t.notBefore) {
 		return fmt.Sprintf("endpoints have refused it %d times in a row; it is tried again in %d ms", t.refusals, t.notBefore.Sub(c.now).Milliseconds())
 	}
@@ -114,6 +117,8 @@
 		return "are being withdrawn"
 	case e.info.Draining:
 		return "drain"
+	case e.zone.evacuated:
+		return "are in an evacuated zone"
 	case !c.capacityKnown(e):
 		return "have not said for too long how much room they have"
 	case e.strayRuns > 0:
--- a/pkg/cell/options.go
+++ b/pkg/cell/options.go
@@ -36,6 +36,9 @@
 	// CrashRules decide which tasks are suspected of crashing their endpoints and when such a task
 	// is given up. The zero value stands for crash.DefaultRules.
 	CrashRules crash.Rules
+	// MaxEvacuationAge is how long ago the operator's evacuations must have been known in full for a
+	// task to start. With 0 there is no limit.
+	MaxEvacuationAge time.Duration
 	// EndedJobRetention is how long a job can still be queried after it has ended.
 	EndedJobRetention time.Duration
 }
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -10,7 +10,7 @@
 // first. Then come the phases whose jobs can still meet their deadlines, the most urgent first,
 // then the phases that are deferred in favour of those, and last the late ones.
 func (c *Cell) place() {
-	if len(c.openPhases) == 0 || !c.placementDue {
+	if len(c.openPhases) == 0 || !c.placementDue || !c.evacuationsKnown() {
 		return
 	}
 	c.placementDue = false
@@ -133,11 +133,14 @@
 
 // Amounts that are added to the score of an endpoint for a task, in thousandths of a core of free
 // capacity: for the preferred rack, for the endpoint that the task should avoid, and for one where
-// a task has just failed.
+// a task has just failed, among others.
 const (
 	scoreRack          = 1_000_000
 	scoreAvoid         = -4_000_000
 	scoreRecentFailure = -2_000_000
+	// scoreCold lets an endpoint that is still slow warm up with the work for which the others have
+	// no capacity.
+	scoreCold = -1_500_000
 	// scoreInterference keeps serving and filler tasks apart while there is enough capacity.
 	scoreInterference = -500_000
 	// scoreMaintenanceDue keeps long-running tasks off boxes that still have to be maintained. Each
@@ -163,6 +166,9 @@
 	if e.health.consecutiveFailures > 0 {
 		score += scoreRecentFailure
 	}
+	if e.info.Cold {
+		score += scoreCold
+	}
 	if c.interferes(t.phase, e) {
 		score += scoreInterference
 	}
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -36,8 +36,9 @@
 				continue
 			}
 			switch {
-			case row.Silent:
-				// Runs on unreachable endpoints take no capacity of the remaining boxes.
+			case row.Silent, e.zone.evacuated:
+				// Runs on unreachable endpoints and in evacuated zones take no capacity of the
+				// remaining boxes.
 			case r.jobLate:
 				report.RunningLateCpu += need.MilliCPU
 			default:
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -142,7 +142,7 @@
 // sendStart sends the start request for a run whose record is committed, or removes the run if it
 // must not start any more.
 func (c *Cell) sendStart(r *run) {
-	if r.task.phase.job().ended() || r.stopping || !r.endpoint.usable() || r.endpoint.zone.mayBeCutOff() || !c.stillFits(r) {
+	if r.task.phase.job().ended() || r.stopping || !r.endpoint.usable() || r.endpoint.zone.mayBeCutOff() || !c.evacuationsKnown() || !c.stillFits(r) {
 		c.addExtraStarts(r.task, -1)
 		c.requeue(r)
 		c.stopGang(r.task.phase, "a member of its gang can't be started")
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -38,6 +38,9 @@
 	token   int
 	queue   damsonwinch.Queue
 	options cell.Options
+	// evacuated holds the zones that the operator has evacuated. If there is a bound on how old this
+	// knowledge may be, a new owner learns them with the next command evacuate.
+	evacuated []string
 	// lastAllowance is the number of the last allowance that the planner has sent.
 	lastAllowance int
 }
@@ -73,6 +76,9 @@
 	}
 	s.cell.SetQueues(s.now, []damsonwinch.Queue{s.queue})
 	s.cell.SetEndpoints(s.now, s.listed)
+	if s.options.MaxEvacuationAge == 0 {
+		s.cell.SetEvacuations(s.now, s.evacuated, s.now)
+	}
 }
 
 // run runs a command of the data file and returns its output.
@@ -115,6 +121,12 @@
 		s.setBoxes(d)
 	case "allow":
 		s.setAllowance(d)
+	case "evacuate":
+		s.evacuated = listArg(s.t, d, "zones")
+		s.cell.SetEvacuations(s.now, s.evacuated, s.now)
+	case "evacuation-bound":
+		s.options.MaxEvacuationAge = time.Duration(intArg(s.t, d, "ms", 0)) * time.Millisecond
+		s.newOwner()
 	case "pass":
 		// Time passes while the owner is busy with something else, so there is no tick.
 		s.now = s.now.Add(time.Duration(intArg(s.t, d, "ms", 0)) * time.Millisecond)
@@ -156,7 +168,7 @@
 		Life: damsonwinch.Life{ID: id, StartedUnixMs: intArg(s.t, d, "born", 0)}, Box: "box-" + id, Address: id + ":1", Pool: "pool", Capacity: damsonwinch.Resources{
 			MilliCPU: intArg(s.t, d, "cpu", 8000), MemoryMB: intArg(s.t, d, "memory", 8000), GPUs: intArg(s.t, d, "gpu", 0),
 		},
-		Draining: d.HasArg("draining"), Labels: listArg(s.t, d, "labels"), Rack: optionalArg(s.t, d, "rack"),
+		Draining: d.HasArg("draining"), Cold: d.HasArg("cold"), Zone: optionalArg(s.t, d, "zone"), Labels: listArg(s.t, d, "labels"), Rack: optionalArg(s.t, d, "rack"),
 	}
 	if info.Rack != "" {
 		info.Labels = append(info.Labels, info.Rack)
@@ -376,8 +388,8 @@
 		lines = append(lines, "deposed")
 	}
 	for _, line := range effects.LogLines {
-		if (strings.HasPrefix(line.Message, "job ") || line.Message == "task given up") && line.Message != "job accepted" || strings.HasPrefix(line.Message, "endpoint ") && line.Message != "endpoint listed" && line.Message != "endpoint attached" {
-			lines = append(lines, strings.TrimSpace(fmt.Sprintf("note: %s %s%s: %s", line.Message, line.Job, line.Endpoint, line.Reason)))
+		if (strings.HasPrefix(line.Message, "job ") || line.Message == "task given up") && line.Message != "job accepted" || strings.HasPrefix(line.Message, "zone ") || strings.HasPrefix(line.Message, "endpoint ") && line.Message != "endpoint listed" && line.Message != "endpoint attached" {
+			lines = append(lines, strings.TrimSpace(fmt.Sprintf("note: %s %s%s%s: %s", line.Message, line.Job, line.Endpoint, line.Zone, line.Reason)))
 		}
 	}
 	return lines
--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -109,6 +109,7 @@
 		return damsonwinch.ErrNoCapacity
 	}
 	e.world.rules.checkStart(e, request)
+	e.world.rules.checkEvacuation(e, request)
 	r := &simRun{request: request, need: need, startedAt: e.world.now, ending: damsonwinch.EndedDone}
 	if e.world.random.Float64() < behaviour.failureRate {
 		r.ending = damsonwinch.EndedFailed
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -49,7 +49,11 @@
 func (w *world) addOwner() *simOwner {
 	w.lastToken++
 	o := &simOwner{world: w, stream: len(w.streams) - 1, name: string(rune('A' + (w.lastToken-1)%26)), token: w.lastToken, pendingCalls: map[int]func(wire.JobReply){}}
-	o.cell = cell.New(simOptions(w.mutation), o.token)
+	options := simOptions(w.mutation)
+	if w.operator != nil && !w.mutation.staleEvacuations {
+		options.MaxEvacuationAge = simMaxEvacuationAge
+	}
+	o.cell = cell.New(options, o.token)
 	w.owners = append(w.owners, o)
 	w.logf("owner %s claims the cell with token %d", o.name, o.token)
 	o.takeOver()
@@ -86,6 +90,7 @@
 			o.cell.SetRejectsOverload(o.now(), w.registry == nil || w.mutation.staleCapacity)
 			o.cell.SetEndpoints(o.now(), w.listedEndpoints())
 			o.ready = true
+			o.readOperator()
 			if w.planner != nil {
 				w.planner.configureOwner(o)
 			}
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -47,6 +47,8 @@
 	uncapped          bool // Jobs do not count against their customer's cap.
 	hideStartTimes    bool // Endpoints do not report when they started.
 	staleCapacity     bool // The capacity of an endpoint is trusted however old the report is.
+	hideEvacuations   bool // Owners are not told which zones are evacuated.
+	staleEvacuations  bool // What an owner knows of evacuations is trusted however old it is.
 }
 
 // world is a simulation of owners, a store, endpoints and clients on a fake clock and a fake
@@ -88,6 +90,8 @@
 	registry *simRegistry
 	// planner allocates a customer's cap. It is nil in simulations without a cap.
 	planner *simPlanner
+	// operator evacuates zones. It is nil in simulations without evacuations.
+	operator *simOperator
 	// sharedIDs gives all lives on a box the same ID.
 	sharedIDs bool
 	startedAt time.Time
@@ -187,7 +191,7 @@
 	w.endpoints = append(w.endpoints, &simEndpoint{
 		world: w, registrationDelay: delay, clockRate: 0.98 + 0.04*w.random.Float64(), startedAt: w.now, runs: map[damsonwinch.Run]*simRun{}, lastAttempts: map[damsonwinch.TaskID]int{},
 		info: damsonwinch.Endpoint{
-			Life: life, Box: box, Address: address, Pool: "pool",
+			Life: life, Box: box, Address: address, Pool: "pool", Zone: w.operator.zoneOf(box),
 			Capacity: damsonwinch.Resources{MilliCPU: w.boxMilliCPU, MemoryMB: 8000},
 		},
 	})
--- a/pkg/cell/withdrawal.go
+++ b/pkg/cell/withdrawal.go
@@ -25,14 +25,14 @@
 	recorded bool
 }
 
-// continueWithdrawal goes on with a withdrawal that the planner has requested: it evacuates the
+// continueWithdrawal goes on with a withdrawal that the planner has requested: it empties the
 // endpoint, and marks it as withdrawn once nothing runs there.
 func (c *Cell) continueWithdrawal(e *endpoint) {
 	if !e.withdrawal.requested || e.withdrawn || e.exited {
 		return
 	}
 	if len(e.runs) > 0 {
-		c.evacuate(e)
+		c.emptyEndpoint(e)
 		return
 	}
 	if !e.attached || e.silent {
@@ -43,9 +43,9 @@
 	c.logEndpoint("endpoint withdrawn", e, "the fleet planner wants its box")
 }
 
-// evacuate stops the runs that should continue on another endpoint instead of being waited for
+// emptyEndpoint stops the runs that should continue on another endpoint instead of being waited for
 // here.
-func (c *Cell) evacuate(e *endpoint) {
+func (c *Cell) emptyEndpoint(e *endpoint) {
 	for _, r := range e.sortedRuns() {
 		if r.stopping || r.state != runConfirmed {
 			continue
@@ -56,7 +56,7 @@
 			// In an urgent withdrawal the task is stopped even if no other endpoint has capacity
 			// now: it is placed as soon as a short task ends somewhere. Otherwise it would keep its
 			// box forever if the cell is full.
-			if c.countUnavailable(r.task.phase) < spec.AwayAtMost && (e.withdrawal.urgent || c.canStartElsewhere(r)) {
+			if c.mayInterrupt(r.task.phase) && (e.withdrawal.urgent || c.canStartElsewhere(r)) {
 				c.stop(r, "its box is wanted")
 			}
 		case e.withdrawal.urgent && spec.Checkpoints && !spec.Gang && (c.canWaitForCapacity(r) || c.canStartElsewhere(r)):
@@ -65,6 +65,11 @@
 	}
 }
 
+// mayInterrupt reports whether one more task of a long-running phase may be made unavailable.
+func (c *Cell) mayInterrupt(p *phase) bool {
+	return c.countUnavailable(p) < p.spec.AwayAtMost
+}
+
 // canWaitForCapacity reports whether a run's job would still meet its deadline if the run were
 // stopped and its task had to wait for capacityWait.
 func (c *Cell) canWaitForCapacity(r *run) bool {
--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -26,6 +26,8 @@
 	byFreeCores freeCoreIndex
 	// asSlice contains only this zone, as the argument of chooseInZones.
 	asSlice []*zone
+	// evacuated is set while the operator wants no task to start in the zone.
+	evacuated bool
 	// answeredAt is when an endpoint of the zone last answered a call.
 	answeredAt time.Time
 	// unansweredSince is since when calls to the zone's endpoints have been overdue while none of
@@ -52,7 +54,7 @@
 func (c *Cell) ensureZone(name string) *zone {
 	i, known := slices.BinarySearchFunc(c.zones, name, func(z *zone, name string) int { return strings.Compare(z.name, name) })
 	if !known {
-		z := &zone{name: name}
+		z := &zone{name: name, evacuated: slices.Contains(c.evacuations.zones, name)}
 		z.asSlice = []*zone{z}
 		c.zones = slices.Insert(c.zones, i, z)
 	}
@@ -145,7 +147,7 @@
 	if len(c.zones) < 2 || t.phase.spec.Lasting || t.phase.spec.Rack != "" {
 		return nil
 	}
-	if j.homeZone == nil || j.homeZone.mayBeCutOff() {
+	if j.homeZone == nil || j.homeZone.mayBeCutOff() || j.homeZone.evacuated {
 		j.homeZone = c.zoneWithMostFreeCores()
 	}
 	return j.homeZone
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -34,8 +34,8 @@
 	Advisor   damsonwinch.Advisor
 	// OperatorStream holds the operator's configurations and waves.
 	OperatorStream damsonwinch.Stream
-	// DecodeOperator decodes a record of OperatorStream. A result is nil if the record doesn't hold it.
-	DecodeOperator func(damsonwinch.Record) (*damsonwinch.Configuration, *damsonwinch.Wave, error)
+	// DecodeOperator decodes a record of OperatorStream.
+	DecodeOperator func(damsonwinch.Record) (damsonwinch.OperatorRecord, error)
 	// EndpointStream holds the endpoints' registrations.
 	EndpointStream damsonwinch.Stream
 	// DecodeEndpoint decodes a record of EndpointStream. An endpoint without a pool is no longer
@@ -119,6 +119,7 @@
 	// followsPlacements is set once the feed of placements has been started.
 	followsPlacements bool
 	waves             map[int]damsonwinch.Wave
+	evacuations       evacuations
 	// layout is the division of each pool into cells. boxCount is the number of boxes of the fleet, or
 	// 0 while it isn't known.
 	layout   shard.Layout
@@ -132,7 +133,12 @@
 // Messages to the main goroutine.
 type (
 	viewChanged     struct{}
-	operatorRecords struct{ records []damsonwinch.Record }
+	operatorRecords struct {
+		records  []damsonwinch.Record
+		snapshot bool
+		// confirmedAt is when the store confirmed that the stream had no further records.
+		confirmedAt time.Time
+	}
 	endpointRecords struct {
 		records  []damsonwinch.Record
 		snapshot bool
@@ -160,7 +166,7 @@
 	n := &Node{
 		deps: deps, options: options, inbox: make(chan any, inboxCapacity), group: group, ctx: ctx, cancel: cancel,
 		done: make(chan struct{}), wakeEndpointFeed: make(chan struct{}, 1), wakePlacementFeed: make(chan struct{}, 1),
-		state: state{registry: newRegistry(deps.Platform.DecodeEndpoint), placements: newPlacements(), stoppedTokens: map[string]int{}, waves: map[int]damsonwinch.Wave{}},
+		state: state{registry: newRegistry(deps.Platform.DecodeEndpoint), placements: newPlacements(), stoppedTokens: map[string]int{}, waves: map[int]damsonwinch.Wave{}, evacuations: evacuations{byZone: map[string]evacuation{}}},
 	}
 	n.view.Store(&ownership.View{})
 	n.runners.Store(&map[string]cellRunner{})
@@ -317,7 +323,7 @@
 	case placementRecords:
 		n.applyPlacementRecords(m)
 	case operatorRecords:
-		n.applyOperatorRecords(m.records)
+		n.applyOperatorRecords(m)
 	case endpointRecords:
 		n.applyEndpointRecords(m)
 	case runnerStopped:
--- a/pkg/node/operator.go
+++ b/pkg/node/operator.go
@@ -23,28 +23,41 @@
 	deps.Store = n.relay
 	feed.New(deps, feed.Options{
 		Stream: n.deps.Platform.OperatorStream, Wait: wait, NewestOnly: true,
-		OnSnapshot: func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(operatorRecords{records}) },
-		OnRecords:  func(records []damsonwinch.Record, _ int, _ time.Time) { n.send(operatorRecords{records}) },
+		OnSnapshot: func(records []damsonwinch.Record, _ int, _ time.Time) {
+			n.send(operatorRecords{records: records, snapshot: true, confirmedAt: n.relay.ConfirmedAt()})
+		},
+		OnRecords: func(records []damsonwinch.Record, _ int, _ time.Time) {
+			n.send(operatorRecords{records: records, confirmedAt: n.relay.ConfirmedAt()})
+		},
 	}).Run(n.ctx)
 	return nil
 }
 
-// applyOperatorRecords puts newer configurations in force and passes waves on. It skips older configurations,
-// which arrive when the feed reads the stream again.
-func (n *Node) applyOperatorRecords(records []damsonwinch.Record) {
-	for _, record := range records {
-		configuration, wave, err := n.deps.Platform.DecodeOperator(record)
+// applyOperatorRecords puts newer configurations in force and passes waves and evacuations on. It skips
+// older configurations, which arrive when the feed reads the stream again.
+func (n *Node) applyOperatorRecords(m operatorRecords) {
+	evacuated := map[string]bool{}
+	for _, record := range m.records {
+		decoded, err := n.deps.Platform.DecodeOperator(record)
 		if err != nil {
 			n.deps.Logger.WithError(err).Error("operator's record not understood")
 			continue
 		}
-		if configuration != nil && configuration.Version > n.state.configuration.Version {
-			n.configure(*configuration)
-		}
-		if wave != nil {
-			n.setWave(*wave)
+		switch {
+		case decoded.Configuration != nil && decoded.Configuration.Version > n.state.configuration.Version:
+			n.configure(*decoded.Configuration)
+		case decoded.Wave != nil:
+			n.setWave(*decoded.Wave)
+		case decoded.Evacuation != nil:
+			evacuated[decoded.Evacuation.Zone] = !decoded.Evacuation.Ended
+			n.setEvacuation(*decoded.Evacuation)
 		}
 	}
+	if m.snapshot {
+		n.endUnlistedEvacuations(evacuated)
+	}
+	n.state.evacuations.confirmedAt = m.confirmedAt
+	n.sendEvacuations()
 }
 
 // configure puts a configuration in force on this node, and passes it to the owners and the planner that run
--- a/pkg/node/registry.go
+++ b/pkg/node/registry.go
@@ -89,7 +89,7 @@
 
 // differs reports whether two registrations of an endpoint differ in anything that owners need to know.
 func differs(before, after damsonwinch.Endpoint) bool {
-	return before.Life != after.Life || before.Draining != after.Draining || before.Address != after.Address || before.Pool != after.Pool || before.Zone != after.Zone ||
+	return before.Life != after.Life || before.Draining != after.Draining || before.Cold != after.Cold || before.Address != after.Address || before.Pool != after.Pool || before.Zone != after.Zone ||
 		before.Box != after.Box || before.Capacity != after.Capacity || !slices.Equal(before.Labels, after.Labels)
 }
 
--- a/pkg/node/runners.go
+++ b/pkg/node/runners.go
@@ -95,6 +95,7 @@
 		},
 	}, owner.Options{Cell: claim.Cell, Stream: ownership.CellStream(claim, n.options.Partitions), Token: claim.Token, MaxAppendBytes: n.options.MaxAppendBytes, CellOptions: n.options.CellOptions})
 	started.Configure(n.state.configuration, n.rejectsOverload(claim.Cell))
+	started.SetEvacuations(n.state.evacuations.zones(), n.state.evacuations.confirmedAt)
 	if n.state.registry.complete && n.state.registry.readyForOwners(n.state.layout, &n.state.placements) {
 		started.SetEndpoints(n.state.registry.cellEndpoints(claim.Cell, n.state.layout))
 	}
@@ -111,6 +112,7 @@
 		OnFirstBoxList: func(count int) { n.send(boxCountReceived{count: count}) },
 	}, planner.Options{Node: n.options.Self.Node, Cell: claim.Cell, Stream: ownership.CellStream(claim, n.options.Partitions), Token: claim.Token, BoxPlanOptions: n.options.BoxPlanOptions})
 	started.Configure(n.state.configuration, n.state.layout)
+	started.SetEvacuatedZones(n.state.evacuations.zones())
 	for _, wave := range n.state.waves {
 		started.SetWave(wave)
 	}
--- a/pkg/owner/calls.go
+++ b/pkg/owner/calls.go
@@ -112,6 +112,12 @@
 	o.send(ownershipConfirmed{at: at})
 }
 
+// SetEvacuations tells the owner in which availability zones the operator wants no task to start, and the
+// time at which no others were evacuated.
+func (o *Owner) SetEvacuations(zones []string, at time.Time) {
+	o.send(evacuationsConfirmed{zones: zones, at: at})
+}
+
 // SetEndpoints replaces the list of the cell's endpoints. endpoints holds all of them, as registered now.
 func (o *Owner) SetEndpoints(endpoints []damsonwinch.Endpoint) {
 	o.send(endpointsListed{endpoints: endpoints})
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -73,7 +73,7 @@
 // log writes a log line of the cell. It leaves out fields that are empty.
 func (o *Owner) log(line cell.LogLine) {
 	fields := logrus.Fields{}
-	for name, value := range map[string]string{"queue": line.Queue, "customer": line.Customer, "job": line.Job, "task": line.Task, "endpoint": line.Endpoint, "why": line.Reason} {
+	for name, value := range map[string]string{"queue": line.Queue, "customer": line.Customer, "job": line.Job, "task": line.Task, "endpoint": line.Endpoint, "zone": line.Zone, "why": line.Reason} {
 		if value != "" {
 			fields[name] = value
 		}
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -26,6 +26,16 @@
 	o.cell.SetRejectsOverload(now, m.rejectsOverload)
 }
 
+// evacuationsConfirmed reports the evacuated zones, and when no others were evacuated.
+type evacuationsConfirmed struct {
+	zones []string
+	at    time.Time
+}
+
+func (m evacuationsConfirmed) apply(o *Owner, now time.Time) {
+	o.cell.SetEvacuations(now, m.zones, m.at)
+}
+
 // ownershipConfirmed reports that the owner's claim was in force at the time at.
 type ownershipConfirmed struct{ at time.Time }
 
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -15,7 +15,6 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/boxplan"
-	"damsonwinch/pkg/idle"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/shard"
@@ -101,8 +100,9 @@
 		configuration damsonwinch.Configuration
 		layout        shard.Layout
 	}
-	waveRequested struct{ wave damsonwinch.Wave }
-	synced        struct { // The result of a call to the owner of a cell.
+	waveRequested  struct{ wave damsonwinch.Wave }
+	zonesEvacuated struct{ zones []string }
+	synced         struct { // The result of a call to the owner of a cell.
 		cell  string
 		reply wire.SyncReply
 		err   error
@@ -171,6 +171,11 @@
 	p.send(waveRequested{wave: wave})
 }
 
+// SetEvacuatedZones sets the availability zones in which the operator wants no task to start.
+func (p *Planner) SetEvacuatedZones(zones []string) {
+	p.send(zonesEvacuated{zones: zones})
+}
+
 // send queues a message, which is dropped if the planner is stopped. It blocks while the inbox is full.
 func (p *Planner) send(m any) {
 	select {
@@ -251,6 +256,8 @@
 		p.allocate()
 	case waveRequested:
 		p.boxPlan.SetWave(now, m.wave)
+	case zonesEvacuated:
+		p.boxPlan.SetEvacuatedZones(m.zones)
 	case synced:
 		delete(p.syncInFlight, m.cell)
 		if m.err == nil {
@@ -282,19 +289,6 @@
 	return nil
 }
 
-// handleOrderResult handles the platform's response to an order. ErrStaleToken stops the planner.
-func (p *Planner) handleOrderResult(now time.Time, m orderResultReceived) {
-	fields := logrus.Fields{"box": m.order.Box, "pool": m.order.Pool, "wave": m.order.Wave}
-	if m.err != nil {
-		p.deps.Logger.WithError(m.err).WithFields(fields).Warn("order on box not carried out")
-	}
-	p.boxPlan.HandleOrderResult(now, m.order, m.err)
-	if errors.Is(m.err, damsonwinch.ErrStaleToken) {
-		p.deps.Logger.Warn("planning lost: a newer planner has ordered")
-		p.cancel()
-	}
-}
-
 // plan requests the list of boxes and allocates caps if due, decides on orders and calls all cells' owners.
 func (p *Planner) plan() {
 	now := p.deps.Clock.Now()
@@ -331,53 +325,6 @@
 	}
 }
 
-// requestBoxList starts a request for the list of boxes.
-func (p *Planner) requestBoxList(now time.Time) {
-	p.group.Go(func() error {
-		ctx, cancel := idle.WithTimeout(p.ctx, p.deps.Clock, callTimeout, callTimeout)
-		defer cancel(nil)
-		boxes, err := p.deps.Fleet.Boxes(ctx)
-		p.send(boxesListed{boxes: boxes, requestedAt: now, err: err})
-		return nil
-	})
-}
-
-// sendOrder sends the platform an order that has been recorded.
-func (p *Planner) sendOrder(order boxplan.Order) {
-	p.deps.Logger.WithFields(logrus.Fields{"box": order.Box, "pool": order.Pool, "wave": order.Wave, "why": order.Cause}).Info("order on box")
-	issuer := damsonwinch.Issuer{Node: p.options.Node, Token: p.options.Token}
-	p.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
-		defer cancel()
-		var err error
-		if order.Pool == "" {
-			err = p.deps.Fleet.Maintain(ctx, issuer, order.Box, order.Wave)
-		} else {
-			err = p.deps.Fleet.Move(ctx, issuer, order.Box, order.Pool)
-		}
-		p.send(orderResultReceived{order: order, err: err})
-		return nil
-	})
-}
-
-// reportWaves reports to the operator which waves have started or been completed.
-func (p *Planner) reportWaves() {
-	for _, report := range p.boxPlan.PendingWaveReports() {
-		if p.reportInFlight[report.Wave] {
-			continue
-		}
-		p.reportInFlight[report.Wave] = true
-		p.group.Go(func() error {
-			stream, record := p.deps.WaveReport(report.Wave, report.Completed)
-			ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
-			defer cancel()
-			_, err := p.deps.Store.Append(ctx, stream, []damsonwinch.Record{record}, damsonwinch.Fence{})
-			p.send(waveReported{wave: report.Wave, completed: report.Completed, err: err})
-			return nil
-		})
-	}
-}
-
 // Prefixes of keys in the planner's stream. A box's name follows orderPrefix, a wave's number wavePrefix.
 const (
 	orderPrefix = "order/"
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -86,7 +86,7 @@
 	running, err := node.New(node.Deps{
 		Platform: node.Platform{
 			Store: store, Endpoints: endpoints, Fleet: fleet, Advisor: advice,
-			OperatorStream: platform.OperatorStream(), DecodeOperator: decodeOperator,
+			OperatorStream: platform.OperatorStream(), DecodeOperator: platform.DecodeOperatorRecord,
 			EndpointStream: platform.EndpointStream(), DecodeEndpoint: platform.DecodeEndpoint,
 			WaveReport: platform.WaveReport,
 		},
@@ -123,11 +123,14 @@
 	return milliseconds(bounds.RevokeMs)
 }
 
-// decodeOperator decodes a record of the operator's stream for node.Platform. It returns the
-// configuration or the wave that the record holds, and neither for a record of another kind.
-func decodeOperator(record damsonwinch.Record) (*damsonwinch.Configuration, *damsonwinch.Wave, error) {
-	decoded, err := platform.DecodeOperatorRecord(record)
-	return decoded.Configuration, decoded.Wave, err
+// maxEvacuationAge returns how long ago the operator's evacuations must have been known in full for an
+// owner to start tasks, or 0 if there is no limit. It is the longest time that the bounds leave to
+// a node which is cut off from the operator's stream.
+func maxEvacuationAge(bounds settings.Bounds) time.Duration {
+	if bounds.EvacuationMs == 0 {
+		return 0
+	}
+	return milliseconds(bounds.EvacuationMs + bounds.MaxExtensionMs)
 }
 
 // nodeOptions derives the options of a node from its settings. Its incarnation is the current
@@ -141,7 +144,7 @@
 		CellOptions: cell.Options{
 			MaxLease: milliseconds(bounds.LeaseMostMs), RenewalGrace: renewalGrace, MaxStartDelay: maxStartDelay, MaxStopTime: milliseconds(bounds.StopMs), RestoreTime: milliseconds(bounds.RestoreMs), MinCommitInterval: minCommitInterval,
 			PollWait: pollWait, IdlePollInterval: idlePollInterval, PollRetryInterval: pollRetryInterval, EndedJobRetention: time.Duration(bounds.KeepEndedS) * time.Second,
-			BoxLeadTime: seconds(bounds.MoveS) + boxplan.FirstTaskDelay,
+			BoxLeadTime: seconds(bounds.MoveS) + boxplan.FirstTaskDelay, MaxEvacuationAge: maxEvacuationAge(bounds),
 		},
 		BoxPlanOptions: boxplan.Options{
 			MoveTime: seconds(bounds.MoveS), MaintainTime: seconds(bounds.MaintainS), ScaleDownDelay: scaleDownDelay, TakeoverDelay: milliseconds(bounds.HolderMs),
--- a/pkg/process/node_test.go
+++ b/pkg/process/node_test.go
@@ -86,7 +86,7 @@
 		Node: fmt.Sprintf("node-%d", number), Zone: "zone", ClientAddress: freeAddress(t), ReadyAddress: freeAddress(t),
 		CallAddress: freeAddress(t), DebugAddress: freeAddress(t), Store: store, Boxes: boxes, Advice: advice,
 		FirstStart: number < len(c.nodes), CoreShare: c.coreShare, MemoryMb: 256, GroupTtlMs: 700,
-		Bounds: settings.Bounds{LeaseMostMs: 3000, StopMs: 50, DrainMs: 1000, KeepEndedS: 60, GraceS: 5, MoveS: 0.3, MaintainS: 0.3, RevokeMs: c.maxKeyAgeMs, RevokeFailClosed: c.revokeFailClosed},
+		Bounds: settings.Bounds{LeaseMostMs: 3000, StopMs: 50, DrainMs: 1000, KeepEndedS: 60, GraceS: 5, MoveS: 0.3, MaintainS: 0.3, RevokeMs: c.maxKeyAgeMs, RevokeFailClosed: c.revokeFailClosed, EvacuationMs: evacuationBoundMs},
 	}
 }
 
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -12,6 +12,11 @@
 	// milliseconds. From 1 to 600000.
 	DrainMs int `json:"drain_ms"`
 
+	// How soon after an operator's request to evacuate an availability zone no task
+	// may start there any more, in milliseconds. From 0 to 600000; with 0, the
+	// default, there is no such bound.
+	EvacuationMs int `json:"evacuation_ms,omitempty,omitzero"`
+
 	// Factor by which a task takes longer if it does not run where its data is. From
 	// 1 to 100; the default is 1.
 	Far float64 `json:"far,omitempty,omitzero"`
@@ -44,6 +49,10 @@
 	// default is 2.
 	MaintainS float64 `json:"maintain_s,omitempty,omitzero"`
 
+	// By how much evacuation_ms is extended for a node that can't read the store, in
+	// milliseconds. From 0 to 600000; the default is 0.
+	MaxExtensionMs int `json:"max_extension_ms,omitempty,omitzero"`
+
 	// Time that a box takes to change to another pool, in seconds. From 0 to 3600;
 	// the default is 1.5.
 	MoveS float64 `json:"move_s,omitempty,omitzero"`
