Ownership: rank the members once, not for each cell

Cause: upon each read of the claims, which is answered once a second and after each claim, each node found out whose successor it is by sorting all members for each cell, with two hashes for each comparison, and walked all claims for each member. On the fleet that is 60 cells x 588 members on each of 588 nodes: 8.6 ms and 1 MB each time on a whole core, five times that on nodes with 0.19 of one, and once more for each cell that is claimed at a start.

Change: one ranking of the live members for all cells, kept until something changes. Most members see at once that others come first. What hasn't been asked isn't lost, without a walk over the claims. A read of the claims that brings nothing new changes nothing.

Measured: TestWatchingCostsAreLinear, bytes allocated at 100, 200 and 400 members: 61, 238 and 981 KB before (the bound of six times fails), now 24, 48 and 101 KB; BenchmarkWatch at 588 members 8.6 ms before, 0.55 ms now.

--- a/pkg/liveness/evidence.go
+++ b/pkg/liveness/evidence.go
@@ -82,6 +82,11 @@
 	return Evidence{lastRequestAt: e.lastRequestAt}
 }
 
+// AllAnswered reports whether no request is unanswered. Then the node isn't lost.
+func (e Evidence) AllAnswered() bool {
+	return e.unanswered == 0
+}
+
 // StreamReadDue reports whether the node's streams should be read now.
 func (e Evidence) StreamReadDue(now time.Time) bool {
 	if e.unanswered == 0 || now.Sub(e.unansweredSince) < firstReadAfter || e.noProgress {
--- a/pkg/ownership/alive.go
+++ b/pkg/ownership/alive.go
@@ -58,5 +58,5 @@
 		o.deps.Logger.WithFields(logrus.Fields{"peer": m.node, "incarnation": m.incarnation}).Info("node refuses connections")
 	}
 	o.state.refusals[m.node] = refusal{incarnation: m.incarnation, at: now}
-	o.state.watchedStale = true
+	o.invalidateRanking()
 }
--- /dev/null
+++ b/pkg/ownership/claim.go
@@ -0,0 +1,16 @@
+package ownership
+
+import "damsonwinch/pkg/wire"
+
+// Claim is the newest claim of a cell in the stream of claims.
+type Claim struct {
+	wire.CellClaim
+	// Token is the fencing token that the claim gives its owner: the offset of the claim's record
+	// plus one. So it rises with each claim.
+	Token int
+}
+
+// HeldBy reports whether an incarnation of a node owns the cell by this claim.
+func (c Claim) HeldBy(m Member) bool {
+	return !c.Released && c.Node == m.Node && c.Incarnation == m.Incarnation
+}
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -66,7 +66,10 @@
 	}
 	// A read that was answered before this node's last append ends before claimsEnd.
 	s.claimsEnd = max(s.claimsEnd, m.end)
-	s.haveClaims, s.confirmedAt, s.watchedStale = true, m.sentAt, true
+	s.haveClaims, s.confirmedAt = true, m.sentAt
+	if m.snapshot || len(m.records) > 0 {
+		o.invalidateRanking()
+	}
 	o.answeredAt.Store(o.deps.Clock.Now().UnixNano())
 	o.publishView()
 }
@@ -90,7 +93,11 @@
 		if known && o.isOwnerAlive(claim) {
 			continue
 		}
-		chosen, found := successor(cell, o.liveMembers(), o.liveClaims())
+		ranking := o.ranking()
+		if !ranking.maySucceed(o.options.Self) {
+			return
+		}
+		chosen, found := ranking.successor(cell, anyMember)
 		if found && chosen.sameIncarnation(o.options.Self) {
 			o.claim(cell, claim, known)
 			return
@@ -202,7 +209,7 @@
 	}
 	// All earlier records have been read, so the claim holds without being read back.
 	o.state.claims[m.claim.Cell] = Claim{CellClaim: m.claim, Token: m.end + 1}
-	o.state.watchedStale = true
+	o.invalidateRanking()
 	o.publishView()
 }
 
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -48,7 +48,8 @@
 	if m.nearlyFull {
 		s.topicCount = min(2*s.topicCount, maxTopics)
 	}
-	s.memberList, s.membersReadAt, s.watchedStale = newMemberList(m.members, o.options.Self), m.sentAt, true
+	s.memberList, s.membersReadAt = newMemberList(m.members, o.options.Self), m.sentAt
+	o.invalidateRanking()
 	o.publishView()
 }
 
--- a/pkg/ownership/handover.go
+++ b/pkg/ownership/handover.go
@@ -50,28 +50,16 @@
 	if !slices.ContainsFunc(s.cells, func(cell string) bool { return s.claims[cell].HeldBy(o.options.Self) }) {
 		return Claim{}, Member{}, false
 	}
-	members, claims := o.liveMembers(), o.liveClaims()
+	ranking := o.ranking()
 	for _, cell := range s.cells {
 		claim := s.claims[cell]
 		if !claim.HeldBy(o.options.Self) {
 			continue
 		}
-		best, found := successor(cell, members, claims)
-		if found && best.Node != o.options.Self.Node && loadPerWeight(best, cell, claims)*minHandOverRatio <= loadPerWeight(o.options.Self, cell, claims) {
+		best, found := ranking.successor(cell, anyMember)
+		if found && best.Node != o.options.Self.Node && ranking.loadPerWeight(best, cell)*minHandOverRatio <= ranking.loadPerWeight(o.options.Self, cell) {
 			return claim, best, true
 		}
 	}
 	return Claim{}, Member{}, false
 }
-
-// loadPerWeight returns the number of cells that a member would own if it owned the given cell as
-// well, divided by its weight.
-func loadPerWeight(m Member, cell string, claims map[string]Claim) float64 {
-	count := 1
-	for _, claim := range claims {
-		if claim.Cell != cell && claim.HeldBy(m) {
-			count++
-		}
-	}
-	return float64(count) / float64(max(1, m.Weight))
-}
--- a/pkg/ownership/health.go
+++ b/pkg/ownership/health.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,6 +20,9 @@
 	// checkTimeout is how long the reply to a health check may take. It usually takes 5 ms, and has
 	// taken 250 ms from an overloaded node.
 	checkTimeout = 500 * time.Millisecond
+	// rewatchInterval is how often a node that knows of unhealthy members determines anew whose
+	// successor it is.
+	rewatchInterval = time.Second
 	// maxStoreAge is the time without a response from the store after which an owner counts as cut off
 	// from it. Such an owner can start nothing, so it isn't alive to others once the group doesn't list
 	// it. An owner sends the store a heartbeat every 300 ms, and a lost response costs it another 600 ms.
@@ -58,8 +60,11 @@
 // its successor checks it before taking over its cells.
 func (o *Ownership) isLost(node string, incarnation int) bool {
 	health := o.healthOf(node, incarnation)
+	if health.replaced || health.evidence.AllAnswered() {
+		return health.replaced
+	}
 	now := o.deps.Clock.Now()
-	return health.replaced || health.evidence.IsLost(now, o.claimAge(node, now))
+	return health.evidence.IsLost(now, o.claimAge(node, now))
 }
 
 // claimAge returns the time since a node's newest claim, among the claims that this node has read soon
@@ -78,8 +83,9 @@
 // those that don't reply.
 func (o *Ownership) watchOwners(now time.Time) {
 	s := &o.state
-	if s.watchedStale {
-		s.watchedCells, s.watchedStale = o.successorCells(), false
+	healthMayChange := len(s.health) > 0 || len(s.refusals) > 0
+	if s.watchedStale || healthMayChange && now.Sub(s.watchedAt) >= rewatchInterval {
+		s.watchedCells, s.watchedStale, s.watchedAt = o.successorCells(), false, now
 	}
 	for _, cell := range s.watchedCells {
 		claim := s.claims[cell]
@@ -99,15 +105,18 @@
 // successorCells returns the cells that this node would claim if their owners were lost.
 func (o *Ownership) successorCells() []string {
 	s := &o.state
-	members, claims := o.liveMembers(), o.liveClaims()
+	ranking := o.ranking()
+	if !ranking.maySucceed(o.options.Self) {
+		return nil
+	}
 	var cells []string
 	for _, cell := range s.cells {
 		claim, known := s.claims[cell]
 		if !known || claim.Released || claim.HeldBy(o.options.Self) || o.byEarlierIncarnation(claim) {
 			continue
 		}
-		others := slices.DeleteFunc(slices.Clone(members), claim.HeldBy)
-		if best, found := successor(cell, others, claims); found && best.sameIncarnation(o.options.Self) {
+		isOther := func(m Member) bool { return !claim.HeldBy(m) }
+		if best, found := ranking.successor(cell, isOther); found && best.sameIncarnation(o.options.Self) {
 			cells = append(cells, cell)
 		}
 	}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -9,7 +9,6 @@
 	"context"
 	"errors"
 	"maps"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -76,7 +75,7 @@
 type View struct {
 	// Claims holds the newest claim of each cell, by cell.
 	Claims map[string]Claim
-	// Members are the nodes in the group, as they were last read.
+	// Members are the nodes in the group, as they were last read. Receivers must not change the slice.
 	Members []Member
 	// MembersComplete reports whether Members probably holds all members.
 	MembersComplete bool
@@ -277,7 +276,8 @@
 	s := &o.state
 	switch m := m.(type) {
 	case cellsSet:
-		s.cells, s.watchedStale = m.cells, true
+		s.cells = m.cells
+		o.invalidateRanking()
 	case claimsRead:
 		o.handleClaimsRead(m)
 	case joinReturned:
@@ -328,7 +328,7 @@
 // publishView passes a copy of the current view to OnViewChange.
 func (o *Ownership) publishView() {
 	s := &o.state
-	o.deps.OnViewChange(View{Claims: maps.Clone(s.claims), Members: slices.Clone(s.memberList.members), MembersComplete: s.membersComplete, Layout: s.layout, ConfirmedAt: s.confirmedAt})
+	o.deps.OnViewChange(View{Claims: maps.Clone(s.claims), Members: s.memberList.members, MembersComplete: s.membersComplete, Layout: s.layout, ConfirmedAt: s.confirmedAt})
 }
 
 // startDueCalls starts the calls that are due. At most one append to the stream of claims runs at a
--- a/pkg/ownership/peer_claims.go
+++ b/pkg/ownership/peer_claims.go
@@ -72,7 +72,7 @@
 		}
 	}
 	if changed {
-		s.watchedStale = true
+		o.invalidateRanking()
 		o.deps.Logger.WithFields(logrus.Fields{"claims": len(m.reply.Claims), "age_ms": m.reply.AgeMs}).Info("claims received from another node")
 		o.publishView()
 	}
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -45,6 +45,12 @@
 	health       map[string]ownerHealth
 	watchedCells []string
 	watchedStale bool
+	// watchedAt is when watchedCells were last determined.
+	watchedAt time.Time
+	// ranking is the ranking of the live members, or nil if it has to be computed anew. rankedAt is
+	// when it was computed.
+	ranking  *ranking
+	rankedAt time.Time
 	// misplacedSince is the time from which this node has owned a cell that a far stronger node should
 	// own, or zero.
 	misplacedSince time.Time
