--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -17,6 +17,7 @@
 	"damsonwinch/pkg/call"
 	"damsonwinch/pkg/cell"
 	"damsonwinch/pkg/customer"
+	"damsonwinch/pkg/dial"
 	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/intake"
 	"damsonwinch/pkg/metrics"
@@ -170,7 +171,7 @@
 	}
 	n.view.Store(&ownership.View{})
 	n.runners.Store(&map[string]cellRunner{})
-	n.router = intake.New(intake.Deps{Cells: n, Dial: deps.Dial, Clock: deps.Clock, Metrics: deps.Metrics, Logger: deps.Logger})
+	n.router = intake.New(intake.Deps{Cells: n, Dial: n.countedDial("calls"), Clock: deps.Clock, Metrics: deps.Metrics, Logger: deps.Logger})
 	calls, err := call.Serve(deps.CallListener, intake.ServiceName, intake.NewService(ctx, options.Self, n, deps.Clock))
 	if err != nil {
 		cancel()
@@ -181,7 +182,7 @@
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, OnViewChange: n.setView,
 		FetchClaims: n.router.Claims, SuspendedTime: deps.SuspendedTime,
 	}, ownership.Options{Self: options.Self, MembershipTTL: options.MembershipTTL, Partitions: options.Partitions, FirstStart: options.FirstStart})
-	n.relayPeers = relay.NewPeers(deps.Dial, deps.Clock)
+	n.relayPeers = relay.NewPeers(n.countedDial("relays"), deps.Clock)
 	n.relay = relay.New(relay.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, Follow: n.relayPeers.Follow,
 		Members: func() []ownership.Member { return n.View().Members },
@@ -196,6 +197,15 @@
 	return n, nil
 }
 
+// countedDial returns a function that opens connections to other nodes. The counters of their bytes end with
+// name.
+func (n *Node) countedDial(name string) damsonwinch.Dial {
+	return dial.Counted(n.deps.Dial, func(sent, received int) {
+		n.deps.Metrics.Add("bytes_sent_node_"+name, sent)
+		n.deps.Metrics.Add("bytes_received_node_"+name, received)
+	})
+}
+
 // JobService returns the service to which clients' calls are passed.
 func (n *Node) JobService() damsonwinch.JobService {
 	return n.router
