Ownership: few nodes read the members, the others ask them, and only after a change

A health check of an owner was answered with all claims: cells x cells, ten times a second.

Change: the answer to a heartbeat tells the group's generation; the list is read only when that has changed, and else counts as confirmed. Health checks carry no claims. Other nodes' calls are served once the node's parts exist.

--- a/pkg/intake/jobs_test.go
+++ b/pkg/intake/jobs_test.go
@@ -61,6 +61,8 @@
 func (c *fakeCells) StoreAnsweredAt() time.Time          { return time.Time{} }
 func (c *fakeCells) ReportRefusedConnection(string, int) {}
 
+func (c *fakeCells) MemberReply(wire.MembersArgs) wire.MembersReply { return wire.MembersReply{} }
+
 func (c *fakeCells) Admit(context.Context, wire.JobArgs) (wire.JobReply, bool) {
 	return wire.JobReply{}, true
 }
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -47,6 +47,8 @@
 	// Admit reports whether a call that another node has forwarded is permitted by this node's
 	// configuration of customers and their keys. If not, it returns the reply to the call.
 	Admit(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool)
+	// MemberReply returns the reply to another node's request for the members of the group of nodes.
+	MemberReply(args wire.MembersArgs) wire.MembersReply
 	// ReportRefusedConnection reports that an incarnation of a node has refused a connection, which
 	// shows that its process has ended.
 	ReportRefusedConnection(node string, incarnation int)
@@ -227,6 +229,13 @@
 	return reply, err
 }
 
+// Members asks the node at an address for the members of the group of nodes that it knows.
+func (r *Router) Members(ctx context.Context, address string, args wire.MembersArgs) (wire.MembersReply, error) {
+	var reply wire.MembersReply
+	err := r.peer(address).Do(ctx, ServiceName+".Members", args, &reply)
+	return reply, err
+}
+
 // Sync sends a call of the fleet planner to the owner of a cell. It makes one attempt. If the cell has no
 // owner, the reply's Known is false.
 func (r *Router) Sync(ctx context.Context, args wire.SyncArgs) (wire.SyncReply, error) {
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -61,14 +61,18 @@
 	return nil
 }
 
-// Claims returns the identity of this node, the claims that it knows, and how old that knowledge is.
-func (s *Service) Claims(_ wire.ClaimsArgs, reply *wire.ClaimsReply) error {
+// Claims returns the identity of this node and how old its knowledge is, and, unless the caller wants only
+// that, the claims that it knows.
+func (s *Service) Claims(args wire.ClaimsArgs, reply *wire.ClaimsReply) error {
 	view := s.cells.View()
 	now := s.clock.Now()
 	*reply = wire.ClaimsReply{
 		Node: s.self.Node, Incarnation: s.self.Incarnation, AgeMs: int(now.Sub(view.ConfirmedAt).Milliseconds()),
 		StoreAgeMs: int(now.Sub(s.cells.StoreAnsweredAt()).Milliseconds()),
 	}
+	if args.WithoutClaims {
+		return nil
+	}
 	if view.Layout.Decided() {
 		reply.Layout = &wire.Layout{Shards: view.Layout.Shards, Pools: view.Layout.Pools}
 	}
@@ -78,6 +82,12 @@
 	return nil
 }
 
+// Members returns the members of the group of nodes that this node knows.
+func (s *Service) Members(args wire.MembersArgs, reply *wire.MembersReply) error {
+	*reply = s.cells.MemberReply(args)
+	return nil
+}
+
 // handle passes a call on jobs to the owner of its cell, if that is on this node and the call is admitted.
 func (s *Service) handle(m method, args wire.JobArgs, reply *wire.JobReply) error {
 	ctx, cancel := context.WithTimeout(s.ctx, serviceTimeout)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -24,6 +24,7 @@
 	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/relay"
 	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/wire"
 )
 
 // Platform gives a node access to the platform: to its store, endpoints, boxes and advice service, and to the
@@ -172,22 +173,16 @@
 	n.view.Store(&ownership.View{})
 	n.runners.Store(&map[string]cellRunner{})
 	n.router = intake.New(intake.Deps{Cells: n, Dial: n.countedDial("calls"), Clock: deps.Clock, Metrics: deps.Metrics, Logger: deps.Logger})
-	calls, err := call.Serve(deps.CallListener, intake.ServiceName, intake.NewService(ctx, options.Self, n, deps.Clock))
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	n.callServer = calls
 	n.ownership = ownership.New(ownership.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, OnViewChange: n.setView,
-		FetchClaims: n.router.Claims, SuspendedTime: deps.SuspendedTime,
+		FetchClaims: n.router.Claims, FetchMembers: n.router.Members, SuspendedTime: deps.SuspendedTime,
 	}, ownership.Options{Self: options.Self, MembershipTTL: options.MembershipTTL, Partitions: options.Partitions, FirstStart: options.FirstStart})
 	n.relayPeers = relay.NewPeers(n.countedDial("relays"), deps.Clock)
 	n.relay = relay.New(relay.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, Follow: n.relayPeers.Follow,
 		Members: func() []ownership.Member { return n.View().Members },
 	}, options.Self, deps.Platform.OperatorStream)
-	if err := n.callServer.Register(relay.ServiceName, relay.NewService(ctx, n.relay)); err != nil {
+	if err := n.serveCalls(); err != nil {
 		cancel()
 		return nil, errors.Join(err, n.ownership.Close())
 	}
@@ -206,6 +201,16 @@
 	})
 }
 
+// serveCalls serves the calls of other nodes.
+func (n *Node) serveCalls() error {
+	calls, err := call.Serve(n.deps.CallListener, intake.ServiceName, intake.NewService(n.ctx, n.options.Self, n, n.deps.Clock))
+	if err != nil {
+		return err
+	}
+	n.callServer = calls
+	return n.callServer.Register(relay.ServiceName, relay.NewService(n.ctx, n.relay))
+}
+
 // JobService returns the service to which clients' calls are passed.
 func (n *Node) JobService() damsonwinch.JobService {
 	return n.router
@@ -247,6 +252,11 @@
 	return n.ownership.StoreAnsweredAt()
 }
 
+// MemberReply implements intake.Cells.
+func (n *Node) MemberReply(args wire.MembersArgs) wire.MembersReply {
+	return n.ownership.MemberReply(n.View(), args)
+}
+
 // ReportRefusedConnection implements intake.Cells. It passes the report to the node's Ownership.
 func (n *Node) ReportRefusedConnection(node string, incarnation int) {
 	n.ownership.ReportRefusedConnection(node, incarnation)
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -24,35 +24,39 @@
 	})
 }
 
-// readMembers starts to read the members of the group.
-func (o *Ownership) readMembers(now time.Time) {
-	o.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-		defer cancel()
-		assignments, err := o.deps.Store.Assignments(ctx, groupName)
-		o.send(membersRead{members: assignedMembers(assignments), topicCount: countTopics(assignments), nearlyFull: nearlyFull(assignments), sentAt: now, err: err})
-		return nil
-	})
-}
-
-// handleMembersRead handles an answered read of the members. If the previous answered read was sent much
-// longer ago than usual, members may have been dropped meanwhile and need time to join again.
+// handleMembersRead handles an answered read of the members.
 func (o *Ownership) handleMembersRead(m membersRead) {
 	s := &o.state
-	if !s.membersReadAt.IsZero() && m.sentAt.Sub(s.membersReadAt) > o.memberReadInterval()+callTimeout {
-		s.membersRecoveredAt = m.sentAt
+	s.memberFailures = 0
+	if m.unchanged {
+		o.confirmMembers(m.sentAt)
+		return
 	}
-	o.updateMembersComplete(m)
+	o.noteMembersRead(m.sentAt)
+	s.membersMayGrow = m.nearlyFull && m.topicCount < maxTopics
+	o.updateMembersComplete(m.sentAt, len(m.members))
 	// A member that subscribes to fewer topics than the others could be assigned no partition.
 	s.topicCount = min(max(s.topicCount, m.topicCount), maxTopics)
 	if m.nearlyFull {
 		s.topicCount = min(2*s.topicCount, maxTopics)
 	}
-	s.memberList, s.membersReadAt = newMemberList(m.members, o.options.Self), m.sentAt
+	s.memberList, s.listGeneration = newMemberList(m.members, o.options.Self), m.generation
+	s.listTopics, s.listNearlyFull = m.topicCount, m.nearlyFull
 	o.invalidateRanking()
 	o.publishView()
 }
 
+// handleMembersFailed handles a failed read of the members.
+func (o *Ownership) handleMembersFailed(m membersRead) {
+	s := &o.state
+	o.deps.Metrics.Add("members_failures", 1)
+	if m.fromPeer {
+		s.memberFailures++
+	} else {
+		s.memberFailures = 0
+	}
+}
+
 // maxTopics is the largest number of topics that the group uses. The platform allows 100 topics in
 // all, which may have as few as 12 partitions each.
 const maxTopics = 40
@@ -108,12 +112,21 @@
 	return slowMemberReadInterval
 }
 
-// assignedMembers returns the members that hold a partition, ordered by node name. Of several
-// incarnations of a node it returns only the newest.
+// assignedMembers returns the members that hold a partition; see membersByNode.
 func assignedMembers(assignments []damsonwinch.Assignment) []Member {
-	byNode := map[string]Member{}
+	names := make([]string, 0, len(assignments))
 	for _, assignment := range assignments {
-		member, valid := parseMember(assignment.Member)
+		names = append(names, assignment.Member)
+	}
+	return membersByNode(names)
+}
+
+// membersByNode returns the members with the given names in the group, ordered by node name. Of several
+// incarnations of a node it returns only the newest.
+func membersByNode(names []string) []Member {
+	byNode := make(map[string]Member, len(names))
+	for _, name := range names {
+		member, valid := parseMember(name)
 		if valid && member.Incarnation >= byNode[member.Node].Incarnation {
 			byNode[member.Node] = member
 		}
--- a/pkg/ownership/health.go
+++ b/pkg/ownership/health.go
@@ -128,7 +128,7 @@
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, checkTimeout)
 		defer cancel()
-		reply, err := o.deps.FetchClaims(ctx, claim.Address, wire.ClaimsArgs{Node: o.options.Self.Node})
+		reply, err := o.deps.FetchClaims(ctx, claim.Address, wire.ClaimsArgs{Node: o.options.Self.Node, WithoutClaims: true})
 		o.send(healthReply{node: claim.Node, incarnation: claim.Incarnation, sentAt: now, reply: reply, err: err})
 		return nil
 	})
--- a/pkg/ownership/layout.go
+++ b/pkg/ownership/layout.go
@@ -98,14 +98,14 @@
 	o.deps.Logger.WithFields(logrus.Fields{"shards": layout.Shards, "pools": layout.Pools}).Info("layout of cells in force")
 }
 
-// updateMembersComplete updates whether the list of members counts as complete, from a newly read list.
-// A list that may hide members counts as complete only if the group can't use more topics, because
-// then no better list will come.
-func (o *Ownership) updateMembersComplete(m membersRead) {
+// updateMembersComplete updates whether the list of members counts as complete, as of a time at which it had
+// the given number of members, and returns the result. A list that may hide members counts as complete only
+// if the group can't use more topics, because then no better list will come.
+func (o *Ownership) updateMembersComplete(at time.Time, count int) bool {
 	s := &o.state
-	mayGrow := m.nearlyFull && m.topicCount < maxTopics
-	if mayGrow || len(m.members) != len(s.memberList.members) || m.sentAt.Before(o.membersSettledAt()) {
-		s.memberCountSince = m.sentAt
+	if s.membersMayGrow || count != len(s.memberList.members) || at.Before(o.membersSettledAt()) {
+		s.memberCountSince = at
 	}
-	s.membersComplete = m.sentAt.Sub(s.memberCountSince) >= memberCountStableTime
+	s.membersComplete = at.Sub(s.memberCountSince) >= memberCountStableTime
+	return s.membersComplete
 }
--- /dev/null
+++ b/pkg/ownership/member_source.go
@@ -0,0 +1,145 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"damsonwinch/pkg/wire"
+)
+
+const (
+	// memberUpstreamCount is the number of nodes that read the members from the store for all others in a
+	// large fleet. The list grows with the fleet, so that a list for each node grows with its square: 588
+	// nodes received 24 MB/s while members came and went.
+	memberUpstreamCount = 8
+	// maxMembersAge is the age above which a list of another node isn't used. That node's own heartbeats
+	// confirm its list every 300 ms.
+	maxMembersAge = 1500 * time.Millisecond
+	// maxMemberFailures is the number of consecutive failures after which the members are read from the
+	// store once.
+	maxMemberFailures = 2
+)
+
+// noGeneration stands for the generation of a list of members that hasn't been read. Groups have none that
+// is negative.
+const noGeneration = -1
+
+// errMembersUnknown means that the other node hasn't read the members, or not lately.
+var errMembersUnknown = errors.New("the node doesn't know the present members")
+
+// memberReadDue reports whether the members should be read. They are read again only once a heartbeat has
+// shown that the group has changed.
+func (o *Ownership) memberReadDue(now time.Time) bool {
+	s := &o.state
+	if s.memberReadPending {
+		return false
+	}
+	sinceLast := now.Sub(s.memberReadSentAt)
+	if settledAt := o.membersSettledAt(); s.membersReadAt.Before(settledAt) && !now.Before(settledAt) && sinceLast >= tickInterval {
+		return true
+	}
+	return s.listGeneration != s.generation && sinceLast >= o.memberReadInterval()
+}
+
+// memberUpstream returns the address of the node from which this one reads the members, or false if it reads
+// them from the store.
+func (o *Ownership) memberUpstream() (string, bool) {
+	s := &o.state
+	if s.memberFailures >= maxMemberFailures {
+		return "", false
+	}
+	upstreams := UpstreamClaims(s.claims, memberUpstreamCount, func(string) bool { return true })
+	if len(upstreams) == 0 || slices.ContainsFunc(upstreams, func(claim Claim) bool { return claim.Node == o.options.Self.Node }) {
+		return "", false
+	}
+	index := (tieRank(groupName, o.options.Self.Node) + uint64(s.memberFetches)) % uint64(len(upstreams))
+	return upstreams[index].Address, true
+}
+
+// readMembers starts to read the members of the group, from another node or from the store.
+func (o *Ownership) readMembers(now time.Time) {
+	s := &o.state
+	generation, known := s.generation, s.listGeneration
+	address, found := o.memberUpstream()
+	if found {
+		s.memberFetches++
+	}
+	o.group.Go(func() error {
+		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+		defer cancel()
+		if found {
+			o.send(o.fetchMembers(ctx, address, known, now))
+		} else {
+			o.send(o.readAssignments(ctx, generation, now))
+		}
+		return nil
+	})
+}
+
+// readAssignments reads the members from the store. generation is the newest one that this node has heard of
+// before.
+func (o *Ownership) readAssignments(ctx context.Context, generation int, now time.Time) membersRead {
+	assignments, err := o.deps.Store.Assignments(ctx, groupName)
+	return membersRead{
+		members: assignedMembers(assignments), topicCount: countTopics(assignments), nearlyFull: nearlyFull(assignments),
+		generation: generation, sentAt: now, err: err,
+	}
+}
+
+// fetchMembers reads the members from another node. generation is that of this node's list.
+func (o *Ownership) fetchMembers(ctx context.Context, address string, generation int, now time.Time) membersRead {
+	reply, err := o.deps.FetchMembers(ctx, address, wire.MembersArgs{Generation: generation})
+	age := time.Duration(reply.AgeMs) * time.Millisecond
+	if err == nil && (!reply.Known || age > maxMembersAge) {
+		err = fmt.Errorf("members from %s: %w", address, errMembersUnknown)
+	}
+	return membersRead{
+		members: membersByNode(reply.Members), topicCount: reply.Topics, nearlyFull: reply.NearlyFull, unchanged: reply.Unchanged,
+		generation: reply.Generation, sentAt: now.Add(-age), fromPeer: true, err: err,
+	}
+}
+
+// confirmMembers notes that the list of members was still the newest one at a time.
+func (o *Ownership) confirmMembers(at time.Time) {
+	s := &o.state
+	o.noteMembersRead(at)
+	if before := s.membersComplete; o.updateMembersComplete(at, len(s.memberList.members)) != before {
+		o.publishView()
+	}
+}
+
+// noteMembersRead notes that this node knew the members at a time. If it knew them much longer ago than usual
+// before, members may have been dropped meanwhile and need time to join again.
+func (o *Ownership) noteMembersRead(at time.Time) {
+	s := &o.state
+	if !s.membersReadAt.IsZero() && at.Sub(s.membersReadAt) > o.memberReadInterval()+callTimeout {
+		s.membersRecoveredAt = at
+	}
+	if at.After(s.membersReadAt) {
+		s.membersReadAt = at
+	}
+	o.membersConfirmedAt.Store(s.membersReadAt.UnixNano())
+}
+
+// MemberReply returns the reply to another node's request for the members.
+func (o *Ownership) MemberReply(view View, args wire.MembersArgs) wire.MembersReply {
+	confirmedAt := o.membersConfirmedAt.Load()
+	if confirmedAt == 0 || view.MemberGeneration == noGeneration {
+		return wire.MembersReply{}
+	}
+	reply := wire.MembersReply{
+		Known: true, Generation: view.MemberGeneration, Topics: view.MemberTopics, NearlyFull: view.MembersNearlyFull,
+		AgeMs: int((o.deps.Clock.Now().UnixNano() - confirmedAt) / int64(time.Millisecond)),
+	}
+	if args.Generation == view.MemberGeneration {
+		reply.Unchanged = true
+		return reply
+	}
+	for _, member := range view.Members {
+		reply.Members = append(reply.Members, member.Name())
+	}
+	return reply
+}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -66,6 +66,8 @@
 	// FetchClaims asks the node at an address for its name, its incarnation and the claims that it
 	// knows. It serves as health check as well.
 	FetchClaims func(ctx context.Context, address string, args wire.ClaimsArgs) (wire.ClaimsReply, error)
+	// FetchMembers asks the node at an address for the members that it knows.
+	FetchMembers func(ctx context.Context, address string, args wire.MembersArgs) (wire.MembersReply, error)
 	// OnViewChange receives the new view after each change and after each answered read of the
 	// claims, so that the node can run the cells that it owns. It must not block.
 	OnViewChange func(View)
@@ -79,6 +81,12 @@
 	Members []Member
 	// MembersComplete reports whether Members probably holds all members.
 	MembersComplete bool
+	// MemberGeneration is the generation of the group that Members shows; negative before they have been
+	// read. MemberTopics is the number of topics of which the group had assigned partitions, and
+	// MembersNearlyFull reports whether hardly any partition was spare.
+	MemberGeneration  int
+	MemberTopics      int
+	MembersNearlyFull bool
 	// Layout is the division of the pools into cells. It is the zero value until one is decided.
 	Layout shard.Layout
 	// ConfirmedAt is when the newest answered read of the claims was sent. At that time no newer claims
@@ -120,6 +128,9 @@
 	feed    *feed.Feed
 	// answeredAt is when the store last answered a call, in Unix nanoseconds.
 	answeredAt atomic.Int64
+	// membersConfirmedAt is the time at which the list of members was last known to be the newest, in Unix
+	// nanoseconds, or 0 if there is no list yet.
+	membersConfirmedAt atomic.Int64
 }
 
 // Messages to run.
@@ -143,8 +154,14 @@
 		topicCount int
 		// nearlyFull reports whether the list may lack members, because hardly any partition is spare.
 		nearlyFull bool
-		sentAt     time.Time
-		err        error
+		// generation is that of the group to which the list belongs. If unchanged is set, that is the
+		// list that this node has, and the fields above are not set.
+		generation int
+		unchanged  bool
+		// fromPeer reports whether another node was asked.
+		fromPeer bool
+		sentAt   time.Time
+		err      error
 	}
 	claimAppended struct {
 		claim wire.CellClaim
@@ -190,7 +207,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
+		state: state{claims: map[string]Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
@@ -288,10 +305,13 @@
 		}
 		s.generation, s.unassigned = m.membership.Generation, len(m.membership.Assigned) == 0
 		o.answeredAt.Store(now.UnixNano())
+		if s.generation == s.listGeneration {
+			o.confirmMembers(s.joinSentAt)
+		}
 	case membersRead:
 		s.memberReadPending = false
 		if m.err != nil {
-			o.deps.Metrics.Add("members_failures", 1)
+			o.handleMembersFailed(m)
 			return
 		}
 		o.handleMembersRead(m)
@@ -328,7 +348,10 @@
 // publishView passes a copy of the current view to OnViewChange.
 func (o *Ownership) publishView() {
 	s := &o.state
-	o.deps.OnViewChange(View{Claims: maps.Clone(s.claims), Members: s.memberList.members, MembersComplete: s.membersComplete, Layout: s.layout, ConfirmedAt: s.confirmedAt})
+	o.deps.OnViewChange(View{
+		Claims: maps.Clone(s.claims), Members: s.memberList.members, MembersComplete: s.membersComplete,
+		MemberGeneration: s.listGeneration, MemberTopics: s.listTopics, MembersNearlyFull: s.listNearlyFull, Layout: s.layout, ConfirmedAt: s.confirmedAt,
+	})
 }
 
 // startDueCalls starts the calls that are due. At most one append to the stream of claims runs at a
@@ -344,7 +367,7 @@
 		o.join()
 	}
 	unsettled := s.membersReadAt.Before(o.membersSettledAt())
-	if !s.memberReadPending && (now.Sub(s.memberReadSentAt) >= o.memberReadInterval() || unsettled && !now.Before(o.membersSettledAt())) {
+	if o.memberReadDue(now) {
 		s.memberReadPending, s.memberReadSentAt = true, now
 		o.readMembers(now)
 	}
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -56,10 +56,13 @@
 		FetchClaims: func(_ context.Context, address string, _ wire.ClaimsArgs) (wire.ClaimsReply, error) {
 			return store.claimsReply(address)
 		},
+		FetchMembers: func(_ context.Context, address string, args wire.MembersArgs) (wire.MembersReply, error) {
+			return store.membersReply(address, args)
+		},
 		OnViewChange: func(view View) { n.view.Store(&view) },
 	}, Options{Self: self, Partitions: 24})
 	n.SetCells(cells)
-	store.locked(func() { store.replying[self.Address] = self })
+	store.locked(func() { store.replying[self.Address], store.nodes[self.Address] = self, n })
 	t.Cleanup(func() { assert.Check(t, n.Close()) })
 	return n
 }
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -35,6 +35,17 @@
 	// force.
 	layout         shard.Layout
 	proposedLayout shard.Layout
+	// listGeneration is the generation of the group that memberList shows, listTopics the number of topics
+	// of which partitions were assigned then, and listNearlyFull reports whether hardly any was spare.
+	listGeneration int
+	listTopics     int
+	listNearlyFull bool
+	// membersMayGrow reports whether the list may lack members and the group can use more topics.
+	membersMayGrow bool
+	// memberFetches is the number of requests for the members to other nodes, which determines the node
+	// that is asked next, and memberFailures how many of them have failed since one was answered.
+	memberFetches  int
+	memberFailures int
 	// topicCount is the number of topics that the group needs so that each member holds a partition
 	// and is listed.
 	topicCount int
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"sync"
@@ -35,6 +36,14 @@
 	failures int
 	// hangNextRead makes the next read of the claims hang until it is cancelled.
 	hangNextRead bool
+	// generation is that of the group, and listing what the group listed when it began. assignmentReads
+	// counts the reads of the members, and joins the heartbeats.
+	generation      int
+	listing         string
+	assignmentReads int
+	joins           int
+	// nodes holds the nodes that reply to requests for the members, by address.
+	nodes map[string]*testNode
 	// unlisted holds the names of members that the group doesn't list yet.
 	unlisted map[string]bool
 	// appendsUntil is when the streams of cells stop growing.
@@ -46,7 +55,7 @@
 var _ damsonwinch.Store = (*memoryStore)(nil)
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{appended: make(chan struct{}), topicCounts: map[string]int{}, replying: map[string]Member{}, cutOff: map[string]bool{}}
+	return &memoryStore{appended: make(chan struct{}), topicCounts: map[string]int{}, replying: map[string]Member{}, cutOff: map[string]bool{}, nodes: map[string]*testNode{}}
 }
 
 var errNoResponse = errors.New("no response")
@@ -146,7 +155,12 @@
 		s.members = append(s.members, request.Member)
 	}
 	s.topicCounts[request.Member] = len(request.Topics)
-	return damsonwinch.Membership{Generation: len(s.members)}, nil
+	s.joins++
+	if listing := fmt.Sprint(s.assignments()); listing != s.listing {
+		s.listing = listing
+		s.generation++
+	}
+	return damsonwinch.Membership{Generation: s.generation}, nil
 }
 
 // Leave implements damsonwinch.Store.
@@ -161,8 +175,14 @@
 func (s *memoryStore) Assignments(context.Context, string) ([]damsonwinch.Assignment, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.assignmentReads++
+	return s.assignments(), nil
+}
+
+// assignments returns the partitions that the group has assigned.
+func (s *memoryStore) assignments() []damsonwinch.Assignment {
 	if s.partitionsPerTopic > 0 {
-		return s.assign(), nil
+		return s.assign()
 	}
 	var assignments []damsonwinch.Assignment
 	for number, member := range s.members {
@@ -174,7 +194,7 @@
 	if len(assignments) > 0 && !s.listFull {
 		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: groupTopic, Partition: len(s.members)}, Member: assignments[0].Member})
 	}
-	return assignments, nil
+	return assignments
 }
 
 // assign spreads the partitions of all topics evenly over the members that subscribe to them.
@@ -200,6 +220,17 @@
 	return assignments
 }
 
+// membersReply returns the reply of the node at an address to a request for the members.
+func (s *memoryStore) membersReply(address string, args wire.MembersArgs) (wire.MembersReply, error) {
+	s.mutex.Lock()
+	n := s.nodes[address]
+	s.mutex.Unlock()
+	if n == nil {
+		return wire.MembersReply{}, errNoResponse
+	}
+	return n.MemberReply(*n.view.Load(), args), nil
+}
+
 // claimsReply returns the reply of the node at an address, or an error if it doesn't reply.
 func (s *memoryStore) claimsReply(address string) (wire.ClaimsReply, error) {
 	s.mutex.Lock()
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -287,6 +287,10 @@
 type ClaimsArgs struct {
 	// Name of the node that asks.
 	Node string `json:"node,omitempty,omitzero"`
+
+	// Whether the reply must hold no claims and no layout, because the node only
+	// checks the health of the other one.
+	WithoutClaims bool `json:"without_claims,omitempty,omitzero"`
 }
 
 // ClaimsReply says who a node is and which claims it knows, for a node that has
@@ -779,6 +783,37 @@
 	Seq int `json:"seq"`
 }
 
+// MembersArgs asks a node for the members of the group of nodes that it knows.
+type MembersArgs struct {
+	// Generation of the list that the asking node has; -1 if it has none.
+	Generation int `json:"generation,omitempty,omitzero"`
+}
+
+// MembersReply holds the members of the group of nodes, as a node last read them.
+type MembersReply struct {
+	// How long ago the store confirmed the list, in milliseconds.
+	AgeMs int `json:"age_ms,omitempty,omitzero"`
+
+	// Generation of the group that the list shows.
+	Generation int `json:"generation,omitempty,omitzero"`
+
+	// Whether the node has read the members.
+	Known bool `json:"known,omitempty,omitzero"`
+
+	// Names of the members in the group, which hold all that is known of them.
+	Members []string `json:"members,omitempty,omitzero"`
+
+	// Whether the list may lack members, because hardly any partition is spare.
+	NearlyFull bool `json:"nearly_full,omitempty,omitzero"`
+
+	// Number of topics of which the group has assigned partitions.
+	Topics int `json:"topics,omitempty,omitzero"`
+
+	// Whether the asking node's list is the newest one that the node knows. The reply
+	// then holds no members.
+	Unchanged bool `json:"unchanged,omitempty,omitzero"`
+}
+
 // OrderRecord is an order that the fleet planner is about to give for a box. It is
 // a record of the planner's stream, under the name of the box.
 type OrderRecord struct {
