Planner: find the spare boxes once in a plan, and count boxes for the log in one pass

Cause: for each box that a cell gets, the planner looked at all powered-off boxes and at all boxes of other pools; on the fleet a turn of demand asks for some hundred of 5,000 at once. Its line on the pools, once a second, walked all boxes for each cell. Both grow with the square of the fleet, and all of it is one node's.

Change: powered-off boxes that can be given are grouped by zone and by whether they are due, once in a plan; all boxes of a group suit a cell equally well. Boxes of other pools are looked at only where their cell may give any. The log's counts come from one pass.

--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -87,8 +87,12 @@
 	waves map[int]*wave
 	// boxesRequestedAt is when the newest list of boxes was requested.
 	boxesRequestedAt time.Time
-	// orders are the orders issued by the call of Plan in progress.
-	orders []Order
+	// orders are the orders issued by the call of Plan in progress, and spareBoxes the boxes that it can
+	// give to any cell; nil before it has looked for them.
+	orders     []Order
+	spareBoxes *spareBoxes
+	// boxesExamined counts how often the newest call of Plan has looked at a box to find one that suits.
+	boxesExamined int
 	// shortages holds texts for operators, by cell name; see Shortages.
 	shortages map[string]string
 }
@@ -143,7 +147,7 @@
 // ones, and those to be repeated because the platform has not accepted them.
 func (p *Planner) Plan(now time.Time) []Order {
 	p.now = now
-	p.orders = nil
+	p.orders, p.spareBoxes, p.boxesExamined = nil, nil, 0
 	p.attachReports()
 	p.findCutOffZones()
 	p.cancelMovesInEvacuatedZones()
@@ -198,6 +202,12 @@
 	return exited
 }
 
+// BoxesExamined returns how often the newest call of Plan has looked at a box to find one that suits: a
+// measure of its cost that should grow no faster than the fleet.
+func (p *Planner) BoxesExamined() int {
+	return p.boxesExamined
+}
+
 // Shortages returns, by cell name, a text for operators on the boxes that the cell lacks and that no
 // other cell can give. The next call of Plan changes the map.
 func (p *Planner) Shortages() map[string]string {
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -106,27 +106,6 @@
 	return false
 }
 
-// bestPoweredOffBox returns the powered-off box, of any shard, that suits a cell best; nil if there
-// is none.
-func (p *Planner) bestPoweredOffBox(cellName string) *box {
-	poweredOff, exists := p.poweredOffPool()
-	if !exists {
-		return nil
-	}
-	receiver := p.cells[cellName]
-	var choice cheapest
-	for _, from := range p.layout.CellNames(poweredOff) {
-		for _, b := range p.boxesByCell[from] {
-			if p.isAvailable(b) && !p.isEvacuated(b) && !b.refusedPools[receiver.pool] {
-				// A box that is due for maintenance is chosen late: its maintenance costs nothing
-				// while it is powered off. A box in a zone that is cut off would be of no use.
-				choice.offer(b, p.zoneBoxCount(cellName, b.info.Zone)*2+boolInt(p.dueWave(b) != nil)+boolInt(p.cutOffZones[b.info.Zone])*cutOffZoneCost)
-			}
-		}
-	}
-	return choice.box
-}
-
 // bestSpareBox returns the best box for a cell among those of other pools: boxes that cells of the
 // same shard can spare (for exceptions see mayDonate), and boxes of any shard that are being
 // withdrawn to be powered off. It returns nil if there is none. Cells of other shards don't donate
@@ -135,16 +114,24 @@
 func (p *Planner) bestSpareBox(cellName string) *box {
 	var choice cheapest
 	receiver := p.cells[cellName]
+	offer := func(b *box) {
+		p.boxesExamined++
+		if !b.refusedPools[receiver.pool] && (p.isBeingPoweredOff(b) || p.canEmptySoon(b)) {
+			choice.offer(b, p.estimateEmptyMs(b)+p.zoneBoxCount(cellName, b.info.Zone)*zoneCostMs)
+		}
+	}
+	for _, b := range p.boxesBeingPoweredOff() {
+		if b.info.Pool != receiver.pool && p.isBeingPoweredOff(b) {
+			offer(b)
+		}
+	}
 	for _, other := range p.cellNames {
 		donor := p.cells[other]
-		if donor.pool == receiver.pool || donor.poweredOff {
+		if donor.pool == receiver.pool || donor.poweredOff || !donor.hasFreshReport(p.now) || !p.mayDonate(donor, receiver) {
 			continue
 		}
-		mayDonate := donor.hasFreshReport(p.now) && p.mayDonate(donor, receiver)
 		for _, b := range p.boxesByCell[other] {
-			if !b.refusedPools[receiver.pool] && !p.isEvacuated(b) && (p.isBeingPoweredOff(b) || mayDonate && p.canEmptySoon(b)) {
-				choice.offer(b, p.estimateEmptyMs(b)+p.zoneBoxCount(cellName, b.info.Zone)*zoneCostMs)
-			}
+			offer(b)
 		}
 	}
 	return choice.box
@@ -163,9 +150,10 @@
 // cutOffZoneCost puts the boxes of a zone that is cut off behind all others.
 const cutOffZoneCost = 1_000_000
 
-// isBeingPoweredOff reports whether a box is up and is being withdrawn to be powered off.
+// isBeingPoweredOff reports whether a box is up and is being withdrawn to be powered off. In an evacuated
+// zone such a box is of no use to another cell.
 func (p *Planner) isBeingPoweredOff(b *box) bool {
-	return b.planned != nil && b.planned.wave == 0 && p.isPoweredOff(b.planned.pool) && b.info.State == damsonwinch.BoxUp
+	return b.planned != nil && b.planned.wave == 0 && p.isPoweredOff(b.planned.pool) && b.info.State == damsonwinch.BoxUp && !p.isEvacuated(b)
 }
 
 // canEmptySoon reports whether a box is in use and can soon be empty because it has no long-running
@@ -252,6 +240,7 @@
 func (p *Planner) easiestToEmpty(cellName, poweredOffPool string) *box {
 	var choice cheapest
 	for _, b := range p.boxesByCell[cellName] {
+		p.boxesExamined++
 		if p.canEmptySoon(b) && !b.refusedPools[poweredOffPool] {
 			choice.offer(b, p.estimateEmptyMs(b)-p.zoneBoxCount(cellName, b.info.Zone)*zoneCostMs)
 		}
--- a/pkg/boxplan/summary.go
+++ b/pkg/boxplan/summary.go
@@ -12,13 +12,14 @@
 // wave, for the log and for operators.
 func (p *Planner) Summary() []string {
 	lines := make([]string, 0, len(p.cellNames))
+	counts := p.countActivities()
 	for _, name := range p.cellNames {
 		c := p.cells[name]
 		if shortage := p.shortages[name]; shortage != "" {
 			lines = append(lines, shortage)
 		}
-		n := p.countByState(name)
-		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down, %d out of reach, %d in evacuated zones", name, n.working, n.coming, n.emptying, n.maintained, n.down, n.silent, n.evacuated)
+		n := counts[name]
+		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down, %d out of reach, %d in evacuated zones", name, n[boxWorking], n[boxComing], n[boxEmptying], n[boxMaintained], n[boxDown], n[boxSilent], n[boxEvacuated])
 		if c.poweredOff {
 			lines = append(lines, boxes)
 			continue
@@ -45,36 +46,53 @@
 	return lines
 }
 
-// stateCounts holds the numbers of a cell's boxes by their states, in the order of the Summary's text:
-// in use, on their way to the cell, being withdrawn, being maintained, down, not answering, in evacuated
-// zones.
-type stateCounts struct {
-	working, coming, emptying, maintained, down, silent, evacuated int
-}
+// boxActivity is what a box does, for the summary.
+type boxActivity int
+
+const (
+	boxWorking boxActivity = iota
+	boxComing
+	boxEmptying
+	boxMaintained
+	boxDown
+	boxSilent
+	boxEvacuated
+	boxActivities
+)
+
+// activityCounts holds the numbers of boxes by what they do.
+type activityCounts [boxActivities]int
 
-// countByState counts the boxes of a cell, and those on their way to it, by their states.
-func (p *Planner) countByState(cellName string) stateCounts {
-	var n stateCounts
+// countActivities counts, by cell, the boxes of the cell and those on their way to it.
+func (p *Planner) countActivities() map[string]activityCounts {
+	counts := make(map[string]activityCounts, len(p.cellNames))
 	for _, b := range p.boxesByName {
-		switch {
-		case b.issued != nil && b.issued.Pool != "":
-			if p.servedCell(b) == cellName {
-				n.coming++
-			}
-		case b.cellName() != cellName:
-		case b.issued != nil || b.info.State == damsonwinch.BoxMaintenance:
-			n.maintained++
-		case b.info.State == damsonwinch.BoxDown:
-			n.down++
-		case b.report != nil && b.report.Silent:
-			n.silent++
-		case b.planned != nil:
-			n.emptying++
-		case p.isEvacuated(b):
-			n.evacuated++
-		default:
-			n.working++
+		cell, activity := b.cellName(), p.activityOf(b)
+		if activity == boxComing {
+			cell = p.servedCell(b)
 		}
+		n := counts[cell]
+		n[activity]++
+		counts[cell] = n
+	}
+	return counts
+}
+
+// activityOf returns what a box does.
+func (p *Planner) activityOf(b *box) boxActivity {
+	switch {
+	case b.issued != nil && b.issued.Pool != "":
+		return boxComing
+	case b.issued != nil || b.info.State == damsonwinch.BoxMaintenance:
+		return boxMaintained
+	case b.info.State == damsonwinch.BoxDown:
+		return boxDown
+	case b.report != nil && b.report.Silent:
+		return boxSilent
+	case b.planned != nil:
+		return boxEmptying
+	case p.isEvacuated(b):
+		return boxEvacuated
 	}
-	return n
+	return boxWorking
 }
