Owners leave the list of boxes to the planner

Cause: while an endpoint with runs can't be reached, its owner asked for the list of all boxes each 0.4 s: cells x boxes. When a zone of the fleet is cut off, 60 owners x 730 KB x 2.5 a second are 110 MB/s, and 1,800 pages a second where 590 are served to all. The planner reads the same list all the time and tells owners which endpoints have exited, but only for boxes that are in the list and that the cell knows.

Change: the planner names each reported endpoint that is on no box which is up. An owner asks for the list only if no planner has called for a second.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -83,8 +83,12 @@
 func (p *Planner) SetBoxes(requestedAt time.Time, listed []damsonwinch.Box) {
 	p.boxesRequestedAt = requestedAt
 	present := map[string]bool{}
+	p.upEndpoints = make(map[string]bool, len(listed))
 	for _, info := range listed {
 		present[info.Name] = true
+		if info.State == damsonwinch.BoxUp && info.EndpointID != "" {
+			p.upEndpoints[info.EndpointID] = true
+		}
 		b := p.boxes[info.Name]
 		if b == nil {
 			b = p.addBox(info.Name)
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -79,6 +79,8 @@
 	// boxesByCell holds the boxes of each cell in order of their names.
 	boxesByCell map[string][]*box
 	boxCounts   boxCounts
+	// upEndpoints holds the IDs of the endpoints on the boxes that the newest list shows as up.
+	upEndpoints map[string]bool
 	// cutOffZones are the zones whose boxes the owners of the cells can't reach.
 	cutOffZones map[string]bool
 	// evacuatedZones are the zones in which the operator wants no task to start.
@@ -187,15 +189,15 @@
 }
 
 // exitedEndpoints returns the endpoints of a cell's report that have exited: a list of boxes that was
-// requested after the report shows their boxes with another endpoint or not up.
+// requested after the report shows them on no box that is up. The cell may not know on which box an
+// endpoint ran, and a box may have been removed for good.
 func (p *Planner) exitedEndpoints(c *cell) []string {
 	if !c.hasFreshReport(p.now) || !p.boxesRequestedAt.After(c.reportedAt) {
 		return nil
 	}
 	var exited []string
 	for _, reported := range c.report.Endpoints {
-		b := p.boxes[reported.Box]
-		if b != nil && (b.info.EndpointID != damsonwinch.ParseLife(reported.Endpoint).ID || b.info.State != damsonwinch.BoxUp) {
+		if !p.upEndpoints[damsonwinch.ParseLife(reported.Endpoint).ID] {
 			exited = append(exited, reported.Endpoint)
 		}
 	}
--- /dev/null
+++ b/pkg/boxplan/exited_test.go
@@ -0,0 +1,35 @@
+package boxplan_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/wire"
+)
+
+// TestPlannerNamesExitedEndpoints checks which endpoints of a report the planner says have exited: those on no
+// box that is up in a list that was requested after the report. The box may be gone from the list, and the cell
+// may not know on which box the endpoint ran.
+func TestPlannerNamesExitedEndpoints(t *testing.T) {
+	f := newOneBoxFleet()
+	const elsewhere = "at-removed-box"
+	report := wire.SyncReply{Known: true, Endpoints: []wire.EndpointReport{
+		{Endpoint: "at-" + f.box.Name, Box: f.box.Name}, {Endpoint: elsewhere, Box: "removed"}, {Endpoint: "at-unknown-box"},
+	}}
+	f.planner.SetReport(f.now, "held", report)
+	f.planner.SetBoxes(f.now.Add(-time.Millisecond), []damsonwinch.Box{f.box})
+	f.planner.Plan(f.now)
+	assert.Equal(t, len(f.planner.Directives("held").Exited), 0, "the list may be older than the endpoints")
+
+	f.planner.SetBoxes(f.now.Add(time.Millisecond), []damsonwinch.Box{f.box})
+	f.planner.Plan(f.now.Add(2 * time.Millisecond))
+	assert.DeepEqual(t, f.planner.Directives("held").Exited, []string{elsewhere, "at-unknown-box"})
+
+	f.box.State = damsonwinch.BoxDown
+	f.planner.SetBoxes(f.now.Add(3*time.Millisecond), []damsonwinch.Box{f.box})
+	f.planner.Plan(f.now.Add(4 * time.Millisecond))
+	assert.Equal(t, len(f.planner.Directives("held").Exited), 3)
+}
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -28,6 +28,10 @@
 	// shortest time between two requests.
 	boxListTimeout  = time.Second
 	boxListInterval = 400 * time.Millisecond
+	// plannerSilence is how long the fleet planner must not have called until an owner requests the list
+	// of boxes itself. The planner reads the list all the time and says which endpoints have exited. A list
+	// for each cell of a zone that is cut off grows with cells times boxes.
+	plannerSilence = time.Second
 )
 
 // executeEffects carries out what the cell has decided since the last call. It returns true if the cell
@@ -158,10 +162,10 @@
 }
 
 // listBoxes requests the platform's list of boxes, unless a request is in flight or was sent less than
-// boxListInterval ago.
+// boxListInterval ago, or the fleet planner calls.
 func (o *Owner) listBoxes() {
 	now := o.deps.Clock.Now()
-	if o.boxListInFlight || now.Sub(o.boxesRequestedAt) < boxListInterval {
+	if o.boxListInFlight || now.Sub(o.boxesRequestedAt) < boxListInterval || now.Sub(o.plannerCalledAt) < plannerSilence {
 		return
 	}
 	o.boxListInFlight, o.boxesRequestedAt = true, now
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -166,7 +166,7 @@
 		m.reply <- wire.SyncReply{}
 		return
 	}
-	o.plannerToken = m.args.Token
+	o.plannerToken, o.plannerCalledAt = m.args.Token, now
 	o.cell.ApplySync(now, m.args)
 	if len(m.args.Allowances) > 0 {
 		o.waitingSyncs = append(o.waitingSyncs, waitingSync{reply: m.reply, since: now})
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -85,6 +85,8 @@
 	// plannerToken is the highest token of a fleet planner that has called. Calls with a lower token
 	// come from an earlier planner and are ignored.
 	plannerToken int
+	// plannerCalledAt is when the fleet planner last called, or when this owner was started.
+	plannerCalledAt time.Time
 	// boxesRequestedAt is when the list of boxes was last requested.
 	boxesRequestedAt time.Time
 	boxListInFlight  bool
@@ -110,6 +112,7 @@
 		writer: stream.New(stream.Deps{Store: deps.Store, Clock: deps.Clock, Metrics: deps.Metrics}, options.Stream, options.Cell, options.Token),
 		group:  group, requestPool: workers.New(ctx, group), ctx: ctx, cancel: cancel, pendingCalls: map[int]chan<- wire.JobReply{},
 		ready: make(chan struct{}), done: make(chan struct{}), suspendedBefore: deps.SuspendedTime.Total(),
+		plannerCalledAt: deps.Clock.Now(),
 	}
 	group.Go(o.run)
 	return o
