Ask other nodes for the claims only if the store is silent

Cause: the age of the claims counts from when their read was sent, and a read that waits a second for news is answered after a second, so that the age runs from one to two seconds while all is well.

Change: a node asks from 2.5 s on, or from 1.5 s on if the store has answered nothing else for 0.9 s; answers up to 2.5 s old are used.

Measured: TestNodesDoNotAskEachOtherForClaimsWhileTheStoreAnswers: 8 calls in nine heartbeats before, none now.

--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -371,7 +371,7 @@
 		s.memberReadPending, s.memberReadSentAt = true, now
 		o.readMembers(now)
 	}
-	if !s.fetchPending && now.Sub(s.confirmedAt) >= maxClaimsAge && now.Sub(s.fetchSentAt) >= joinInterval {
+	if !s.fetchPending && o.claimsOverdue(now) && now.Sub(s.fetchSentAt) >= joinInterval {
 		o.fetchPeerClaims(now)
 	}
 	o.watchOwners(now)
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -94,6 +94,22 @@
 	store.locked(func() { assert.Equal(t, store.appends, 3) })
 }
 
+// TestNodesDoNotAskEachOtherForClaimsWhileTheStoreAnswers guards against needless calls: each answer holds all
+// claims, and each node of a fleet asked another one once or twice a second although the store answered.
+func TestNodesDoNotAskEachOtherForClaimsWhileTheStoreAnswers(t *testing.T) {
+	store := newMemoryStore()
+	first, second := startNode(t, store, "a", "one", "two"), startNode(t, store, "b", "one", "two")
+	waitUntil(t, "the cells are owned", func() bool {
+		_, one := first.view.Load().Owner("one")
+		_, two := second.view.Load().Owner("two")
+		return one && two
+	})
+	asked := func() int { return first.deps.Metrics.Count("peers_without_claims") + second.deps.Metrics.Count("peers_without_claims") }
+	before := asked()
+	store.awaitJoins(t, 2, 9)
+	assert.Equal(t, asked(), before)
+}
+
 // TestConflictingClaimIsNotRetriedBeforeNewRecordsAreRead guards against appends that can't succeed: a
 // node whose read of the claims hung tried a hundred a second.
 func TestConflictingClaimIsNotRetriedBeforeNewRecordsAreRead(t *testing.T) {
--- a/pkg/ownership/peer_claims.go
+++ b/pkg/ownership/peer_claims.go
@@ -10,10 +10,21 @@
 	"damsonwinch/pkg/wire"
 )
 
-// maxClaimsAge is the age of the claims above which a node asks other nodes for newer ones, and the
-// largest age at which it accepts theirs. A read that waits a second for new records is answered at
-// least every second, so the claims are usually younger.
-const maxClaimsAge = 1500 * time.Millisecond
+const (
+	// maxClaimsAge is the age of the claims above which a node asks other nodes for newer ones, and the
+	// largest age at which it accepts theirs. The age counts from when a read was sent. While nothing
+	// changes a read is answered after claimReadWait, and the next one as much later.
+	maxClaimsAge = 2*claimReadWait + 500*time.Millisecond
+	// cutOffClaimsAge is the age from which a node asks other nodes if the store has not answered any of
+	// its calls for maxStoreAge either.
+	cutOffClaimsAge = claimReadWait + 500*time.Millisecond
+)
+
+// claimsOverdue reports whether this node should ask other nodes for the claims.
+func (o *Ownership) claimsOverdue(now time.Time) bool {
+	age := now.Sub(o.state.confirmedAt)
+	return age >= maxClaimsAge || age >= cutOffClaimsAge && now.Sub(o.StoreAnsweredAt()) >= maxStoreAge
+}
 
 // fetchPeerClaims starts to fetch the claims from another node, a different one each time. A node that
 // is cut off only from the store learns in this way which nodes own the cells, and that it no longer
