--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -26,9 +26,10 @@
 	// when the whole response was limited, 35 of 43 nodes read these 600 KB again and again and never
 	// got the rest.
 	defaultResponseTimeout = 600 * time.Millisecond
-	// snapshotLag is the number of records that a feed with NewestOnly must be behind to read the
+	// snapshotLag is the least number of records that a feed with NewestOnly must be behind to read the
 	// newest record of each key instead. These records are a third larger, since they are sent in
-	// base64, but they are sent only once.
+	// base64, but they are sent only once. If there are more keys than that, the feed must be behind by
+	// as many records as there were keys, since a snapshot holds them all.
 	snapshotLag = 2
 	// logInterval is the time between two log lines while the stream can't be read.
 	logInterval = 5 * time.Second
@@ -58,7 +59,7 @@
 	Wanted func() bool
 	Wake   <-chan struct{}
 	// NewestOnly means that only the newest record of a key matters. The feed then goes on with a
-	// snapshot if at least snapshotLag records remain after a read. A node with a slow link that read
+	// snapshot if more records remain after a read than a snapshot has, and at least snapshotLag. A node with a slow link that read
 	// all records in between would fall further and further behind.
 	NewestOnly bool
 	// OnSnapshot is called with the newest record of each key: when the feed starts, after a time in
@@ -79,6 +80,8 @@
 	// started reports whether a snapshot has been read, so that next is the offset of the next read.
 	started bool
 	next    int
+	// keyCount is the number of records in the last snapshot.
+	keyCount int
 	// failing is set while reads fail.
 	failing bool
 	// answeredAt is when a read was last answered, and loggedAt when a failure was last logged.
@@ -162,7 +165,7 @@
 	}
 	f.next += len(page.Records)
 	f.options.OnRecords(page.Records, page.End, requestedAt)
-	if f.options.NewestOnly && page.End-f.next >= snapshotLag {
+	if f.options.NewestOnly && page.End-f.next >= max(snapshotLag, f.keyCount) {
 		f.started = false
 	}
 	return nil
@@ -182,7 +185,7 @@
 		return err
 	}
 	records, end, requestedAt := f.scan.Records()
-	f.scan, f.started, f.next = nil, true, end
+	f.scan, f.started, f.next, f.keyCount = nil, true, end, len(records)
 	f.options.OnSnapshot(records, end, requestedAt)
 	return nil
 }
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -150,6 +150,35 @@
 	}
 }
 
+// TestFeedOfManyKeysReadsOnWhenItIsAFewRecordsBehind checks growth: a snapshot has a record for each key. When
+// two records to catch up with made the feed read one, each order on a box made the readers of a stream of 6,000
+// boxes receive 2 MB.
+func TestFeedOfManyKeysReadsOnWhenItIsAFewRecordsBehind(t *testing.T) {
+	for _, keys := range []int{100, 200, 400} {
+		received, snapshots := 0, 0
+		store := &fakeStore{
+			newest: func(string) (damsonwinch.KeyPage, error) {
+				snapshots++
+				received += keys
+				return damsonwinch.KeyPage{Records: make([]damsonwinch.Record, keys), End: 1}, nil
+			},
+			read: func(_ context.Context, from int) (damsonwinch.Page, error) {
+				received++
+				return damsonwinch.Page{Records: keyRecord("order"), End: from + 11}, nil
+			},
+		}
+		f := New(Deps{Store: store, Clock: clockwork.NewFakeClock(), Logger: logrus.New(), Metrics: metrics.New()}, Options{
+			NewestOnly: true, OnSnapshot: func([]damsonwinch.Record, int, time.Time) {}, OnRecords: func([]damsonwinch.Record, int, time.Time) {},
+		})
+		const reads = 50
+		for range reads {
+			assert.NilError(t, f.readOnce(t.Context()))
+		}
+		assert.Equal(t, snapshots, 1, "%d keys", keys)
+		assert.Equal(t, received, keys+reads-1)
+	}
+}
+
 // TestRefreshKeepsAResponseThatHasStarted checks that Refresh cancels only a read without any response.
 func TestRefreshKeepsAResponseThatHasStarted(t *testing.T) {
 	started, respond, calls := make(chan bool), make(chan struct{}), 0
