--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -28,9 +28,12 @@
 	defaultResponseTimeout = 600 * time.Millisecond
 	// snapshotLag is the least number of records that a feed with NewestOnly must be behind to read the
 	// newest record of each key instead. These records are a third larger, since they are sent in
-	// base64, but they are sent only once. If there are more keys than that, the feed must be behind by
-	// as many records as there were keys, since a snapshot holds them all.
+	// base64, but they are sent only once.
 	snapshotLag = 2
+	// maxFewKeys is the number of keys up to which snapshotLag applies: a stream of few keys may have
+	// large records. If there were more keys in the last snapshot, the feed must be behind by as many
+	// records as there were keys, since the next snapshot holds them all.
+	maxFewKeys = 16
 	// logInterval is the time between two log lines while the stream can't be read.
 	logInterval = 5 * time.Second
 )
@@ -59,7 +62,7 @@
 	Wanted func() bool
 	Wake   <-chan struct{}
 	// NewestOnly means that only the newest record of a key matters. The feed then goes on with a
-	// snapshot if more records remain after a read than a snapshot has, and at least snapshotLag. A node with a slow link that read
+	// snapshot if that is probably smaller than the records that remain after a read. A node with a slow link that read
 	// all records in between would fall further and further behind.
 	NewestOnly bool
 	// OnSnapshot is called with the newest record of each key: when the feed starts, after a time in
@@ -165,12 +168,20 @@
 	}
 	f.next += len(page.Records)
 	f.options.OnRecords(page.Records, page.End, requestedAt)
-	if f.options.NewestOnly && page.End-f.next >= max(snapshotLag, f.keyCount) {
+	if f.options.NewestOnly && page.End-f.next >= f.maxLag() {
 		f.started = false
 	}
 	return nil
 }
 
+// maxLag returns the number of records that a feed with NewestOnly must be behind to read a snapshot.
+func (f *Feed) maxLag() int {
+	if f.keyCount <= maxFewKeys {
+		return snapshotLag
+	}
+	return f.keyCount
+}
+
 // readSnapshot reads the newest record of each key. After an error the next call goes on with the page
 // that failed.
 func (f *Feed) readSnapshot(ctx context.Context) error {
