Relay: choose the upstream nodes once for each list of members

Cause: each read of the operator's stream, twice a second on each node, cloned and sorted all members, and the strongest ones by name are those of two of six zones. Change: the choice is kept until the list changes, and equally strong nodes are ordered by a hash.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -52,7 +52,8 @@
 	Clock   damsonwinch.Clock
 	Logger  logrus.FieldLogger
 	Metrics *metrics.Set
-	// Members returns the nodes that this node knows, including itself.
+	// Members returns the nodes that this node knows, including itself. It returns the same slice as long
+	// as they haven't changed.
 	Members func() []ownership.Member
 	// Follow calls the method Follow of the node at an address.
 	Follow func(ctx context.Context, address string, args wire.FollowArgs) (wire.FollowReply, error)
@@ -74,6 +75,9 @@
 	consecutiveFailures int
 	totalFailures       int
 	directUntil         time.Time
+	// upstreams are the upstream nodes among seenMembers, the newest result of Deps.Members.
+	seenMembers []ownership.Member
+	upstreams   []ownership.Member
 }
 
 // New returns the relay of the node self for a stream.
@@ -142,24 +146,35 @@
 // with the largest shares of a core. Of n nodes the square root of n, rounded up, are upstream nodes,
 // so that each serves about as many nodes as the store does.
 func (r *Relay) upstream() (address string, relayed bool) {
-	members := slices.Clone(r.deps.Members())
-	if len(members) < minMembers {
-		return "", false
-	}
+	members := r.deps.Members()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.deps.Clock.Now().Before(r.directUntil) {
+	if len(members) < minMembers || r.deps.Clock.Now().Before(r.directUntil) {
 		return "", false
 	}
-	slices.SortFunc(members, func(a, b ownership.Member) int {
-		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Node, b.Node))
-	})
-	upstreams := members[:int(math.Ceil(math.Sqrt(float64(len(members)))))]
-	if slices.ContainsFunc(upstreams, func(m ownership.Member) bool { return m.Node == r.self.Node }) {
+	if !sameSlice(r.seenMembers, members) {
+		r.seenMembers, r.upstreams = members, chooseUpstreams(members)
+	}
+	if slices.ContainsFunc(r.upstreams, func(m ownership.Member) bool { return m.Node == r.self.Node }) {
 		return "", false
 	}
-	index := (xxhash.Sum64String(r.self.Node) + uint64(r.totalFailures)) % uint64(len(upstreams))
-	return upstreams[index].Address, true
+	index := (xxhash.Sum64String(r.self.Node) + uint64(r.totalFailures)) % uint64(len(r.upstreams))
+	return r.upstreams[index].Address, true
+}
+
+// sameSlice reports whether two slices are the same part of the same array.
+func sameSlice(a, b []ownership.Member) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// chooseUpstreams returns the upstream nodes among members. Equally strong nodes are ordered by a hash, so
+// that the upstream nodes are spread over the availability zones.
+func chooseUpstreams(members []ownership.Member) []ownership.Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b ownership.Member) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node)), cmp.Compare(a.Node, b.Node))
+	})
+	return sorted[:int(math.Ceil(math.Sqrt(float64(len(sorted)))))]
 }
 
 // Reasons for which a reply of an upstream node is not used.
