Move what doesn't depend on a cell out of its package

Change: pkg/workload holds them; the rate of exits moves to pkg/crash. The records that carry them stay with the cell, in workload_record.go.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -21,6 +21,7 @@
 	"damsonwinch/pkg/crash"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/wire"
+	"damsonwinch/pkg/workload"
 )
 
 // Cell holds the owner's state of one cell. It is not safe for concurrent use.
@@ -47,11 +48,11 @@
 	probationEndpoints []*endpoint
 	// baselineExits estimates how often endpoints exit for reasons other than their tasks.
 	// probationExits holds the recent exits of endpoints where a task was on probation.
-	baselineExits  baselineExitRate
-	probationExits exits
+	baselineExits  crash.BaselineRate
+	probationExits crash.Exits
 	// queueExits holds, by queue, the recent exits of endpoints shortly after a task of that queue
 	// started there. crashProne holds the queues with many such exits.
-	queueExits map[string]*exits
+	queueExits map[string]*crash.Exits
 	crashProne map[string]bool
 	// batching is set while Batch runs: finishEvent does nothing until all events of the batch have
 	// been handled.
@@ -84,8 +85,8 @@
 	commits     commits
 	// permitCalls is the number of calls for permits in flight.
 	permitCalls int
-	// statsByQueue holds, by queue, statistics of how much work arrives and how long it takes.
-	statsByQueue map[string]*queueStats
+	// workload holds, by queue, statistics of how much work arrives and how long it takes.
+	workload workload.Queues
 	// quota holds the customers' allowances in this cell and what they have running here. overQuota
 	// holds the customers with tasks that waited for their allowance at the last placement.
 	// quotaBlocked holds those of them that may start no other task before such a task.
@@ -94,11 +95,11 @@
 	quotaBlocked map[string]bool
 	// overQuotaSince holds, by customer, since when tasks have been waiting for the allowance.
 	overQuotaSince map[string]time.Time
-	// queueStatsDirty is set when statsByQueue has changed since it was last recorded.
-	queueStatsDirty      bool
-	queueStatsRecordedAt time.Time
-	effects              Effects
-	stats                Stats
+	// workloadDirty is set when workload has changed since it was last recorded.
+	workloadDirty      bool
+	workloadRecordedAt time.Time
+	effects            Effects
+	stats              Stats
 }
 
 // New returns an empty cell for the owner with the given fencing token. Load must come before any
@@ -113,8 +114,8 @@
 		jobs:           map[string]*job{},
 		endpoints:      map[damsonwinch.Life]*endpoint{},
 		commits:        newCommits(),
-		statsByQueue:   map[string]*queueStats{},
-		queueExits:     map[string]*exits{},
+		workload:       workload.Queues{},
+		queueExits:     map[string]*crash.Exits{},
 		crashProne:     map[string]bool{},
 		quota:          quota.NewAllowances(),
 		overQuota:      map[string]bool{},
@@ -197,7 +198,7 @@
 	c.updateOverdue()
 	c.requestBoxList()
 	c.checkProbations()
-	c.baselineExits.observe(now, c.countExposed())
+	c.baselineExits.Observe(now, c.countExposed())
 	c.refuseUnrecordedJobs()
 	c.deferPhases()
 	for _, e := range c.sortedEndpoints {
--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -129,7 +129,7 @@
 // which job states and allowances they contain.
 func (c *Cell) buildRecords(sent *sentCommit) []damsonwinch.Record {
 	w := &c.commits
-	records := append(w.endpointRecords, c.queueStatsRecords()...)
+	records := append(w.endpointRecords, c.workloadRecords()...)
 	if w.allowancesDirty {
 		records = append(records, c.allowancesRecord(sent))
 	}
--- a/pkg/cell/crash_prone.go
+++ b/pkg/cell/crash_prone.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"damsonwinch/pkg/crash"
 )
 
 const (
@@ -39,9 +41,9 @@
 		if young && !counted[queue] {
 			counted[queue] = true
 			if c.queueExits[queue] == nil {
-				c.queueExits[queue] = &exits{}
+				c.queueExits[queue] = &crash.Exits{}
 			}
-			c.queueExits[queue].add(c.now)
+			c.queueExits[queue].Add(c.now)
 		}
 	}
 }
@@ -49,7 +51,7 @@
 // updateCrashProne recomputes which queues are crash-prone, and logs changes.
 func (c *Cell) updateCrashProne() {
 	for _, queue := range slices.Sorted(maps.Keys(c.queueExits)) {
-		count := c.queueExits[queue].countWithin(c.now, crashProneWindow)
+		count := c.queueExits[queue].CountWithin(c.now, crashProneWindow)
 		switch {
 		case count >= crashProneExits && !c.crashProne[queue]:
 			c.crashProne[queue] = true
--- a/pkg/cell/deadline.go
+++ b/pkg/cell/deadline.go
@@ -5,12 +5,12 @@
 // estimateJob computes what a job is expected to take: the time of a task of each phase, the
 // critical path from each phase's start to the end of the job, and the total work.
 func (c *Cell) estimateJob(j *job) {
-	times := &c.statsOf(j.queue).times
+	stats := c.workload.Of(j.queue)
 	phases := j.spec.Phases
 	j.taskMs, j.criticalPathMs, j.work = make([]int, len(phases)), make([]int, len(phases)), 0
 	for number := len(phases) - 1; number >= 0; number-- {
 		phase := &phases[number]
-		j.taskMs[number] = times.estimate(phase.EstimateMs)
+		j.taskMs[number] = stats.EstimateMs(phase.EstimateMs)
 		j.criticalPathMs[number] += j.taskMs[number]
 		for _, earlier := range phase.After {
 			j.criticalPathMs[earlier] = max(j.criticalPathMs[earlier], j.criticalPathMs[number])
--- a/pkg/cell/deferral.go
+++ b/pkg/cell/deferral.go
@@ -57,7 +57,7 @@
 		free += max(0, e.free().MilliCPU)
 		turnover += max(0, e.info.Capacity.MilliCPU-e.longRunningNeed().MilliCPU)
 	}
-	taskMs := c.meanTaskMs()
+	taskMs := c.workload.MeanTaskMs()
 	if taskMs == 0 {
 		taskMs = int(defaultTaskTime.Milliseconds())
 	}
@@ -90,7 +90,7 @@
 		}
 		rest += left * other.spec.Cpu * j.taskMs[other.number]
 	}
-	mean := c.statsOf(j.queue).meanWork()
+	mean := c.workload.Of(j.queue).MeanWork()
 	return overload.Item{
 		CPU: len(p.ready) * p.need().MilliCPU, StartWithinMs: p.startByMs() - nowMs,
 		Value: fixedValueShare*mean + (1-fixedValueShare)*float64(j.work), RemainingWork: float64(rest),
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		tasks++
-		if c.now.Sub(r.progress.advancedAt) < stallTime+c.options.RestoreTime {
+		if c.now.Sub(r.progress.AdvancedAt()) < stallTime+c.options.RestoreTime {
 			return false
 		}
 	}
@@ -167,7 +167,7 @@
 		if r.stopping || r.state != runConfirmed || r.task.phase.spec.Lasting || r.task.phase.spec.Copies || !c.fitsElsewhere(r) {
 			continue
 		}
-		remaining := r.measuredRemainingMs()
+		remaining := r.progress.RemainingMs()
 		if slowness > 0 && remaining > 0 && remaining < c.restartElsewhereMs(r, remaining/slowness) {
 			continue
 		}
@@ -194,5 +194,5 @@
 	if r.task.phase.spec.Checkpoints {
 		return stopMs + float64(c.options.RestoreTime.Milliseconds()) + remainingMs
 	}
-	return stopMs + float64(c.statsOf(r.task.phase.job().queue).times.estimate(r.task.phase.spec.EstimateMs))
+	return stopMs + float64(c.workload.Of(r.task.phase.job().queue).EstimateMs(r.task.phase.spec.EstimateMs))
 }
--- a/pkg/cell/load.go
+++ b/pkg/cell/load.go
@@ -49,8 +49,8 @@
 		return c.loadAllowances(record)
 	case strings.HasPrefix(record.Key, endpointKeyPrefix):
 		return c.loadEndpointRecord(record)
-	case strings.HasPrefix(record.Key, queueStatsPrefix):
-		return c.loadQueueStats(record)
+	case strings.HasPrefix(record.Key, workloadPrefix):
+		return c.loadWorkload(record)
 	}
 	return c.loadJob(record, specs)
 }
--- a/pkg/cell/loss.go
+++ b/pkg/cell/loss.go
@@ -27,11 +27,11 @@
 	c.forgetLapsed(e)
 	blamed := c.runToBlame(e)
 	if len(e.runs) > 0 && !c.startedWithin(e, e.exitedAt(c.now), c.options.CrashRules.MeasuredSuspectAge()) {
-		c.baselineExits.exits.add(c.now)
+		c.baselineExits.AddExit(c.now)
 	}
 	c.countQueueExits(e, blamed)
 	if e.probation != nil {
-		c.probationExits.add(c.now)
+		c.probationExits.Add(c.now)
 	}
 	for _, r := range e.sortedRuns() {
 		if r.state == runPending {
@@ -89,7 +89,7 @@
 // lossOf describes the loss of a run's endpoint, as evidence against the run's task.
 func (c *Cell) lossOf(r *run) crash.Loss {
 	exitedAt := r.endpoint.exitedAt(c.now)
-	loss := crash.Loss{MaxAge: r.age(exitedAt), MinAge: r.age(r.endpoint.lastAnsweredAt), Explained: c.hasCommonCause(r.endpoint, exitedAt), Probation: r.endpoint.probation == r, LossRate: c.baselineExits.rate(c.now)}
+	loss := crash.Loss{MaxAge: r.age(exitedAt), MinAge: r.age(r.endpoint.lastAnsweredAt), Explained: c.hasCommonCause(r.endpoint, exitedAt), Probation: r.endpoint.probation == r, LossRate: c.baselineExits.Rate(c.now)}
 	if r.endpoint.silent && r.endpoint.pollBroken {
 		// The poll that broke would have reported the end of the run. Without such a poll the run
 		// may have ended before, unreported. A start request whose reply was lost with the endpoint
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -269,7 +269,7 @@
 // confirmed by that; it is stopped if its job has ended or its task is done.
 func (c *Cell) applyProgress(r *run, progress damsonwinch.RunProgress) {
 	r.task.phase.job().begun = true
-	r.progress.update(c.now, progress.DonePercent)
+	r.progress.Update(c.now, progress.DonePercent)
 	c.sampleProgress(r)
 	r.percent, r.load, r.pendingLoss = progress.DonePercent, progress.Load, nil
 	if progress.Checkpoint != "" {
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -146,7 +146,7 @@
 	if len(c.crashProne) > 0 {
 		maxPercent = maxCrashProneProbationPercent
 	}
-	return len(c.probationEndpoints)+c.probationExits.countWithin(c.now, restartTime) < max(1, len(c.sortedEndpoints)*maxPercent/fullPercent)
+	return len(c.probationEndpoints)+c.probationExits.CountWithin(c.now, restartTime) < max(1, len(c.sortedEndpoints)*maxPercent/fullPercent)
 }
 
 // noRecentStart reports whether no run has started on an endpoint within the last SuspectAge. A
--- a/pkg/cell/progress_samples.go
+++ b/pkg/cell/progress_samples.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"damsonwinch/pkg/workload"
 )
 
 // progressSample compares the progress of the tasks of one phase on an endpoint with what was
@@ -22,18 +24,18 @@
 // sampleProgress adds the speed of a run to its endpoint's progress samples, once, as soon as it is
 // known. Later samples would weigh long tasks more than short ones, which have ended by then.
 func (c *Cell) sampleProgress(r *run) {
-	total := r.progress.totalMs()
+	total := r.progress.TotalMs()
 	if total == 0 || r.progressSampled || r.inherited || r.resumed || r.task.phase.spec.Lasting {
 		return
 	}
 	r.progressSampled = true
-	times := &c.statsOf(r.task.phase.job().queue).times
-	if times.logTime.count < minLearnedRuns {
+	stats := c.workload.Of(r.task.phase.job().queue)
+	if !stats.KnowsTaskTimes() {
 		return
 	}
 	h := &r.endpoint.health
 	h.progressSamples = slices.DeleteFunc(h.progressSamples, func(s progressSample) bool { return c.now.Sub(s.sampledAt) > progressSampleTime })
-	logRatio := math.Log(total / max(1, float64(times.estimate(r.task.phase.spec.EstimateMs))))
+	logRatio := math.Log(total / max(1, float64(stats.EstimateMs(r.task.phase.spec.EstimateMs))))
 	for i := range h.progressSamples {
 		if h.progressSamples[i].phase == r.task.phase {
 			h.progressSamples[i].logRatioSum += logRatio
@@ -41,13 +43,13 @@
 			return
 		}
 	}
-	h.progressSamples = append(h.progressSamples, progressSample{phase: r.task.phase, sampledAt: c.now, logRatioSum: logRatio, count: 1, variance: times.estimateVariance()})
+	h.progressSamples = append(h.progressSamples, progressSample{phase: r.task.phase, sampledAt: c.now, logRatioSum: logRatio, count: 1, variance: stats.EstimateVariance()})
 }
 
 // slowness returns how many times as long as expected the tasks on the endpoint take, or 0 while
 // that may be chance.
 func (h *health) slowness(now time.Time) float64 {
-	sum, variance, count := 0.0, minVariance, 0.0
+	sum, variance, count := 0.0, workload.MinVariance, 0.0
 	for _, s := range h.progressSamples {
 		if now.Sub(s.sampledAt) > progressSampleTime {
 			continue
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -10,9 +10,9 @@
 // Report returns the state of the cell for the fleet planner: its endpoints, its demand, and the
 // customers that need more than their allowances.
 func (c *Cell) Report(now time.Time) wire.SyncReply {
-	report := wire.SyncReply{Known: true, TaskMs: c.meanTaskMs(), SlackMs: c.meanSlackMs(now)}
+	report := wire.SyncReply{Known: true, TaskMs: c.workload.MeanTaskMs(), SlackMs: c.workload.MeanSlackMs(now)}
 	c.now = now
-	report.SteadyCpu, report.OfferedCpu = c.offeredCPU(now)
+	report.SteadyCpu, report.OfferedCpu = c.workload.OfferedCPU(now, c.options.BoxLeadTime)
 	memoryMB, boxMemoryMB := 0, 0
 	for _, e := range c.sortedEndpoints {
 		if c.superseded(e) {
--- a/pkg/cell/results.go
+++ b/pkg/cell/results.go
@@ -34,8 +34,8 @@
 	switch {
 	case result.Ending == damsonwinch.EndedDone && !t.phase.spec.Lasting:
 		if !r.inherited && !r.resumed {
-			c.statsOf(t.phase.job().queue).times.addTime(c.now.Sub(r.startedAt), t.phase.spec.EstimateMs)
-			c.queueStatsDirty = true
+			c.workload.Of(t.phase.job().queue).AddTaskTime(c.now.Sub(r.startedAt), t.phase.spec.EstimateMs)
+			c.workloadDirty = true
 		}
 		c.completeTask(t)
 	case result.Ending == damsonwinch.EndedFailed && !t.phase.spec.Lasting:
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/workload"
 )
 
 // runState is what is known about whether an attempt runs.
@@ -57,7 +58,7 @@
 	pendingLoss *runLoss
 	// jobLate is set if the run's phase was late (see isLate) when the run was planned.
 	jobLate  bool
-	progress progress
+	progress workload.Progress
 	// progressSampled is set once the run's progress has been counted in its endpoint's health.
 	progressSampled bool
 	// load is the load that the endpoint last reported for the run: for a serving task, its tail
--- a/pkg/cell/snapshot.go
+++ b/pkg/cell/snapshot.go
@@ -33,8 +33,8 @@
 	if c.quota.HasAny() {
 		records = append(records, c.allowancesRecord(&sentCommit{}))
 	}
-	c.queueStatsRecordedAt = time.Time{}
-	records = append(records, c.queueStatsRecords()...)
+	c.workloadRecordedAt = time.Time{}
+	records = append(records, c.workloadRecords()...)
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		if j := c.jobs[id]; c.mayBeStored(j) {
 			// The new stream does not hold the specification yet.
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -36,7 +36,7 @@
 	c.stats.JobsAccepted++
 	if !jobs.IsLongRunning(j.spec) {
 		criticalPathMs := slices.Max(j.criticalPathMs)
-		c.statsOf(j.queue).addJob(now, j.work, j.deadlineMs-j.acceptedMs-criticalPathMs, criticalPathMs)
+		c.workload.Of(j.queue).AddJob(now, j.work, j.deadlineMs-j.acceptedMs-criticalPathMs, criticalPathMs)
 	}
 	c.markDirty(j)
 	c.logJob("job accepted", j, fmt.Sprintf("queue %s by configuration %d, %d phases, %d ms of work in a row expected, to be done within %d ms",
--- a/pkg/cell/exit_rate.go
+++ b/pkg/crash/exits.go
@@ -1,4 +1,4 @@
-package cell
+package crash
 
 import (
 	"slices"
@@ -13,19 +13,19 @@
 	burstWindow = 2 * time.Second
 )
 
-// exits holds the times at which endpoints exited within the last rateWindow.
-type exits struct {
+// Exits holds the times at which endpoints exited within the last rateWindow.
+type Exits struct {
 	times []time.Time
 }
 
-// add notes an exit at the given time.
-func (e *exits) add(at time.Time) {
+// Add notes an exit at the given time.
+func (e *Exits) Add(at time.Time) {
 	e.times = append(e.times, at)
 }
 
-// countWithin returns the number of exits within a window before now. The window must not be longer
+// CountWithin returns the number of exits within a window before now. The window must not be longer
 // than rateWindow.
-func (e *exits) countWithin(now time.Time, window time.Duration) int {
+func (e *Exits) CountWithin(now time.Time, window time.Duration) int {
 	e.times = slices.DeleteFunc(e.times, func(at time.Time) bool { return now.Sub(at) > rateWindow })
 	count := 0
 	for _, at := range e.times {
@@ -36,12 +36,12 @@
 	return count
 }
 
-// baselineExitRate estimates how often endpoints exit by themselves, from those that exit while
+// BaselineRate estimates how often endpoints exit by themselves, from those that exit while
 // nothing has started there just before. Any other exit may be caused by a task that has just
 // started. Where a queue has many tasks that crash their endpoints, nearly all exits are. If those
 // were counted, the rate would be so high that each of these tasks seemed to be innocent.
-type baselineExitRate struct {
-	exits exits
+type BaselineRate struct {
+	exits Exits
 	// exposures holds for how long endpoints were exposed: they ran something and did not exit, and
 	// nothing had started there just before.
 	exposures  []exposure
@@ -65,30 +65,35 @@
 	burstExits = 2
 )
 
-// observe notes that the given number of endpoints has been exposed since the last call. It does
+// AddExit notes the exit of an endpoint where nothing had started just before.
+func (r *BaselineRate) AddExit(at time.Time) {
+	r.exits.Add(at)
+}
+
+// Observe notes that the given number of endpoints has been exposed since the last call. It does
 // not count intervals of more than a second.
-func (h *baselineExitRate) observe(now time.Time, exposed int) {
-	if passed := now.Sub(h.observedAt); !h.observedAt.IsZero() && passed <= time.Second {
-		h.exposures = append(h.exposures, exposure{until: now, seconds: float64(exposed) * passed.Seconds()})
+func (r *BaselineRate) Observe(now time.Time, exposed int) {
+	if passed := now.Sub(r.observedAt); !r.observedAt.IsZero() && passed <= time.Second {
+		r.exposures = append(r.exposures, exposure{until: now, seconds: float64(exposed) * passed.Seconds()})
 	}
-	h.observedAt = now
-	h.exposures = slices.DeleteFunc(h.exposures, func(e exposure) bool { return now.Sub(e.until) > rateWindow })
+	r.observedAt = now
+	r.exposures = slices.DeleteFunc(r.exposures, func(e exposure) bool { return now.Sub(e.until) > rateWindow })
 }
 
-// rate returns the estimated number of exits per second of a single endpoint.
-func (h *baselineExitRate) rate(now time.Time) float64 {
-	rate := (float64(h.exits.countWithin(now, rateWindow)) + priorExits) / (h.exposedSeconds(now, rateWindow) + priorExposure.Seconds())
-	if recent := h.exits.countWithin(now, burstWindow); recent >= burstExits {
-		rate = max(rate, float64(recent)/(h.exposedSeconds(now, burstWindow)+burstWindow.Seconds()))
+// Rate returns the estimated number of exits per second of a single endpoint.
+func (r *BaselineRate) Rate(now time.Time) float64 {
+	rate := (float64(r.exits.CountWithin(now, rateWindow)) + priorExits) / (r.exposedSeconds(now, rateWindow) + priorExposure.Seconds())
+	if recent := r.exits.CountWithin(now, burstWindow); recent >= burstExits {
+		rate = max(rate, float64(recent)/(r.exposedSeconds(now, burstWindow)+burstWindow.Seconds()))
 	}
 	return rate
 }
 
 // exposedSeconds returns the sum of the seconds for which endpoints were exposed within a window
 // before now.
-func (h *baselineExitRate) exposedSeconds(now time.Time, window time.Duration) float64 {
+func (r *BaselineRate) exposedSeconds(now time.Time, window time.Duration) float64 {
 	sum := 0.0
-	for _, e := range h.exposures {
+	for _, e := range r.exposures {
 		if now.Sub(e.until) <= window {
 			sum += e.seconds
 		}
--- a/pkg/cell/arrivals.go
+++ b/pkg/workload/arrivals.go
@@ -1,4 +1,4 @@
-package cell
+package workload
 
 import (
 	"math"
@@ -60,26 +60,26 @@
 	return sum
 }
 
-// rates are rates of arriving jobs, in jobs per second.
-type rates struct {
-	// steady is the present rate, and expected the rate if the trend continues.
-	steady   float64
-	expected float64
+// Rates are rates of arriving jobs, in jobs per second.
+type Rates struct {
+	// Steady is the present rate, and Expected the rate if the trend continues.
+	Steady   float64
+	Expected float64
 }
 
 // rates returns the present rate and the rate expected after the time ahead. Both are low
 // estimates: what may be chance has been subtracted.
-func (a *arrivals) rates(now time.Time, ahead time.Duration) rates {
+func (a *arrivals) rates(now time.Time, ahead time.Duration) Rates {
 	a.advance(now)
-	var result rates
+	var result Rates
 	for _, window := range arrivalWindows {
 		newer := a.count(window, 0)
-		if result.steady == 0 && (newer >= minWindowJobs || window == arrivalWindows[len(arrivalWindows)-1]) {
-			result.steady = steadyRate(newer, window)
+		if result.Steady == 0 && (newer >= minWindowJobs || window == arrivalWindows[len(arrivalWindows)-1]) {
+			result.Steady = steadyRate(newer, window)
 		}
-		result.expected = max(result.expected, trendRate(newer, a.count(window, window), window, ahead))
+		result.Expected = max(result.Expected, trendRate(newer, a.count(window, window), window, ahead))
 	}
-	result.expected = max(result.steady, result.expected)
+	result.Expected = max(result.Steady, result.Expected)
 	return result
 }
 
--- a/pkg/cell/estimate.go
+++ b/pkg/workload/run_times.go
@@ -1,4 +1,4 @@
-package cell
+package workload
 
 import (
 	"math"
@@ -52,7 +52,7 @@
 		return int(t.meanMs)
 	}
 	corrected := math.Log(float64(estimateMs)) + t.logError.mean
-	clientWeight := t.logTime.variance / (t.logTime.variance + t.logError.variance + minVariance)
+	clientWeight := t.logTime.variance / (t.logTime.variance + t.logError.variance + MinVariance)
 	return int(math.Exp(clientWeight*corrected + (1-clientWeight)*t.logTime.mean))
 }
 
@@ -61,8 +61,8 @@
 	if t.logError.count < minLearnedRuns {
 		return t.logTime.variance
 	}
-	return t.logTime.variance * t.logError.variance / (t.logTime.variance + t.logError.variance + minVariance)
+	return t.logTime.variance * t.logError.variance / (t.logTime.variance + t.logError.variance + MinVariance)
 }
 
-// minVariance is added to variances so that weights are not divided by zero.
-const minVariance = 1e-6
+// MinVariance is added to variances so that weights are not divided by zero.
+const MinVariance = 1e-6
--- a/pkg/cell/arrivals_test.go
+++ b/pkg/workload/workload_test.go
@@ -1,4 +1,4 @@
-package cell
+package workload
 
 import (
 	"fmt"
@@ -35,7 +35,7 @@
 				ahead := 0
 				d.MaybeScanArgs(t, "ahead_ms", &ahead)
 				result := counts.rates(now, time.Duration(ahead)*time.Millisecond)
-				return fmt.Sprintf("steady %.1f, expected %.1f a second", result.steady, result.expected)
+				return fmt.Sprintf("steady %.1f, expected %.1f a second", result.Steady, result.Expected)
 			}
 			t.Fatalf("unknown command %s", d.Cmd)
 			return ""
@@ -46,12 +46,12 @@
 // TestMeanWorkIsNotDominatedByOneJob checks the mean work of a queue with one very large job among
 // few.
 func TestMeanWorkIsNotDominatedByOneJob(t *testing.T) {
-	var stats queueStats
+	var stats Queue
 	now := time.UnixMilli(1_700_000_000_000)
 	for _, work := range []int{80_000, 110_000, 100_000, 3_000_000, 90_000} {
-		stats.addJob(now, work, 1000, 1000)
+		stats.AddJob(now, work, 1000, 1000)
 	}
-	if mean := stats.meanWork(); mean < 100_000 || mean > 300_000 {
+	if mean := stats.MeanWork(); mean < 100_000 || mean > 300_000 {
 		t.Errorf("mean work %.0f, want that of the usual jobs, 100000 to 300000", mean)
 	}
 }
