Members: ask again soon if a node had none, and count silence by heartbeats

Cause: a node that asked others for the members waited 500 ms after each answer from a node that was cut off from the store, and then took the gap for an outage after which members need a second to join again. Change: another node is asked after 100 ms by nodes that may take over cells and after 300 ms by the others, also if its list was behind; the nodes that read for others do so each 200 ms while members change; an outage is seen by the node's own heartbeats, and not by its list.

--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -24,10 +24,25 @@
 	})
 }
 
+// handleJoined handles an answered Join call. If the one before it was sent much longer ago than usual, members may
+// have been dropped meanwhile and need time to join again.
+func (o *Ownership) handleJoined(membership damsonwinch.Membership, now time.Time) {
+	s := &o.state
+	if !s.joinAnsweredAt.IsZero() && s.joinSentAt.Sub(s.joinAnsweredAt) > o.memberReadInterval()+callTimeout {
+		s.membersRecoveredAt = s.joinSentAt
+	}
+	s.joinAnsweredAt = s.joinSentAt
+	s.generation, s.unassigned = membership.Generation, len(membership.Assigned) == 0
+	o.answeredAt.Store(now.UnixNano())
+	if s.generation == s.listGeneration {
+		o.confirmMembers(s.joinSentAt)
+	}
+}
+
 // handleMembersRead handles an answered read of the members.
 func (o *Ownership) handleMembersRead(m membersRead) {
 	s := &o.state
-	s.memberFailures = 0
+	s.memberFailures, s.memberListBehind = 0, m.fromPeer && m.generation != s.generation
 	if m.unchanged {
 		o.confirmMembers(m.sentAt)
 		return
@@ -106,12 +121,17 @@
 		// The node has to learn how many topics the group uses by now.
 		return joinInterval
 	}
-	if o.state.memberList.strongerCount < len(o.state.cells)+spareSuccessors {
+	if o.maySucceedSoon() {
 		return fastMemberReadInterval
 	}
 	return slowMemberReadInterval
 }
 
+// maySucceedSoon reports whether this node may be the next to take over a cell.
+func (o *Ownership) maySucceedSoon() bool {
+	return o.state.memberList.strongerCount < len(o.state.cells)+spareSuccessors
+}
+
 // assignedMembers returns the members that hold a partition; see membersByNode.
 func assignedMembers(assignments []damsonwinch.Assignment) []Member {
 	names := make([]string, 0, len(assignments))
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -18,9 +18,12 @@
 	// maxMembersAge is the age above which a list of another node isn't used. That node's own heartbeats
 	// confirm its list every 300 ms.
 	maxMembersAge = 1500 * time.Millisecond
-	// maxMemberFailures is the number of consecutive failures after which the members are read from the
-	// store once.
+	// maxMemberFailures is the number of consecutive failures after which a node that may be the next to take
+	// over a cell reads the members from the store once. The other nodes first ask each upstream node.
 	maxMemberFailures = 2
+	// upstreamReadInterval is the time between two reads by a node that reads the members for others. Its list
+	// reaches the next owners of cells after the request that follows.
+	upstreamReadInterval = 200 * time.Millisecond
 )
 
 // noGeneration stands for the generation of a list of members that hasn't been read. Groups have none that
@@ -41,18 +44,45 @@
 	if settledAt := o.membersSettledAt(); s.membersReadAt.Before(settledAt) && !now.Before(settledAt) && sinceLast >= tickInterval {
 		return true
 	}
-	return s.listGeneration != s.generation && sinceLast >= o.memberReadInterval()
+	return s.listGeneration != s.generation && sinceLast >= o.memberRetryInterval()
+}
+
+// memberRetryInterval returns the time after which the members are read again while the list is out of date. It
+// is short if another node was asked and didn't have the present list.
+func (o *Ownership) memberRetryInterval() time.Duration {
+	s := &o.state
+	upToDate := s.memberFailures == 0 && !s.memberListBehind
+	switch {
+	case o.isMemberUpstream():
+		return upstreamReadInterval
+	case upToDate:
+		return o.memberReadInterval()
+	case o.maySucceedSoon():
+		return tickInterval
+	}
+	return joinInterval
+}
+
+// memberUpstreams returns the claims of the nodes that read the members for others, or none in a small fleet.
+func (o *Ownership) memberUpstreams() []Claim {
+	return UpstreamClaims(o.state.claims, memberUpstreamCount, func(string) bool { return true })
+}
+
+// isMemberUpstream reports whether this node reads the members for others.
+func (o *Ownership) isMemberUpstream() bool {
+	return slices.ContainsFunc(o.memberUpstreams(), func(claim Claim) bool { return claim.Node == o.options.Self.Node })
 }
 
 // memberUpstream returns the address of the node from which this one reads the members, or false if it reads
 // them from the store.
 func (o *Ownership) memberUpstream() (string, bool) {
 	s := &o.state
-	if s.memberFailures >= maxMemberFailures {
-		return "", false
+	upstreams := o.memberUpstreams()
+	maxFailures := len(upstreams)
+	if s.listGeneration != noGeneration && o.maySucceedSoon() {
+		maxFailures = maxMemberFailures
 	}
-	upstreams := UpstreamClaims(s.claims, memberUpstreamCount, func(string) bool { return true })
-	if len(upstreams) == 0 || slices.ContainsFunc(upstreams, func(claim Claim) bool { return claim.Node == o.options.Self.Node }) {
+	if len(upstreams) == 0 || s.memberFailures >= maxFailures || o.isMemberUpstream() {
 		return "", false
 	}
 	index := (tieRank(groupName, o.options.Self.Node) + uint64(s.memberFetches)) % uint64(len(upstreams))
@@ -111,17 +141,12 @@
 	}
 }
 
-// noteMembersRead notes that this node knew the members at a time. If it knew them much longer ago than usual
-// before, members may have been dropped meanwhile and need time to join again.
+// noteMembersRead notes that this node knew the members at a time.
 func (o *Ownership) noteMembersRead(at time.Time) {
-	s := &o.state
-	if !s.membersReadAt.IsZero() && at.Sub(s.membersReadAt) > o.memberReadInterval()+callTimeout {
-		s.membersRecoveredAt = at
-	}
-	if at.After(s.membersReadAt) {
+	if s := &o.state; at.After(s.membersReadAt) {
 		s.membersReadAt = at
 	}
-	o.membersConfirmedAt.Store(s.membersReadAt.UnixNano())
+	o.membersConfirmedAt.Store(o.state.membersReadAt.UnixNano())
 }
 
 // MemberReply returns the reply to another node's request for the members.
--- a/pkg/ownership/member_source_test.go
+++ b/pkg/ownership/member_source_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -96,3 +97,39 @@
 		return true
 	})
 }
+
+// A node that asks others for the members may ask some that are cut off from the store. It must not wait for the
+// next regular read then: an owner that is cut off as well keeps its cells until its successor has the new list.
+func TestMembersAreAskedAgainSoonIfANodeHadNone(t *testing.T) {
+	const size = 20
+	store := newMemoryStore()
+	nodes := joinAll(t, store, size)
+	for _, n := range nodes {
+		assert.NilError(t, n.Close())
+	}
+	n := nodes[0].Ownership
+	if n.isMemberUpstream() {
+		n = nodes[slices.IndexFunc(nodes, func(n *testNode) bool { return !n.isMemberUpstream() })].Ownership
+	}
+	asked := map[string]bool{}
+	now := n.state.memberReadSentAt
+	n.state.generation++
+	for n.state.memberFailures = range maxMemberFailures {
+		if n.state.memberFailures > 0 {
+			assert.Assert(t, n.memberReadDue(now.Add(tickInterval)), "after failure %d", n.state.memberFailures)
+		}
+		address, found := n.memberUpstream()
+		assert.Assert(t, found)
+		asked[address] = true
+		n.state.memberFetches++
+	}
+	n.state.memberFailures = maxMemberFailures
+	_, found := n.memberUpstream()
+	assert.Assert(t, !found, "the store is read next")
+	assert.Equal(t, len(asked), maxMemberFailures, "another node each time")
+
+	n.state.memberFailures, n.state.memberListBehind = 0, true
+	assert.Assert(t, n.memberReadDue(now.Add(tickInterval)), "after a list that was behind")
+	n.state.memberListBehind = false
+	assert.Assert(t, !n.memberReadDue(now.Add(tickInterval)))
+}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -303,11 +303,7 @@
 			o.deps.Metrics.Add("join_failures", 1)
 			return
 		}
-		s.generation, s.unassigned = m.membership.Generation, len(m.membership.Assigned) == 0
-		o.answeredAt.Store(now.UnixNano())
-		if s.generation == s.listGeneration {
-			o.confirmMembers(s.joinSentAt)
-		}
+		o.handleJoined(m.membership, now)
 	case membersRead:
 		s.memberReadPending = false
 		if m.err != nil {
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -104,7 +104,9 @@
 		_, two := second.view.Load().Owner("two")
 		return one && two
 	})
-	asked := func() int { return first.deps.Metrics.Count("peers_without_claims") + second.deps.Metrics.Count("peers_without_claims") }
+	asked := func() int {
+		return first.deps.Metrics.Count("peers_without_claims") + second.deps.Metrics.Count("peers_without_claims")
+	}
 	before := asked()
 	store.awaitJoins(t, 2, 9)
 	assert.Equal(t, asked(), before)
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -24,7 +24,7 @@
 	confirmedAt time.Time
 	memberList  memberList
 	// membersReadAt is when the newest answered read of the members was sent. membersRecoveredAt is when
-	// the newest answered read was sent that followed a long time without answered reads.
+	// the newest answered heartbeat was sent that followed a long time without answered ones.
 	membersReadAt      time.Time
 	membersRecoveredAt time.Time
 	// memberCountSince is the time from which the number of members has been the same, and
@@ -44,8 +44,10 @@
 	membersMayGrow bool
 	// memberFetches is the number of requests for the members to other nodes, which determines the node
 	// that is asked next, and memberFailures how many of them have failed since one was answered.
-	memberFetches  int
-	memberFailures int
+	// memberListBehind is set if the last answer came from a node that didn't have the present list.
+	memberFetches    int
+	memberFailures   int
+	memberListBehind bool
 	// topicCount is the number of topics that the group needs so that each member holds a partition
 	// and is listed.
 	topicCount int
@@ -71,9 +73,11 @@
 	// members doesn't show it.
 	unassigned bool
 	// startedAt is when this Ownership was created.
-	startedAt         time.Time
-	joinPending       bool
-	joinSentAt        time.Time
+	startedAt   time.Time
+	joinPending bool
+	joinSentAt  time.Time
+	// joinAnsweredAt is when the newest answered heartbeat was sent.
+	joinAnsweredAt    time.Time
 	memberReadPending bool
 	memberReadSentAt  time.Time
 	// appendPending is set while an append to the stream of claims is under way.
