Planner: name exited endpoints by when they were first reported

Cause: a list of boxes counted only if it was requested after the cell's newest report, and reports come ten times a second with each call to the owner. Change: the list has to be requested after the endpoint was first reported.

--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -142,6 +142,7 @@
 func (p *Planner) SetReport(now time.Time, cellName string, report wire.SyncReply) {
 	if c := p.cells[cellName]; c != nil {
 		c.report, c.reportedAt, c.reportIsNew = report, now, true
+		c.updateReportedSince()
 	}
 }
 
@@ -188,22 +189,6 @@
 	return directives
 }
 
-// exitedEndpoints returns the endpoints of a cell's report that have exited: a list of boxes that was
-// requested after the report shows them on no box that is up. The cell may not know on which box an
-// endpoint ran, and a box may have been removed for good.
-func (p *Planner) exitedEndpoints(c *cell) []string {
-	if !c.hasFreshReport(p.now) || !p.boxesRequestedAt.After(c.reportedAt) {
-		return nil
-	}
-	var exited []string
-	for _, reported := range c.report.Endpoints {
-		if !p.upEndpoints[damsonwinch.ParseLife(reported.Endpoint).ID] {
-			exited = append(exited, reported.Endpoint)
-		}
-	}
-	return exited
-}
-
 // BoxesExamined returns how often the newest call of Plan has looked at a box to find one that suits: a
 // measure of its cost that should grow no faster than the fleet.
 func (p *Planner) BoxesExamined() int {
--- a/pkg/boxplan/demand.go
+++ b/pkg/boxplan/demand.go
@@ -66,6 +66,8 @@
 	// report is the newest report of the cell's owner, received at reportedAt.
 	report     wire.SyncReply
 	reportedAt time.Time
+	// reportedSince is when the endpoints of the report were first reported.
+	reportedSince map[string]time.Time
 	// reportIsNew says that the demand hasn't been computed from the report yet.
 	reportIsNew bool
 	// required is how many boxes the cell should have now.
--- a/pkg/boxplan/exited_test.go
+++ b/pkg/boxplan/exited_test.go
@@ -24,6 +24,8 @@
 	f.planner.Plan(f.now)
 	assert.Equal(t, len(f.planner.Directives("held").Exited), 0, "the list may be older than the endpoints")
 
+	// The next report comes before the answer to the request for the list.
+	f.planner.SetReport(f.now.Add(2*time.Millisecond), "held", report)
 	f.planner.SetBoxes(f.now.Add(time.Millisecond), []damsonwinch.Box{f.box})
 	f.planner.Plan(f.now.Add(2 * time.Millisecond))
 	assert.DeepEqual(t, f.planner.Directives("held").Exited, []string{elsewhere, "at-unknown-box"})
