Members: read the list again after the group has settled, and each ten seconds

Cause: the list was read once for each generation of the group. A member that is dealt its partition only when the holder has heard of it, or a group that deals all anew unasked, changes the list without a new generation. Change: a list counts as settled only if it was requested 0.9 s after the generation was heard, 1.5 s by nodes that ask others, and lives for 10 s; a digest tells other nodes' lists of one generation apart.

--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -32,7 +32,10 @@
 		s.membersRecoveredAt = s.joinSentAt
 	}
 	s.joinAnsweredAt = s.joinSentAt
-	s.generation, s.unassigned = membership.Generation, len(membership.Assigned) == 0
+	if s.generation != membership.Generation {
+		s.generation, s.generationSince = membership.Generation, now
+	}
+	s.unassigned = len(membership.Assigned) == 0
 	o.answeredAt.Store(now.UnixNano())
 	if s.generation == s.listGeneration {
 		o.confirmMembers(s.joinSentAt)
@@ -43,6 +46,7 @@
 func (o *Ownership) handleMembersRead(m membersRead) {
 	s := &o.state
 	s.memberFailures, s.memberListBehind = 0, m.fromPeer && m.generation != s.generation
+	s.listRequestedAt = s.memberReadSentAt
 	if m.unchanged {
 		o.confirmMembers(m.sentAt)
 		return
@@ -55,8 +59,7 @@
 	if m.nearlyFull {
 		s.topicCount = min(2*s.topicCount, maxTopics)
 	}
-	s.memberList, s.listGeneration = newMemberList(m.members, o.options.Self), m.generation
-	s.listTopics, s.listNearlyFull = m.topicCount, m.nearlyFull
+	s.memberList, s.listGeneration = newMemberList(m.members, m.topicCount, m.nearlyFull, o.options.Self), m.generation
 	o.invalidateRanking()
 	o.publishView()
 }
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -33,8 +33,20 @@
 // errMembersUnknown means that the other node hasn't read the members, or not lately.
 var errMembersUnknown = errors.New("the node doesn't know the present members")
 
-// memberReadDue reports whether the members should be read. They are read again only once a heartbeat has
-// shown that the group has changed.
+// Times of reads of the members while the group doesn't change.
+const (
+	// listSettleTime is how long after the group has changed the list may still change. The group assigns a
+	// partition to a new member only once the holder has heard of it, with its next heartbeat.
+	listSettleTime = joinInterval + callTimeout
+	// followerSettleTime is that time for a node that asks others. It lets them read their lists first.
+	followerSettleTime = listSettleTime + callTimeout
+	// listLifetime is the longest time for which a list is used. The group may assign all partitions anew
+	// without being asked.
+	listLifetime = 10 * time.Second
+)
+
+// memberReadDue reports whether the members should be read. Apart from rare reads, they are read again only
+// after a heartbeat has shown that the group has changed.
 func (o *Ownership) memberReadDue(now time.Time) bool {
 	s := &o.state
 	if s.memberReadPending {
@@ -44,7 +56,26 @@
 	if settledAt := o.membersSettledAt(); s.membersReadAt.Before(settledAt) && !now.Before(settledAt) && sinceLast >= tickInterval {
 		return true
 	}
-	return s.listGeneration != s.generation && sinceLast >= o.memberRetryInterval()
+	if s.listGeneration != s.generation {
+		return sinceLast >= o.memberRetryInterval()
+	}
+	return o.listOutOfDate(now) && sinceLast >= o.memberRetryInterval()
+}
+
+// listOutOfDate reports whether the list may have changed although the generation of the group has not.
+func (o *Ownership) listOutOfDate(now time.Time) bool {
+	s := &o.state
+	if now.Sub(s.listRequestedAt) >= listLifetime {
+		return true
+	}
+	if !s.listRequestedAt.Before(s.generationSince.Add(followerSettleTime)) {
+		return false
+	}
+	settledAt := s.generationSince.Add(listSettleTime)
+	if len(o.memberUpstreams()) > 0 && !o.isMemberUpstream() {
+		settledAt = s.generationSince.Add(followerSettleTime)
+	}
+	return s.listRequestedAt.Before(settledAt) && !now.Before(settledAt)
 }
 
 // memberRetryInterval returns the time after which the members are read again while the list is out of date. It
@@ -92,7 +123,7 @@
 // readMembers starts to read the members of the group, from another node or from the store.
 func (o *Ownership) readMembers(now time.Time) {
 	s := &o.state
-	generation, known := s.generation, s.listGeneration
+	generation, known := s.generation, wire.MembersArgs{Generation: s.listGeneration, Digest: s.memberList.digest}
 	address, found := o.memberUpstream()
 	if found {
 		s.memberFetches++
@@ -119,9 +150,9 @@
 	}
 }
 
-// fetchMembers reads the members from another node. generation is that of this node's list.
-func (o *Ownership) fetchMembers(ctx context.Context, address string, generation int, now time.Time) membersRead {
-	reply, err := o.deps.FetchMembers(ctx, address, wire.MembersArgs{Generation: generation})
+// fetchMembers reads the members from another node. known describes this node's list.
+func (o *Ownership) fetchMembers(ctx context.Context, address string, known wire.MembersArgs, now time.Time) membersRead {
+	reply, err := o.deps.FetchMembers(ctx, address, known)
 	age := time.Duration(reply.AgeMs) * time.Millisecond
 	if err == nil && (!reply.Known || age > maxMembersAge) {
 		err = fmt.Errorf("members from %s: %w", address, errMembersUnknown)
@@ -155,15 +186,16 @@
 	if confirmedAt == 0 || view.MemberGeneration == noGeneration {
 		return wire.MembersReply{}
 	}
+	list := view.list
 	reply := wire.MembersReply{
-		Known: true, Generation: view.MemberGeneration, Topics: view.MemberTopics, NearlyFull: view.MembersNearlyFull,
+		Known: true, Generation: view.MemberGeneration, Digest: list.digest, Topics: list.topicCount, NearlyFull: list.nearlyFull,
 		AgeMs: int((o.deps.Clock.Now().UnixNano() - confirmedAt) / int64(time.Millisecond)),
 	}
-	if args.Generation == view.MemberGeneration {
+	if args.Generation == view.MemberGeneration && args.Digest == list.digest {
 		reply.Unchanged = true
 		return reply
 	}
-	for _, member := range view.Members {
+	for _, member := range list.members {
 		reply.Members = append(reply.Members, member.Name())
 	}
 	return reply
--- a/pkg/ownership/member_source_test.go
+++ b/pkg/ownership/member_source_test.go
@@ -133,3 +133,34 @@
 	n.state.memberListBehind = false
 	assert.Assert(t, !n.memberReadDue(now.Add(tickInterval)))
 }
+
+// The group assigns a partition to a new member only once the holder has heard of it, and then its generation
+// doesn't change again.
+func TestMemberThatIsListedLateIsSeen(t *testing.T) {
+	for _, size := range []int{3, 20} {
+		store := newMemoryStore()
+		nodes := joinAll(t, store, size)
+		late := member("late", 1).Name()
+		store.locked(func() {
+			store.generation++
+			store.members = append(store.members, late)
+			store.unlisted = map[string]bool{late: true}
+		})
+		store.awaitJoins(t, size, 2)
+		store.locked(func() {
+			store.unlisted = nil
+			store.listing = fmt.Sprint(store.assignments())
+		})
+		waitUntil(t, "all nodes know the late member", func() bool {
+			for _, n := range nodes {
+				if len(n.view.Load().Members) != size+1 {
+					return false
+				}
+			}
+			return true
+		})
+		for _, n := range nodes {
+			assert.NilError(t, n.Close())
+		}
+	}
+}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -82,13 +82,12 @@
 	// MembersComplete reports whether Members probably holds all members.
 	MembersComplete bool
 	// MemberGeneration is the generation of the group that Members shows; negative before they have been
-	// read. MemberTopics is the number of topics of which the group had assigned partitions, and
-	// MembersNearlyFull reports whether hardly any partition was spare.
-	MemberGeneration  int
-	MemberTopics      int
-	MembersNearlyFull bool
+	// read.
+	MemberGeneration int
 	// Layout is the division of the pools into cells. It is the zero value until one is decided.
 	Layout shard.Layout
+	// list is the list that holds Members.
+	list memberList
 	// ConfirmedAt is when the newest answered read of the claims was sent. At that time no newer claims
 	// existed than those in Claims. It is zero until the first response, and after a suspension until the
 	// next one.
@@ -346,7 +345,7 @@
 	s := &o.state
 	o.deps.OnViewChange(View{
 		Claims: maps.Clone(s.claims), Members: s.memberList.members, MembersComplete: s.membersComplete,
-		MemberGeneration: s.listGeneration, MemberTopics: s.listTopics, MembersNearlyFull: s.listNearlyFull, Layout: s.layout, ConfirmedAt: s.confirmedAt,
+		MemberGeneration: s.listGeneration, list: s.memberList, Layout: s.layout, ConfirmedAt: s.confirmedAt,
 	})
 }
 
--- a/pkg/ownership/ranking_test.go
+++ b/pkg/ownership/ranking_test.go
@@ -26,7 +26,7 @@
 	}
 	self := members[1]
 	o := &Ownership{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: self}, state: state{claims: map[string]Claim{}, refusals: map[string]refusal{}, health: map[string]ownerHealth{}}}
-	o.state.memberList = newMemberList(members, self)
+	o.state.memberList = newMemberList(members, 1, false, self)
 	for number := 0; number < size; number += 10 {
 		cell := fmt.Sprintf("cell-%04d", number)
 		o.state.cells = append(o.state.cells, cell)
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -35,11 +35,10 @@
 	// force.
 	layout         shard.Layout
 	proposedLayout shard.Layout
-	// listGeneration is the generation of the group that memberList shows, listTopics the number of topics
-	// of which partitions were assigned then, and listNearlyFull reports whether hardly any was spare.
-	listGeneration int
-	listTopics     int
-	listNearlyFull bool
+	// listGeneration is the generation of the group that memberList shows, and listRequestedAt when it was
+	// requested.
+	listGeneration  int
+	listRequestedAt time.Time
 	// membersMayGrow reports whether the list may lack members and the group can use more topics.
 	membersMayGrow bool
 	// memberFetches is the number of requests for the members to other nodes, which determines the node
@@ -67,8 +66,10 @@
 	// misplacedSince is the time from which this node has owned a cell that a far stronger node should
 	// own, or zero.
 	misplacedSince time.Time
-	// generation is the newest generation of the group that this node knows.
-	generation int
+	// generation is the newest generation of the group that this node knows, and generationSince when it
+	// heard of it.
+	generation      int
+	generationSince time.Time
 	// unassigned reports whether the group has assigned no partition to this node, so that the list of
 	// members doesn't show it.
 	unassigned bool
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -202,6 +202,25 @@
 	Value string `json:"value"`
 }
 
+// CellChanges holds what has changed in the list of a cell's endpoints.
+type CellChanges struct {
+	// Name of the cell.
+	Cell string `json:"cell"`
+
+	// Whether endpoints holds all endpoints of the cell, and replaces the earlier
+	// list.
+	Complete bool `json:"complete,omitempty,omitzero"`
+
+	// New and changed endpoints.
+	Endpoints []ListedEndpoint `json:"endpoints,omitempty,omitzero"`
+
+	// IDs of the endpoints that are no longer in the list.
+	Removed []string `json:"removed,omitempty,omitzero"`
+
+	// Version of the list after the changes.
+	Version int `json:"version,omitempty,omitzero"`
+}
+
 // CellClaim is the record by which a node becomes the owner of a cell. Its offset
 // in the stream of claims gives the owner's fencing token.
 type CellClaim struct {
@@ -340,6 +359,31 @@
 	Wanted Amount `json:"wanted"`
 }
 
+// DirectoryArgs asks a node which endpoints some cells have.
+type DirectoryArgs struct {
+	// Cells, and what the asking node knows of them.
+	Cells []KnownCell `json:"cells,omitempty,omitzero"`
+}
+
+// DirectoryReply holds what has changed in the lists of the endpoints of some
+// cells.
+type DirectoryReply struct {
+	// How old that knowledge is, in milliseconds.
+	AgeMs int `json:"age_ms,omitempty,omitzero"`
+
+	// Lists that have changed.
+	Cells []CellChanges `json:"cells,omitempty,omitzero"`
+
+	// Offset of the first registration that the lists don't follow.
+	End int `json:"end,omitempty,omitzero"`
+
+	// Whether the node knows the endpoints of all cells.
+	Known bool `json:"known,omitempty,omitzero"`
+
+	// Number of the run of the node, as the source of the lists.
+	Source int `json:"source,omitempty,omitzero"`
+}
+
 // Edit changes cells of the table. It is refused if another edit has changed the
 // same cells since the version on which it is based.
 type Edit struct {
@@ -713,6 +757,20 @@
 const KindRenew Kind = "renew"
 const KindWithdraw Kind = "withdraw"
 
+// KnownCell names a cell and the version of the list of its endpoints that a node
+// has.
+type KnownCell struct {
+	// Name of the cell.
+	Cell string `json:"cell"`
+
+	// Source of the list: the number of the run of the node that it is from; 0 if
+	// there is no list.
+	Source int `json:"source,omitempty,omitzero"`
+
+	// Version of the list.
+	Version int `json:"version,omitempty,omitzero"`
+}
+
 // Layout says into how many cells each pool is divided. It is a record of the
 // stream of claims, which is decided once.
 type Layout struct {
@@ -737,6 +795,42 @@
 	Leaving bool `json:"leaving"`
 }
 
+// ListedEndpoint is an endpoint of a cell, as it is registered.
+type ListedEndpoint struct {
+	// Address of the endpoint.
+	Address string `json:"address,omitempty,omitzero"`
+
+	// Box on which the endpoint runs.
+	Box string `json:"box,omitempty,omitzero"`
+
+	// Capacity of the endpoint.
+	Capacity *Amount `json:"capacity,omitempty,omitzero"`
+
+	// Whether the endpoint is still slow.
+	Cold bool `json:"cold,omitempty,omitzero"`
+
+	// Whether the endpoint accepts no new tasks.
+	Draining bool `json:"draining,omitempty,omitzero"`
+
+	// ID of the endpoint.
+	Id string `json:"id"`
+
+	// Labels of the box.
+	Labels []string `json:"labels,omitempty,omitzero"`
+
+	// Pool of the endpoint.
+	Pool string `json:"pool,omitempty,omitzero"`
+
+	// Rack of the box; empty if it is not known.
+	Rack string `json:"rack,omitempty,omitzero"`
+
+	// When the life started, in Unix milliseconds; 0 if it is not known.
+	StartedUnixMs int `json:"started_unix_ms,omitempty,omitzero"`
+
+	// Availability zone of the endpoint.
+	Zone string `json:"zone,omitempty,omitzero"`
+}
+
 // LogPage is the log's reply to a read.
 type LogPage struct {
 	// Offset of the oldest record that has not expired.
@@ -785,6 +879,9 @@
 
 // MembersArgs asks a node for the members of the group of nodes that it knows.
 type MembersArgs struct {
+	// Digest of that list.
+	Digest int `json:"digest,omitempty,omitzero"`
+
 	// Generation of the list that the asking node has; -1 if it has none.
 	Generation int `json:"generation,omitempty,omitzero"`
 }
@@ -794,6 +891,10 @@
 	// How long ago the store confirmed the list, in milliseconds.
 	AgeMs int `json:"age_ms,omitempty,omitzero"`
 
+	// Digest of the list, which differs from those of other lists of the same
+	// generation.
+	Digest int `json:"digest,omitempty,omitzero"`
+
 	// Generation of the group that the list shows.
 	Generation int `json:"generation,omitempty,omitzero"`
 
