Few nodes read the registrations, and give the others the lists of their cells

Cause: the owner of each cell read the registrations of all endpoints, one each second or two from each endpoint, and all orders of the planner: cells x boxes. In the fleet's first trial 60 owners read 77 MB/s of the planner's orders from a store that serves 80, and the registrations of 6,000 endpoints at work would be another 70 MB/s. Change: with more than 16 cells, the owners of three read both from the store, assign the endpoints to the cells, and answer others with what has changed in the lists of their cells (pkg/directory). The others ask one of them each 100 to 300 ms, the next one if it fails or is behind, and read the store themselves for 5 s after 2 s without an answer. A feed's restart is seen by a period number and can't be missed any more.

--- a/endpoint.go
+++ b/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -57,6 +58,12 @@
 	SeenAt time.Time
 }
 
+// Differs reports whether two registrations of an endpoint differ in anything that owners need to know.
+func (e Endpoint) Differs(other Endpoint) bool {
+	return e.Life != other.Life || e.Draining != other.Draining || e.Cold != other.Cold || e.Address != other.Address || e.Pool != other.Pool ||
+		e.Zone != other.Zone || e.Box != other.Box || e.Capacity != other.Capacity || !slices.Equal(e.Labels, other.Labels)
+}
+
 // TaskID identifies a task of a job.
 type TaskID struct {
 	Job string
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -57,16 +57,17 @@
 	// Pause returns the time until the next read; nil means no pause. It is meant for streams that
 	// change all the time and whose records are not needed at once. Wake ends the pause.
 	Pause func() time.Duration
-	// Wanted reports whether anybody needs the stream now; nil means always. While it returns false
-	// the feed reads nothing and waits for Wake. Afterwards it starts again with a snapshot.
-	Wanted func() bool
+	// Period returns the number of the present period in which the stream is needed, or 0 while nobody needs
+	// it; nil means that it is always needed. While it returns 0 the feed reads nothing and waits for Wake.
+	// In each new period the feed starts with a snapshot.
+	Period func() int
 	Wake   <-chan struct{}
 	// NewestOnly means that only the newest record of a key matters. The feed then goes on with a
 	// snapshot if that is probably smaller than the records that remain after a read. A node with a slow link that read
 	// all records in between would fall further and further behind.
 	NewestOnly bool
-	// OnSnapshot is called with the newest record of each key: when the feed starts, after a time in
-	// which the stream was not wanted, when the store has dropped the next record, and when NewestOnly
+	// OnSnapshot is called with the newest record of each key: when the feed starts, at the start of a
+	// period, when the store has dropped the next record, and when NewestOnly
 	// requires it. end is the offset of the next read. requestedAt is when the first page was
 	// requested: the records are at least as recent as that time.
 	OnSnapshot func(records []damsonwinch.Record, end int, requestedAt time.Time)
@@ -80,6 +81,8 @@
 type Feed struct {
 	Deps
 	options Options
+	// period is the newest result of Options.Period.
+	period int
 	// started reports whether a snapshot has been read, so that next is the offset of the next read.
 	started bool
 	next    int
@@ -114,9 +117,8 @@
 // Run follows the stream until ctx ends. It calls the callbacks in Options from its own goroutine.
 func (f *Feed) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.options.Wanted != nil && !f.options.Wanted() {
-			f.started, f.scan = false, nil
-			f.waitUntilWanted(ctx)
+		if !f.updatePeriod() {
+			f.waitUntilNeeded(ctx)
 			continue
 		}
 		if err := f.readOnce(ctx); err != nil {
@@ -206,8 +208,20 @@
 	return f.StoreAnsweredAt != nil && f.StoreAnsweredAt().After(since)
 }
 
-// waitUntilWanted waits for Wake or the end of ctx.
-func (f *Feed) waitUntilWanted(ctx context.Context) {
+// updatePeriod reports whether the stream is needed now. It makes the feed start with a snapshot if a new period
+// has begun.
+func (f *Feed) updatePeriod() bool {
+	if f.options.Period == nil {
+		return true
+	}
+	if period := f.options.Period(); period != f.period {
+		f.period, f.started, f.scan = period, false, nil
+	}
+	return f.period != 0
+}
+
+// waitUntilNeeded waits for Wake or the end of ctx.
+func (f *Feed) waitUntilNeeded(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-f.options.Wake:
--- a/pkg/intake/jobs_test.go
+++ b/pkg/intake/jobs_test.go
@@ -62,6 +62,9 @@
 func (c *fakeCells) ReportRefusedConnection(string, int) {}
 
 func (c *fakeCells) MemberReply(wire.MembersArgs) wire.MembersReply { return wire.MembersReply{} }
+func (c *fakeCells) DirectoryReply(wire.DirectoryArgs) wire.DirectoryReply {
+	return wire.DirectoryReply{}
+}
 
 func (c *fakeCells) Admit(context.Context, wire.JobArgs) (wire.JobReply, bool) {
 	return wire.JobReply{}, true
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -49,6 +49,8 @@
 	Admit(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool)
 	// MemberReply returns the reply to another node's request for the members of the group of nodes.
 	MemberReply(args wire.MembersArgs) wire.MembersReply
+	// DirectoryReply returns the reply to another node's request for the endpoints of some cells.
+	DirectoryReply(args wire.DirectoryArgs) wire.DirectoryReply
 	// ReportRefusedConnection reports that an incarnation of a node has refused a connection, which
 	// shows that its process has ended.
 	ReportRefusedConnection(node string, incarnation int)
@@ -236,6 +238,13 @@
 	return reply, err
 }
 
+// Directory asks the node at an address for what has changed in the lists of some cells' endpoints.
+func (r *Router) Directory(ctx context.Context, address string, args wire.DirectoryArgs) (wire.DirectoryReply, error) {
+	var reply wire.DirectoryReply
+	err := r.peer(address).Do(ctx, ServiceName+".Directory", args, &reply)
+	return reply, err
+}
+
 // Sync sends a call of the fleet planner to the owner of a cell. It makes one attempt. If the cell has no
 // owner, the reply's Known is false.
 func (r *Router) Sync(ctx context.Context, args wire.SyncArgs) (wire.SyncReply, error) {
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -88,6 +88,12 @@
 	return nil
 }
 
+// Directory returns what has changed in the lists of some cells' endpoints, if this node has them.
+func (s *Service) Directory(args wire.DirectoryArgs, reply *wire.DirectoryReply) error {
+	*reply = s.cells.DirectoryReply(args)
+	return nil
+}
+
 // handle passes a call on jobs to the owner of its cell, if that is on this node and the call is admitted.
 func (s *Service) handle(m method, args wire.JobArgs, reply *wire.JobReply) error {
 	ctx, cancel := context.WithTimeout(s.ctx, serviceTimeout)
--- a/pkg/node/endpoints.go
+++ b/pkg/node/endpoints.go
@@ -18,24 +18,27 @@
 	readInterval = 300 * time.Millisecond
 )
 
-// followEndpoints reads the endpoints' registrations until the node is closed. It pauses while this node owns no
-// cell of a pool.
+// followEndpoints reads the endpoints' registrations until the node is closed. It pauses while this node needs
+// none, or learns the endpoints of its cells from other nodes.
 func (n *Node) followEndpoints() error {
 	feed.New(n.feedDeps(), feed.Options{
-		Stream: n.deps.Platform.EndpointStream, Pause: n.endpointReadInterval, Wanted: n.ownsPoolCell.Load, Wake: n.wakeEndpointFeed,
-		OnSnapshot: func(records []damsonwinch.Record, _ int, requestedAt time.Time) {
-			n.send(endpointRecords{records: records, snapshot: true, requestedAt: requestedAt})
+		Stream: n.deps.Platform.EndpointStream, Pause: n.endpointReadInterval, Period: n.registrationPeriod, Wake: n.wakeEndpointFeed,
+		OnSnapshot: func(records []damsonwinch.Record, end int, requestedAt time.Time) {
+			n.send(endpointRecords{records: records, snapshot: true, end: end, requestedAt: requestedAt})
 		},
-		OnRecords: func(records []damsonwinch.Record, _ int, requestedAt time.Time) {
-			n.send(endpointRecords{records: records, requestedAt: requestedAt})
+		OnRecords: func(records []damsonwinch.Record, end int, requestedAt time.Time) {
+			n.send(endpointRecords{records: records, end: end, requestedAt: requestedAt})
 		},
 	}).Run(n.ctx)
 	return nil
 }
 
-// endpointReadInterval returns the time until the next read of the registrations. It depends on whether tasks
-// of any cell on this node wait for capacity.
+// endpointReadInterval returns the time until the next read of the registrations, or of the lists of other nodes.
+// It is short while this node reads for others, and while tasks of any cell on this node wait for capacity.
 func (n *Node) endpointReadInterval() time.Duration {
+	if n.endpointAccess.Load().serves {
+		return shortReadInterval
+	}
 	for _, runner := range *n.runners.Load() {
 		if cellOwner, isOwner := runner.(*owner.Owner); isOwner && cellOwner.HasWaitingTasks() {
 			return shortReadInterval
@@ -44,38 +47,22 @@
 	return readInterval
 }
 
-// updateEndpointFeed makes the node follow the endpoints' registrations while one of its runners is an owner.
-// Without an owner the node drops the registrations, which would be out of date at its next takeover.
-func (n *Node) updateEndpointFeed(runners map[string]cellRunner) {
-	ownsPoolCell := false
-	for _, runner := range runners {
-		if _, isOwner := runner.(*owner.Owner); isOwner {
-			ownsPoolCell = true
-		}
-	}
-	if !ownsPoolCell {
-		n.state.registry.reset()
-	}
-	n.ownsPoolCell.Store(ownsPoolCell)
-	n.refreshEndpoints()
-	if n.assignShards() {
-		n.sendEndpoints(func(string) bool { return true })
-	}
-}
-
-// refreshEndpoints makes the feed read the endpoints' registrations at once. It doesn't block.
+// refreshEndpoints makes this node read the endpoints' registrations, or the lists of other nodes, at once. It
+// doesn't block.
 func (n *Node) refreshEndpoints() {
-	select {
-	case n.wakeEndpointFeed <- struct{}{}:
-	default:
-		// A wake-up is already pending.
+	for _, wake := range []chan struct{}{n.wakeEndpointFeed, n.wakeFollower} {
+		select {
+		case wake <- struct{}{}:
+		default:
+			// A wake-up is already pending.
+		}
 	}
 }
 
 // applyEndpointRecords applies records of the endpoints' stream to the registry and sends the owners their
 // endpoints if something has changed for them.
 func (n *Node) applyEndpointRecords(m endpointRecords) {
-	if !n.ownsPoolCell.Load() {
+	if !n.readsRegistrations() {
 		return
 	}
 	m.receivedAt = n.deps.Clock.Now()
@@ -84,10 +71,11 @@
 		n.deps.Metrics.Add("endpoint_entries_refused", 1)
 		n.deps.Logger.WithError(err).Error("endpoint not used: its registration is invalid")
 	}
-	if len(m.records) == 0 && !m.snapshot {
+	changed = n.assignShards() || changed
+	n.publishLists(changed)
+	if len(m.records) == 0 && !m.snapshot && !changed {
 		return
 	}
-	changed = n.assignShards() || changed
 	// An owner whose endpoints don't reject overload also needs to know how recent its knowledge of their
 	// capacity is.
 	n.sendEndpoints(func(cell string) bool { return changed || !n.rejectsOverload(cell) })
@@ -96,7 +84,7 @@
 // sendEndpoints sends each owner for whose cell needs returns true the list of the cell's endpoints. It does
 // nothing while the registry isn't ready for that.
 func (n *Node) sendEndpoints(needs func(cell string) bool) {
-	if !n.state.registry.readyForOwners(n.state.layout, &n.state.placements) {
+	if !n.registryReady() {
 		return
 	}
 	for name, runner := range *n.runners.Load() {
@@ -105,3 +93,21 @@
 		}
 	}
 }
+
+// registryReady reports whether all registrations have been read and all lives that were listed at first have a
+// shard.
+func (n *Node) registryReady() bool {
+	return n.state.registry.complete && n.state.registry.readyForOwners(n.state.layout, &n.state.placements)
+}
+
+// knownEndpoints returns the endpoints of a cell, or false while this node doesn't know them all.
+func (n *Node) knownEndpoints(cell string) ([]damsonwinch.Endpoint, bool) {
+	if !n.readsRegistrations() {
+		listed, known := n.state.listed[cell]
+		return listed, known
+	}
+	if !n.registryReady() {
+		return nil, false
+	}
+	return n.state.registry.cellEndpoints(cell, n.state.layout), true
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -18,12 +18,12 @@
 	"damsonwinch/pkg/cell"
 	"damsonwinch/pkg/customer"
 	"damsonwinch/pkg/dial"
+	"damsonwinch/pkg/directory"
 	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/intake"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/relay"
-	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
 
@@ -101,62 +101,21 @@
 	runners atomic.Pointer[map[string]cellRunner]
 	// accessRules holds the rules of the configuration in force, or nil before the first one.
 	accessRules atomic.Pointer[accessRules]
-	// ownsPoolCell is set while this node owns a cell of a pool. The feed of EndpointStream reads only
-	// during that time. wakeEndpointFeed makes it read at once.
-	ownsPoolCell     atomic.Bool
+	// endpointAccess tells from where this node learns the endpoints of its cells. wakeEndpointFeed and
+	// wakeFollower make the feed of EndpointStream and the follower of other nodes' lists ask at once.
+	endpointAccess   atomic.Pointer[endpointAccess]
 	wakeEndpointFeed chan struct{}
+	wakeFollower     chan struct{}
 	// wakePlacementFeed makes the feed of the planner's stream, which holds the placements of boxes, read
 	// at once.
 	wakePlacementFeed chan struct{}
-	state             state
+	// lists holds the endpoints of all cells for other nodes.
+	lists *directory.Lists
+	state state
 	// done is closed once the main goroutine has ended.
 	done chan struct{}
 }
 
-// state is the part of a node that only the main goroutine reads and changes.
-type state struct {
-	configuration damsonwinch.Configuration
-	registry      registry
-	placements    placements
-	// followsPlacements is set once the feed of placements has been started.
-	followsPlacements bool
-	waves             map[int]damsonwinch.Wave
-	evacuations       evacuations
-	// layout is the division of each pool into cells. boxCount is the number of boxes of the fleet, or
-	// 0 while it isn't known.
-	layout   shard.Layout
-	boxCount int
-	// stoppedTokens holds, by cell, the token of the newest claim whose runner has stopped by itself.
-	// No runner is started again for that claim.
-	stoppedTokens map[string]int
-	stopping      bool
-}
-
-// Messages to the main goroutine.
-type (
-	viewChanged     struct{}
-	operatorRecords struct {
-		records  []damsonwinch.Record
-		snapshot bool
-		// confirmedAt is when the store confirmed that the stream had no further records.
-		confirmedAt time.Time
-	}
-	endpointRecords struct {
-		records  []damsonwinch.Record
-		snapshot bool
-		// requestedAt is when the records were requested from the store, and receivedAt when this
-		// node had received them.
-		requestedAt time.Time
-		receivedAt  time.Time
-	}
-	runnerStopped struct {
-		cell   string
-		runner cellRunner
-	}
-	stopRunners    struct{ done chan<- struct{} }
-	optionsChanged struct{ options Options }
-)
-
 // inboxCapacity is how many messages can wait while the main goroutine is busy. A feed blocks while the inbox
 // is full.
 const inboxCapacity = 64
@@ -167,10 +126,15 @@
 	group, ctx := errgroup.WithContext(ctx)
 	n := &Node{
 		deps: deps, options: options, inbox: make(chan any, inboxCapacity), group: group, ctx: ctx, cancel: cancel,
-		done: make(chan struct{}), wakeEndpointFeed: make(chan struct{}, 1), wakePlacementFeed: make(chan struct{}, 1),
-		state: state{registry: newRegistry(deps.Platform.DecodeEndpoint), placements: newPlacements(), stoppedTokens: map[string]int{}, waves: map[int]damsonwinch.Wave{}, evacuations: evacuations{byZone: map[string]evacuation{}}},
+		done: make(chan struct{}), wakeEndpointFeed: make(chan struct{}, 1), wakePlacementFeed: make(chan struct{}, 1), wakeFollower: make(chan struct{}, 1),
+		lists: directory.NewLists(deps.Clock, options.Self.Incarnation),
+		state: state{
+			registry: newRegistry(deps.Platform.DecodeEndpoint), placements: newPlacements(), listed: map[string][]damsonwinch.Endpoint{},
+			stoppedTokens: map[string]int{}, waves: map[int]damsonwinch.Wave{}, evacuations: evacuations{byZone: map[string]evacuation{}},
+		},
 	}
 	n.view.Store(&ownership.View{})
+	n.endpointAccess.Store(&endpointAccess{})
 	n.runners.Store(&map[string]cellRunner{})
 	n.router = intake.New(intake.Deps{Cells: n, Dial: n.countedDial("calls"), Clock: deps.Clock, Metrics: deps.Metrics, Logger: deps.Logger})
 	n.ownership = ownership.New(ownership.Deps{
@@ -189,6 +153,7 @@
 	group.Go(n.run)
 	group.Go(n.followOperator)
 	group.Go(n.followEndpoints)
+	group.Go(n.followDirectory)
 	return n, nil
 }
 
@@ -257,6 +222,11 @@
 	return n.ownership.MemberReply(n.View(), args)
 }
 
+// DirectoryReply implements intake.Cells.
+func (n *Node) DirectoryReply(args wire.DirectoryArgs) wire.DirectoryReply {
+	return n.lists.Reply(args)
+}
+
 // ReportRefusedConnection implements intake.Cells. It passes the report to the node's Ownership.
 func (n *Node) ReportRefusedConnection(node string, incarnation int) {
 	n.ownership.ReportRefusedConnection(node, incarnation)
@@ -346,6 +316,10 @@
 		n.applyOperatorRecords(m)
 	case endpointRecords:
 		n.applyEndpointRecords(m)
+	case endpointsListed:
+		n.applyList(m)
+	case directoryUnreachable:
+		n.readDirectly()
 	case runnerStopped:
 		n.removeRunner(m.cell, m.runner)
 		n.updateRunners()
--- a/pkg/node/placements.go
+++ b/pkg/node/placements.go
@@ -81,7 +81,7 @@
 	stream := ownership.CellStream(claim, n.options.Partitions)
 	n.group.Go(func() error {
 		feed.New(n.feedDeps(), feed.Options{
-			Stream: stream, Pause: func() time.Duration { return placementReadInterval }, Wanted: n.ownsPoolCell.Load, Wake: n.wakePlacementFeed, NewestOnly: true,
+			Stream: stream, Pause: func() time.Duration { return placementReadInterval }, Period: n.registrationPeriod, Wake: n.wakePlacementFeed, NewestOnly: true,
 			OnSnapshot: func(records []damsonwinch.Record, end int, requestedAt time.Time) {
 				n.send(placementRecords{records: records, snapshot: true, end: end, requestedAt: requestedAt})
 			},
@@ -110,15 +110,22 @@
 		n.deps.Logger.WithError(err).Error("order of the planner not understood")
 	}
 	if n.assignShards() {
+		n.publishLists(true)
 		n.sendEndpoints(func(string) bool { return true })
 	}
 }
 
-// assignShards assigns new lives of endpoints to their shards, and reports whether any has been assigned. It only
-// considers pools of which this node owns a cell. Each read of placements is a call to the store, and with
-// 550 moves in 90 s the reads for all pools were a third of all calls of 27 nodes.
+// assignShards assigns new lives of endpoints to their shards, and reports whether any has been assigned. Unless
+// this node reads the registrations for others, it only considers pools of which it owns a cell. Each read of
+// placements is a call to the store, and with 550 moves in 90 s the reads for all pools were a third of all
+// calls of 27 nodes.
 func (n *Node) assignShards() bool {
 	pools := map[string]bool{}
+	if n.endpointAccess.Load().serves {
+		for _, pool := range poweredOnPools(n.state.configuration) {
+			pools[pool] = true
+		}
+	}
 	for cell := range *n.runners.Load() {
 		pool, _ := shard.ParseCellName(cell)
 		pools[pool] = true
--- a/pkg/node/registry.go
+++ b/pkg/node/registry.go
@@ -18,8 +18,14 @@
 	invalid map[string]bool
 	// lifeShards holds the shard of each registered life.
 	lifeShards map[damsonwinch.Life]lifeShard
-	// complete is set once all registrations have been read.
-	complete bool
+	// complete is set once all registrations have been read. nextOffset is the offset of the first one that has
+	// not been read since.
+	complete   bool
+	nextOffset int
+	// assignedOffset is the newest nextOffset at which no life waited for its shard.
+	assignedOffset int
+	// requestedAt is when the newest ones were requested from the store.
+	requestedAt time.Time
 	// firstReadAt is when this node received the first records, or zero before that.
 	firstReadAt time.Time
 }
@@ -54,11 +60,15 @@
 	if r.firstReadAt.IsZero() {
 		r.firstReadAt = m.receivedAt
 	}
+	r.requestedAt = m.requestedAt
 	if m.snapshot {
 		clear(r.endpoints)
 		clear(r.invalid)
 		r.complete, changed = true, true
+		r.nextOffset = m.end
 		defer r.dropUnlistedLives()
+	} else {
+		r.nextOffset += len(m.records)
 	}
 	for _, record := range m.records {
 		before, existed := r.endpoints[record.Key]
@@ -80,19 +90,13 @@
 			if _, seen := r.lifeShards[after.Life]; !seen {
 				r.lifeShards[after.Life] = lifeShard{firstSeenAt: m.receivedAt}
 			}
-			changed = changed || !existed || differs(before, after)
+			changed = changed || !existed || before.Differs(after)
 		}
 		delete(r.invalid, record.Key)
 	}
 	return changed, refused
 }
 
-// differs reports whether two registrations of an endpoint differ in anything that owners need to know.
-func differs(before, after damsonwinch.Endpoint) bool {
-	return before.Life != after.Life || before.Draining != after.Draining || before.Cold != after.Cold || before.Address != after.Address || before.Pool != after.Pool || before.Zone != after.Zone ||
-		before.Box != after.Box || before.Capacity != after.Capacity || !slices.Equal(before.Labels, after.Labels)
-}
-
 // dropUnlistedLives drops the shards of lives that are no longer registered. It keeps those of lives whose
 // registration is invalid.
 func (r *registry) dropUnlistedLives() {
@@ -108,6 +112,7 @@
 // any life needs newer placements.
 func (r *registry) assignShards(layout shard.Layout, pools map[string]bool, boxPlacements *placements) (assigned, waiting bool) {
 	if !layout.Sharded() {
+		r.assignedOffset = r.nextOffset
 		return false, false
 	}
 	for life, assignment := range r.lifeShards {
@@ -122,6 +127,9 @@
 			assigned = true
 		}
 	}
+	if !waiting {
+		r.assignedOffset = r.nextOffset
+	}
 	return assigned, waiting
 }
 
@@ -144,6 +152,25 @@
 	return found
 }
 
+// allEndpoints returns the endpoints of the given cells, by cell.
+func (r *registry) allEndpoints(cells []string, layout shard.Layout) map[string][]damsonwinch.Endpoint {
+	byCell := make(map[string][]damsonwinch.Endpoint, len(cells))
+	for _, cell := range cells {
+		byCell[cell] = nil
+	}
+	for _, endpoint := range r.endpoints {
+		assignment := r.lifeShards[endpoint.Life]
+		if !assignment.known {
+			continue
+		}
+		cell := shard.CellName(endpoint.Pool, assignment.shard)
+		if listed, needed := byCell[cell]; needed {
+			byCell[cell] = append(listed, endpoint)
+		}
+	}
+	return byCell
+}
+
 // belongsTo reports whether a life belongs to the shard of the given number. It returns false while the life's
 // shard isn't known.
 func (r *registry) belongsTo(life damsonwinch.Life, number int, layout shard.Layout) bool {
--- a/pkg/node/registry_test.go
+++ b/pkg/node/registry_test.go
@@ -85,11 +85,11 @@
 	} {
 		after := before
 		change(&after)
-		assert.Assert(t, differs(before, after), name)
+		assert.Assert(t, before.Differs(after), name)
 	}
 	later := before
 	later.Offset = 7
-	assert.Assert(t, !differs(before, later))
+	assert.Assert(t, !before.Differs(later))
 }
 
 // orderRecord returns the planner's record of an order that ends a life on a box and takes the box from one shard
--- a/pkg/node/runners.go
+++ b/pkg/node/runners.go
@@ -37,7 +37,7 @@
 	}
 	n.runners.Store(&next)
 	n.followPlacements()
-	n.updateEndpointFeed(next)
+	n.updateEndpointAccess()
 }
 
 // confirmOwnership tells the owners when their claims were last known to be in force.
@@ -96,8 +96,8 @@
 	}, owner.Options{Cell: claim.Cell, Stream: ownership.CellStream(claim, n.options.Partitions), Token: claim.Token, MaxAppendBytes: n.options.MaxAppendBytes, CellOptions: n.options.CellOptions})
 	started.Configure(n.state.configuration, n.rejectsOverload(claim.Cell))
 	started.SetEvacuations(n.state.evacuations.zones(), n.state.evacuations.confirmedAt)
-	if n.state.registry.complete && n.state.registry.readyForOwners(n.state.layout, &n.state.placements) {
-		started.SetEndpoints(n.state.registry.cellEndpoints(claim.Cell, n.state.layout))
+	if endpoints, known := n.knownEndpoints(claim.Cell); known {
+		started.SetEndpoints(endpoints)
 	}
 	return started
 }
