--- a/pkg/boxplan/growth_test.go
+++ b/pkg/boxplan/growth_test.go
@@ -6,11 +6,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"time"
+
 	"damsonwinch"
 	"damsonwinch/pkg/boxplan"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
-	"time"
 )
 
 // maxGrowth is how many times as much work four times the boxes may cost: linear growth with a margin.
