Planner: order no more boxes in a second than the platform takes

Cause: a plan returned all orders that were due. Which orders came through was chance, so that the neediest cells got no more than others, and the records of all these orders made one append, which at twice the size (2.2 MB) is over what a call to the store may hold. Refusals grew with the square of the fleet.

Change: the planner gets the platform's rate (box_orders_per_s) and issues nine tenths of it: first orders on boxes that have already been withdrawn, then boxes for the cell that is the neediest at that moment, last those that power boxes off.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -199,24 +199,59 @@
 	if w := p.waves[wave]; w != nil {
 		w.ordered[b.info.Name] = true
 	}
-	p.orders = append(p.orders, order)
+	p.addOrder(order)
 }
 
 // issueDueOrders issues the planned orders of boxes whose endpoints have been withdrawn, and repeats
-// the orders that the platform has not accepted.
+// the orders that the platform has not accepted, but for those that power boxes off.
 func (p *Planner) issueDueOrders() {
 	for _, b := range p.boxesByName {
-		switch {
-		case b.planned != nil && b.report != nil && b.report.Withdrawn:
-			p.issueOrder(b, *b.planned)
-		case b.issued != nil && !b.issued.accepted && !b.issued.inFlight && p.now.Sub(b.issued.sentAt) >= orderRetryDelay &&
-			p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay:
-			b.issued.inFlight, b.issued.sentAt = true, p.now
-			p.orders = append(p.orders, b.issued.Order)
+		if pool, due := p.dueOrder(b); due && !p.isPoweredOff(pool) {
+			p.issueDueOrder(b)
 		}
 	}
 }
 
+// issueDuePowerOffs does the same as issueDueOrders for the orders that power boxes off.
+func (p *Planner) issueDuePowerOffs() {
+	for _, b := range p.boxesByName {
+		if pool, due := p.dueOrder(b); due && p.isPoweredOff(pool) {
+			p.issueDueOrder(b)
+		}
+	}
+}
+
+// dueOrder reports whether an order on a box is to be issued or repeated, and returns the pool to which
+// it moves the box.
+func (p *Planner) dueOrder(b *box) (pool string, due bool) {
+	switch {
+	case b.planned != nil:
+		return b.planned.pool, b.report != nil && b.report.Withdrawn
+	case b.issued != nil:
+		return b.issued.Pool, !b.issued.accepted && !b.issued.inFlight && p.now.Sub(b.issued.sentAt) >= orderRetryDelay &&
+			p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay
+	}
+	return "", false
+}
+
+// issueDueOrder issues or repeats the order on a box unless the platform takes no more orders now.
+func (p *Planner) issueDueOrder(b *box) {
+	switch {
+	case !p.orderPace.available():
+	case b.planned != nil:
+		p.issueOrder(b, *b.planned)
+	default:
+		b.issued.inFlight, b.issued.sentAt = true, p.now
+		p.addOrder(b.issued.Order)
+	}
+}
+
+// addOrder adds an order to those that Plan returns.
+func (p *Planner) addOrder(order Order) {
+	p.orderPace.use()
+	p.orders = append(p.orders, order)
+}
+
 // HandleOrderResult handles the platform's response to an order, received at now. A nil err means that
 // the platform has accepted the order.
 func (p *Planner) HandleOrderResult(now time.Time, order Order, err error) {
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -27,6 +27,8 @@
 	// TakeoverDelay is the minimum time between an order of one planner on a box and an order of
 	// its successor on the same box.
 	TakeoverDelay time.Duration
+	// OrdersPerSecond is how many orders the platform takes in a second; 0 for no limit.
+	OrdersPerSecond int
 }
 
 // Order is an order to the platform to move a box to another pool or to maintain it.
@@ -93,6 +95,7 @@
 	// give to any cell; nil before it has looked for them.
 	orders     []Order
 	spareBoxes *spareBoxes
+	orderPace  orderPace
 	// boxesExamined counts how often the newest call of Plan has looked at a box to find one that suits.
 	boxesExamined int
 	// shortages holds texts for operators, by cell name; see Shortages.
@@ -101,7 +104,7 @@
 
 // New returns a Planner without pools, boxes and waves.
 func New(options Options) *Planner {
-	return &Planner{options: options, cells: map[string]*cell{}, boxes: map[string]*box{}, waves: map[int]*wave{}, shortages: map[string]string{}}
+	return &Planner{options: options, cells: map[string]*cell{}, boxes: map[string]*box{}, waves: map[int]*wave{}, shortages: map[string]string{}, orderPace: orderPace{perSecond: options.OrdersPerSecond}}
 }
 
 // SetPools sets the pools of the configuration in force and the layout of their cells. Cells
@@ -147,19 +150,23 @@
 }
 
 // Plan makes the decisions that are due at now and returns the orders to send to the platform: new
-// ones, and those to be repeated because the platform has not accepted them.
+// ones, and those to be repeated because the platform has not accepted them. While there are more than
+// the platform takes, boxes that have already been withdrawn from their cells go first, and boxes that
+// nobody needs any more go last.
 func (p *Planner) Plan(now time.Time) []Order {
 	p.now = now
 	p.orders, p.spareBoxes, p.boxesExamined = nil, nil, 0
+	p.orderPace.advance(now)
 	p.attachReports()
 	p.findCutOffZones()
 	p.cancelMovesInEvacuatedZones()
 	p.countBoxes()
 	p.updateDemands()
 	p.planWaves()
+	p.issueDueOrders()
 	p.fillCells()
 	p.powerOffSurplus()
-	p.issueDueOrders()
+	p.issueDuePowerOffs()
 	return p.orders
 }
 
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -9,11 +9,12 @@
 )
 
 // fillCells decides which boxes to give to cells that need more: first powered-off ones, then those
-// that cells of other pools can spare.
+// that cells of other pools can spare. It stops when the platform takes no more orders; the next plan goes
+// on with the cell that is the neediest then.
 func (p *Planner) fillCells() {
 	clear(p.shortages)
 	p.updateShortSince()
-	for {
+	for p.orderPace.available() {
 		name, missing := p.neediestCell()
 		if name == "" {
 			return
--- /dev/null
+++ b/pkg/boxplan/order_pace.go
@@ -0,0 +1,36 @@
+package boxplan
+
+import "time"
+
+// orderBurst is the time for which unused orders are kept: a plan that is late may issue the orders of that
+// time at once.
+const orderBurst = 250 * time.Millisecond
+
+// orderPace limits the orders that Plan returns to the rate at which the platform takes them. The
+// platform refuses the rest, and refuses at random: the neediest cells would get no more boxes than others.
+type orderPace struct {
+	perSecond int // 0 for no limit.
+	// allowance is the number of orders that may be issued, as of updatedAt.
+	allowance float64
+	updatedAt time.Time
+}
+
+// advance adds the orders that may be issued since the last call.
+func (p *orderPace) advance(now time.Time) {
+	most := float64(p.perSecond) * orderBurst.Seconds()
+	if p.updatedAt.IsZero() {
+		p.allowance = most
+	}
+	p.allowance = min(most, p.allowance+float64(p.perSecond)*now.Sub(p.updatedAt).Seconds())
+	p.updatedAt = now
+}
+
+// available reports whether an order may be issued now.
+func (p *orderPace) available() bool {
+	return p.perSecond == 0 || p.allowance >= 1
+}
+
+// use counts an order that is issued.
+func (p *orderPace) use() {
+	p.allowance--
+}
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -148,6 +148,7 @@
 		},
 		BoxPlanOptions: boxplan.Options{
 			MoveTime: seconds(bounds.MoveS), MaintainTime: seconds(bounds.MaintainS), ScaleDownDelay: scaleDownDelay, TakeoverDelay: milliseconds(bounds.HolderMs),
+			OrdersPerSecond: int(config.BoxOrdersPerS * boxOrderShare),
 		},
 		MembershipTTL:  milliseconds(orDefault(config.GroupTtlMs, defaultMembershipTTLMs)),
 		Partitions:     orDefault(config.Partitions, defaultPartitions),
@@ -156,6 +157,10 @@
 	}
 }
 
+// boxOrderShare is the share of the orders that the platform takes in a second that the planner issues.
+// The rest allows for orders that are on their way for different times.
+const boxOrderShare = 0.9
+
 // linkMbpsPerCore is the link speed in Mbit/s that a node needs to make use of one core. The
 // requests and records of the work that a core can manage take 25 Mbit/s. A node that takes a
 // cell over reads about 2 MB of records of work in progress, which takes 0.2 s at 100 Mbit/s.
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -270,6 +270,10 @@
 	// Time limits of the platform.
 	Bounds Bounds `json:"bounds"`
 
+	// Number of orders on boxes that the platform takes in a second from all nodes
+	// together. From 0 to 1000000; the default 0 stands for no limit.
+	BoxOrdersPerS float64 `json:"box_orders_per_s,omitempty,omitzero"`
+
 	// IP and port of the platform's service that lists and controls boxes.
 	Boxes string `json:"boxes"`
 
