Ownership: read several claims at once while many cells are claimed

Cause: each node reads each claim by itself, by a read that waits for the next record. Both factors grow with the fleet: 115,000 at 1,046 nodes with 110 cells.

A change of a few owners is read at once as before.

Tests of pkg/ownership, pkg/process, pkg/node and pkg/trial passed.

--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -125,6 +125,8 @@
 	cancel  context.CancelFunc
 	state   state
 	feed    *feed.Feed
+	// readPace spaces the reads of feed.
+	readPace readPace
 	// answeredAt is when the store last answered a call, in Unix nanoseconds.
 	answeredAt atomic.Int64
 	// membersConfirmedAt is the time at which the list of members was last known to be the newest, in Unix
--- /dev/null
+++ b/pkg/ownership/read_pace_test.go
@@ -0,0 +1,47 @@
+package ownership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+)
+
+// TestReadsDoNotGrowWithTheCells checks growth: while a fleet starts, each cell is claimed, and each node read
+// each of these claims by itself. Cells and nodes grow with the fleet, so that the reads grew with its square.
+func TestReadsDoNotGrowWithTheCells(t *testing.T) {
+	const size = 50
+	clock := clockwork.NewRealClock()
+	for _, count := range []int{size, 2 * size, 4 * size} {
+		store, start := newMemoryStore(), clock.Now()
+		n := startNode(t, store, "a")
+		for number := range count {
+			cell := fmt.Sprintf("cell-%03d", number)
+			store.locked(func() { store.appendRecord(claimRecord(t, cell, member("b", 1))) })
+			clock.Sleep(5 * time.Millisecond)
+		}
+		waitUntil(t, "all claims are known", func() bool { return len(n.view.Load().Claims) == count })
+		took := clock.Since(start)
+		store.locked(func() {
+			t.Logf("%d cells: %d reads in %v", count, store.claimReads, took)
+			most := claimReadBurst + 2 + int(claimReadsPerSec*took.Seconds())
+			assert.Assert(t, store.claimReads <= most, "%d reads of %d claims in %v", store.claimReads, count, took)
+		})
+	}
+}
+
+// TestFewClaimsAreReadAtOnce checks that a node learns of a few new owners without a pause, and a node that
+// waits to claim a cell of many.
+func TestFewClaimsAreReadAtOnce(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var pace readPace
+	for read := range claimReadBurst {
+		assert.Equal(t, pace.pause(now), time.Duration(0), "read %d", read)
+	}
+	assert.Equal(t, pace.pause(now), time.Second/claimReadsPerSec)
+	pace.conflictedAt.Store(now.UnixNano())
+	assert.Equal(t, pace.pause(now), time.Duration(0), "after a conflict")
+	assert.Equal(t, pace.pause(now.Add(time.Minute)), time.Duration(0), "after a minute")
+}
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -37,6 +37,8 @@
 	// appendTime is how long an append takes. Appends are carried out in turns, one after the other.
 	appendTime time.Duration
 	appendTurn sync.Mutex
+	// claimReads counts the reads of the claims.
+	claimReads int
 	// hangNextRead makes the next read of the claims hang until it is cancelled.
 	hangNextRead bool
 	// generation is that of the group, and listing what the group listed when it began. assignmentReads
@@ -109,6 +111,7 @@
 func (s *memoryStore) Read(ctx context.Context, _ damsonwinch.Stream, from int, wait time.Duration) (damsonwinch.Page, error) {
 	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	s.locked(func() { s.claimReads++ })
 	for {
 		s.mutex.Lock()
 		hang, appended, page := s.hangNextRead, s.appended, s.page(from)
