--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -96,7 +96,7 @@
 	reply chan<- Result
 }
 
-// Messages to run.
+// The goroutine of run handles these messages, and alone holds the claims.
 type (
 	acquireMessage struct {
 		key, digest string
--- a/pkg/entry/loop.go
+++ b/pkg/entry/loop.go
@@ -13,7 +13,7 @@
 	"damsonwinch/pkg/ticker"
 )
 
-// Messages to the loop.
+// The loop handles these messages, and alone holds the queues and leases.
 type (
 	// acquireMessage asks for a grant. The loop sends exactly one to reply.
 	acquireMessage struct {
--- a/pkg/keeper/loop.go
+++ b/pkg/keeper/loop.go
@@ -7,7 +7,7 @@
 	"damsonwinch/pkg/wire"
 )
 
-// Messages to run. The first five stand for calls of the keeper's RPC methods; their
+// The goroutine of run handles these messages. The first five stand for calls of the keeper's RPC methods; their
 // reply functions send the reply to the caller.
 type (
 	readMessage struct {
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -32,7 +32,7 @@
 	stopping      bool
 }
 
-// Messages to the main goroutine.
+// The node's main goroutine handles these messages, and alone holds the state.
 type (
 	viewChanged     struct{}
 	operatorRecords struct {
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -134,7 +134,7 @@
 	membersConfirmedAt atomic.Int64
 }
 
-// Messages to run.
+// The goroutine of run handles these messages, and alone holds the state.
 type (
 	cellsSet struct{ cells []string }
 	// claimsRead holds records of the stream of claims up to the offset end. If snapshot is set, they
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -94,7 +94,7 @@
 	suspendedBefore time.Duration
 }
 
-// Messages to the planner's goroutine.
+// The planner's goroutine handles these messages, and alone holds the plan and the allowances.
 type (
 	configured struct {
 		configuration damsonwinch.Configuration
