Ownership: don't pause reads of the claims for longer than 0.2 s

Cause: while a node waits to claim a cell, its reads aren't paused, but still counted. After 100 of them the next pause was 18 s: the node would have learned of other owners that late, and taken its own claims for unconfirmed. Change: the count doesn't fall below one read. Measured: TestFewClaimsAreReadAtOnce has the case and failed before.

--- a/pkg/boxplan/order_pace.go
+++ b/pkg/boxplan/order_pace.go
@@ -7,7 +7,7 @@
 const orderBurst = 250 * time.Millisecond
 
 // orderPace limits the orders that Plan returns to the rate at which the platform takes them. The
-// platform refuses the rest, and refuses at random: the neediest cells would get no more boxes than others.
+// platform refuses the rest, whichever they are: the neediest cells would get no more boxes than others.
 type orderPace struct {
 	perSecond int // 0 for no limit.
 	// allowance is the number of orders that may be issued, as of updatedAt.
--- a/pkg/ownership/read_pace.go
+++ b/pkg/ownership/read_pace.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Reads of the claims. While many cells change their owners, all nodes read each claim by itself as long as
-// they have made fewer than claimReadBurst reads in a row; then several claims at once, so that the reads of
-// a node don't grow with the number of cells. A change of a few owners is known everywhere at once.
+// While many cells change their owners, a node reads each claim by itself for claimReadBurst reads in a row,
+// and then all new ones claimReadsPerSec times a second, so that its reads don't grow with the number of
+// cells. A change of a few owners is known everywhere at once.
 const (
 	claimReadBurst     = 8
 	claimReadsPerSec   = 5
@@ -16,7 +16,8 @@
 
 // readPace spaces the reads of the claims. Only conflictedAt may be used by several goroutines.
 type readPace struct {
-	// allowance is the number of reads that may follow without a pause, as of updatedAt.
+	// allowance is the number of reads that may follow without a pause, as of updatedAt. It doesn't fall
+	// below -1: reads without a pause while the node waits to claim a cell are not made up for.
 	allowance float64
 	updatedAt time.Time
 	// conflictedAt is when an append of this node last conflicted with another node's, in Unix
@@ -29,7 +30,7 @@
 	if p.updatedAt.IsZero() {
 		p.allowance = claimReadBurst
 	}
-	p.allowance = min(claimReadBurst, p.allowance+claimReadsPerSec*now.Sub(p.updatedAt).Seconds()) - 1
+	p.allowance = max(min(claimReadBurst, p.allowance+claimReadsPerSec*now.Sub(p.updatedAt).Seconds())-1, -1)
 	p.updatedAt = now
 	if p.allowance >= 0 || now.Sub(time.Unix(0, p.conflictedAt.Load())) < claimReadsConflict {
 		return 0
--- a/pkg/ownership/read_pace_test.go
+++ b/pkg/ownership/read_pace_test.go
@@ -42,6 +42,10 @@
 	}
 	assert.Equal(t, pace.pause(now), time.Second/claimReadsPerSec)
 	pace.conflictedAt.Store(now.UnixNano())
-	assert.Equal(t, pace.pause(now), time.Duration(0), "after a conflict")
+	for range 100 {
+		assert.Equal(t, pace.pause(now), time.Duration(0), "after a conflict")
+	}
+	now = now.Add(claimReadsConflict)
+	assert.Assert(t, pace.pause(now) <= time.Second/claimReadsPerSec, "reads without a pause are not made up for")
 	assert.Equal(t, pace.pause(now.Add(time.Minute)), time.Duration(0), "after a minute")
 }
