Planner: issue the orders of a second at once where the platform takes few

Cause: the pace of orders kept at most a quarter of a second's orders. On a platform that takes 64 a second a turn of demand that asks for 40 boxes got 14 at once and the rest over half a second, though the platform takes them all. Change: as many as 64 orders, or those of a second where that is less, may be issued at once.

--- a/pkg/boxplan/order_pace.go
+++ b/pkg/boxplan/order_pace.go
@@ -2,9 +2,12 @@
 
 import "time"
 
-// orderBurst is the time for which unused orders are kept: a plan that is late may issue the orders of that
-// time at once.
-const orderBurst = 250 * time.Millisecond
+// At most the unused orders of orderBurst are kept, and as many as minOrderBurst where the platform takes that
+// many in a second: a small pool gets all of its boxes at once.
+const (
+	orderBurst    = 250 * time.Millisecond
+	minOrderBurst = 64 // Orders.
+)
 
 // orderPace limits the orders that Plan returns to the rate at which the platform takes them. The
 // platform refuses the rest, whichever they are: the neediest cells would get no more boxes than others.
@@ -17,11 +20,12 @@
 
 // advance adds the orders that may be issued since the last call.
 func (p *orderPace) advance(now time.Time) {
-	most := float64(p.perSecond) * orderBurst.Seconds()
+	perSecond := float64(p.perSecond)
+	most := max(perSecond*orderBurst.Seconds(), min(perSecond, minOrderBurst))
 	if p.updatedAt.IsZero() {
 		p.allowance = most
 	}
-	p.allowance = min(most, p.allowance+float64(p.perSecond)*now.Sub(p.updatedAt).Seconds())
+	p.allowance = min(most, p.allowance+perSecond*now.Sub(p.updatedAt).Seconds())
 	p.updatedAt = now
 }
 
