Cell: log why a long-running task waits

Change: after 2 s, and each 2 s from then on, an owner logs for each phase how long its longest waiting long-running task has waited, what it needs, and the number of endpoints by the reason for which they can't take it. 'are full' now names CPU, memory or GPUs. One line per phase and 2 s.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -207,6 +207,7 @@
 	c.leaveEvacuatedZones()
 	c.forgetEndedJobs()
 	c.logQuotaWaits()
+	c.logLongWaits()
 	c.finishEvent()
 }
 
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"damsonwinch"
 )
 
 // runStateNames describes the run states in explanations. A start that is ordered has been
@@ -103,7 +105,7 @@
 }
 
 // obstacle says why a task can't start on an endpoint now. The result is a predicate, as in "3
-// endpoints are full".
+// endpoints lack memory".
 func (c *Cell) obstacle(t *task, e *endpoint) string {
 	p := t.phase
 	switch {
@@ -128,7 +130,7 @@
 	case !e.hasLabel(p.spec.Label):
 		return "lack the label " + p.spec.Label
 	case !e.free().Holds(p.need()):
-		return "are full"
+		return "lack " + lackingResource(e.free(), p.need())
 	case !c.hasPermit(p, e):
 		return "have no permit"
 	case !c.probationAllows(t, e):
@@ -138,3 +140,14 @@
 	}
 	return "could take it"
 }
+
+// lackingResource names a resource of which there is less free than a task needs.
+func lackingResource(free, need damsonwinch.Resources) string {
+	switch {
+	case free.MilliCPU < need.MilliCPU:
+		return "CPU"
+	case free.MemoryMB < need.MemoryMB:
+		return "memory"
+	}
+	return "GPUs"
+}
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -99,6 +99,8 @@
 	deferred bool
 	// overQuotaSince is since when its tasks wait for their customer's allowance, or zero.
 	overQuotaSince time.Time
+	// waitLoggedAt is when it was last logged why its long-running tasks wait.
+	waitLoggedAt time.Time
 	// open is set while the phase is in the cell's openPhases.
 	open bool
 }
@@ -134,6 +136,8 @@
 	// set while the task is in the cell's suspects.
 	crashes   crash.History
 	suspected bool
+	// readySince is when the task last became ready.
+	readySince time.Time
 	// probationWaitSince is when the task became ready, or a suspect if that was later. A suspect
 	// waits for its probation from then on.
 	probationWaitSince time.Time
@@ -212,7 +216,7 @@
 	if t.ready || t.done || p.unfinishedDeps > 0 || p.job().ended() || t.givenUp || c.giveUpIfStartsExhausted(t) {
 		return
 	}
-	t.ready, t.probationWaitSince = true, c.now
+	t.ready, t.readySince, t.probationWaitSince = true, c.now, c.now
 	c.placementDue = true
 	p.ready = append(p.ready, t)
 	if !p.open {
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -221,6 +221,8 @@
 				phase.Count = count
 			case "cpu":
 				phase.Cpu = count
+			case "memory":
+				phase.MemoryMb = count
 			case "estimate":
 				phase.EstimateMs = count
 			case "after":
@@ -388,13 +390,24 @@
 		lines = append(lines, "deposed")
 	}
 	for _, line := range effects.LogLines {
-		if (strings.HasPrefix(line.Message, "job ") || line.Message == "task given up") && line.Message != "job accepted" || strings.HasPrefix(line.Message, "zone ") || strings.HasPrefix(line.Message, "endpoint ") && line.Message != "endpoint listed" && line.Message != "endpoint attached" {
+		if isChecked(line.Message) {
 			lines = append(lines, strings.TrimSpace(fmt.Sprintf("note: %s %s%s%s: %s", line.Message, line.Job, line.Endpoint, line.Zone, line.Reason)))
 		}
 	}
 	return lines
 }
 
+// isChecked reports whether the scenarios check log lines with a message.
+func isChecked(message string) bool {
+	switch message {
+	case "job accepted", "endpoint listed", "endpoint attached":
+		return false
+	case "task given up", "long-running task waits":
+		return true
+	}
+	return strings.HasPrefix(message, "job ") || strings.HasPrefix(message, "zone ") || strings.HasPrefix(message, "endpoint ")
+}
+
 // effectLines returns the output of a command: the lines of collectEffects.
 func (s *script) effectLines() string {
 	lines := s.collectEffects()
