--- a/pkg/boxplan/demand.go
+++ b/pkg/boxplan/demand.go
@@ -81,7 +81,8 @@
 	// raises the score of a simulated day with a 10 s burst of five times the traffic by 0.034, on a
 	// scale of 0 to 1.
 	requiredOnTime int
-	// requiredLongRunning is how many boxes the cell needs for its long-running tasks alone.
+	// requiredLongRunning is how many boxes the cell needs for its long-running tasks alone. required
+	// and requiredOnTime are at least as many.
 	requiredLongRunning int
 	// shortSince is since when the cell has had fewer boxes than requiredLongRunning; zero if it
 	// has enough.
@@ -145,15 +146,37 @@
 		reactive = max(reactive, onTime+c.report.RunningLateCpu+c.report.StalledCpu)
 	}
 	cpu := max(reactive, p.predictedCPU(c, boxCPU))
-	c.required = max(c.boxesFor(c.report.LastingCpu+cpu, boxCPU), c.dedicatedBoxes(c.lateDedicatedMilliBoxes()))
-	c.requiredOnTime = max(c.boxesFor(c.report.LastingCpu+onTime, boxCPU), c.dedicatedBoxes(0))
-	c.requiredLongRunning = max(c.report.Spread, (c.report.LastingCpu+boxCPU-1)/boxCPU)
+	c.requiredLongRunning = c.boxesForLongRunning(boxCPU)
+	c.required = max(c.boxesFor(c.report.LastingCpu+cpu, boxCPU), c.dedicatedBoxes(c.lateDedicatedMilliBoxes()), c.requiredLongRunning)
+	c.requiredOnTime = max(c.boxesFor(c.report.LastingCpu+onTime, boxCPU), c.dedicatedBoxes(0), c.requiredLongRunning)
 	c.updateMeans(now)
 	steady := max(reactive, c.report.SteadyCpu*(100+cpuHeadroomPercent)/100)
 	window := time.Duration(int64(p.options.ScaleDownDelay) * int64(c.slack()) / int64(defaultSlack))
 	c.recordPeak(now, window, max(c.boxesFor(c.report.LastingCpu+steady, boxCPU), c.dedicatedBoxes(c.lateDedicatedMilliBoxes())))
 }
 
+// boxesForLongRunning returns how many boxes the cell needs for its long-running tasks. If some of them
+// fit on none of its boxes, those are too few, however much they have in total. boxCPU is the CPU
+// capacity of a box.
+func (c *cell) boxesForLongRunning(boxCPU int) int {
+	boxes := max(c.report.Spread, (c.report.LastingCpu+boxCPU-1)/boxCPU)
+	if c.report.MissingBoxes > 0 {
+		boxes = max(boxes, c.usableBoxes()+c.report.MissingBoxes)
+	}
+	return boxes
+}
+
+// usableBoxes returns how many of the cell's boxes its owner can use.
+func (c *cell) usableBoxes() int {
+	count := 0
+	for i := range c.report.Endpoints {
+		if c.report.Endpoints[i].Usable {
+			count++
+		}
+	}
+	return count
+}
+
 // predictedCPU returns the CPU, in thousandths of a core, that a cell needs for the work that arrives
 // and for the backlog that it will have when new boxes are ready. boxCPU is the CPU capacity of a box.
 func (p *Planner) predictedCPU(c *cell, boxCPU int) int {
--- a/pkg/boxplan/script_test.go
+++ b/pkg/boxplan/script_test.go
@@ -44,7 +44,7 @@
 //	fleet shards=N: lines "pool boxes"; the first pool's boxes are powered off
 //	report pool=P shard=N: the report of a cell's owner, with
 //	  lasting=C running=C running-late=C waiting=C late=C steady=C offered=C stalled=C in cores, slack=MS,
-//	  spread=N lasting-boxes=N in boxes, whole=N whole-late=N in thousandths of a box
+//	  spread=N lasting-boxes=N missing=N in boxes, whole=N whole-late=N in thousandths of a box
 //	busy pool=P boxes=N ms=MS: the first N boxes of a pool are empty after MS milliseconds
 //	lasting box=B tasks=N: a box has N long-running tasks
 //	wave number=N down=N s=S pools=(P, ...): a wave for all boxes of some pools, of which at most N may
@@ -136,7 +136,7 @@
 	reply := wire.SyncReply{
 		Known: true, TaskMs: 1000, SlackMs: number(s.t, d, "slack"), LastingCpu: cores("lasting"), RunningCpu: cores("running"), RunningLateCpu: cores("running-late"),
 		LastingBoxes: number(s.t, d, "lasting-boxes"), Spread: number(s.t, d, "spread"), StalledCpu: cores("stalled"),
-		WholeBoxes: number(s.t, d, "whole"), WholeLateBoxes: number(s.t, d, "whole-late"),
+		MissingBoxes: number(s.t, d, "missing"), WholeBoxes: number(s.t, d, "whole"), WholeLateBoxes: number(s.t, d, "whole-late"),
 		WaitingCpu: cores("waiting"), LateCpu: cores("late"), SteadyCpu: cores("steady"), OfferedCpu: max(cores("steady"), cores("offered")),
 	}
 	shardNumber := number(s.t, d, "shard")
--- /dev/null
+++ b/pkg/cell/missing_boxes.go
@@ -0,0 +1,99 @@
+package cell
+
+import (
+	"damsonwinch"
+)
+
+// hostingBox is what a box would have left for long-running tasks once its short tasks have ended.
+type hostingBox struct {
+	free damsonwinch.Resources
+	// counts holds the number of tasks there by phase, for phases with a limit per box.
+	counts map[*phase]int
+}
+
+// missingBoxes returns how many boxes the cell needs beside its usable ones because none of those can
+// take some of its ready long-running tasks, even once their short tasks have ended. The sums of the
+// CPU and memory that tasks need don't show that: the boxes may have enough in total, and none enough
+// for one more task.
+func (c *Cell) missingBoxes() int {
+	waiting := c.waitingForBoxes()
+	if len(waiting) == 0 {
+		return 0
+	}
+	largest := c.largestBox()
+	boxes := c.hostingBoxes()
+	missing := 0
+	for _, t := range waiting {
+		if !largest.Holds(t.phase.need()) || takeByAny(boxes, t.phase) {
+			continue
+		}
+		added := &hostingBox{free: largest, counts: map[*phase]int{}}
+		added.take(t.phase)
+		boxes = append(boxes, added)
+		missing++
+	}
+	return missing
+}
+
+// waitingForBoxes returns the ready long-running tasks that a box with enough capacity could take. Tasks
+// that need a label are left out, since another box need not have it.
+func (c *Cell) waitingForBoxes() []*task {
+	var waiting []*task
+	for _, p := range c.openPhases {
+		if p.spec.Lasting && p.spec.Label == "" && p.overQuotaSince.IsZero() {
+			waiting = append(waiting, p.ready...)
+		}
+	}
+	return waiting
+}
+
+// largestBox returns the highest capacity of the cell's endpoints, by kind of resource.
+func (c *Cell) largestBox() damsonwinch.Resources {
+	var largest damsonwinch.Resources
+	for _, e := range c.sortedEndpoints {
+		largest = maxResources(largest, e.info.Capacity)
+	}
+	return largest
+}
+
+// hostingBoxes returns the boxes of the endpoints that can be expected to start long-running tasks.
+func (c *Cell) hostingBoxes() []*hostingBox {
+	var boxes []*hostingBox
+	for _, e := range c.sortedEndpoints {
+		if !c.mayHostLongRunning(e) {
+			continue
+		}
+		b := &hostingBox{free: e.info.Capacity.Minus(e.longRunningNeed()), counts: map[*phase]int{}}
+		for _, r := range e.runsByStart {
+			b.counts[r.task.phase]++
+		}
+		boxes = append(boxes, b)
+	}
+	return boxes
+}
+
+// mayHostLongRunning reports whether an endpoint can be expected to start long-running tasks, now or as
+// soon as it is attached.
+func (c *Cell) mayHostLongRunning(e *endpoint) bool {
+	isPresent := e.listed && !e.exited && !e.silent && !e.zone.isCutOff(c.now)
+	isLeaving := e.withdrawn || e.withdrawal.requested || e.info.Draining || e.zone.evacuated
+	return isPresent && !isLeaving && !c.now.Before(e.health.ejectedUntil)
+}
+
+// takeByAny has the first of the boxes that can take a task of a phase take it. It returns false if none
+// can.
+func takeByAny(boxes []*hostingBox, p *phase) bool {
+	for _, b := range boxes {
+		if b.free.Holds(p.need()) && (p.spec.MostPerBox == 0 || b.counts[p] < p.spec.MostPerBox) {
+			b.take(p)
+			return true
+		}
+	}
+	return false
+}
+
+// take adds a task of a phase to the box.
+func (b *hostingBox) take(p *phase) {
+	b.free = b.free.Minus(p.need())
+	b.counts[p]++
+}
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -54,6 +54,7 @@
 		report.MemoryShare = memoryMB * sharesPerBox / boxMemoryMB
 	}
 	report.Spread = c.spreadBoxes()
+	report.MissingBoxes = c.missingBoxes()
 	c.reportDedicatedBoxes(&report)
 	c.reportCustomers(&report)
 	return report
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -142,6 +142,8 @@
 	case "report-whole":
 		report := s.cell.Report(s.now)
 		return fmt.Sprintf("lasting on %d boxes, whole boxes %d, late %d, stalled %d\n", report.LastingBoxes, report.WholeBoxes, report.WholeLateBoxes, report.StalledCpu)
+	case "report-missing":
+		return fmt.Sprintf("%d boxes missing\n", s.cell.Report(s.now).MissingBoxes)
 	case "reported":
 		var lives []string
 		for _, reported := range s.cell.Report(s.now).Endpoints {
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -1342,6 +1342,11 @@
 	// cell's largest box. Short tasks of late jobs are not counted.
 	MemoryShare int `json:"memory_share,omitempty,omitzero"`
 
+	// Number of boxes that the cell needs beside its usable ones because none of
+	// those can take some of its ready long-running tasks, even once their short
+	// tasks have ended.
+	MissingBoxes int `json:"missing_boxes,omitempty,omitzero"`
+
 	// CPU that arriving jobs will need if the rate of arrivals keeps its present
 	// trend, in thousandths of a core.
 	OfferedCpu int `json:"offered_cpu,omitempty,omitzero"`
