--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -46,6 +46,8 @@
 	// and those that are reserved for a probation.
 	suspects           []*task
 	probationEndpoints []*endpoint
+	// reservedEndpoints holds the endpoints that are reserved for a long-running task.
+	reservedEndpoints []*endpoint
 	// baselineExits estimates how often endpoints exit for reasons other than their tasks.
 	// probationExits holds the recent exits of endpoints where a task was on probation.
 	baselineExits  crash.BaselineRate
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -131,6 +131,8 @@
 		return "lack the label " + p.spec.Label
 	case !e.free().Holds(p.need()):
 		return "lack " + lackingResource(e.free(), p.need())
+	case !e.reservationAllows(t):
+		return "are reserved for a long-running task"
 	case !c.hasPermit(p, e):
 		return "have no permit"
 	case !c.probationAllows(t, e):
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -17,6 +17,7 @@
 	c.updateCrashProne()
 	clear(c.overQuota)
 	clear(c.quotaBlocked)
+	c.pruneReservations()
 	c.placeSuspects()
 	inTime := make([]*phase, 0, len(c.openPhases))
 	var deferred, late []*phase
@@ -34,6 +35,7 @@
 	unplaceable := c.placePhases(inTime, nil)
 	unplaceable = c.placePhases(deferred, unplaceable)
 	c.placePhases(late, unplaceable)
+	c.reserveForLongRunning()
 }
 
 // placePhases starts the tasks of phases, in order. unplaceable holds resource needs for which no
@@ -101,9 +103,9 @@
 }
 
 // canStart reports whether a task may be started on an endpoint now, by all rules: backoff,
-// capacity, health, probations and permits.
+// capacity, health, reservations, probations and permits.
 func (c *Cell) canStart(t *task, e *endpoint) bool {
-	return !c.mustWait(t) && c.canHost(t, e) && c.probationAllows(t, e) && c.hasPermit(t.phase, e)
+	return !c.mustWait(t) && c.canHost(t, e) && e.reservationAllows(t) && c.probationAllows(t, e) && c.hasPermit(t.phase, e)
 }
 
 // canHost reports whether an endpoint has capacity for a task and may run it, apart from permits
