Cell: count the memory of waiting long-running tasks in the report

Cause: the report of a cell says 'memory that running and ready tasks need', and left out the ready long-running ones; the planner asked for too few boxes while they waited.

Change: they count.

--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -113,8 +113,8 @@
 const sharesPerBox = 1000
 
 // reportWaiting adds the demand of the ready tasks to the report. Short tasks count only as far as
-// their customers' allowances permit. It returns the memory in MB that the short tasks of phases
-// that are not late need.
+// their customers' allowances permit. It returns the memory in MB that the tasks of phases that are
+// not late need.
 func (c *Cell) reportWaiting(report *wire.SyncReply) int {
 	memoryMB := 0
 	nowMs := int(c.now.UnixMilli())
@@ -123,6 +123,7 @@
 		need := p.need()
 		if p.spec.Lasting {
 			report.LastingCpu += len(p.ready) * need.MilliCPU
+			memoryMB += len(p.ready) * need.MemoryMB
 			continue
 		}
 		wantedCPU := len(p.ready) * need.MilliCPU
