Failing test: the refused repetition of an order on a box undoes the order

A box that is in maintenance because of the first try refuses the second one (not up); the planner forgets the order, the box no longer counts as down, and the wave takes one more than it allows.

--- /dev/null
+++ b/pkg/boxplan/repeated_order_test.go
@@ -0,0 +1,38 @@
+package boxplan_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+)
+
+// TestRefusedRepetitionOfAnOrderKeepsTheOrder guards against more boxes in maintenance than a wave
+// allows. A box that is down because of an order whose answer was lost refuses the repetition of that
+// order, and must go on counting as down.
+func TestRefusedRepetitionOfAnOrderKeepsTheOrder(t *testing.T) {
+	f := newShardedFleet()
+	f.add("off", 2, 1)
+	f.planner.SetBoxes(f.now.Add(-time.Minute), f.boxes)
+	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 20 * time.Second, Boxes: []string{f.boxes[0].Name, f.boxes[1].Name}})
+	first := f.planner.Plan(f.now)
+	assert.Equal(t, len(first), 1)
+	f.planner.HandleOrderResult(f.now, first[0], errors.New("the answer is lost"))
+
+	f.now = f.now.Add(400 * time.Millisecond)
+	repeated := f.planner.Plan(f.now)
+	assert.DeepEqual(t, repeated, first)
+	f.planner.HandleOrderResult(f.now, repeated[0], damsonwinch.ErrBoxNotUp)
+
+	for i := range f.boxes {
+		if f.boxes[i].Name == first[0].Box {
+			f.boxes[i].State = damsonwinch.BoxMaintenance
+		}
+	}
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.planner.SetBoxes(f.now, f.boxes)
+	assert.Equal(t, len(f.planner.Plan(f.now)), 0, "the wave's only box down is still in maintenance")
+}
