Planner: the refusal of a repeated order doesn't undo the order

Cause: an order on a box whose answer is lost is repeated. If the first try was carried out, the box is down and refuses the second one; the planner took that for the answer to both and forgot the order. The box no longer counted as down, so that a wave could have more boxes in maintenance than it allows, and a move was decided anew. The same held for orders that an earlier planner had recorded.

Change: an order keeps in mind that a call with it may have been carried out. It then outlasts a refusal because the box isn't up, and is repeated until the platform accepts it, which it also does if the order has been carried out.

Tests of pkg/boxplan pass.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -68,6 +68,9 @@
 	updatedAt time.Time
 	// accepted says that the platform has accepted the order. Until then the order is repeated.
 	accepted bool
+	// outcomeUnknown says that an earlier call with the order may have been carried out, so that the
+	// refusal of a later one doesn't show that the order had no effect.
+	outcomeUnknown bool
 	// inherited says that an earlier planner recorded the order.
 	inherited bool
 	// inFlight says that a call to the platform is in progress; sentAt is when the newest began.
@@ -264,6 +267,9 @@
 	switch {
 	case err == nil:
 		o.accepted, o.updatedAt = true, now
+	case o.outcomeUnknown && errors.Is(err, damsonwinch.ErrBoxNotUp):
+		// The box may be down because of this order. Once it is up, issueDueOrders repeats the order, and
+		// the platform accepts it also if it has been carried out.
 	case errors.Is(err, damsonwinch.ErrInvalid):
 		b.refusedPools[order.Pool] = true
 		p.revertOrder(b, order)
@@ -277,6 +283,7 @@
 	default:
 		// The platform may have carried out the order, or may do so later. Orders are
 		// idempotent, so issueDueOrders repeats it until the platform answers.
+		o.outcomeUnknown = true
 	}
 }
 
@@ -318,6 +325,6 @@
 	// The record doesn't say whether the order was carried out. The order is repeated unless a
 	// list of boxes shows that it was.
 	b.issued = &issuedOrder{
-		Order: order, updatedAt: b.inheritedAt, inherited: true,
+		Order: order, updatedAt: b.inheritedAt, inherited: true, outcomeUnknown: true,
 	}
 }
