Simulate pairs of overlapping faults beside long-running tasks

Cause: the simulation of a cell's owners drew single faults, kept requests late for 3 s at most and never at an endpoint that was cut off meanwhile, read the list of boxes in one moment, and checked only at its end whether long-running tasks run.

Change: a simulation with the leases of a node draws faults in pairs that overlap, each perhaps twice, from 18 kinds, and checks all the time that a long-running task runs again while there is room for it.

--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -32,6 +32,8 @@
 	exited       bool
 	// misaddressed is set while the endpoint handles a poll that is meant for an earlier life.
 	misaddressed bool
+	// lateMs is added to the end of the lease in the request that the endpoint handles now.
+	lateMs int
 	// onResult holds the functions to call once a run ends, which answer the polls that are being
 	// held. onExit holds the functions to call if the life exits before that, which break the
 	// polls' connections.
@@ -89,6 +91,7 @@
 
 // start handles a start request.
 func (e *simEndpoint) start(request damsonwinch.StartRequest) error {
+	request.LeaseUntilMs += e.lateMs
 	switch {
 	case !e.acceptToken(request.Token):
 		return damsonwinch.ErrStaleToken
@@ -117,6 +120,9 @@
 	r.endsAt = e.world.now.Add(behaviour.duration)
 	if behaviour.longRunning {
 		r.endsAt = e.world.now.Add(time.Hour)
+		if behaviour.maxUptime > 0 {
+			r.ending, r.endsAt = damsonwinch.EndedFailed, e.world.now.Add(e.world.randomDuration(time.Second, behaviour.maxUptime))
+		}
 	}
 	e.runs[request.Run] = r
 	if e.world.planner != nil {
@@ -160,9 +166,9 @@
 }
 
 // renewLease extends the lease of all runs to the given time on the endpoint's clock, but not
-// beyond simMaxLease from now.
+// beyond the longest lease from now.
 func (e *simEndpoint) renewLease(untilMs int) {
-	untilMs = min(untilMs, e.clockMs()+int(simMaxLease.Milliseconds()))
+	untilMs = min(untilMs, e.clockMs()+int(e.world.maxLease.Milliseconds()))
 	if untilMs > e.leaseUntilMs {
 		e.leaseUntilMs = untilMs
 		e.world.after(time.Duration(float64(untilMs-e.clockMs())/e.clockRate)*time.Millisecond+time.Millisecond, e.expireLease)
@@ -211,7 +217,7 @@
 		e.finished = e.finished[1:]
 	}
 	if request.LeaseUntilMs > 0 {
-		e.renewLease(request.LeaseUntilMs)
+		e.renewLease(request.LeaseUntilMs + e.lateMs)
 	}
 	reply := damsonwinch.PollReply{StartedUnixMs: e.reportedStartMs(), ClockMs: e.clockMs(), Finished: append([]damsonwinch.RunResult{}, e.finished...)}
 	for _, r := range e.sortedRuns() {
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -50,6 +50,9 @@
 	w.lastToken++
 	o := &simOwner{world: w, stream: len(w.streams) - 1, name: string(rune('A' + (w.lastToken-1)%26)), token: w.lastToken, pendingCalls: map[int]func(wire.JobReply){}}
 	options := simOptions(w.mutation)
+	if w.mixed != nil {
+		options = mixedOptions(w.mutation)
+	}
 	if w.operator != nil && !w.mutation.staleEvacuations {
 		options.MaxEvacuationAge = simMaxEvacuationAge
 	}
@@ -137,7 +140,9 @@
 // tick checks the claim, reads the registry and ticks the cell, every 50 ms.
 func (o *simOwner) tick() {
 	o.whenRunning(func() {
-		if !o.cutOffFromStore && !o.world.now.Before(o.nextClaimCheck) {
+		if o.world.mixed != nil {
+			o.world.mixed.checkClaim(o)
+		} else if !o.cutOffFromStore && !o.world.now.Before(o.nextClaimCheck) {
 			if o.token < o.world.lastToken {
 				o.exit("sees a newer claim")
 				return
@@ -190,7 +195,9 @@
 	for _, poll := range effects.Polls {
 		o.sendPoll(poll)
 	}
-	if effects.ListBoxes {
+	if effects.ListBoxes && w.mixed != nil {
+		w.mixed.listBoxes(o)
+	} else if effects.ListBoxes {
 		w.after(w.randomDuration(5*time.Millisecond, 50*time.Millisecond), func() {
 			boxes := w.boxList()
 			w.after(5*time.Millisecond, func() { o.whenRunning(func() { o.cell.SetBoxes(o.now(), boxes) }) })
@@ -227,6 +234,10 @@
 			w.after(250*time.Millisecond, send)
 			return
 		}
+		if w.mixed != nil && w.mixed.interceptAppend(o, sequence, commit.Records) {
+			w.after(250*time.Millisecond, send)
+			return
+		}
 		w.after(w.randomDuration(2*time.Millisecond, 15*time.Millisecond), func() {
 			err := w.streams[o.stream].append(o.token, sequence, commit.Records)
 			if w.chance(0.05) {
@@ -300,6 +311,8 @@
 		o.callLife(e, handle, done)
 	case w.sharedIDs:
 		o.callSharedID(id, handle, done)
+	case w.mixed != nil:
+		w.mixed.callExited(e, done)
 	case w.resetsOnExit:
 		w.after(3*time.Millisecond, func() { done(damsonwinch.ErrNotSent) })
 	default:
@@ -331,6 +344,9 @@
 // handles it or none.
 func (o *simOwner) callLife(e *simEndpoint, handle func(e *simEndpoint) func() error, done func(err error)) {
 	w := o.world
+	if w.mixed != nil && w.mixed.interceptCall(o, e, handle, done) {
+		return
+	}
 	unreachable := w.cuts[o.name+e.info.Box]
 	if unreachable || w.chance(0.02) {
 		w.after(callTimeout, func() { done(errNoReply) })
@@ -423,6 +439,9 @@
 			return
 		}
 		responded = true
+		if w.mixed != nil && callErr == nil && w.mixed.isCut(o, e) {
+			delay, callErr = delay+callTimeout, errNoReply
+		}
 		var reply damsonwinch.PollReply
 		err := callErr
 		if err == nil {
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -49,6 +49,7 @@
 	staleCapacity     bool // The capacity of an endpoint is trusted however old the report is.
 	hideEvacuations   bool // Owners are not told which zones are evacuated.
 	staleEvacuations  bool // What an owner knows of evacuations is trusted however old it is.
+	keepLostRuns      bool // Owners never take the leases of unreachable endpoints for expired, and get no lists of boxes.
 }
 
 // world is a simulation of owners, a store, endpoints and clients on a fake clock and a fake
@@ -79,6 +80,8 @@
 	// maxCompletionGap is how long the simulation may go on without a task being done while jobs
 	// are unfinished. It is set where tasks and their retries take longer than simExtensionStep.
 	maxCompletionGap time.Duration
+	// maxLease is the longest lease that endpoints grant.
+	maxLease time.Duration
 	// resetsOnExit makes connections to an endpoint break as soon as it exits, as they do if only
 	// the program crashes. Otherwise nothing tells the other side.
 	resetsOnExit bool
@@ -92,6 +95,8 @@
 	planner *simPlanner
 	// operator evacuates zones. It is nil in simulations without evacuations.
 	operator *simOperator
+	// mixed injects pairs of faults that overlap in time. It is nil in all other simulations.
+	mixed *mixedFaults
 	// sharedIDs gives all lives on a box the same ID.
 	sharedIDs bool
 	startedAt time.Time
@@ -113,6 +118,8 @@
 	duration    time.Duration
 	failureRate float64
 	longRunning bool
+	// maxUptime is the longest time after which a long-running task fails. With 0 it never fails.
+	maxUptime time.Duration
 	// crashes is set if the task with index crashIndex in the first phase crashes each endpoint
 	// that starts it, crashAfter after the start.
 	crashes    bool
@@ -124,7 +131,7 @@
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000), mutation: m,
 		streams: []*simStream{newSimStream()}, streamDown: map[int]bool{}, behaviours: map[string]taskBehaviour{}, faultsOn: true, cuts: map[string]bool{},
-		boxCount: defaultBoxes, maxTaskTime: 1500 * time.Millisecond,
+		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond,
 	}
 	w.rules, w.startedAt = newRules(w), w.now
 	w.boxMilliCPU = 5000 + 1000*w.random.IntN(5)
@@ -148,7 +155,7 @@
 
 // chance returns true with the given probability while faults may occur, and false otherwise.
 func (w *world) chance(probability float64) bool {
-	return w.faultsOn && w.random.Float64() < probability
+	return w.faultsOn && (w.mixed == nil || w.mixed.disturbed()) && w.random.Float64() < probability
 }
 
 // behaviourOf returns how a task behaves.
@@ -215,6 +222,9 @@
 	if w.registry != nil {
 		return w.registeredEndpoints()
 	}
+	if w.mixed != nil {
+		return w.mixed.registrations()
+	}
 	if w.sharedIDs {
 		return w.registeredLives()
 	}
@@ -287,13 +297,20 @@
 
 // simOptions returns the options of the simulated cell, changed as the mutation demands.
 func simOptions(m mutation) cell.Options {
-	options := cell.Options{
+	return disableOptions(m, cell.Options{
 		MaxLease: simMaxLease, RenewalGrace: simRenewalGrace, MaxStopTime: simMaxStopTime, MaxStartDelay: time.Second, MinCommitInterval: 10 * time.Millisecond,
 		PollWait: 300 * time.Millisecond, IdlePollInterval: time.Second, PollRetryInterval: 200 * time.Millisecond, EndedJobRetention: time.Minute,
-	}
+	})
+}
+
+// disableOptions returns options changed as the mutation demands.
+func disableOptions(m mutation, options cell.Options) cell.Options {
 	if m.expireLeasesEarly {
 		options.MaxLease, options.RenewalGrace = 50*time.Millisecond, 0
 	}
+	if m.keepLostRuns {
+		options.MaxLease = time.Hour
+	}
 	switch {
 	case m.ignoreLosses:
 		options.CrashRules = crash.Rules{SuspectAge: -1, ProofWeight: math.MaxInt, MaxLosses: math.MaxInt}
