Failing test: a listed endpoint taken for exited

Cause: an endpoint that an owner takes for exited gets no poll any more, and its entry stays as long as the registry lists it (sendDuePolls, Polled, sweepEndpoints). So a wrong belief isn't undone: the box stays unused, its tasks wait beside it, and the runs there aren't stopped but end with their leases.

Change: a test in which the endpoint goes on to register itself after an older list of boxes has arrived. The steps up to there are shared with the other test of older lists.

--- a/pkg/owner/old_box_list_test.go
+++ b/pkg/owner/old_box_list_test.go
@@ -69,18 +69,23 @@
 	return running
 }
 
-// It guards against a task that runs twice: a list of boxes takes seconds, and an endpoint whose life began after its
-// page was read is missing in it, though it goes on with its runs while the owner can't reach it for a moment.
-func TestListOlderThanAnEndpointDoesNotEndItsRuns(t *testing.T) {
-	clock := clockwork.NewFakeClock()
-	o := newOwnerOfEndpoints(t, clock)
+// newLife is an endpoint that began after the list of boxes was requested, as the registry lists it at a time.
+func newLife(at time.Time) []damsonwinch.Endpoint {
+	return []damsonwinch.Endpoint{{
+		Life: damsonwinch.Life{ID: "e1"}, Box: "b1", Address: "e1:1", Capacity: damsonwinch.Resources{MilliCPU: 8000, MemoryMB: 8000}, SeenAt: at, Offset: int(at.UnixMilli()),
+	}}
+}
+
+// receiveOlderList has an owner request the list of boxes. Then an endpoint begins, gets a long-running task and
+// doesn't answer a poll, and the list arrives, which doesn't have it.
+func receiveOlderList(t *testing.T, o *Owner, clock *clockwork.FakeClock) {
 	fleet := slowFleet{listed: []damsonwinch.Box{{Name: "b1", State: damsonwinch.BoxMoving}}, released: make(chan struct{})}
 	o.deps.Fleet = fleet
 	clock.Advance(plannerSilence)
 	o.listBoxes()
 
 	clock.Advance(100 * time.Millisecond)
-	o.cell.SetEndpoints(clock.Now(), []damsonwinch.Endpoint{{Life: damsonwinch.Life{ID: "e1"}, Box: "b1", Address: "e1:1", Capacity: damsonwinch.Resources{MilliCPU: 8000, MemoryMB: 8000}}})
+	o.cell.SetEndpoints(clock.Now(), newLife(clock.Now()))
 	answer(o, clock.Now(), nil, nil)
 	spec := wire.JobSpec{Text: "text", Phases: []wire.Phase{{Count: 1, Cpu: 1000, Lasting: true}}}
 	o.cell.Submit(clock.Now(), wire.JobArgs{Id: "job", Queue: "queue", Spec: &spec}, 1)
@@ -94,9 +99,34 @@
 	clock.Advance(time.Second)
 	o.cell.Tick(clock.Now())
 	answer(o, clock.Now(), running, errors.New("no answer in time"))
-
 	close(fleet.released)
 	(<-o.inbox).apply(o, clock.Now())
+}
+
+// It guards against a task that runs twice: a list of boxes takes seconds, and an endpoint whose life began after its
+// page was read is missing in it, though it goes on with its runs while the owner can't reach it for a moment.
+func TestListOlderThanAnEndpointDoesNotEndItsRuns(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	o := newOwnerOfEndpoints(t, clock)
+	receiveOlderList(t, o, clock)
 	explained := strings.Join(o.cell.Explain("job"), "\n")
 	assert.Assert(t, strings.Contains(explained, "attempt 1 on e1"), "the endpoint lives, and its lease hasn't expired: %s", explained)
 }
+
+// It guards against a task that waits for good beside a free endpoint: an endpoint that was taken for exited, and that
+// registers itself again and again and would answer, gets no poll and no task.
+func TestRegisteredEndpointTakenForExitedIsUsedAgain(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	o := newOwnerOfEndpoints(t, clock)
+	receiveOlderList(t, o, clock)
+	started := 0
+	for end := clock.Now().Add(30 * time.Second); clock.Now().Before(end) && started == 0; {
+		clock.Advance(50 * time.Millisecond)
+		o.cell.ConfirmOwnership(clock.Now())
+		o.cell.SetEndpoints(clock.Now(), newLife(clock.Now()))
+		o.cell.Tick(clock.Now())
+		// The runs there have lapsed or been stopped by the time that it is polled again.
+		started = len(answer(o, clock.Now(), nil, nil))
+	}
+	assert.Equal(t, started, 1, "the task isn't started in 30 s: %s", strings.Join(o.cell.Explain("job"), "\n"))
+}
