--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -170,7 +170,7 @@
 		e.withdrawal.requested, e.withdrawal.urgent, e.maintenanceDue = false, false, false
 	}
 	c.applyAllowances(args)
-	c.forEachLife(args.Gone, func(e *endpoint) { c.markLostByReport(e, "the fleet planner has seen its box without it") })
+	c.forEachLife(args.Gone, c.reportedExited)
 	c.forEachLife(args.Withdraw, func(e *endpoint) { e.withdrawal.requested = true })
 	c.forEachLife(args.Hurry, func(e *endpoint) { e.withdrawal.requested, e.withdrawal.urgent = true, true })
 	c.forEachLife(args.Due, func(e *endpoint) { e.maintenanceDue = true })
