Cell: use an endpoint again that a report took for exited and that answers (LOST)

What callers could see: a long-running task that waits for as long as its owner lives beside an endpoint that could take it, and runs that go on until their leases end although their tasks have been started elsewhere.

Cause: an endpoint that was taken for exited was never polled again, and its entry stayed for as long as the registry listed it.

Change: if only a list of boxes says that the endpoint has exited, it is polled each 2 s while it is registered. Registrations of endpoints that have exited expire in some seconds. If this life answers, it is used again, and the runs that were given up are stopped.

--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -27,8 +27,11 @@
 	attached bool
 	// attachedAt is when attached was set.
 	attachedAt time.Time
-	// exited is set once this life has certainly exited.
-	exited bool
+	// exited is set once this life is taken to have exited. exitReported is set if that is known only
+	// from the platform's list of boxes, and exitStep is the step at which it was reported.
+	exited       bool
+	exitReported bool
+	exitStep     int
 	// withdrawn is set if the endpoint gets no more work because its box is to be moved or
 	// maintained. withdrawal is the state of that withdrawal.
 	withdrawn  bool
--- a/pkg/cell/lives.go
+++ b/pkg/cell/lives.go
@@ -118,6 +118,10 @@
 // Requests to the life may still be on their way. If lives share an ID, a later one may carry them
 // out, so the runs that this concerns are kept.
 func (c *Cell) markLostByReport(e *endpoint, reason string) {
+	if e.exited {
+		return
+	}
+	e.exitReported, e.exitStep = true, c.step
 	c.markLostKeeping(e, reason, func(r *run) bool {
 		return e.info.Life.StartedUnixMs != 0 && (r.state != runConfirmed || e.silent && r.listedAfterStep >= e.silentStep)
 	})
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -43,7 +43,11 @@
 	}
 	for _, e := range due {
 		e.pollDue = false
-		if e.exited || e.info.Address == "" || (len(e.runs) == 0 && (!e.listed || e.withdrawal.recorded)) {
+		if e.exited {
+			c.pollExited(e)
+			continue
+		}
+		if e.info.Address == "" || (len(e.runs) == 0 && (!e.listed || e.withdrawal.recorded)) {
 			continue
 		}
 		c.pollIfDue(e)
@@ -115,7 +119,7 @@
 		// and discard its first results.
 		request.AckedSequence = 0
 	}
-	if e.attached && !e.silent && c.mayRenewLeases() {
+	if e.attached && !e.silent && !e.exited && c.mayRenewLeases() {
 		request.LeaseUntilMs = e.estimateClock(c.now) + int(c.options.MaxLease.Milliseconds())
 		c.extendLeaseBound(e, request.LeaseUntilMs)
 	}
@@ -149,7 +153,7 @@
 	c.placementDue = true
 	c.schedulePoll(e)
 	sent := e.polls.take(number)
-	if sent == nil || e.exited {
+	if sent == nil || e.exited && !c.survivedReport(e, sent, reply, err) {
 		return
 	}
 	if err != nil {
--- a/pkg/cell/reported_exit.go
+++ b/pkg/cell/reported_exit.go
@@ -1,5 +1,17 @@
 package cell
 
+import (
+	"errors"
+	"time"
+
+	"damsonwinch"
+)
+
+// reportedExitPollInterval is the time between two polls of an endpoint whose exit is known only from a
+// report, while the registry lists it. Most have exited, and their registrations expire in some
+// seconds.
+const reportedExitPollInterval = 2 * time.Second
+
 // reportedExited handles the planner's report that an endpoint has exited: a list of boxes doesn't have
 // it. An endpoint that answers lives, whatever the list says, so it is polled first. The planner repeats
 // its report.
@@ -12,3 +24,35 @@
 		c.markLostByReport(e, "the fleet planner has seen its box without it")
 	}
 }
+
+// pollExited polls an endpoint that counts as exited, if only a report says so and the registry still
+// lists it. If the report was wrong, the endpoint is used again, and its runs that were given up are
+// stopped. The boxes of withdrawn endpoints have been moved or maintained.
+func (c *Cell) pollExited(e *endpoint) {
+	if !e.exitReported || !e.listed || e.withdrawn || e.info.Address == "" || c.superseded(e) {
+		return
+	}
+	if e.polls.immediate == nil && c.now.Sub(e.polls.lastSentAt) >= reportedExitPollInterval {
+		c.sendPoll(e, 0)
+	}
+}
+
+// survivedReport handles the reply to a poll of an endpoint that counts as exited, or the poll's error. It
+// returns true if the reply is from this life, which therefore has not exited. Then the endpoint counts
+// as one that was silent.
+func (c *Cell) survivedReport(e *endpoint, sent *sentPoll, reply damsonwinch.PollReply, err error) bool {
+	if !e.exitReported || sent.step < e.exitStep {
+		return false
+	}
+	if err != nil {
+		if errors.Is(err, damsonwinch.ErrOtherLife) {
+			e.exitReported = false
+		}
+		return false
+	}
+	if !e.info.Life.WithStarted(reply.StartedUnixMs).MayBeSame(e.info.Life) || c.superseded(e) {
+		return false
+	}
+	e.exited, e.exitReported, e.silent = false, false, true
+	return true
+}
