--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -248,6 +248,7 @@
 		case r.state == runUncertain && !r.stopping && sentStep >= r.listedAfterStep:
 			// The start request may still arrive.
 			c.stop(r, "its start was not answered")
+			r.keepIfListed = true
 		}
 	}
 }
@@ -286,8 +287,9 @@
 	r.state, r.listedAfterStep = runConfirmed, c.step
 	if r.task.phase.job().ended() || r.task.done {
 		c.stop(r, "its job has ended")
-	} else if uncertain && r.stopping && r.stopSentAt.IsZero() {
-		r.stopping = false
+	} else if uncertain && r.stopping && !r.stopConfirmed && (r.stopSentAt.IsZero() || r.keepIfListed) {
+		// A stop that is on its way may still end the run. Its result then shows that.
+		r.stopping, r.keepIfListed = false, false
 	}
 }
 
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -40,6 +40,9 @@
 	lastListedStep int
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// keepIfListed is set if the run is only to be stopped because its start was not answered and a poll
+	// didn't list it. If a poll lists it before a stop is confirmed, it goes on.
+	keepIfListed bool
 	// stopSentAt is when the last stop request was sent. stopConfirmed is set once the endpoint has
 	// accepted one: from then on it refuses the start of this attempt.
 	stopSentAt    time.Time
