Planner: a wave spares the boxes of cells whose long-running tasks wait for a box

Withdrawn boxes take none of these tasks, and can't be emptied while their own tasks have nowhere to go.

--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -227,13 +227,26 @@
 		}
 	}
 	for _, b := range candidates {
-		if count > 0 && b.planned == nil {
+		if count > 0 && b.planned == nil && !p.mustKeepLongRunning(w, b) {
 			p.startWaveWithdrawal(w, b, len(due))
 			count--
 		}
 	}
 }
 
+// mustKeepLongRunning reports whether a box with long-running tasks should stay in use because others of
+// its cell wait for a box: a withdrawn box takes none of them, and can't be emptied while its own tasks
+// have nowhere to go. A wave that is late takes such boxes all the same.
+func (p *Planner) mustKeepLongRunning(w *wave, b *box) bool {
+	c := p.cells[b.cellName()]
+	return b.report.Lasting > 0 && c != nil && c.report.MissingBoxes > 0 && !w.isLate(p.now)
+}
+
+// isLate reports whether urgentPercent of the wave's duration has passed.
+func (w *wave) isLate(now time.Time) bool {
+	return now.Sub(w.startedAt) > w.Duration*urgentPercent/100
+}
+
 // startWaveWithdrawal starts to withdraw a box for a wave. due is the number of boxes that are due, for
 // the cause of the order.
 func (p *Planner) startWaveWithdrawal(w *wave, b *box, due int) {
@@ -255,7 +268,7 @@
 // makeUrgent makes the withdrawals for a wave urgent: all of them once urgentPercent of the wave's
 // duration has passed, else those that take longer than typicalEmptyTime.
 func (p *Planner) makeUrgent(w *wave) {
-	late := p.now.Sub(w.startedAt) > w.Duration*urgentPercent/100
+	late := w.isLate(p.now)
 	for _, b := range p.boxesByName {
 		if b.planned != nil && b.planned.wave == w.Number && (late || p.now.Sub(b.planned.since) > typicalEmptyTime) {
 			b.planned.urgent = true
