Move the members of the group out of pkg/ownership

What a member's name in the group holds and what the group's assignments say of the list of members needs neither the store nor the clock.

pkg/membership has the Member and the List, which NewList and FromAssignments build; the list replaces three separate results in the message about a read of the members. pkg/relay and pkg/intake need only it and no longer import pkg/ownership. The test of nearly full groups moves along; a test of the list is new.

--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"damsonwinch"
-	"damsonwinch/pkg/ownership"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -18,7 +18,7 @@
 
 // Service handles the calls of other nodes for the cells that this node owns. It never forwards a call.
 type Service struct {
-	self  ownership.Member
+	self  membership.Member
 	cells Cells
 	clock damsonwinch.Clock
 	// ctx ends all calls when the node stops. net/rpc passes no context to the methods.
@@ -26,7 +26,7 @@
 }
 
 // NewService returns the service of the node self. Its calls end when ctx does.
-func NewService(ctx context.Context, self ownership.Member, cells Cells, clock damsonwinch.Clock) *Service {
+func NewService(ctx context.Context, self membership.Member, cells Cells, clock damsonwinch.Clock) *Service {
 	return &Service{self: self, cells: cells, clock: clock, ctx: ctx}
 }
 
--- a/pkg/ownership/member.go
+++ b/pkg/membership/member.go
@@ -1,4 +1,7 @@
-package ownership
+// Package membership describes the nodes in the group that the store keeps: their names in the group,
+// which hold all that is known of a member, and the list of members that the group's assignments of
+// partitions show. It does no I/O and reads no clock.
+package membership
 
 import (
 	"strconv"
@@ -17,27 +20,27 @@
 	Incarnation int
 }
 
-// sameIncarnation reports whether two members are the same incarnation of the same node.
-func (m Member) sameIncarnation(other Member) bool {
+// SameIncarnation reports whether two members are the same incarnation of the same node.
+func (m Member) SameIncarnation(other Member) bool {
 	return m.Node == other.Node && m.Incarnation == other.Incarnation
 }
 
-// A member's name in the group consists of memberParts parts with memberSeparator between them. It
+// A member's name in the group consists of nameParts parts with separator between them. It
 // holds all data on the member, because the group keeps nothing but the name.
 const (
-	memberSeparator = "|"
-	memberParts     = 4
+	separator = "|"
+	nameParts = 4
 )
 
-// Name returns the member's name in the group, from which parseMember reads the member.
+// Name returns the member's name in the group, from which parse reads the member.
 func (m Member) Name() string {
-	return strings.Join([]string{m.Node, m.Address, strconv.Itoa(m.Weight), strconv.Itoa(m.Incarnation)}, memberSeparator)
+	return strings.Join([]string{m.Node, m.Address, strconv.Itoa(m.Weight), strconv.Itoa(m.Incarnation)}, separator)
 }
 
-// parseMember returns the member with a name in the group, and whether the name is valid.
-func parseMember(name string) (Member, bool) {
-	parts := strings.Split(name, memberSeparator)
-	if len(parts) != memberParts {
+// parse returns the member with a name in the group, and whether the name is valid.
+func parse(name string) (Member, bool) {
+	parts := strings.Split(name, separator)
+	if len(parts) != nameParts {
 		return Member{}, false
 	}
 	weight, err := strconv.Atoi(parts[2])
--- a/pkg/node/directory_test.go
+++ b/pkg/node/directory_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/owner"
 	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/wire"
@@ -23,7 +24,7 @@
 	}
 	reading := 0
 	for cell, claim := range claims {
-		n := &Node{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: ownership.Member{Node: claim.Node}}}
+		n := &Node{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: membership.Member{Node: claim.Node}}}
 		n.state.configuration.Pools = []damsonwinch.Pool{{Name: "p", RejectsOverload: rejectsOverload}}
 		runners := map[string]cellRunner{}
 		if cell != fleetCell {
--- a/pkg/node/layout.go
+++ b/pkg/node/layout.go
@@ -4,7 +4,7 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
-	"damsonwinch/pkg/ownership"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/planner"
 	"damsonwinch/pkg/shard"
 )
@@ -58,7 +58,7 @@
 }
 
 // memberWeights returns the weights of members, in the same order.
-func memberWeights(members []ownership.Member) []int {
+func memberWeights(members []membership.Member) []int {
 	weights := make([]int, 0, len(members))
 	for _, member := range members {
 		weights = append(weights, member.Weight)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -21,6 +21,7 @@
 	"damsonwinch/pkg/directory"
 	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/intake"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/relay"
@@ -66,7 +67,7 @@
 
 // Options identify a node and configure it.
 type Options struct {
-	Self           ownership.Member
+	Self           membership.Member
 	CellOptions    cell.Options
 	BoxPlanOptions boxplan.Options
 	// MembershipTTL is how long the group of nodes keeps a member that is silent.
@@ -144,7 +145,7 @@
 	n.relayPeers = relay.NewPeers(n.countedDial("relays"), deps.Clock)
 	n.relay = relay.New(relay.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, Follow: n.relayPeers.Follow,
-		Members: func() []ownership.Member { return n.View().Members },
+		Members: func() []membership.Member { return n.View().Members },
 	}, options.Self, deps.Platform.OperatorStream)
 	if err := n.serveCalls(); err != nil {
 		cancel()
--- a/pkg/ownership/alive.go
+++ b/pkg/ownership/alive.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"damsonwinch/pkg/membership"
 )
 
 // refusalLifetime is how long a refused connection counts as proof that the process has exited.
@@ -25,10 +27,10 @@
 		return true
 	case claim.Released, o.byEarlierIncarnation(claim), o.refusedRecently(claim.Node, claim.Incarnation), o.isLost(claim.Node, claim.Incarnation):
 		return false
-	case o.state.memberList.listsOwner(claim):
+	case o.state.memberList.Has(claim.Node, claim.Incarnation):
 		return true
 	}
-	return !o.state.memberList.listsLaterIncarnation(claim) && !o.healthOf(claim.Node, claim.Incarnation).cutOffFromStore
+	return !o.state.memberList.HasLater(claim.Node, claim.Incarnation) && !o.healthOf(claim.Node, claim.Incarnation).cutOffFromStore
 }
 
 // byEarlierIncarnation reports whether another incarnation of this node made a claim that isn't
@@ -45,8 +47,8 @@
 }
 
 // liveMembers returns the members that haven't refused a connection recently and aren't lost.
-func (o *Ownership) liveMembers() []Member {
-	return slices.DeleteFunc(slices.Clone(o.state.memberList.members), func(m Member) bool {
+func (o *Ownership) liveMembers() []membership.Member {
+	return slices.DeleteFunc(slices.Clone(o.state.memberList.Members()), func(m membership.Member) bool {
 		return o.refusedRecently(m.Node, m.Incarnation) || o.isLost(m.Node, m.Incarnation)
 	})
 }
--- a/pkg/ownership/claim.go
+++ b/pkg/ownership/claim.go
@@ -1,6 +1,9 @@
 package ownership
 
-import "damsonwinch/pkg/wire"
+import (
+	"damsonwinch/pkg/membership"
+	"damsonwinch/pkg/wire"
+)
 
 // Claim is the newest claim of a cell in the stream of claims.
 type Claim struct {
@@ -11,6 +14,6 @@
 }
 
 // HeldBy reports whether an incarnation of a node owns the cell by this claim.
-func (c Claim) HeldBy(m Member) bool {
+func (c Claim) HeldBy(m membership.Member) bool {
 	return !c.Released && c.Node == m.Node && c.Incarnation == m.Incarnation
 }
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -99,7 +99,7 @@
 			return
 		}
 		chosen, found := ranking.successor(cell, anyMember)
-		if found && chosen.sameIncarnation(o.options.Self) {
+		if found && chosen.SameIncarnation(o.options.Self) {
 			o.claim(cell, claim, known)
 			return
 		}
@@ -128,7 +128,7 @@
 	if !known {
 		next.Partition = o.nextPartition()
 	}
-	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": previous.Node, "members": len(o.state.memberList.members), "end": o.state.claimsEnd}).Info("claim cell")
+	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": previous.Node, "members": len(o.state.memberList.Members()), "end": o.state.claimsEnd}).Info("claim cell")
 	o.startClaimAppend(next)
 }
 
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -52,14 +52,14 @@
 		return
 	}
 	o.noteMembersRead(m.sentAt)
-	s.membersMayGrow = m.nearlyFull && m.topicCount < maxTopics
-	o.updateMembersComplete(m.sentAt, len(m.members))
+	s.membersMayGrow = m.list.NearlyFull() && m.list.TopicCount() < maxTopics
+	o.updateMembersComplete(m.sentAt, len(m.list.Members()))
 	// A member that subscribes to fewer topics than the others could be assigned no partition.
-	s.topicCount = min(max(s.topicCount, m.topicCount), maxTopics)
-	if m.nearlyFull {
+	s.topicCount = min(max(s.topicCount, m.list.TopicCount()), maxTopics)
+	if m.list.NearlyFull() {
 		s.topicCount = min(2*s.topicCount, maxTopics)
 	}
-	s.memberList, s.listGeneration = newMemberList(m.members, m.topicCount, m.nearlyFull, o.options.Self), m.generation
+	s.memberList, s.listGeneration = m.list, m.generation
 	o.invalidateRanking()
 	o.publishView()
 }
@@ -88,30 +88,6 @@
 	return names
 }
 
-// minSparePercent is by how many percent the number of partitions must exceed that of the listed
-// members for the list to be taken for complete. Of 147 nodes on 96 partitions one was assigned two
-// partitions, and 52 were assigned none.
-const minSparePercent = 25
-
-// nearlyFull reports whether there are hardly more partitions than members that hold one. Then there
-// may be members without a partition, which the assignments don't show.
-func nearlyFull(assignments []damsonwinch.Assignment) bool {
-	holders := make(map[string]bool, len(assignments))
-	for _, assignment := range assignments {
-		holders[assignment.Member] = true
-	}
-	return len(assignments)*100 < len(holders)*(100+minSparePercent)
-}
-
-// countTopics returns the number of topics that have assigned partitions.
-func countTopics(assignments []damsonwinch.Assignment) int {
-	topics := map[string]bool{}
-	for _, assignment := range assignments {
-		topics[assignment.Stream.Topic] = true
-	}
-	return len(topics)
-}
-
 // spareSuccessors is the number of nodes, beyond one per cell, that read the members at
 // fastMemberReadInterval, because several nodes may be lost at once.
 const spareSuccessors = 3
@@ -132,33 +108,7 @@
 
 // maySucceedSoon reports whether this node may be the next to take over a cell.
 func (o *Ownership) maySucceedSoon() bool {
-	return o.state.memberList.strongerCount < len(o.state.cells)+spareSuccessors
-}
-
-// assignedMembers returns the members that hold a partition; see membersByNode.
-func assignedMembers(assignments []damsonwinch.Assignment) []Member {
-	names := make([]string, 0, len(assignments))
-	for _, assignment := range assignments {
-		names = append(names, assignment.Member)
-	}
-	return membersByNode(names)
-}
-
-// membersByNode returns the members with the given names in the group, ordered by node name. Of several
-// incarnations of a node it returns only the newest.
-func membersByNode(names []string) []Member {
-	byNode := make(map[string]Member, len(names))
-	for _, name := range names {
-		member, valid := parseMember(name)
-		if valid && member.Incarnation >= byNode[member.Node].Incarnation {
-			byNode[member.Node] = member
-		}
-	}
-	members := make([]Member, 0, len(byNode))
-	for _, node := range slices.Sorted(maps.Keys(byNode)) {
-		members = append(members, byNode[node])
-	}
-	return members
+	return o.state.memberList.StrongerCount() < len(o.state.cells)+spareSuccessors
 }
 
 // handleLeave releases this node's cells and leaves the group, so that the other nodes don't have to
--- a/pkg/ownership/handover.go
+++ b/pkg/ownership/handover.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"damsonwinch/pkg/membership"
 )
 
 const (
@@ -45,10 +47,10 @@
 // findMisplaced returns the claim of a cell that this node owns, and the member that should own the
 // cell instead. This node's load per weight is then at least minHandOverRatio times the member's.
 // findMisplaced returns false if there is no such cell.
-func (o *Ownership) findMisplaced() (Claim, Member, bool) {
+func (o *Ownership) findMisplaced() (Claim, membership.Member, bool) {
 	s := &o.state
 	if !slices.ContainsFunc(s.cells, func(cell string) bool { return s.claims[cell].HeldBy(o.options.Self) }) {
-		return Claim{}, Member{}, false
+		return Claim{}, membership.Member{}, false
 	}
 	ranking := o.ranking()
 	for _, cell := range s.cells {
@@ -61,5 +63,5 @@
 			return claim, best, true
 		}
 	}
-	return Claim{}, Member{}, false
+	return Claim{}, membership.Member{}, false
 }
--- a/pkg/ownership/health.go
+++ b/pkg/ownership/health.go
@@ -8,6 +8,7 @@
 
 	"damsonwinch/pkg/call"
 	"damsonwinch/pkg/liveness"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -115,8 +116,8 @@
 		if !known || claim.Released || claim.HeldBy(o.options.Self) || o.byEarlierIncarnation(claim) {
 			continue
 		}
-		isOther := func(m Member) bool { return !claim.HeldBy(m) }
-		if best, found := ranking.successor(cell, isOther); found && best.sameIncarnation(o.options.Self) {
+		isOther := func(m membership.Member) bool { return !claim.HeldBy(m) }
+		if best, found := ranking.successor(cell, isOther); found && best.SameIncarnation(o.options.Self) {
 			cells = append(cells, cell)
 		}
 	}
--- a/pkg/ownership/health_test.go
+++ b/pkg/ownership/health_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/membership"
 )
 
 // TestOwnerMissingFromFullListKeepsItsCell checks that an owner that replies keeps its cell. The group
@@ -46,16 +48,16 @@
 	store := newMemoryStore()
 	store.partitionsPerTopic = 2
 	cells := []string{"one", "two"}
-	strong := Member{Node: "y", Address: "y:1", Weight: 800, Incarnation: 2}
-	other := Member{Node: "z", Address: "z:1", Weight: 800, Incarnation: 2}
-	for cell, owner := range map[string]Member{"one": strong, "two": other} {
+	strong := membership.Member{Node: "y", Address: "y:1", Weight: 800, Incarnation: 2}
+	other := membership.Member{Node: "z", Address: "z:1", Weight: 800, Incarnation: 2}
+	for cell, owner := range map[string]membership.Member{"one": strong, "two": other} {
 		owner.Incarnation = 1
 		store.appendRecord(claimRecord(t, cell, owner))
 	}
 	var weak []*testNode
 	for number := range 10 {
 		name := fmt.Sprintf("node-%d", number)
-		weak = append(weak, startMember(t, store, Member{Node: name, Address: name + ":1", Weight: 19, Incarnation: 2}, cells...))
+		weak = append(weak, startMember(t, store, membership.Member{Node: name, Address: name + ":1", Weight: 19, Incarnation: 2}, cells...))
 	}
 	first, second := startMember(t, store, strong, cells...), startMember(t, store, other, cells...)
 	waitUntil(t, "the owners have claimed their cells again", func() bool { return first.owns("one") && second.owns("two") })
@@ -75,10 +77,10 @@
 // gone. The weak node would make no progress with the cell.
 func TestWeakNodeHandsCellOverToStrongNode(t *testing.T) {
 	store := newMemoryStore()
-	weak := startMember(t, store, Member{Node: "a", Address: "a:1", Weight: 19, Incarnation: 1}, "one")
+	weak := startMember(t, store, membership.Member{Node: "a", Address: "a:1", Weight: 19, Incarnation: 1}, "one")
 	waitUntil(t, "the cell is owned", func() bool { return weak.owns("one") })
 
-	strong := startMember(t, store, Member{Node: "b", Address: "b:1", Weight: 800, Incarnation: 1}, "one")
+	strong := startMember(t, store, membership.Member{Node: "b", Address: "b:1", Weight: 800, Incarnation: 1}, "one")
 
 	waitUntil(t, "the strong node owns the cell", func() bool { return strong.owns("one") })
 	store.locked(func() { assert.Equal(t, store.appends, 3, "want a claim, its release and the other node's claim") })
--- a/pkg/ownership/layout.go
+++ b/pkg/ownership/layout.go
@@ -103,7 +103,7 @@
 // if the group can't use more topics, because then no better list will come.
 func (o *Ownership) updateMembersComplete(at time.Time, count int) bool {
 	s := &o.state
-	if s.membersMayGrow || count != len(s.memberList.members) || at.Before(o.membersSettledAt()) {
+	if s.membersMayGrow || count != len(s.memberList.Members()) || at.Before(o.membersSettledAt()) {
 		s.memberCountSince = at
 	}
 	s.membersComplete = at.Sub(s.memberCountSince) >= memberCountStableTime
--- a/pkg/ownership/layout_test.go
+++ b/pkg/ownership/layout_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"damsonwinch"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/shard"
 )
 
@@ -62,7 +62,7 @@
 // partitions, and that all topics together stay below the limit of the platform.
 func TestGroupOfSmallTopicsListsLargeFleet(t *testing.T) {
 	const nodes, partitions = 300, 12
-	assert.Assert(t, maxTopics*partitions*100 >= nodes*(100+minSparePercent))
+	assert.Assert(t, maxTopics*partitions*100 >= nodes*(100+membership.MinSparePercent))
 	assert.Assert(t, maxTopics+maxCellTopics < 100, "the platform allows 100 topics")
 }
 
@@ -79,26 +79,3 @@
 	assert.Equal(t, len(streams), 50)
 	assert.Assert(t, streams["keyed.cells/0"] && streams["keyed.cells-2/0"] && streams["keyed.cells-3/1"])
 }
-
-// TestNearlyFullGroupMayHideMembers guards against taking a list for complete too early. Of 147 nodes
-// on 96 partitions 95 were listed, one of them with two partitions, and 52 had none.
-func TestNearlyFullGroupMayHideMembers(t *testing.T) {
-	for name, test := range map[string]struct {
-		partitions, holders int
-		nearlyFull          bool
-	}{
-		"no members":                  {0, 0, false},
-		"six nodes":                   {24, 6, false},
-		"a member for each partition": {24, 24, true},
-		"one member holds two":        {96, 95, true},
-		"spare partitions":            {192, 147, false},
-	} {
-		var assignments []damsonwinch.Assignment
-		for number := range test.partitions {
-			assignments = append(assignments, damsonwinch.Assignment{
-				Stream: damsonwinch.Stream{Topic: groupTopic, Partition: number}, Member: strconv.Itoa(number % max(1, test.holders)),
-			})
-		}
-		assert.Equal(t, nearlyFull(assignments), test.nearlyFull, name)
-	}
-}
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -123,7 +124,7 @@
 // readMembers starts to read the members of the group, from another node or from the store.
 func (o *Ownership) readMembers(now time.Time) {
 	s := &o.state
-	generation, known := s.generation, wire.MembersArgs{Generation: s.listGeneration, Digest: s.memberList.digest}
+	generation, known := s.generation, wire.MembersArgs{Generation: s.listGeneration, Digest: s.memberList.Digest()}
 	address, found := o.memberUpstream()
 	if found {
 		s.memberFetches++
@@ -145,8 +146,7 @@
 func (o *Ownership) readAssignments(ctx context.Context, generation int, now time.Time) membersRead {
 	assignments, err := o.deps.Store.Assignments(ctx, groupName)
 	return membersRead{
-		members: assignedMembers(assignments), topicCount: countTopics(assignments), nearlyFull: nearlyFull(assignments),
-		generation: generation, sentAt: now, err: err,
+		list: membership.FromAssignments(assignments, o.options.Self), generation: generation, sentAt: now, err: err,
 	}
 }
 
@@ -158,8 +158,8 @@
 		err = fmt.Errorf("members from %s: %w", address, errMembersUnknown)
 	}
 	return membersRead{
-		members: membersByNode(reply.Members), topicCount: reply.Topics, nearlyFull: reply.NearlyFull, unchanged: reply.Unchanged,
-		generation: reply.Generation, sentAt: now.Add(-age), fromPeer: true, err: err,
+		list:      membership.NewList(reply.Members, reply.Topics, reply.NearlyFull, o.options.Self),
+		unchanged: reply.Unchanged, generation: reply.Generation, sentAt: now.Add(-age), fromPeer: true, err: err,
 	}
 }
 
@@ -167,7 +167,7 @@
 func (o *Ownership) confirmMembers(at time.Time) {
 	s := &o.state
 	o.noteMembersRead(at)
-	if before := s.membersComplete; o.updateMembersComplete(at, len(s.memberList.members)) != before {
+	if before := s.membersComplete; o.updateMembersComplete(at, len(s.memberList.Members())) != before {
 		o.publishView()
 	}
 }
@@ -188,14 +188,14 @@
 	}
 	list := view.list
 	reply := wire.MembersReply{
-		Known: true, Generation: view.MemberGeneration, Digest: list.digest, Topics: list.topicCount, NearlyFull: list.nearlyFull,
+		Known: true, Generation: view.MemberGeneration, Digest: list.Digest(), Topics: list.TopicCount(), NearlyFull: list.NearlyFull(),
 		AgeMs: int((o.deps.Clock.Now().UnixNano() - confirmedAt) / int64(time.Millisecond)),
 	}
-	if args.Generation == view.MemberGeneration && args.Digest == list.digest {
+	if args.Generation == view.MemberGeneration && args.Digest == list.Digest() {
 		reply.Unchanged = true
 		return reply
 	}
-	for _, member := range list.members {
+	for _, member := range list.Members() {
 		reply.Members = append(reply.Members, member.Name())
 	}
 	return reply
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -17,6 +17,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
@@ -78,7 +79,7 @@
 	// Claims holds the newest claim of each cell, by cell.
 	Claims map[string]Claim
 	// Members are the nodes in the group, as they were last read. Receivers must not change the slice.
-	Members []Member
+	Members []membership.Member
 	// MembersComplete reports whether Members probably holds all members.
 	MembersComplete bool
 	// MemberGeneration is the generation of the group that Members shows; negative before they have been
@@ -87,7 +88,7 @@
 	// Layout is the division of the pools into cells. It is the zero value until one is decided.
 	Layout shard.Layout
 	// list is the list that holds Members.
-	list memberList
+	list membership.List
 	// ConfirmedAt is when the newest answered read of the claims was sent. At that time no newer claims
 	// existed than those in Claims. It is zero until the first response, and after a suspension until the
 	// next one.
@@ -104,7 +105,7 @@
 // Options configure the Ownership of one node.
 type Options struct {
 	// Self is this node as a member of the group.
-	Self Member
+	Self membership.Member
 	// MembershipTTL is how long the group keeps a member that sends no heartbeat.
 	MembershipTTL time.Duration
 	// Partitions is the number of partitions of each topic.
@@ -150,13 +151,10 @@
 		err        error
 	}
 	membersRead struct {
-		members []Member
-		// topicCount is the number of topics of which the group has assigned partitions.
-		topicCount int
-		// nearlyFull reports whether the list may lack members, because hardly any partition is spare.
-		nearlyFull bool
+		// list is not set if unchanged is.
+		list membership.List
 		// generation is that of the group to which the list belongs. If unchanged is set, that is the
-		// list that this node has, and the fields above are not set.
+		// list that this node has.
 		generation int
 		unchanged  bool
 		// fromPeer reports whether another node was asked.
@@ -348,7 +346,7 @@
 func (o *Ownership) publishView() {
 	s := &o.state
 	o.deps.OnViewChange(View{
-		Claims: maps.Clone(s.claims), Members: s.memberList.members, MembersComplete: s.membersComplete,
+		Claims: maps.Clone(s.claims), Members: s.memberList.Members(), MembersComplete: s.membersComplete,
 		MemberGeneration: s.listGeneration, list: s.memberList, Layout: s.layout, ConfirmedAt: s.confirmedAt,
 	})
 }
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/wire"
 )
@@ -33,19 +34,19 @@
 }
 
 // member returns an incarnation of a node with the usual weight.
-func member(node string, incarnation int) Member {
-	return Member{Node: node, Address: node + ":1", Weight: 400, Incarnation: incarnation}
+func member(node string, incarnation int) membership.Member {
+	return membership.Member{Node: node, Address: node + ":1", Weight: 400, Incarnation: incarnation}
 }
 
 // claimRecord returns the record with which a member claims a cell.
-func claimRecord(t *testing.T, cell string, m Member) damsonwinch.Record {
+func claimRecord(t *testing.T, cell string, m membership.Member) damsonwinch.Record {
 	value, err := json.Marshal(wire.CellClaim{Cell: cell, Node: m.Node, Address: m.Address, Incarnation: m.Incarnation})
 	assert.NilError(t, err)
 	return damsonwinch.Record{Key: cell, Value: value}
 }
 
 // startMember starts the Ownership of a member, which replies to health checks from then on.
-func startMember(t *testing.T, store *memoryStore, self Member, cells ...string) *testNode {
+func startMember(t *testing.T, store *memoryStore, self membership.Member, cells ...string) *testNode {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/pkg/ownership/peer_claims.go
+++ b/pkg/ownership/peer_claims.go
@@ -55,7 +55,7 @@
 			addresses = append(addresses, address)
 		}
 	}
-	for _, member := range o.state.memberList.members {
+	for _, member := range o.state.memberList.Members() {
 		add(member.Address)
 	}
 	for _, claim := range o.state.claims {
--- a/pkg/ownership/ranking.go
+++ b/pkg/ownership/ranking.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"damsonwinch/pkg/membership"
 )
 
 // ranking orders the live members by how soon they should claim a cell: those with the fewest cells for
@@ -40,16 +42,16 @@
 }
 
 // anyMember is the eligible function that considers all members.
-func anyMember(Member) bool { return true }
+func anyMember(membership.Member) bool { return true }
 
 // candidate is a member and the number of cells that it owns.
 type candidate struct {
-	Member
+	membership.Member
 	load int
 }
 
 // newRanking returns the ranking of members that own cells by the given claims.
-func newRanking(members []Member, claims map[string]Claim) *ranking {
+func newRanking(members []membership.Member, claims map[string]Claim) *ranking {
 	load := make(map[string]int, len(claims))
 	for _, claim := range claims {
 		if !claim.Released {
@@ -81,7 +83,7 @@
 // not counting that cell. It considers only members for which eligible returns true, and returns false
 // if there is none. All nodes that see the same members and claims choose the same member. If two nodes
 // choose differently, the stream of claims accepts only the first of their claims.
-func (r *ranking) successor(cell string, eligible func(Member) bool) (Member, bool) {
+func (r *ranking) successor(cell string, eligible func(membership.Member) bool) (membership.Member, bool) {
 	owner, owned := r.owner(cell)
 	var choice successorChoice
 	for _, c := range r.candidates {
@@ -112,7 +114,7 @@
 // maySucceed reports whether a member may be the successor of the owner of some cell. Most members of a
 // large fleet may not: several others have fewer cells for their weight, and only one of them can be the
 // cell's owner itself.
-func (r *ranking) maySucceed(m Member) bool {
+func (r *ranking) maySucceed(m membership.Member) bool {
 	own, ranked := r.byNode[m.Node]
 	if !ranked {
 		return false
@@ -122,7 +124,7 @@
 
 // loadPerWeight returns the number of cells that a member would own if it owned the given cell as well,
 // divided by its weight.
-func (r *ranking) loadPerWeight(m Member, cell string) float64 {
+func (r *ranking) loadPerWeight(m membership.Member, cell string) float64 {
 	load := r.byNode[m.Node].load
 	if owner, owned := r.owner(cell); !owned || owner.Node != m.Node {
 		load++
@@ -146,13 +148,16 @@
 	c.best, c.tieRank, c.found = offered, rank, true
 }
 
+// hashSeparator stands between the names of a cell and a node in the input of tieRank.
+const hashSeparator = "|"
+
 // tieRank returns a hash that orders equally loaded members, in another order for each cell, so that the
 // cells spread over them.
 func tieRank(cell, node string) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(cell)
-	_, _ = digest.WriteString(memberSeparator)
+	_, _ = digest.WriteString(hashSeparator)
 	_, _ = digest.WriteString(node)
 	return digest.Sum64()
 }
--- a/pkg/ownership/ranking_test.go
+++ b/pkg/ownership/ranking_test.go
@@ -9,24 +9,25 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
 
 // newIdleOwnership returns the Ownership of the weakest of the given number of members, without its
 // goroutines. A tenth of the members are strong and own a cell each.
 func newIdleOwnership(size int) *Ownership {
-	members := make([]Member, 0, size)
+	members, names := make([]membership.Member, 0, size), make([]string, 0, size)
 	for number := range size {
 		m := member(fmt.Sprintf("node-%04d", number), 1)
 		m.Weight = 192
 		if number%10 == 0 {
 			m.Weight = 800
 		}
-		members = append(members, m)
+		members, names = append(members, m), append(names, m.Name())
 	}
 	self := members[1]
 	o := &Ownership{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: self}, state: state{claims: map[string]Claim{}, refusals: map[string]refusal{}, health: map[string]ownerHealth{}}}
-	o.state.memberList = newMemberList(members, 1, false, self)
+	o.state.memberList = membership.NewList(names, 1, false, self)
 	for number := 0; number < size; number += 10 {
 		cell := fmt.Sprintf("cell-%04d", number)
 		o.state.cells = append(o.state.cells, cell)
@@ -84,28 +85,28 @@
 // TestSuccessorIsTheLeastLoadedMember checks the order of candidates: load for their weight first, without
 // the cell itself, and that the choice among equals differs between cells.
 func TestSuccessorIsTheLeastLoadedMember(t *testing.T) {
-	strong, other, weak := Member{Node: "strong", Weight: 800}, Member{Node: "other", Weight: 800}, Member{Node: "weak", Weight: 100}
+	strong, other, weak := membership.Member{Node: "strong", Weight: 800}, membership.Member{Node: "other", Weight: 800}, membership.Member{Node: "weak", Weight: 100}
 	claims := map[string]Claim{}
 	for number := range 4 {
 		claims[fmt.Sprintf("cell-%d", number)] = Claim{CellClaim: wire.CellClaim{Cell: fmt.Sprintf("cell-%d", number), Node: "strong"}}
 	}
-	ranking := newRanking([]Member{weak, strong, other}, claims)
+	ranking := newRanking([]membership.Member{weak, strong, other}, claims)
 	best, found := ranking.successor("free", anyMember)
 	assert.Assert(t, found)
 	assert.Equal(t, best.Node, "other")
 	assert.Assert(t, !ranking.maySucceed(weak) || ranking.firstGroup < 2)
 
 	// Without the other one the strong node has five cells for 800, the weak one would have one for 100.
-	ranking = newRanking([]Member{weak, strong}, claims)
+	ranking = newRanking([]membership.Member{weak, strong}, claims)
 	best, _ = ranking.successor("free", anyMember)
 	assert.Equal(t, best.Node, "strong")
-	best, _ = ranking.successor("cell-0", func(m Member) bool { return m.Node != "strong" })
+	best, _ = ranking.successor("cell-0", func(m membership.Member) bool { return m.Node != "strong" })
 	assert.Equal(t, best.Node, "weak", "the owner itself is not eligible")
-	_, found = ranking.successor("cell-0", func(Member) bool { return false })
+	_, found = ranking.successor("cell-0", func(membership.Member) bool { return false })
 	assert.Assert(t, !found)
 
 	chosen := map[string]bool{}
-	ranking = newRanking([]Member{strong, other}, nil)
+	ranking = newRanking([]membership.Member{strong, other}, nil)
 	for number := range 20 {
 		best, _ = ranking.successor(fmt.Sprintf("cell-%d", number), anyMember)
 		chosen[best.Node] = true
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/shard"
 )
 
@@ -22,7 +23,7 @@
 	haveClaims bool
 	// confirmedAt is when the newest answered read of the claims was sent.
 	confirmedAt time.Time
-	memberList  memberList
+	memberList  membership.List
 	// membersReadAt is when the newest answered read of the members was sent. membersRecoveredAt is when
 	// the newest answered heartbeat was sent that followed a long time without answered ones.
 	membersReadAt      time.Time
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"damsonwinch"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -28,7 +29,7 @@
 	topicCounts        map[string]int
 	// replying holds the nodes that reply to health checks, and cutOff those of them that are cut off
 	// from the store, both by address.
-	replying map[string]Member
+	replying map[string]membership.Member
 	cutOff   map[string]bool
 	// appends counts the appends that were tried. The next ones, as many as failures, fail with an
 	// unknown outcome.
@@ -60,7 +61,7 @@
 var _ damsonwinch.Store = (*memoryStore)(nil)
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{appended: make(chan struct{}), topicCounts: map[string]int{}, replying: map[string]Member{}, cutOff: map[string]bool{}, nodes: map[string]*testNode{}}
+	return &memoryStore{appended: make(chan struct{}), topicCounts: map[string]int{}, replying: map[string]membership.Member{}, cutOff: map[string]bool{}, nodes: map[string]*testNode{}}
 }
 
 var errNoResponse = errors.New("no response")
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -15,9 +15,9 @@
 	"damsonwinch/pkg/boxplan"
 	"damsonwinch/pkg/cell"
 	"damsonwinch/pkg/customer"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/node"
-	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/settings"
 	"damsonwinch/platform"
 )
@@ -138,7 +138,7 @@
 func nodeOptions(config settings.Node, env Env) node.Options {
 	bounds := config.Bounds
 	return node.Options{
-		Self: ownership.Member{
+		Self: membership.Member{
 			Node: config.Node, Address: config.CallAddress, Weight: nodeWeight(config), Incarnation: int(env.Clock.Now().UnixMilli()),
 		},
 		CellOptions: cell.Options{
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -20,8 +20,8 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
-	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -54,7 +54,7 @@
 	Metrics *metrics.Set
 	// Members returns the nodes that this node knows, including itself. It returns the same slice as long
 	// as they haven't changed.
-	Members func() []ownership.Member
+	Members func() []membership.Member
 	// Follow calls the method Follow of the node at an address.
 	Follow func(ctx context.Context, address string, args wire.FollowArgs) (wire.FollowReply, error)
 }
@@ -64,7 +64,7 @@
 type Relay struct {
 	damsonwinch.Store
 	deps   Deps
-	self   ownership.Member
+	self   membership.Member
 	stream damsonwinch.Stream
 	tail   *tail
 
@@ -76,12 +76,12 @@
 	totalFailures       int
 	directUntil         time.Time
 	// upstreams are the upstream nodes among seenMembers, the newest result of Deps.Members.
-	seenMembers []ownership.Member
-	upstreams   []ownership.Member
+	seenMembers []membership.Member
+	upstreams   []membership.Member
 }
 
 // New returns the relay of the node self for a stream.
-func New(deps Deps, self ownership.Member, stream damsonwinch.Stream) *Relay {
+func New(deps Deps, self membership.Member, stream damsonwinch.Stream) *Relay {
 	return &Relay{Store: deps.Store, deps: deps, self: self, stream: stream, tail: newTail()}
 }
 
@@ -155,7 +155,7 @@
 	if !sameSlice(r.seenMembers, members) {
 		r.seenMembers, r.upstreams = members, chooseUpstreams(members)
 	}
-	if slices.ContainsFunc(r.upstreams, func(m ownership.Member) bool { return m.Node == r.self.Node }) {
+	if slices.ContainsFunc(r.upstreams, func(m membership.Member) bool { return m.Node == r.self.Node }) {
 		return "", false
 	}
 	index := (xxhash.Sum64String(r.self.Node) + uint64(r.totalFailures)) % uint64(len(r.upstreams))
@@ -163,15 +163,15 @@
 }
 
 // sameSlice reports whether two slices are the same part of the same array.
-func sameSlice(a, b []ownership.Member) bool {
+func sameSlice(a, b []membership.Member) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // chooseUpstreams returns the upstream nodes among members. Equally strong nodes are ordered by a hash, so
 // that the upstream nodes are spread over the availability zones.
-func chooseUpstreams(members []ownership.Member) []ownership.Member {
+func chooseUpstreams(members []membership.Member) []membership.Member {
 	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b ownership.Member) int {
+	slices.SortFunc(sorted, func(a, b membership.Member) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(xxhash.Sum64String(a.Node), xxhash.Sum64String(b.Node)), cmp.Compare(a.Node, b.Node))
 	})
 	return sorted[:int(math.Ceil(math.Sqrt(float64(len(sorted)))))]
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -17,8 +17,8 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
-	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -83,7 +83,7 @@
 
 // fleet is a set of nodes that all know each other.
 type fleet struct {
-	members []ownership.Member
+	members []membership.Member
 	relays  map[string]*Relay
 	clock   clockwork.Clock
 	// follow stands for the net/rpc call from one node to another.
@@ -102,7 +102,7 @@
 	logger.SetOutput(io.Discard)
 	for number := range nodes {
 		name := fmt.Sprintf("node-%03d", number)
-		member := ownership.Member{Node: name, Address: name, Weight: 192}
+		member := membership.Member{Node: name, Address: name, Weight: 192}
 		if number%8 == 0 {
 			member.Weight = 800
 		}
@@ -111,7 +111,7 @@
 	for _, member := range f.members {
 		f.relays[member.Node] = New(Deps{
 			Store: store, Clock: clock, Logger: logger, Metrics: metrics.New(),
-			Members: func() []ownership.Member { return f.members },
+			Members: func() []membership.Member { return f.members },
 			Follow: func(ctx context.Context, address string, args wire.FollowArgs) (wire.FollowReply, error) {
 				return f.follow(ctx, address, args)
 			},
