Move the choice of successors out of pkg/ownership

The ranking of members by their cells for their weight is a pure function of the members and of who owns which cell. It stood among code that claims cells and watches owners, and took claims of which it needed one name each.

pkg/succession has Rank, which takes the names of the owners by cell, and the Ranking's three questions. pkg/ownership keeps when a ranking is made anew. The test of the order of candidates moves along; the tests of costs stay, because they run the code that asks.

--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -12,6 +12,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/succession"
 	"damsonwinch/pkg/wire"
 )
 
@@ -95,10 +96,10 @@
 			continue
 		}
 		ranking := o.ranking()
-		if !ranking.maySucceed(o.options.Self) {
+		if !ranking.MaySucceed(o.options.Self) {
 			return
 		}
-		chosen, found := ranking.successor(cell, anyMember)
+		chosen, found := ranking.Successor(cell, succession.AnyMember)
 		if found && chosen.SameIncarnation(o.options.Self) {
 			o.claim(cell, claim, known)
 			return
@@ -106,17 +107,6 @@
 	}
 }
 
-// liveClaims returns the claims, by cell, whose owners are probably alive.
-func (o *Ownership) liveClaims() map[string]Claim {
-	live := map[string]Claim{}
-	for cell, claim := range o.state.claims {
-		if o.isOwnerAlive(claim) {
-			live[cell] = claim
-		}
-	}
-	return live
-}
-
 // claim starts to append a claim of a cell for this node. The cell keeps the partition of its
 // previous claim. If known is false there is no previous claim, and the cell gets the next unused
 // partition.
--- a/pkg/ownership/handover.go
+++ b/pkg/ownership/handover.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch/pkg/membership"
+	"damsonwinch/pkg/succession"
 )
 
 const (
@@ -58,8 +59,8 @@
 		if !claim.HeldBy(o.options.Self) {
 			continue
 		}
-		best, found := ranking.successor(cell, anyMember)
-		if found && best.Node != o.options.Self.Node && ranking.loadPerWeight(best, cell)*minHandOverRatio <= ranking.loadPerWeight(o.options.Self, cell) {
+		best, found := ranking.Successor(cell, succession.AnyMember)
+		if found && best.Node != o.options.Self.Node && ranking.LoadPerWeight(best, cell)*minHandOverRatio <= ranking.LoadPerWeight(o.options.Self, cell) {
 			return claim, best, true
 		}
 	}
--- a/pkg/ownership/health.go
+++ b/pkg/ownership/health.go
@@ -107,7 +107,7 @@
 func (o *Ownership) successorCells() []string {
 	s := &o.state
 	ranking := o.ranking()
-	if !ranking.maySucceed(o.options.Self) {
+	if !ranking.MaySucceed(o.options.Self) {
 		return nil
 	}
 	var cells []string
@@ -117,7 +117,7 @@
 			continue
 		}
 		isOther := func(m membership.Member) bool { return !claim.HeldBy(m) }
-		if best, found := ranking.successor(cell, isOther); found && best.SameIncarnation(o.options.Self) {
+		if best, found := ranking.Successor(cell, isOther); found && best.SameIncarnation(o.options.Self) {
 			cells = append(cells, cell)
 		}
 	}
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsonwinch/pkg/membership"
+	"damsonwinch/pkg/succession"
 	"damsonwinch/pkg/wire"
 )
 
@@ -117,7 +118,7 @@
 	if len(upstreams) == 0 || s.memberFailures >= maxFailures || o.isMemberUpstream() {
 		return "", false
 	}
-	index := (tieRank(groupName, o.options.Self.Node) + uint64(s.memberFetches)) % uint64(len(upstreams))
+	index := (succession.TieRank(groupName, o.options.Self.Node) + uint64(s.memberFetches)) % uint64(len(upstreams))
 	return upstreams[index].Address, true
 }
 
--- a/pkg/ownership/ranking_test.go
+++ b/pkg/ownership/ranking_test.go
@@ -82,38 +82,6 @@
 	}
 }
 
-// TestSuccessorIsTheLeastLoadedMember checks the order of candidates: load for their weight first, without
-// the cell itself, and that the choice among equals differs between cells.
-func TestSuccessorIsTheLeastLoadedMember(t *testing.T) {
-	strong, other, weak := membership.Member{Node: "strong", Weight: 800}, membership.Member{Node: "other", Weight: 800}, membership.Member{Node: "weak", Weight: 100}
-	claims := map[string]Claim{}
-	for number := range 4 {
-		claims[fmt.Sprintf("cell-%d", number)] = Claim{CellClaim: wire.CellClaim{Cell: fmt.Sprintf("cell-%d", number), Node: "strong"}}
-	}
-	ranking := newRanking([]membership.Member{weak, strong, other}, claims)
-	best, found := ranking.successor("free", anyMember)
-	assert.Assert(t, found)
-	assert.Equal(t, best.Node, "other")
-	assert.Assert(t, !ranking.maySucceed(weak) || ranking.firstGroup < 2)
-
-	// Without the other one the strong node has five cells for 800, the weak one would have one for 100.
-	ranking = newRanking([]membership.Member{weak, strong}, claims)
-	best, _ = ranking.successor("free", anyMember)
-	assert.Equal(t, best.Node, "strong")
-	best, _ = ranking.successor("cell-0", func(m membership.Member) bool { return m.Node != "strong" })
-	assert.Equal(t, best.Node, "weak", "the owner itself is not eligible")
-	_, found = ranking.successor("cell-0", func(membership.Member) bool { return false })
-	assert.Assert(t, !found)
-
-	chosen := map[string]bool{}
-	ranking = newRanking([]membership.Member{strong, other}, nil)
-	for number := range 20 {
-		best, _ = ranking.successor(fmt.Sprintf("cell-%d", number), anyMember)
-		chosen[best.Node] = true
-	}
-	assert.Equal(t, len(chosen), 2)
-}
-
 // BenchmarkWatch measures what each node of a fleet of 588 does when a claim changes.
 func BenchmarkWatch(b *testing.B) {
 	o := newIdleOwnership(588)
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -5,6 +5,7 @@
 
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/succession"
 )
 
 // state is the state of run. A field whose name ends in Pending is set while a call of that kind is under
@@ -62,7 +63,7 @@
 	watchedAt time.Time
 	// ranking is the ranking of the live members, or nil if it has to be computed anew. rankedAt is
 	// when it was computed.
-	ranking  *ranking
+	ranking  *succession.Ranking
 	rankedAt time.Time
 	// misplacedSince is the time from which this node has owned a cell that a far stronger node should
 	// own, or zero.
