Move the pace of claims out of pkg/ownership

How soon a node reads the next claims and how long it waits after a conflict depend on a few numbers and the time only.

The test of single pauses moves along; the tests of growth stay, because they run whole nodes.

--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -20,7 +20,7 @@
 func (o *Ownership) newFeed() *feed.Feed {
 	return feed.New(feed.Deps{Store: o.deps.Store, Clock: o.deps.Clock, Logger: o.deps.Logger, Metrics: o.deps.Metrics, StoreAnsweredAt: o.StoreAnsweredAt}, feed.Options{
 		Stream: damsonwinch.Stream{Topic: claimTopic}, Wait: claimReadWait,
-		Pause: func() time.Duration { return o.readPace.pause(o.deps.Clock.Now()) },
+		Pause: func() time.Duration { return o.readPace.Pause(o.deps.Clock.Now()) },
 		OnSnapshot: func(records []damsonwinch.Record, end int, sentAt time.Time) {
 			o.send(claimsRead{records: records, end: end, snapshot: true, sentAt: sentAt})
 		},
@@ -186,7 +186,7 @@
 		// Another node has appended a record that this node hasn't read.
 		o.deps.Metrics.Add("claims_outdated", 1)
 		s.conflictEnd = end
-		o.readPace.conflictedAt.Store(o.deps.Clock.Now().UnixNano())
+		o.readPace.NoteConflict(o.deps.Clock.Now())
 		o.backOff(o.deps.Clock.Now())
 	default:
 		logger.WithError(err).Warn("append to the stream of claims failed")
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"damsonwinch"
+	"damsonwinch/pkg/claimpace"
 	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
@@ -127,7 +128,7 @@
 	state   state
 	feed    *feed.Feed
 	// readPace spaces the reads of feed.
-	readPace readPace
+	readPace claimpace.Reads
 	// answeredAt is when the store last answered a call, in Unix nanoseconds.
 	answeredAt atomic.Int64
 	// membersConfirmedAt is the time at which the list of members was last known to be the newest, in Unix
--- a/pkg/ownership/read_pace_test.go
+++ b/pkg/ownership/read_pace_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
+
+	"damsonwinch/pkg/claimpace"
 )
 
 // TestReadsDoNotGrowWithTheCells checks growth: while a fleet starts, each cell is claimed, and each node read
@@ -26,26 +28,8 @@
 		took := clock.Since(start)
 		store.locked(func() {
 			t.Logf("%d cells: %d reads in %v", count, store.claimReads, took)
-			most := claimReadBurst + 2 + int(claimReadsPerSec*took.Seconds())
+			most := claimpace.ReadBurst + 2 + int(claimpace.ReadsPerSec*took.Seconds())
 			assert.Assert(t, store.claimReads <= most, "%d reads of %d claims in %v", store.claimReads, count, took)
 		})
 	}
 }
-
-// TestFewClaimsAreReadAtOnce checks that a node learns of a few new owners without a pause, and a node that
-// waits to claim a cell of many.
-func TestFewClaimsAreReadAtOnce(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
-	var pace readPace
-	for read := range claimReadBurst {
-		assert.Equal(t, pace.pause(now), time.Duration(0), "read %d", read)
-	}
-	assert.Equal(t, pace.pause(now), time.Second/claimReadsPerSec)
-	pace.conflictedAt.Store(now.UnixNano())
-	for range 100 {
-		assert.Equal(t, pace.pause(now), time.Duration(0), "after a conflict")
-	}
-	now = now.Add(claimReadsConflict)
-	assert.Assert(t, pace.pause(now) <= time.Second/claimReadsPerSec, "reads without a pause are not made up for")
-	assert.Equal(t, pace.pause(now.Add(time.Minute)), time.Duration(0), "after a minute")
-}
