Move claims of cells and the names of their streams out of pkg/ownership

What a claim is, in which stream a claimed cell has its records and which claims' owners read for others is the same for all who look at claims; pkg/node needs it without the rest of pkg/ownership.

pkg/cellclaim has Claim, Stream, PartitionStream and Upstreams.

go build, go vet; go test of ownership, cellclaim, claimpace, succession, membership, node, relay, intake and command: all ok. In process TestJobFailsAfterMaxAttempts failed once ("not within 30s: job is accepted"), the others passed; the machine had a load of 24 on 12 processors, and another cluster of the same tests ran beside it. The cause isn't known.

--- a/pkg/ownership/claim.go
+++ b/pkg/cellclaim/claim.go
@@ -1,4 +1,6 @@
-package ownership
+// Package cellclaim describes the claims by which nodes own cells, and names the streams that hold the
+// records of the claimed cells. It does no I/O and reads no clock.
+package cellclaim
 
 import (
 	"damsonwinch/pkg/membership"
--- a/pkg/ownership/upstreams.go
+++ b/pkg/cellclaim/upstreams.go
@@ -1,4 +1,4 @@
-package ownership
+package cellclaim
 
 import (
 	"cmp"
@@ -11,11 +11,11 @@
 // well.
 const maxDirectReaders = 16
 
-// UpstreamClaims returns claims whose owners read something from the store for all other nodes: those of the
+// Upstreams returns claims whose owners read something from the store for all other nodes: those of the
 // given number of cells for which suits returns true, chosen by a hash, so that they are spread over the
 // availability zones. All nodes know the owners, also right after a start, and a lost owner is replaced
 // soon. It returns none in a fleet with few cells, where all nodes read from the store.
-func UpstreamClaims(claims map[string]Claim, count int, suits func(cell string) bool) []Claim {
+func Upstreams(claims map[string]Claim, count int, suits func(cell string) bool) []Claim {
 	var upstreams []Claim
 	for cell, claim := range claims {
 		if !claim.Released && suits(cell) {
--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -7,9 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/directory"
 	"damsonwinch/pkg/owner"
-	"damsonwinch/pkg/ownership"
 )
 
 const (
@@ -63,8 +63,8 @@
 		}
 	}
 	slices.Sort(access.cells)
-	upstreams := ownership.UpstreamClaims(n.View().Claims, listUpstreamCount, func(cell string) bool { return cell != fleetCell })
-	access.serves = slices.ContainsFunc(upstreams, func(claim ownership.Claim) bool { return claim.Node == n.options.Self.Node })
+	upstreams := cellclaim.Upstreams(n.View().Claims, listUpstreamCount, func(cell string) bool { return cell != fleetCell })
+	access.serves = slices.ContainsFunc(upstreams, func(claim cellclaim.Claim) bool { return claim.Node == n.options.Self.Node })
 	switch {
 	case access.serves:
 		access.fromStore = true
@@ -79,7 +79,7 @@
 
 // rotate returns the addresses of claims, starting with one that depends on this node, so that each is the first
 // choice of about equally many nodes.
-func (n *Node) rotate(claims []ownership.Claim) []string {
+func (n *Node) rotate(claims []cellclaim.Claim) []string {
 	first := int(xxhash.Sum64String(n.options.Self.Node) % uint64(len(claims)))
 	addresses := make([]string, 0, len(claims))
 	for index := range claims {
--- a/pkg/node/directory_test.go
+++ b/pkg/node/directory_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/owner"
 	"damsonwinch/pkg/ownership"
@@ -17,10 +18,10 @@
 // readers returns how many nodes of a fleet, each of which owns one cell, read all registrations from the store.
 func readers(t *testing.T, cells int, rejectsOverload bool) int {
 	t.Helper()
-	claims := map[string]ownership.Claim{fleetCell: {CellClaim: wire.CellClaim{Cell: fleetCell, Node: "planner"}}}
+	claims := map[string]cellclaim.Claim{fleetCell: {CellClaim: wire.CellClaim{Cell: fleetCell, Node: "planner"}}}
 	for number := range cells {
 		cell := fmt.Sprintf("p@%d", number)
-		claims[cell] = ownership.Claim{CellClaim: wire.CellClaim{Cell: cell, Node: "node-" + cell, Address: "address of " + cell}}
+		claims[cell] = cellclaim.Claim{CellClaim: wire.CellClaim{Cell: cell, Node: "node-" + cell, Address: "address of " + cell}}
 	}
 	reading := 0
 	for cell, claim := range claims {
--- a/pkg/node/placements.go
+++ b/pkg/node/placements.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/feed"
-	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/planner"
 	"damsonwinch/pkg/shard"
 )
@@ -78,7 +78,7 @@
 		return
 	}
 	n.state.followsPlacements = true
-	stream := ownership.CellStream(claim, n.options.Partitions)
+	stream := cellclaim.Stream(claim, n.options.Partitions)
 	n.group.Go(func() error {
 		feed.New(n.feedDeps(), feed.Options{
 			Stream: stream, Pause: func() time.Duration { return placementReadInterval }, Period: n.registrationPeriod, Wake: n.wakePlacementFeed, NewestOnly: true,
--- a/pkg/node/runners.go
+++ b/pkg/node/runners.go
@@ -2,8 +2,8 @@
 
 import (
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/owner"
-	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/planner"
 )
 
@@ -51,7 +51,7 @@
 }
 
 // shouldRun reports whether this node should run the cell of a claim: it holds the claim and isn't stopping.
-func (n *Node) shouldRun(claim ownership.Claim) bool {
+func (n *Node) shouldRun(claim cellclaim.Claim) bool {
 	return claim.HeldBy(n.options.Self) && !n.state.stopping
 }
 
@@ -68,7 +68,7 @@
 
 // startRunner starts a runner for the cell of a claim. The main goroutine gets a runnerStopped message once the
 // runner has stopped.
-func (n *Node) startRunner(claim ownership.Claim) cellRunner {
+func (n *Node) startRunner(claim cellclaim.Claim) cellRunner {
 	var started cellRunner
 	if claim.Cell == fleetCell {
 		started = n.startPlanner(claim)
@@ -85,15 +85,15 @@
 
 // startOwner starts the owner of a pool's cell. It passes on the configuration, and the cell's endpoints if all
 // registrations have been read.
-func (n *Node) startOwner(claim ownership.Claim) *owner.Owner {
+func (n *Node) startOwner(claim cellclaim.Claim) *owner.Owner {
 	started := owner.New(owner.Deps{
 		Store: n.deps.Platform.Store, Endpoints: n.deps.Platform.Endpoints, Fleet: n.deps.Platform.Fleet, Advisor: n.deps.Platform.Advisor, Clock: n.deps.Clock,
 		Logger: n.deps.Logger.WithField("cell", claim.Cell), Metrics: n.deps.Metrics, OnTasksWaiting: n.refreshEndpoints,
 		SuspendedTime: n.deps.SuspendedTime, StoreAnsweredAt: n.ownership.StoreAnsweredAt, ReservePartition: n.ownership.ReservePartition, MoveClaim: n.ownership.MoveClaim,
 		PartitionStream: func(partition int) damsonwinch.Stream {
-			return ownership.PartitionStream(partition, n.options.Partitions)
+			return cellclaim.PartitionStream(partition, n.options.Partitions)
 		},
-	}, owner.Options{Cell: claim.Cell, Stream: ownership.CellStream(claim, n.options.Partitions), Token: claim.Token, MaxAppendBytes: n.options.MaxAppendBytes, CellOptions: n.options.CellOptions})
+	}, owner.Options{Cell: claim.Cell, Stream: cellclaim.Stream(claim, n.options.Partitions), Token: claim.Token, MaxAppendBytes: n.options.MaxAppendBytes, CellOptions: n.options.CellOptions})
 	started.Configure(n.state.configuration, n.rejectsOverload(claim.Cell))
 	started.SetEvacuations(n.state.evacuations.zones(), n.state.evacuations.confirmedAt)
 	if endpoints, known := n.knownEndpoints(claim.Cell); known {
@@ -104,13 +104,13 @@
 
 // startPlanner starts the fleet planner. It passes on the configuration, the layout and all waves that have been
 // read.
-func (n *Node) startPlanner(claim ownership.Claim) *planner.Planner {
+func (n *Node) startPlanner(claim cellclaim.Claim) *planner.Planner {
 	started := planner.New(planner.Deps{
 		Store: n.deps.Platform.Store, Fleet: n.deps.Platform.Fleet, Clock: n.deps.Clock, Logger: n.deps.Logger.WithField("cell", claim.Cell),
 		Metrics: n.deps.Metrics, Sync: n.router.Sync, WaveReport: n.deps.Platform.WaveReport,
 		SuspendedTime:  n.deps.SuspendedTime,
 		OnFirstBoxList: func(count int) { n.send(boxCountReceived{count: count}) },
-	}, planner.Options{Node: n.options.Self.Node, Cell: claim.Cell, Stream: ownership.CellStream(claim, n.options.Partitions), Token: claim.Token, BoxPlanOptions: n.options.BoxPlanOptions})
+	}, planner.Options{Node: n.options.Self.Node, Cell: claim.Cell, Stream: cellclaim.Stream(claim, n.options.Partitions), Token: claim.Token, BoxPlanOptions: n.options.BoxPlanOptions})
 	started.Configure(n.state.configuration, n.state.layout)
 	started.SetEvacuatedZones(n.state.evacuations.zones())
 	for _, wave := range n.state.waves {
--- a/pkg/ownership/alive.go
+++ b/pkg/ownership/alive.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/membership"
 )
 
@@ -21,7 +22,7 @@
 
 // isOwnerAlive reports whether the node that made a claim is probably alive. A wrong result costs a
 // needless or a late takeover, but is safe: a later claim fences off the earlier one.
-func (o *Ownership) isOwnerAlive(claim Claim) bool {
+func (o *Ownership) isOwnerAlive(claim cellclaim.Claim) bool {
 	switch {
 	case claim.HeldBy(o.options.Self):
 		return true
@@ -35,7 +36,7 @@
 
 // byEarlierIncarnation reports whether another incarnation of this node made a claim that isn't
 // released.
-func (o *Ownership) byEarlierIncarnation(claim Claim) bool {
+func (o *Ownership) byEarlierIncarnation(claim cellclaim.Claim) bool {
 	return !claim.Released && claim.Node == o.options.Self.Node && claim.Incarnation != o.options.Self.Incarnation
 }
 
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/succession"
 	"damsonwinch/pkg/wire"
@@ -35,7 +36,7 @@
 func (o *Ownership) handleClaimsRead(m claimsRead) {
 	s := &o.state
 	if m.snapshot {
-		maps.DeleteFunc(s.claims, func(_ string, claim Claim) bool { return claim.Token <= m.end })
+		maps.DeleteFunc(s.claims, func(_ string, claim cellclaim.Claim) bool { return claim.Token <= m.end })
 	}
 	for _, record := range m.records {
 		switch record.Key {
@@ -61,7 +62,7 @@
 		if !m.snapshot && s.claims[record.Key].Token != record.Offset+1 {
 			s.claimedAt[record.Key] = o.deps.Clock.Now()
 		}
-		s.claims[record.Key] = Claim{CellClaim: claim, Token: record.Offset + 1}
+		s.claims[record.Key] = cellclaim.Claim{CellClaim: claim, Token: record.Offset + 1}
 		// Claims carry the number of topics that the group needs to list all members, so that a
 		// restarted node doesn't have to find it out again.
 		s.topicCount = min(max(s.topicCount, claim.Topics), maxTopics)
@@ -110,7 +111,7 @@
 // claim starts to append a claim of a cell for this node. The cell keeps the partition of its
 // previous claim. If known is false there is no previous claim, and the cell gets the next unused
 // partition.
-func (o *Ownership) claim(cell string, previous Claim, known bool) {
+func (o *Ownership) claim(cell string, previous cellclaim.Claim, known bool) {
 	next := wire.CellClaim{
 		Cell: cell, Node: o.options.Self.Node, Address: o.options.Self.Address, Incarnation: o.options.Self.Incarnation,
 		Partition: previous.Partition, Topics: o.state.topicCount,
@@ -201,7 +202,7 @@
 		return
 	}
 	// All earlier records have been read, so the claim holds without being read back.
-	o.state.claims[m.claim.Cell] = Claim{CellClaim: m.claim, Token: m.end + 1}
+	o.state.claims[m.claim.Cell] = cellclaim.Claim{CellClaim: m.claim, Token: m.end + 1}
 	o.invalidateRanking()
 	o.publishView()
 }
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/wire"
 )
 
@@ -83,7 +84,7 @@
 func (o *Ownership) topicNames() []string {
 	names := make([]string, 0, o.state.topicCount)
 	for number := 1; number <= o.state.topicCount; number++ {
-		names = append(names, topicName(groupTopic, number))
+		names = append(names, cellclaim.TopicName(groupTopic, number))
 	}
 	return names
 }
--- a/pkg/ownership/handover.go
+++ b/pkg/ownership/handover.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/succession"
 )
@@ -48,10 +49,10 @@
 // findMisplaced returns the claim of a cell that this node owns, and the member that should own the
 // cell instead. This node's load per weight is then at least minHandOverRatio times the member's.
 // findMisplaced returns false if there is no such cell.
-func (o *Ownership) findMisplaced() (Claim, membership.Member, bool) {
+func (o *Ownership) findMisplaced() (cellclaim.Claim, membership.Member, bool) {
 	s := &o.state
 	if !slices.ContainsFunc(s.cells, func(cell string) bool { return s.claims[cell].HeldBy(o.options.Self) }) {
-		return Claim{}, membership.Member{}, false
+		return cellclaim.Claim{}, membership.Member{}, false
 	}
 	ranking := o.ranking()
 	for _, cell := range s.cells {
@@ -64,5 +65,5 @@
 			return claim, best, true
 		}
 	}
-	return Claim{}, membership.Member{}, false
+	return cellclaim.Claim{}, membership.Member{}, false
 }
--- a/pkg/ownership/health.go
+++ b/pkg/ownership/health.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/liveness"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
@@ -125,7 +126,7 @@
 }
 
 // checkOwner starts a health check of a claim's owner.
-func (o *Ownership) checkOwner(claim Claim, now time.Time) {
+func (o *Ownership) checkOwner(claim cellclaim.Claim, now time.Time) {
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, checkTimeout)
 		defer cancel()
@@ -140,8 +141,8 @@
 const lastKey = "~"
 
 // readStreamEnds starts to read the end offsets of the streams of all cells of a claim's owner.
-func (o *Ownership) readStreamEnds(watched Claim, now time.Time) {
-	var claims []Claim
+func (o *Ownership) readStreamEnds(watched cellclaim.Claim, now time.Time) {
+	var claims []cellclaim.Claim
 	for _, claim := range o.state.claims {
 		if claim.Node == watched.Node && !claim.Released {
 			claims = append(claims, claim)
@@ -152,7 +153,7 @@
 		defer cancel()
 		result := streamEndsRead{node: watched.Node, incarnation: watched.Incarnation, sentAt: now}
 		for _, claim := range claims {
-			page, err := o.deps.Store.Newest(ctx, CellStream(claim, o.options.Partitions), lastKey)
+			page, err := o.deps.Store.Newest(ctx, cellclaim.Stream(claim, o.options.Partitions), lastKey)
 			if err != nil {
 				result.err = err
 				break
--- a/pkg/ownership/layout_test.go
+++ b/pkg/ownership/layout_test.go
@@ -65,17 +65,3 @@
 	assert.Assert(t, maxTopics*partitions*100 >= nodes*(100+membership.MinSparePercent))
 	assert.Assert(t, maxTopics+maxCellTopics < 100, "the platform allows 100 topics")
 }
-
-// TestCellPartitionsSpanTopics checks that there can be more cells than partitions of a topic.
-func TestCellPartitionsSpanTopics(t *testing.T) {
-	streams := map[string]bool{}
-	for partition := range 50 {
-		claim := Claim{}
-		claim.Partition = partition
-		stream := CellStream(claim, 24)
-		assert.Assert(t, stream.Partition < 24)
-		streams[stream.String()] = true
-	}
-	assert.Equal(t, len(streams), 50)
-	assert.Assert(t, streams["keyed.cells/0"] && streams["keyed.cells-2/0"] && streams["keyed.cells-3/1"])
-}
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/succession"
 	"damsonwinch/pkg/wire"
@@ -97,13 +98,13 @@
 }
 
 // memberUpstreams returns the claims of the nodes that read the members for others, or none in a small fleet.
-func (o *Ownership) memberUpstreams() []Claim {
-	return UpstreamClaims(o.state.claims, memberUpstreamCount, func(string) bool { return true })
+func (o *Ownership) memberUpstreams() []cellclaim.Claim {
+	return cellclaim.Upstreams(o.state.claims, memberUpstreamCount, func(string) bool { return true })
 }
 
 // isMemberUpstream reports whether this node reads the members for others.
 func (o *Ownership) isMemberUpstream() bool {
-	return slices.ContainsFunc(o.memberUpstreams(), func(claim Claim) bool { return claim.Node == o.options.Self.Node })
+	return slices.ContainsFunc(o.memberUpstreams(), func(claim cellclaim.Claim) bool { return claim.Node == o.options.Self.Node })
 }
 
 // memberUpstream returns the address of the node from which this one reads the members, or false if it reads
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/claimpace"
 	"damsonwinch/pkg/feed"
 	"damsonwinch/pkg/membership"
@@ -30,8 +31,6 @@
 	groupTopic = "nodes"
 	// claimTopic holds the newest claim of each cell.
 	claimTopic = "keyed.claims"
-	// cellTopic holds the records of the cells, with one cell per partition.
-	cellTopic = "keyed.cells"
 )
 
 // Intervals and timeouts of the calls to the store.
@@ -78,7 +77,7 @@
 // View is what a node knows about the owners of the cells.
 type View struct {
 	// Claims holds the newest claim of each cell, by cell.
-	Claims map[string]Claim
+	Claims map[string]cellclaim.Claim
 	// Members are the nodes in the group, as they were last read. Receivers must not change the slice.
 	Members []membership.Member
 	// MembersComplete reports whether Members probably holds all members.
@@ -98,7 +97,7 @@
 
 // Owner returns the newest claim of a cell, and whether the cell has an owner: whether there is a claim
 // and it isn't released.
-func (v View) Owner(cell string) (Claim, bool) {
+func (v View) Owner(cell string) (cellclaim.Claim, bool) {
 	claim, known := v.Claims[cell]
 	return claim, known && !claim.Released
 }
@@ -209,7 +208,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
+		state: state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
--- a/pkg/ownership/partitions.go
+++ b/pkg/ownership/partitions.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"strconv"
 
 	"github.com/sirupsen/logrus"
 
@@ -19,28 +18,6 @@
 // 100 topics in all.
 const maxCellTopics = 55
 
-// CellStream returns the stream that holds the records of a claim's cell. partitions is the number of
-// partitions of each topic.
-func CellStream(claim Claim, partitions int) damsonwinch.Stream {
-	return PartitionStream(claim.Partition, partitions)
-}
-
-// PartitionStream returns the stream of the partition with a number. The numbers start at 0 and count
-// the partitions of the first topic, then those of the second, and so on. partitions is the number of
-// partitions of each topic.
-func PartitionStream(number, partitions int) damsonwinch.Stream {
-	return damsonwinch.Stream{Topic: topicName(cellTopic, 1+number/partitions), Partition: number % partitions}
-}
-
-// topicName returns the name of the topic with a number in a series of topics. The first has the number
-// 1 and the base name; the names of the others end in a hyphen and their number.
-func topicName(topic string, number int) string {
-	if number == 1 {
-		return topic
-	}
-	return topic + "-" + strconv.Itoa(number)
-}
-
 // Messages about partitions.
 type (
 	// partitionRequested asks run to reserve a partition and to pass its number to onReserved, which must
--- a/pkg/ownership/peer_claims.go
+++ b/pkg/ownership/peer_claims.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/wire"
 )
 
@@ -78,7 +79,7 @@
 	changed := o.adoptPeerLayout(m.reply.Layout)
 	for _, received := range m.reply.Claims {
 		if known := s.claims[received.Claim.Cell]; received.Token > known.Token {
-			s.claims[received.Claim.Cell] = Claim{CellClaim: received.Claim, Token: received.Token}
+			s.claims[received.Claim.Cell] = cellclaim.Claim{CellClaim: received.Claim, Token: received.Token}
 			changed = true
 		}
 	}
--- a/pkg/ownership/ranking_test.go
+++ b/pkg/ownership/ranking_test.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
@@ -26,12 +27,12 @@
 		members, names = append(members, m), append(names, m.Name())
 	}
 	self := members[1]
-	o := &Ownership{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: self}, state: state{claims: map[string]Claim{}, refusals: map[string]refusal{}, health: map[string]ownerHealth{}}}
+	o := &Ownership{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: self}, state: state{claims: map[string]cellclaim.Claim{}, refusals: map[string]refusal{}, health: map[string]ownerHealth{}}}
 	o.state.memberList = membership.NewList(names, 1, false, self)
 	for number := 0; number < size; number += 10 {
 		cell := fmt.Sprintf("cell-%04d", number)
 		o.state.cells = append(o.state.cells, cell)
-		o.state.claims[cell] = Claim{CellClaim: wire.CellClaim{Cell: cell, Node: members[number].Node, Incarnation: 1}, Token: number + 1}
+		o.state.claims[cell] = cellclaim.Claim{CellClaim: wire.CellClaim{Cell: cell, Node: members[number].Node, Incarnation: 1}, Token: number + 1}
 	}
 	return o
 }
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/succession"
@@ -14,7 +15,7 @@
 	// cells are the names of the cells that need an owner.
 	cells []string
 	// claims holds the newest claim of each cell, by cell.
-	claims map[string]Claim
+	claims map[string]cellclaim.Claim
 	// claimedAt is when this node last read a new claim of a cell, by cell. A claim that came with a
 	// snapshot may be old and sets no time.
 	claimedAt map[string]time.Time
--- a/pkg/process/partition_outage_test.go
+++ b/pkg/process/partition_outage_test.go
@@ -7,7 +7,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"damsonwinch/pkg/ownership"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/platform/standin"
 )
 
@@ -15,7 +15,7 @@
 // records, or ends that.
 func (c *testCluster) setCellPartitionsBusy(busy bool) {
 	for number := range 2 {
-		stream := ownership.PartitionStream(number, defaultPartitions)
+		stream := cellclaim.PartitionStream(number, defaultPartitions)
 		c.platform.SetPartitionBusy(stream.Topic, stream.Partition, busy)
 	}
 }
