Move the calls to the group and replies about members to pkg/membership

pkg/ownership knew the names of the group's topics, how many of them there may be and which replies of other nodes are too old. These are questions of the list of members.

membership.Group joins the group, lists its members and leaves it; a List says which request and reply it makes, and how many topics the group needs by it.

--- a/pkg/membership/list.go
+++ b/pkg/membership/list.go
@@ -18,11 +18,13 @@
 
 // List holds the members of the group as they were last read, at most one incarnation of each node.
 type List struct {
-	members    []Member
+	members []Member
+	// topicCount is the number of topics of which the group had assigned partitions.
 	topicCount int
 	nearlyFull bool
-	digest     int
-	byNode     map[string]Member
+	// digest differs from those of lists with other contents.
+	digest int
+	byNode map[string]Member
 	// strongerCount is the number of members that would take over a cell before this node if all
 	// nodes owned equally many cells: those with more weight, and those with the same weight whose
 	// names come first.
@@ -30,8 +32,8 @@
 }
 
 // NewList returns the list of the members with the given names in the group. It leaves out names that
-// are not valid. self is this node, which StrongerCount compares the members with. topicCount and
-// nearlyFull are what TopicCount and NearlyFull return.
+// are not valid. self is this node, which StrongerCount compares the members with. topicCount is
+// the number of topics of which the group had assigned partitions, and nearlyFull what NearlyFull returns.
 func NewList(names []string, topicCount int, nearlyFull bool, self Member) List {
 	members := membersByNode(names)
 	l := List{members: members, topicCount: topicCount, nearlyFull: nearlyFull, byNode: make(map[string]Member, len(members))}
@@ -60,15 +62,9 @@
 // Members returns the members, ordered by node name. Callers must not change the slice.
 func (l List) Members() []Member { return l.members }
 
-// TopicCount returns the number of topics of which the group had assigned partitions.
-func (l List) TopicCount() int { return l.topicCount }
-
 // NearlyFull reports whether the list may lack members, because hardly any partition was spare.
 func (l List) NearlyFull() bool { return l.nearlyFull }
 
-// Digest returns a number that differs from that of a list with other contents.
-func (l List) Digest() int { return l.digest }
-
 // StrongerCount returns the number of members that have more weight than this node, or the same weight
 // and a name that comes first.
 func (l List) StrongerCount() int { return l.strongerCount }
--- a/pkg/membership/member.go
+++ b/pkg/membership/member.go
@@ -1,6 +1,6 @@
-// Package membership describes the nodes in the group that the store keeps: their names in the group,
-// which hold all that is known of a member, and the list of members that the group's assignments of
-// partitions show. It does no I/O and reads no clock.
+// Package membership keeps a node in the group of nodes that the store keeps, and reads the list of members
+// from the group's assignments of partitions or from another node's reply. All that is known of a member is
+// in its name in the group. The package reads no clock.
 package membership
 
 import (
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -13,6 +13,7 @@
 	"damsonwinch"
 	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/succession"
 	"damsonwinch/pkg/wire"
 )
@@ -65,7 +66,7 @@
 		s.claims[record.Key] = cellclaim.Claim{CellClaim: claim, Token: record.Offset + 1}
 		// Claims carry the number of topics that the group needs to list all members, so that a
 		// restarted node doesn't have to find it out again.
-		s.topicCount = min(max(s.topicCount, claim.Topics), maxTopics)
+		s.topicCount = min(max(s.topicCount, claim.Topics), membership.MaxTopics)
 	}
 	// A read that was answered before this node's last append ends before claimsEnd.
 	s.claimsEnd = max(s.claimsEnd, m.end)
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -7,36 +7,33 @@
 	"time"
 
 	"damsonwinch"
-	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/wire"
 )
 
 // join starts the call that joins the group, or renews the membership.
 func (o *Ownership) join() {
-	request := damsonwinch.JoinRequest{
-		Group: groupName, Member: o.options.Self.Name(), Topics: o.topicNames(), TTL: max(o.options.MembershipTTL, minMembershipTTL), Generation: o.state.generation,
-	}
+	topicCount, generation := o.state.topicCount, o.state.generation
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		membership, err := o.deps.Store.Join(ctx, request)
-		o.send(joinReturned{membership: membership, err: err})
+		joined, err := o.members.Join(ctx, topicCount, generation)
+		o.send(joinReturned{membership: joined, err: err})
 		return nil
 	})
 }
 
 // handleJoined handles an answered Join call. If the one before it was sent much longer ago than usual, members may
 // have been dropped meanwhile and need time to join again.
-func (o *Ownership) handleJoined(membership damsonwinch.Membership, now time.Time) {
+func (o *Ownership) handleJoined(joined damsonwinch.Membership, now time.Time) {
 	s := &o.state
 	if !s.joinAnsweredAt.IsZero() && s.joinSentAt.Sub(s.joinAnsweredAt) > o.memberReadInterval()+callTimeout {
 		s.membersRecoveredAt = s.joinSentAt
 	}
 	s.joinAnsweredAt = s.joinSentAt
-	if s.generation != membership.Generation {
-		s.generation, s.generationSince = membership.Generation, now
+	if s.generation != joined.Generation {
+		s.generation, s.generationSince = joined.Generation, now
 	}
-	s.unassigned = len(membership.Assigned) == 0
+	s.unassigned = len(joined.Assigned) == 0
 	o.answeredAt.Store(now.UnixNano())
 	if s.generation == s.listGeneration {
 		o.confirmMembers(s.joinSentAt)
@@ -53,13 +50,9 @@
 		return
 	}
 	o.noteMembersRead(m.sentAt)
-	s.membersMayGrow = m.list.NearlyFull() && m.list.TopicCount() < maxTopics
+	s.membersMayGrow = m.list.MayGrow()
 	o.updateMembersComplete(m.sentAt, len(m.list.Members()))
-	// A member that subscribes to fewer topics than the others could be assigned no partition.
-	s.topicCount = min(max(s.topicCount, m.list.TopicCount()), maxTopics)
-	if m.list.NearlyFull() {
-		s.topicCount = min(2*s.topicCount, maxTopics)
-	}
+	s.topicCount = m.list.TopicsNeeded(s.topicCount)
 	s.memberList, s.listGeneration = m.list, m.generation
 	o.invalidateRanking()
 	o.publishView()
@@ -76,19 +69,6 @@
 	}
 }
 
-// maxTopics is the largest number of topics that the group uses. The platform allows 100 topics in
-// all, which may have as few as 12 partitions each.
-const maxTopics = 40
-
-// topicNames returns the names of the topics whose partitions the group assigns.
-func (o *Ownership) topicNames() []string {
-	names := make([]string, 0, o.state.topicCount)
-	for number := 1; number <= o.state.topicCount; number++ {
-		names = append(names, cellclaim.TopicName(groupTopic, number))
-	}
-	return names
-}
-
 // spareSuccessors is the number of nodes, beyond one per cell, that read the members at
 // fastMemberReadInterval, because several nodes may be lost at once.
 const spareSuccessors = 3
@@ -134,7 +114,7 @@
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		if err := o.deps.Store.Leave(ctx, groupName, o.options.Self.Name()); err != nil {
+		if err := o.members.Leave(ctx); err != nil {
 			o.deps.Logger.WithError(err).Warn("group not left")
 		}
 		return nil
--- a/pkg/ownership/layout_test.go
+++ b/pkg/ownership/layout_test.go
@@ -49,10 +49,10 @@
 func TestMemberListIsCompleteWhenGroupUsesAllTopics(t *testing.T) {
 	store := newMemoryStore()
 	store.partitionsPerTopic = 1
-	for number := range maxTopics + 20 {
+	for number := range membership.MaxTopics + 20 {
 		name := member("node-"+strconv.Itoa(100+number), 1).Name()
 		store.members = append(store.members, name)
-		store.topicCounts[name] = maxTopics
+		store.topicCounts[name] = membership.MaxTopics
 	}
 	n := startNode(t, store, "a", "one")
 	waitUntil(t, "the list counts as complete", func() bool { return n.view.Load().MembersComplete })
@@ -62,6 +62,6 @@
 // partitions, and that all topics together stay below the limit of the platform.
 func TestGroupOfSmallTopicsListsLargeFleet(t *testing.T) {
 	const nodes, partitions = 300, 12
-	assert.Assert(t, maxTopics*partitions*100 >= nodes*(100+membership.MinSparePercent))
-	assert.Assert(t, maxTopics+maxCellTopics < 100, "the platform allows 100 topics")
+	assert.Assert(t, membership.MaxTopics*partitions*100 >= nodes*(100+membership.MinSparePercent))
+	assert.Assert(t, membership.MaxTopics+maxCellTopics < 100, "the platform allows 100 topics")
 }
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -18,9 +17,6 @@
 	// large fleet. The list grows with the fleet, so that a list for each node grows with its square: 588
 	// nodes received 24 MB/s while members came and went.
 	memberUpstreamCount = 8
-	// maxMembersAge is the age above which a list of another node isn't used. That node's own heartbeats
-	// confirm its list every 300 ms.
-	maxMembersAge = 1500 * time.Millisecond
 	// maxMemberFailures is the number of consecutive failures after which a node that may be the next to take
 	// over a cell reads the members from the store once. The other nodes first ask each upstream node.
 	maxMemberFailures = 2
@@ -33,9 +29,6 @@
 // is negative.
 const noGeneration = -1
 
-// errMembersUnknown means that the other node hasn't read the members, or not lately.
-var errMembersUnknown = errors.New("the node doesn't know the present members")
-
 // Times of reads of the members while the group doesn't change.
 const (
 	// listSettleTime is how long after the group has changed the list may still change. The group assigns a
@@ -119,14 +112,14 @@
 	if len(upstreams) == 0 || s.memberFailures >= maxFailures || o.isMemberUpstream() {
 		return "", false
 	}
-	index := (succession.TieRank(groupName, o.options.Self.Node) + uint64(s.memberFetches)) % uint64(len(upstreams))
+	index := (succession.TieRank(membership.GroupName, o.options.Self.Node) + uint64(s.memberFetches)) % uint64(len(upstreams))
 	return upstreams[index].Address, true
 }
 
 // readMembers starts to read the members of the group, from another node or from the store.
 func (o *Ownership) readMembers(now time.Time) {
 	s := &o.state
-	generation, known := s.generation, wire.MembersArgs{Generation: s.listGeneration, Digest: s.memberList.Digest()}
+	generation, known := s.generation, s.memberList.Request(s.listGeneration)
 	address, found := o.memberUpstream()
 	if found {
 		s.memberFetches++
@@ -137,31 +130,31 @@
 		if found {
 			o.send(o.fetchMembers(ctx, address, known, now))
 		} else {
-			o.send(o.readAssignments(ctx, generation, now))
+			o.send(o.readStoredMembers(ctx, generation, now))
 		}
 		return nil
 	})
 }
 
-// readAssignments reads the members from the store. generation is the newest one that this node has heard of
+// readStoredMembers reads the members from the store. generation is the newest one that this node has heard of
 // before.
-func (o *Ownership) readAssignments(ctx context.Context, generation int, now time.Time) membersRead {
-	assignments, err := o.deps.Store.Assignments(ctx, groupName)
-	return membersRead{
-		list: membership.FromAssignments(assignments, o.options.Self), generation: generation, sentAt: now, err: err,
-	}
+func (o *Ownership) readStoredMembers(ctx context.Context, generation int, now time.Time) membersRead {
+	list, err := o.members.List(ctx)
+	return membersRead{list: list, generation: generation, sentAt: now, err: err}
 }
 
 // fetchMembers reads the members from another node. known describes this node's list.
 func (o *Ownership) fetchMembers(ctx context.Context, address string, known wire.MembersArgs, now time.Time) membersRead {
 	reply, err := o.deps.FetchMembers(ctx, address, known)
-	age := time.Duration(reply.AgeMs) * time.Millisecond
-	if err == nil && (!reply.Known || age > maxMembersAge) {
-		err = fmt.Errorf("members from %s: %w", address, errMembersUnknown)
+	if err != nil {
+		return membersRead{fromPeer: true, err: err}
+	}
+	list, age, err := membership.FromReply(reply, o.options.Self)
+	if err != nil {
+		return membersRead{fromPeer: true, err: fmt.Errorf("members from %s: %w", address, err)}
 	}
 	return membersRead{
-		list:      membership.NewList(reply.Members, reply.Topics, reply.NearlyFull, o.options.Self),
-		unchanged: reply.Unchanged, generation: reply.Generation, sentAt: now.Add(-age), fromPeer: true, err: err,
+		list: list, unchanged: reply.Unchanged, generation: reply.Generation, sentAt: now.Add(-age), fromPeer: true,
 	}
 }
 
@@ -188,17 +181,6 @@
 	if confirmedAt == 0 || view.MemberGeneration == noGeneration {
 		return wire.MembersReply{}
 	}
-	list := view.list
-	reply := wire.MembersReply{
-		Known: true, Generation: view.MemberGeneration, Digest: list.Digest(), Topics: list.TopicCount(), NearlyFull: list.NearlyFull(),
-		AgeMs: int((o.deps.Clock.Now().UnixNano() - confirmedAt) / int64(time.Millisecond)),
-	}
-	if args.Generation == view.MemberGeneration && args.Digest == list.Digest() {
-		reply.Unchanged = true
-		return reply
-	}
-	for _, member := range list.Members() {
-		reply.Members = append(reply.Members, member.Name())
-	}
-	return reply
+	age := time.Duration(o.deps.Clock.Now().UnixNano() - confirmedAt)
+	return view.list.Reply(args, view.MemberGeneration, age)
 }
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -25,13 +25,8 @@
 	"damsonwinch/pkg/wire"
 )
 
-// Names of the group and the topics in the store.
-const (
-	groupName  = "nodes"
-	groupTopic = "nodes"
-	// claimTopic holds the newest claim of each cell.
-	claimTopic = "keyed.claims"
-)
+// claimTopic holds the newest claim of each cell.
+const claimTopic = "keyed.claims"
 
 // Intervals and timeouts of the calls to the store.
 const (
@@ -51,9 +46,6 @@
 	claimReadWait = time.Second
 	// tickInterval is the longest time after which run checks again which calls are due.
 	tickInterval = 100 * time.Millisecond
-	// minMembershipTTL is the least time for which the group keeps a member that sends no heartbeat.
-	// Options.MembershipTTL may set a longer time.
-	minMembershipTTL = time.Second
 )
 
 // Deps are the dependencies of Ownership.
@@ -106,7 +98,7 @@
 type Options struct {
 	// Self is this node as a member of the group.
 	Self membership.Member
-	// MembershipTTL is how long the group keeps a member that sends no heartbeat.
+	// MembershipTTL is how long the group keeps a member that sends no heartbeat, but for a second at least.
 	MembershipTTL time.Duration
 	// Partitions is the number of partitions of each topic.
 	Partitions int
@@ -125,6 +117,7 @@
 	ctx     context.Context // Cancelled by Close.
 	cancel  context.CancelFunc
 	state   state
+	members membership.Group
 	feed    *feed.Feed
 	// readPace spaces the reads of feed.
 	readPace claimpace.Reads
@@ -208,7 +201,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
+		members: membership.NewGroup(deps.Store, options.Self, options.MembershipTTL),
+		state:   state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -199,10 +199,10 @@
 		if s.unlisted[member] {
 			continue
 		}
-		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: groupTopic, Partition: number}, Member: member})
+		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: membership.Topic, Partition: number}, Member: member})
 	}
 	if len(assignments) > 0 && !s.listFull {
-		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: groupTopic, Partition: len(s.members)}, Member: assignments[0].Member})
+		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: membership.Topic, Partition: len(s.members)}, Member: assignments[0].Member})
 	}
 	return assignments
 }
@@ -211,7 +211,7 @@
 func (s *memoryStore) assign() []damsonwinch.Assignment {
 	var assignments []damsonwinch.Assignment
 	counts := map[string]int{}
-	for topic := range maxTopics {
+	for topic := range membership.MaxTopics {
 		for part := range s.partitionsPerTopic {
 			best := ""
 			for _, member := range slices.Sorted(slices.Values(s.members)) {
@@ -223,7 +223,7 @@
 				return assignments
 			}
 			counts[best]++
-			stream := damsonwinch.Stream{Topic: groupTopic + strconv.Itoa(topic), Partition: part}
+			stream := damsonwinch.Stream{Topic: membership.Topic + strconv.Itoa(topic), Partition: part}
 			assignments = append(assignments, damsonwinch.Assignment{Stream: stream, Member: best})
 		}
 	}
