Write and decode the stream of claims in pkg/cellclaim

Three files of pkg/ownership each had the key, the encoding and the decoding of one kind of record in the stream of claims.

cellclaim.Writer appends records of all three kinds, and Decode, DecodeLayout and DecodePartitions read them. handleClaimsRead has a step for one claim, applyClaim.

--- a/pkg/cellclaim/claim.go
+++ b/pkg/cellclaim/claim.go
@@ -1,5 +1,5 @@
-// Package cellclaim describes the claims by which nodes own cells, and names the streams that hold the
-// records of the claimed cells. It does no I/O and reads no clock.
+// Package cellclaim describes the claims by which nodes own cells, writes the stream of claims and decodes
+// its records, and names the streams that hold the records of the claimed cells. It reads no clock.
 package cellclaim
 
 import (
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
@@ -21,7 +20,7 @@
 // newFeed returns the feed that follows the stream of claims.
 func (o *Ownership) newFeed() *feed.Feed {
 	return feed.New(feed.Deps{Store: o.deps.Store, Clock: o.deps.Clock, Logger: o.deps.Logger, Metrics: o.deps.Metrics, StoreAnsweredAt: o.StoreAnsweredAt}, feed.Options{
-		Stream: damsonwinch.Stream{Topic: claimTopic}, Wait: claimReadWait,
+		Stream: damsonwinch.Stream{Topic: cellclaim.Topic}, Wait: claimReadWait,
 		Pause: func() time.Duration { return o.readPace.Pause(o.deps.Clock.Now()) },
 		OnSnapshot: func(records []damsonwinch.Record, end int, sentAt time.Time) {
 			o.send(claimsRead{records: records, end: end, snapshot: true, sentAt: sentAt})
@@ -41,32 +40,13 @@
 	}
 	for _, record := range m.records {
 		switch record.Key {
-		case layoutKey:
+		case cellclaim.LayoutKey:
 			o.applyLayout(record)
-			continue
-		case partitionsKey:
+		case cellclaim.PartitionsKey:
 			o.applyPartitions(record)
-			continue
-		}
-		var claim wire.CellClaim
-		if s.claims[record.Key].Token > record.Offset+1 {
-			continue
-		}
-		if len(record.Value) == 0 {
-			delete(s.claims, record.Key)
-			continue
+		default:
+			o.applyClaim(record, m.snapshot)
 		}
-		if err := json.Unmarshal(record.Value, &claim); err != nil {
-			o.deps.Logger.WithError(err).WithField("cell", record.Key).Error("claim cannot be decoded")
-			continue
-		}
-		if !m.snapshot && s.claims[record.Key].Token != record.Offset+1 {
-			s.claimedAt[record.Key] = o.deps.Clock.Now()
-		}
-		s.claims[record.Key] = cellclaim.Claim{CellClaim: claim, Token: record.Offset + 1}
-		// Claims carry the number of topics that the group needs to list all members, so that a
-		// restarted node doesn't have to find it out again.
-		s.topicCount = min(max(s.topicCount, claim.Topics), membership.MaxTopics)
 	}
 	// A read that was answered before this node's last append ends before claimsEnd.
 	s.claimsEnd = max(s.claimsEnd, m.end)
@@ -78,6 +58,32 @@
 	o.publishView()
 }
 
+// applyClaim applies the record of a claim, unless a newer claim of the cell is known. fromSnapshot reports
+// whether the record came with a snapshot.
+func (o *Ownership) applyClaim(record damsonwinch.Record, fromSnapshot bool) {
+	s := &o.state
+	known := s.claims[record.Key]
+	if known.Token > record.Offset+1 {
+		return
+	}
+	if len(record.Value) == 0 {
+		delete(s.claims, record.Key)
+		return
+	}
+	claim, err := cellclaim.Decode(record)
+	if err != nil {
+		o.deps.Logger.WithError(err).WithField("cell", record.Key).Error("claim cannot be decoded")
+		return
+	}
+	if !fromSnapshot && known.Token != claim.Token {
+		s.claimedAt[record.Key] = o.deps.Clock.Now()
+	}
+	s.claims[record.Key] = claim
+	// Claims carry the number of topics that the group needs to list all members, so that a
+	// restarted node doesn't have to find it out again.
+	s.topicCount = min(max(s.topicCount, claim.Topics), membership.MaxTopics)
+}
+
 // reclaimNextCell claims the first cell that an earlier incarnation of this node owned. The earlier
 // incarnation has certainly exited, even if the group still lists it.
 func (o *Ownership) reclaimNextCell() {
@@ -154,19 +160,9 @@
 
 // appendClaim appends a claim to the stream of claims if end is the stream's end offset.
 func (o *Ownership) appendClaim(claim wire.CellClaim, end int) error {
-	value, err := json.Marshal(claim)
-	if err != nil {
-		return err
-	}
-	return o.appendRecord(damsonwinch.Record{Key: claim.Cell, Value: value}, end)
-}
-
-// appendRecord appends a record to the stream of claims if end is the stream's end offset. If end is the
-// offset up to which this node has read, the append fails if there are records that the node hasn't read.
-func (o *Ownership) appendRecord(record damsonwinch.Record, end int) error {
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
-	return o.deps.Store.AppendAt(ctx, damsonwinch.Stream{Topic: claimTopic}, []damsonwinch.Record{record}, end)
+	return o.writer.AppendClaim(ctx, claim, end)
 }
 
 // noConflict is the value of state.conflictEnd after no conflict. It is not a valid offset.
--- a/pkg/ownership/layout.go
+++ b/pkg/ownership/layout.go
@@ -1,19 +1,17 @@
 package ownership
 
 import (
-	"encoding/json"
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
 
-// layoutKey is the key of the layout's record in the stream of claims. No cell has this name.
-const layoutKey = "@layout"
-
 // memberCountStableTime is how long the number of members must not have changed for their list to be
 // taken for complete. Until the group uses enough topics, each read shows more members than the one
 // before. The list of 147 nodes once stayed at 95 members for a second, without four of the eighteen
@@ -46,23 +44,16 @@
 	layout, end := s.proposedLayout, s.claimsEnd
 	s.appendPending = true
 	o.group.Go(func() error {
-		o.send(layoutAppended{layout: layout, end: end, err: o.appendLayout(layout, end)})
+		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+		defer cancel()
+		o.send(layoutAppended{layout: layout, end: end, err: o.writer.AppendLayout(ctx, layout, end)})
 		return nil
 	})
 }
 
-// appendLayout appends a layout to the stream of claims if end is the stream's end offset.
-func (o *Ownership) appendLayout(layout shard.Layout, end int) error {
-	value, err := json.Marshal(wire.Layout{Shards: layout.Shards, Pools: layout.Pools})
-	if err != nil {
-		return err
-	}
-	return o.appendRecord(damsonwinch.Record{Key: layoutKey, Value: value}, end)
-}
-
 // handleLayoutAppended handles the result of appending a layout.
 func (o *Ownership) handleLayoutAppended(m layoutAppended) {
-	if !o.finishAppend(m.err, m.end, o.deps.Logger.WithField("cell", layoutKey)) {
+	if !o.finishAppend(m.err, m.end, o.deps.Logger.WithField("cell", cellclaim.LayoutKey)) {
 		return
 	}
 	o.setLayout(m.layout)
@@ -71,12 +62,12 @@
 
 // applyLayout applies the record of the layout.
 func (o *Ownership) applyLayout(record damsonwinch.Record) {
-	var stored wire.Layout
-	if err := json.Unmarshal(record.Value, &stored); err != nil {
+	layout, err := cellclaim.DecodeLayout(record)
+	if err != nil {
 		o.deps.Logger.WithError(err).Error("layout cannot be decoded")
 		return
 	}
-	o.setLayout(shard.New(stored.Shards, stored.Pools))
+	o.setLayout(layout)
 }
 
 // adoptPeerLayout adopts the layout in another node's reply if this node has none, and reports
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -25,9 +25,6 @@
 	"damsonwinch/pkg/wire"
 )
 
-// claimTopic holds the newest claim of each cell.
-const claimTopic = "keyed.claims"
-
 // Intervals and timeouts of the calls to the store.
 const (
 	// joinInterval is the time between two Join calls, which are the node's heartbeats in the group.
@@ -118,6 +115,7 @@
 	cancel  context.CancelFunc
 	state   state
 	members membership.Group
+	writer  cellclaim.Writer
 	feed    *feed.Feed
 	// readPace spaces the reads of feed.
 	readPace claimpace.Reads
@@ -201,8 +199,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		members: membership.NewGroup(deps.Store, options.Self, options.MembershipTTL),
-		state:   state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
+		members: membership.NewGroup(deps.Store, options.Self, options.MembershipTTL), writer: cellclaim.NewWriter(deps.Store),
+		state: state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
--- a/pkg/ownership/partitions.go
+++ b/pkg/ownership/partitions.go
@@ -1,19 +1,15 @@
 package ownership
 
 import (
-	"encoding/json"
+	"context"
 	"errors"
 
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
-	"damsonwinch/pkg/wire"
+	"damsonwinch/pkg/cellclaim"
 )
 
-// partitionsKey is the key, in the stream of claims, of the number of partitions that have been
-// reserved. No cell has this name.
-const partitionsKey = "@partitions"
-
 // maxCellTopics is the largest number of topics that hold the partitions of cells. The platform allows
 // 100 topics in all.
 const maxCellTopics = 55
@@ -75,11 +71,9 @@
 	}
 	s.appendPending = true
 	o.group.Go(func() error {
-		value, err := json.Marshal(wire.Partitions{Taken: reserved})
-		if err == nil {
-			err = o.appendRecord(damsonwinch.Record{Key: partitionsKey, Value: value}, end)
-		}
-		o.send(partitionAppended{reserved: reserved, end: end, err: err})
+		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+		defer cancel()
+		o.send(partitionAppended{reserved: reserved, end: end, err: o.writer.AppendPartitions(ctx, reserved, end)})
 		return nil
 	})
 }
@@ -87,7 +81,7 @@
 // handlePartitionAppended handles the result of the append that reserves a partition.
 func (o *Ownership) handlePartitionAppended(m partitionAppended) {
 	s := &o.state
-	succeeded := o.finishAppend(m.err, m.end, o.deps.Logger.WithField("cell", partitionsKey))
+	succeeded := o.finishAppend(m.err, m.end, o.deps.Logger.WithField("cell", cellclaim.PartitionsKey))
 	if errors.Is(m.err, damsonwinch.ErrConflict) {
 		return
 	}
@@ -106,12 +100,12 @@
 
 // applyPartitions applies the record of the number of reserved partitions.
 func (o *Ownership) applyPartitions(record damsonwinch.Record) {
-	var stored wire.Partitions
-	if err := json.Unmarshal(record.Value, &stored); err != nil {
+	reserved, err := cellclaim.DecodePartitions(record)
+	if err != nil {
 		o.deps.Logger.WithError(err).Error("number of reserved partitions cannot be decoded")
 		return
 	}
-	o.state.reservedPartitions = max(o.state.reservedPartitions, stored.Taken)
+	o.state.reservedPartitions = max(o.state.reservedPartitions, reserved)
 }
 
 // moveNextClaim starts to append the claim of a cell that moves to another partition, and removes the
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
@@ -142,7 +143,7 @@
 func (s *memoryStore) Newest(_ context.Context, stream damsonwinch.Stream, _ string) (damsonwinch.KeyPage, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if stream.Topic != claimTopic {
+	if stream.Topic != cellclaim.Topic {
 		return damsonwinch.KeyPage{End: s.cellStreamEnd()}, nil
 	}
 	return damsonwinch.KeyPage{Records: slices.Clone(s.claims), End: len(s.claims)}, nil
