Move the meaning of a refused connection to pkg/liveness

For how long a refused connection proves that a process has exited is a judgement on evidence of another node's life, as the rest of pkg/liveness.

liveness.Refusal holds the newest refusal and says whether it proves an exit.

--- a/pkg/ownership/alive.go
+++ b/pkg/ownership/alive.go
@@ -7,19 +7,10 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch/pkg/cellclaim"
+	"damsonwinch/pkg/liveness"
 	"damsonwinch/pkg/membership"
 )
 
-// refusalLifetime is how long a refused connection counts as proof that the process has exited.
-// After that time the group has dropped the member, or the process has been restarted.
-const refusalLifetime = 1500 * time.Millisecond
-
-// refusal records that the address of an incarnation of a node refused a connection.
-type refusal struct {
-	incarnation int
-	at          time.Time
-}
-
 // isOwnerAlive reports whether the node that made a claim is probably alive. A wrong result costs a
 // needless or a late takeover, but is safe: a later claim fences off the earlier one.
 func (o *Ownership) isOwnerAlive(claim cellclaim.Claim) bool {
@@ -40,11 +31,10 @@
 	return !claim.Released && claim.Node == o.options.Self.Node && claim.Incarnation != o.options.Self.Incarnation
 }
 
-// refusedRecently reports whether an incarnation of a node has refused a connection within
-// refusalLifetime.
+// refusedRecently reports whether an incarnation of a node has refused a connection so recently that it has
+// certainly exited.
 func (o *Ownership) refusedRecently(node string, incarnation int) bool {
-	last, known := o.state.refusals[node]
-	return known && last.incarnation == incarnation && o.deps.Clock.Since(last.at) < refusalLifetime
+	return o.state.refusals[node].ProvesExit(incarnation, o.deps.Clock.Now())
 }
 
 // liveMembers returns the members that haven't refused a connection recently and aren't lost.
@@ -54,12 +44,11 @@
 	})
 }
 
-// recordRefusal records a refused connection, and logs it unless there was one within
-// refusalLifetime.
+// recordRefusal records a refused connection, and logs it unless there was one recently.
 func (o *Ownership) recordRefusal(m connectionRefused, now time.Time) {
 	if !o.refusedRecently(m.node, m.incarnation) {
 		o.deps.Logger.WithFields(logrus.Fields{"peer": m.node, "incarnation": m.incarnation}).Info("node refuses connections")
 	}
-	o.state.refusals[m.node] = refusal{incarnation: m.incarnation, at: now}
+	o.state.refusals[m.node] = liveness.NewRefusal(m.incarnation, now)
 	o.invalidateRanking()
 }
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -19,6 +19,7 @@
 	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/claimpace"
 	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/liveness"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/shard"
@@ -200,7 +201,7 @@
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
 		members: membership.NewGroup(deps.Store, options.Self, options.MembershipTTL), writer: cellclaim.NewWriter(deps.Store),
-		state: state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
+		state: state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]liveness.Refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damsonwinch/pkg/cellclaim"
+	"damsonwinch/pkg/liveness"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/succession"
@@ -113,5 +114,5 @@
 	fetchSentAt  time.Time
 	fetchCount   int
 	// refusals holds the last refused connection of each node, by node.
-	refusals map[string]refusal
+	refusals map[string]liveness.Refusal
 }
