Move the choice of a far stronger owner to pkg/succession

Whether a cell should go to a stronger member is answered from the ranking alone.

Ranking.FarStronger replaces LoadPerWeight, which only this question used. pkg/ownership keeps how long to wait before the handover, and how. A test of the ratio is new.

--- a/pkg/succession/succession.go
+++ b/pkg/succession/succession.go
@@ -104,9 +104,25 @@
 	return r.firstGroup < 2 || compareLoad(own, r.candidates[0]) == 0
 }
 
-// LoadPerWeight returns the number of cells that a member would own if it owned the given cell as well,
+// minHandOverRatio is how many times as large an owner's load per weight must be as another member's
+// for a cell to be handed over to that member. A cell takes up to about 0.1 of a core. The weakest
+// nodes that users run have a fortieth of the weight of the strongest, and make no progress once
+// they own a cell.
+const minHandOverRatio = 4
+
+// FarStronger returns the member that should own a cell instead of its owner, and whether there is one. The
+// owner's load per weight is then at least minHandOverRatio times the member's.
+func (r *Ranking) FarStronger(cell string, owner membership.Member) (membership.Member, bool) {
+	best, found := r.Successor(cell, AnyMember)
+	if !found || best.Node == owner.Node || r.loadPerWeight(best, cell)*minHandOverRatio > r.loadPerWeight(owner, cell) {
+		return membership.Member{}, false
+	}
+	return best, true
+}
+
+// loadPerWeight returns the number of cells that a member would own if it owned the given cell as well,
 // divided by its weight.
-func (r *Ranking) LoadPerWeight(m membership.Member, cell string) float64 {
+func (r *Ranking) loadPerWeight(m membership.Member, cell string) float64 {
 	load := r.byNode[m.Node].load
 	if owner, owned := r.owner(cell); !owned || owner.Node != m.Node {
 		load++
--- a/pkg/succession/succession_test.go
+++ b/pkg/succession/succession_test.go
@@ -40,3 +40,14 @@
 	}
 	assert.Equal(t, len(chosen), 2)
 }
+
+// TestOnlyFarStrongerMembersTakeCellsOver checks the difference in weight from which a cell is handed over.
+func TestOnlyFarStrongerMembersTakeCellsOver(t *testing.T) {
+	owner, owners := membership.Member{Node: "owner", Weight: 100}, map[string]string{"cell": "owner"}
+	for weight, handedOver := range map[int]bool{100: false, 399: false, 400: true, 800: true} {
+		other := membership.Member{Node: "other", Weight: weight}
+		best, found := Rank([]membership.Member{owner, other}, owners).FarStronger("cell", owner)
+		assert.Equal(t, found, handedOver, "weight %d", weight)
+		assert.Assert(t, !found || best == other, "weight %d", weight)
+	}
+}
