Move next partition and ends of a node's streams to pkg/cellclaim

Both follow from the claims and from how partitions are numbered, which pkg/cellclaim knows already.

--- a/pkg/cellclaim/claim.go
+++ b/pkg/cellclaim/claim.go
@@ -19,3 +19,14 @@
 func (c Claim) HeldBy(m membership.Member) bool {
 	return !c.Released && c.Node == m.Node && c.Incarnation == m.Incarnation
 }
+
+// OfNode returns the claims by which any incarnation of a node owns cells.
+func OfNode(claims map[string]Claim, node string) []Claim {
+	var own []Claim
+	for _, claim := range claims {
+		if claim.Node == node && !claim.Released {
+			own = append(own, claim)
+		}
+	}
+	return own
+}
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -124,7 +124,7 @@
 		Partition: previous.Partition, Topics: o.state.topicCount,
 	}
 	if !known {
-		next.Partition = o.nextPartition()
+		next.Partition = cellclaim.NextPartition(o.state.claims, o.state.reservedPartitions)
 	}
 	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": previous.Node, "members": len(o.state.memberList.Members()), "end": o.state.claimsEnd}).Info("claim cell")
 	o.startClaimAppend(next)
--- a/pkg/ownership/health.go
+++ b/pkg/ownership/health.go
@@ -136,31 +136,14 @@
 	})
 }
 
-// lastKey sorts after all keys of a cell's stream. A read of the keys after it returns no records, only
-// the end of the stream.
-const lastKey = "~"
-
 // readStreamEnds starts to read the end offsets of the streams of all cells of a claim's owner.
 func (o *Ownership) readStreamEnds(watched cellclaim.Claim, now time.Time) {
-	var claims []cellclaim.Claim
-	for _, claim := range o.state.claims {
-		if claim.Node == watched.Node && !claim.Released {
-			claims = append(claims, claim)
-		}
-	}
+	claims := cellclaim.OfNode(o.state.claims, watched.Node)
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		result := streamEndsRead{node: watched.Node, incarnation: watched.Incarnation, sentAt: now}
-		for _, claim := range claims {
-			page, err := o.deps.Store.Newest(ctx, cellclaim.Stream(claim, o.options.Partitions), lastKey)
-			if err != nil {
-				result.err = err
-				break
-			}
-			result.ends += page.End
-		}
-		o.send(result)
+		ends, err := cellclaim.StreamEnds(ctx, o.deps.Store, claims, o.options.Partitions)
+		o.send(streamEndsRead{node: watched.Node, incarnation: watched.Incarnation, sentAt: now, ends: ends, err: err})
 		return nil
 	})
 }
--- a/pkg/ownership/partitions.go
+++ b/pkg/ownership/partitions.go
@@ -47,15 +47,6 @@
 	o.send(moveRequested{cell: cell, token: token, partition: partition})
 }
 
-// nextPartition returns the lowest number above all partitions that are reserved or that a claim names.
-func (o *Ownership) nextPartition() int {
-	next := o.state.reservedPartitions
-	for _, claim := range o.state.claims {
-		next = max(next, claim.Partition+1)
-	}
-	return next
-}
-
 // reserveNextPartition starts to reserve a partition for the first of partitionWaiters. If no partition
 // is left, it drops all waiters.
 func (o *Ownership) reserveNextPartition() {
@@ -63,7 +54,7 @@
 	if len(s.partitionWaiters) == 0 {
 		return
 	}
-	reserved, end := o.nextPartition()+1, s.claimsEnd
+	reserved, end := cellclaim.NextPartition(s.claims, s.reservedPartitions)+1, s.claimsEnd
 	if reserved > maxCellTopics*o.options.Partitions {
 		o.deps.Logger.WithField("taken", reserved).Error("no partition is left for a cell to move to")
 		s.partitionWaiters = nil
