Move the completeness of the list of members to pkg/membership

It stood in the file about the layout, with the time since which the number of members had been stable in the state of pkg/ownership.

membership.Completeness is a value that each read changes.

--- a/pkg/membership/group.go
+++ b/pkg/membership/group.go
@@ -30,7 +30,7 @@
 }
 
 // NewGroup returns the Group of the node self. The store keeps a member that sends no heartbeat for ttl,
-// but for a second at least.
+// but at least for a second.
 func NewGroup(store damsonwinch.Store, self Member, ttl time.Duration) Group {
 	return Group{store: store, self: self, ttl: max(ttl, minTTL)}
 }
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -51,7 +51,7 @@
 	}
 	o.noteMembersRead(m.sentAt)
 	s.membersMayGrow = m.list.MayGrow()
-	o.updateMembersComplete(m.sentAt, len(m.list.Members()))
+	o.updateCompleteness(m.sentAt, len(m.list.Members()))
 	s.topicCount = m.list.TopicsNeeded(s.topicCount)
 	s.memberList, s.listGeneration = m.list, m.generation
 	o.invalidateRanking()
--- a/pkg/ownership/layout.go
+++ b/pkg/ownership/layout.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -12,12 +11,6 @@
 	"damsonwinch/pkg/wire"
 )
 
-// memberCountStableTime is how long the number of members must not have changed for their list to be
-// taken for complete. Until the group uses enough topics, each read shows more members than the one
-// before. The list of 147 nodes once stayed at 95 members for a second, without four of the eighteen
-// strongest nodes, and the layout was chosen for 60 owners.
-const memberCountStableTime = 2 * time.Second
-
 // layoutProposed asks run to put a layout in force.
 type layoutProposed struct{ layout shard.Layout }
 
@@ -88,15 +81,3 @@
 	o.state.layout = layout
 	o.deps.Logger.WithFields(logrus.Fields{"shards": layout.Shards, "pools": layout.Pools}).Info("layout of cells in force")
 }
-
-// updateMembersComplete updates whether the list of members counts as complete, as of a time at which it had
-// the given number of members, and returns the result. A list that may hide members counts as complete only
-// if the group can't use more topics, because then no better list will come.
-func (o *Ownership) updateMembersComplete(at time.Time, count int) bool {
-	s := &o.state
-	if s.membersMayGrow || count != len(s.memberList.Members()) || at.Before(o.membersSettledAt()) {
-		s.memberCountSince = at
-	}
-	s.membersComplete = at.Sub(s.memberCountSince) >= memberCountStableTime
-	return s.membersComplete
-}
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -162,11 +162,22 @@
 func (o *Ownership) confirmMembers(at time.Time) {
 	s := &o.state
 	o.noteMembersRead(at)
-	if before := s.membersComplete; o.updateMembersComplete(at, len(s.memberList.Members())) != before {
+	before := s.completeness.Complete()
+	o.updateCompleteness(at, len(s.memberList.Members()))
+	if s.completeness.Complete() != before {
 		o.publishView()
 	}
 }
 
+// updateCompleteness updates whether the list of members counts as complete, as of a time at which it had
+// the given number of members. A list that may hide members counts as complete only if the group can't use
+// more topics, because then no better list will come.
+func (o *Ownership) updateCompleteness(at time.Time, count int) {
+	s := &o.state
+	stable := !s.membersMayGrow && count == len(s.memberList.Members()) && !at.Before(o.membersSettledAt())
+	s.completeness = s.completeness.WithRead(at, stable)
+}
+
 // noteMembersRead notes that this node knew the members at a time.
 func (o *Ownership) noteMembersRead(at time.Time) {
 	if s := &o.state; at.After(s.membersReadAt) {
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -96,7 +96,7 @@
 type Options struct {
 	// Self is this node as a member of the group.
 	Self membership.Member
-	// MembershipTTL is how long the group keeps a member that sends no heartbeat, but for a second at least.
+	// MembershipTTL is how long the group keeps a member that sends no heartbeat, but at least for a second.
 	MembershipTTL time.Duration
 	// Partitions is the number of partitions of each topic.
 	Partitions int
@@ -339,7 +339,7 @@
 func (o *Ownership) publishView() {
 	s := &o.state
 	o.deps.OnViewChange(View{
-		Claims: maps.Clone(s.claims), Members: s.memberList.Members(), MembersComplete: s.membersComplete,
+		Claims: maps.Clone(s.claims), Members: s.memberList.Members(), MembersComplete: s.completeness.Complete(),
 		MemberGeneration: s.listGeneration, list: s.memberList, Layout: s.layout, ConfirmedAt: s.confirmedAt,
 	})
 }
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -31,10 +31,8 @@
 	// the newest answered heartbeat was sent that followed a long time without answered ones.
 	membersReadAt      time.Time
 	membersRecoveredAt time.Time
-	// memberCountSince is the time from which the number of members has been the same, and
-	// membersComplete reports whether their list counts as complete.
-	memberCountSince time.Time
-	membersComplete  bool
+	// completeness tells whether the list of members counts as complete.
+	completeness membership.Completeness
 	// layout is the one in force. If none has been decided, this node tries to put proposedLayout in
 	// force.
 	layout         shard.Layout
