Say in the comment of Customer what a customer is in this code's words

The glossary maps the word tenant to customer. A search of the Go code outside platform/ found no other use of it.

go build, go vet: ok. Only a comment changes.

--- a/customer.go
+++ b/customer.go
@@ -37,7 +37,7 @@
 	return digest
 }
 
-// Customer is a tenant whose jobs the fleet runs.
+// Customer owns jobs that the fleet runs, and has a share and a limit of its capacity.
 type Customer struct {
 	Name string
 	// Keys holds the digests of the keys that identify the customer's calls.
