Join what tests of ownership and quota set up more than once

Three tests started a node beside a member that owns a cell, and two configured an allocator and its cells, in the same lines. startBesideOwner and configuredCells do it. All cases and checks stay.

go vet; go test of ownership and quota: ok.

--- a/pkg/ownership/health_test.go
+++ b/pkg/ownership/health_test.go
@@ -108,11 +108,7 @@
 // the owner stops working it is replaced as soon as any other.
 func TestSlowOwnerKeepsItsCell(t *testing.T) {
 	store := newMemoryStore()
-	other := member("b", 1)
-	store.appendRecord(claimRecord(t, "one", other))
-	store.members = []string{other.Name()}
-	n := startNode(t, store, "a", "one", "two")
-	waitUntil(t, "the free cell is owned", func() bool { return n.owns("two") })
+	n := startBesideOwner(t, store, member("b", 1))
 	clock := clockwork.NewRealClock()
 	worksUntil := clock.Now().Add(3 * time.Second)
 	store.locked(func() { store.appendsUntil = worksUntil })
@@ -131,11 +127,8 @@
 func TestSilentOwnerLosesItsCellBeforeMembershipExpires(t *testing.T) {
 	store := newMemoryStore()
 	other := member("b", 1)
-	store.appendRecord(claimRecord(t, "one", other))
-	store.members = []string{other.Name()}
 	store.replying[other.Address] = other
-	n := startNode(t, store, "a", "one", "two")
-	waitUntil(t, "the free cell is owned", func() bool { return n.owns("two") })
+	n := startBesideOwner(t, store, other)
 	clock := clockwork.NewRealClock()
 	clock.Sleep(2 * minSilence)
 	assert.Assert(t, !n.owns("one"))
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -68,6 +68,17 @@
 	return n
 }
 
+// startBesideOwner starts the node a while another member owns the cell one, and waits until a owns the free
+// cell two.
+func startBesideOwner(t *testing.T, store *memoryStore, other membership.Member) *testNode {
+	t.Helper()
+	store.appendRecord(claimRecord(t, "one", other))
+	store.members = []string{other.Name()}
+	n := startNode(t, store, "a", "one", "two")
+	waitUntil(t, "the free cell is owned", func() bool { return n.owns("two") })
+	return n
+}
+
 // owns reports whether this node owns a cell, in its newest view.
 func (n *testNode) owns(cell string) bool {
 	claim, owned := n.view.Load().Owner(cell)
@@ -193,12 +204,7 @@
 // TestNodeThatRefusesConnectionsLosesItsCell checks that a reported refused connection suffices for a
 // takeover, even if the group still lists the node.
 func TestNodeThatRefusesConnectionsLosesItsCell(t *testing.T) {
-	store := newMemoryStore()
-	other := member("b", 1)
-	store.appendRecord(claimRecord(t, "one", other))
-	store.members = []string{other.Name()}
-	n := startNode(t, store, "a", "one", "two")
-	waitUntil(t, "the free cell is owned", func() bool { return n.owns("two") })
+	n := startBesideOwner(t, newMemoryStore(), member("b", 1))
 	assert.Assert(t, !n.owns("one"))
 
 	n.ReportRefusedConnection("b", 1)
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -131,19 +131,26 @@
 	}
 }
 
-// allocatedCells returns an allocator that has allocated a cap of 400 to two cells in equal parts, and
-// the allowances of the cells, which have confirmed them.
-func allocatedCells(t *testing.T) (*Allocator, []*Allowances) {
-	t.Helper()
+// configuredCells returns an allocator for a cap of 400 and the allowances of the cells with the given
+// names, none of which has anything allocated yet.
+func configuredCells(names []string) (*Allocator, []*Allowances) {
 	a := NewAllocator()
 	a.Configure(1, customers(400))
-	a.SetCells(time.Time{}, cellNames)
+	a.SetCells(time.Time{}, names)
 	var cells []*Allowances
-	for range cellNames {
+	for range names {
 		cell := NewAllowances()
 		cell.Configure(1, customers(400))
 		cells = append(cells, cell)
 	}
+	return a, cells
+}
+
+// allocatedCells returns an allocator that has allocated a cap of 400 to two cells in equal parts, and
+// the allowances of the cells, which have confirmed them.
+func allocatedCells(t *testing.T) (*Allocator, []*Allowances) {
+	t.Helper()
+	a, cells := configuredCells(cellNames)
 	for range 5 {
 		syncAll(a, cells, 0, nil)
 	}
@@ -263,16 +270,8 @@
 // that the capacity reserved for them stays unused. The fourth cell, whose share is too small for its
 // task, must still get a reservation.
 func TestReservationForTaskWithoutBoxExpires(t *testing.T) {
-	a := NewAllocator()
-	a.Configure(1, customers(400))
 	names := []string{"a", "b", "c", "d"}
-	a.SetCells(time.Time{}, names)
-	var cells []*Allowances
-	for range names {
-		cell := NewAllowances()
-		cell.Configure(1, customers(400))
-		cells = append(cells, cell)
-	}
+	a, cells := configuredCells(names)
 	needs := []int{300, 290, 280, 120}
 	for now := (time.Time{}); now.Before(time.Time{}.Add(6 * time.Second)); now = now.Add(100 * time.Millisecond) {
 		a.MarkRecorded(a.Allocate(now))
