Merge: pkg/ownership split into packages with a job each

Members of the group, the ranking of successors, the pace of claims, claims and their stream, topics.

--- a/pkg/node/directory_test.go
+++ b/pkg/node/directory_test.go
@@ -8,6 +8,8 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/owner"
 	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/wire"
@@ -16,14 +18,14 @@
 // readers returns how many nodes of a fleet, each of which owns one cell, read all registrations from the store.
 func readers(t *testing.T, cells int, rejectsOverload bool) int {
 	t.Helper()
-	claims := map[string]ownership.Claim{fleetCell: {CellClaim: wire.CellClaim{Cell: fleetCell, Node: "planner"}}}
+	claims := map[string]cellclaim.Claim{fleetCell: {CellClaim: wire.CellClaim{Cell: fleetCell, Node: "planner"}}}
 	for number := range cells {
 		cell := fmt.Sprintf("p@%d", number)
-		claims[cell] = ownership.Claim{CellClaim: wire.CellClaim{Cell: cell, Node: "node-" + cell, Address: "address of " + cell}}
+		claims[cell] = cellclaim.Claim{CellClaim: wire.CellClaim{Cell: cell, Node: "node-" + cell, Address: "address of " + cell}}
 	}
 	reading := 0
 	for cell, claim := range claims {
-		n := &Node{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: ownership.Member{Node: claim.Node}}}
+		n := &Node{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: membership.Member{Node: claim.Node}}}
 		n.state.configuration.Pools = []damsonwinch.Pool{{Name: "p", RejectsOverload: rejectsOverload}}
 		runners := map[string]cellRunner{}
 		if cell != fleetCell {
--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"maps"
 	"slices"
@@ -11,15 +10,18 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/membership"
+	"damsonwinch/pkg/succession"
 	"damsonwinch/pkg/wire"
 )
 
 // newFeed returns the feed that follows the stream of claims.
 func (o *Ownership) newFeed() *feed.Feed {
 	return feed.New(feed.Deps{Store: o.deps.Store, Clock: o.deps.Clock, Logger: o.deps.Logger, Metrics: o.deps.Metrics, StoreAnsweredAt: o.StoreAnsweredAt}, feed.Options{
-		Stream: damsonwinch.Stream{Topic: claimTopic}, Wait: claimReadWait,
-		Pause: func() time.Duration { return o.readPace.pause(o.deps.Clock.Now()) },
+		Stream: damsonwinch.Stream{Topic: cellclaim.Topic}, Wait: claimReadWait,
+		Pause: func() time.Duration { return o.readPace.Pause(o.deps.Clock.Now()) },
 		OnSnapshot: func(records []damsonwinch.Record, end int, sentAt time.Time) {
 			o.send(claimsRead{records: records, end: end, snapshot: true, sentAt: sentAt})
 		},
@@ -34,36 +36,17 @@
 func (o *Ownership) handleClaimsRead(m claimsRead) {
 	s := &o.state
 	if m.snapshot {
-		maps.DeleteFunc(s.claims, func(_ string, claim Claim) bool { return claim.Token <= m.end })
+		maps.DeleteFunc(s.claims, func(_ string, claim cellclaim.Claim) bool { return claim.Token <= m.end })
 	}
 	for _, record := range m.records {
 		switch record.Key {
-		case layoutKey:
+		case cellclaim.LayoutKey:
 			o.applyLayout(record)
-			continue
-		case partitionsKey:
+		case cellclaim.PartitionsKey:
 			o.applyPartitions(record)
-			continue
-		}
-		var claim wire.CellClaim
-		if s.claims[record.Key].Token > record.Offset+1 {
-			continue
-		}
-		if len(record.Value) == 0 {
-			delete(s.claims, record.Key)
-			continue
-		}
-		if err := json.Unmarshal(record.Value, &claim); err != nil {
-			o.deps.Logger.WithError(err).WithField("cell", record.Key).Error("claim cannot be decoded")
-			continue
-		}
-		if !m.snapshot && s.claims[record.Key].Token != record.Offset+1 {
-			s.claimedAt[record.Key] = o.deps.Clock.Now()
+		default:
+			o.applyClaim(record, m.snapshot)
 		}
-		s.claims[record.Key] = Claim{CellClaim: claim, Token: record.Offset + 1}
-		// Claims carry the number of topics that the group needs to list all members, so that a
-		// restarted node doesn't have to find it out again.
-		s.topicCount = min(max(s.topicCount, claim.Topics), maxTopics)
 	}
 	// A read that was answered before this node's last append ends before claimsEnd.
 	s.claimsEnd = max(s.claimsEnd, m.end)
@@ -75,6 +58,32 @@
 	o.publishView()
 }
 
+// applyClaim applies the record of a claim, unless a newer claim of the cell is known. fromSnapshot reports
+// whether the record came with a snapshot.
+func (o *Ownership) applyClaim(record damsonwinch.Record, fromSnapshot bool) {
+	s := &o.state
+	known := s.claims[record.Key]
+	if known.Token > record.Offset+1 {
+		return
+	}
+	if len(record.Value) == 0 {
+		delete(s.claims, record.Key)
+		return
+	}
+	claim, err := cellclaim.Decode(record)
+	if err != nil {
+		o.deps.Logger.WithError(err).WithField("cell", record.Key).Error("claim cannot be decoded")
+		return
+	}
+	if !fromSnapshot && known.Token != claim.Token {
+		s.claimedAt[record.Key] = o.deps.Clock.Now()
+	}
+	s.claims[record.Key] = claim
+	// Claims carry the number of topics that the group needs to list all members, so that a
+	// restarted node doesn't have to find it out again.
+	s.topicCount = min(max(s.topicCount, claim.Topics), membership.MaxTopics)
+}
+
 // reclaimNextCell claims the first cell that an earlier incarnation of this node owned. The earlier
 // incarnation has certainly exited, even if the group still lists it.
 func (o *Ownership) reclaimNextCell() {
@@ -95,40 +104,29 @@
 			continue
 		}
 		ranking := o.ranking()
-		if !ranking.maySucceed(o.options.Self) {
+		if !ranking.MaySucceed(o.options.Self) {
 			return
 		}
-		chosen, found := ranking.successor(cell, anyMember)
-		if found && chosen.sameIncarnation(o.options.Self) {
+		chosen, found := ranking.Successor(cell, succession.AnyMember)
+		if found && chosen.SameIncarnation(o.options.Self) {
 			o.claim(cell, claim, known)
 			return
 		}
 	}
 }
 
-// liveClaims returns the claims, by cell, whose owners are probably alive.
-func (o *Ownership) liveClaims() map[string]Claim {
-	live := map[string]Claim{}
-	for cell, claim := range o.state.claims {
-		if o.isOwnerAlive(claim) {
-			live[cell] = claim
-		}
-	}
-	return live
-}
-
 // claim starts to append a claim of a cell for this node. The cell keeps the partition of its
 // previous claim. If known is false there is no previous claim, and the cell gets the next unused
 // partition.
-func (o *Ownership) claim(cell string, previous Claim, known bool) {
+func (o *Ownership) claim(cell string, previous cellclaim.Claim, known bool) {
 	next := wire.CellClaim{
 		Cell: cell, Node: o.options.Self.Node, Address: o.options.Self.Address, Incarnation: o.options.Self.Incarnation,
 		Partition: previous.Partition, Topics: o.state.topicCount,
 	}
 	if !known {
-		next.Partition = o.nextPartition()
+		next.Partition = cellclaim.NextPartition(o.state.claims, o.state.reservedPartitions)
 	}
-	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": previous.Node, "members": len(o.state.memberList.members), "end": o.state.claimsEnd}).Info("claim cell")
+	o.deps.Logger.WithFields(logrus.Fields{"cell": cell, "before": previous.Node, "members": len(o.state.memberList.Members()), "end": o.state.claimsEnd}).Info("claim cell")
 	o.startClaimAppend(next)
 }
 
@@ -162,19 +160,9 @@
 
 // appendClaim appends a claim to the stream of claims if end is the stream's end offset.
 func (o *Ownership) appendClaim(claim wire.CellClaim, end int) error {
-	value, err := json.Marshal(claim)
-	if err != nil {
-		return err
-	}
-	return o.appendRecord(damsonwinch.Record{Key: claim.Cell, Value: value}, end)
-}
-
-// appendRecord appends a record to the stream of claims if end is the stream's end offset. If end is the
-// offset up to which this node has read, the append fails if there are records that the node hasn't read.
-func (o *Ownership) appendRecord(record damsonwinch.Record, end int) error {
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
-	return o.deps.Store.AppendAt(ctx, damsonwinch.Stream{Topic: claimTopic}, []damsonwinch.Record{record}, end)
+	return o.writer.AppendClaim(ctx, claim, end)
 }
 
 // noConflict is the value of state.conflictEnd after no conflict. It is not a valid offset.
@@ -196,7 +184,7 @@
 		// Another node has appended a record that this node hasn't read.
 		o.deps.Metrics.Add("claims_outdated", 1)
 		s.conflictEnd = end
-		o.readPace.conflictedAt.Store(o.deps.Clock.Now().UnixNano())
+		o.readPace.NoteConflict(o.deps.Clock.Now())
 		o.backOff(o.deps.Clock.Now())
 	default:
 		logger.WithError(err).Warn("append to the stream of claims failed")
@@ -211,7 +199,7 @@
 		return
 	}
 	// All earlier records have been read, so the claim holds without being read back.
-	o.state.claims[m.claim.Cell] = Claim{CellClaim: m.claim, Token: m.end + 1}
+	o.state.claims[m.claim.Cell] = cellclaim.Claim{CellClaim: m.claim, Token: m.end + 1}
 	o.invalidateRanking()
 	o.publishView()
 }
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -12,30 +12,28 @@
 
 // join starts the call that joins the group, or renews the membership.
 func (o *Ownership) join() {
-	request := damsonwinch.JoinRequest{
-		Group: groupName, Member: o.options.Self.Name(), Topics: o.topicNames(), TTL: max(o.options.MembershipTTL, minMembershipTTL), Generation: o.state.generation,
-	}
+	topicCount, generation := o.state.topicCount, o.state.generation
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		membership, err := o.deps.Store.Join(ctx, request)
-		o.send(joinReturned{membership: membership, err: err})
+		joined, err := o.members.Join(ctx, topicCount, generation)
+		o.send(joinReturned{membership: joined, err: err})
 		return nil
 	})
 }
 
 // handleJoined handles an answered Join call. If the one before it was sent much longer ago than usual, members may
 // have been dropped meanwhile and need time to join again.
-func (o *Ownership) handleJoined(membership damsonwinch.Membership, now time.Time) {
+func (o *Ownership) handleJoined(joined damsonwinch.Membership, now time.Time) {
 	s := &o.state
 	if !s.joinAnsweredAt.IsZero() && s.joinSentAt.Sub(s.joinAnsweredAt) > o.memberReadInterval()+callTimeout {
 		s.membersRecoveredAt = s.joinSentAt
 	}
 	s.joinAnsweredAt = s.joinSentAt
-	if s.generation != membership.Generation {
-		s.generation, s.generationSince = membership.Generation, now
+	if s.generation != joined.Generation {
+		s.generation, s.generationSince = joined.Generation, now
 	}
-	s.unassigned = len(membership.Assigned) == 0
+	s.unassigned = len(joined.Assigned) == 0
 	o.answeredAt.Store(now.UnixNano())
 	if s.generation == s.listGeneration {
 		o.confirmMembers(s.joinSentAt)
@@ -52,14 +50,10 @@
 		return
 	}
 	o.noteMembersRead(m.sentAt)
-	s.membersMayGrow = m.nearlyFull && m.topicCount < maxTopics
-	o.updateMembersComplete(m.sentAt, len(m.members))
-	// A member that subscribes to fewer topics than the others could be assigned no partition.
-	s.topicCount = min(max(s.topicCount, m.topicCount), maxTopics)
-	if m.nearlyFull {
-		s.topicCount = min(2*s.topicCount, maxTopics)
-	}
-	s.memberList, s.listGeneration = newMemberList(m.members, m.topicCount, m.nearlyFull, o.options.Self), m.generation
+	s.membersMayGrow = m.list.MayGrow()
+	o.updateCompleteness(m.sentAt, len(m.list.Members()))
+	s.topicCount = m.list.TopicsNeeded(s.topicCount)
+	s.memberList, s.listGeneration = m.list, m.generation
 	o.invalidateRanking()
 	o.publishView()
 }
@@ -75,43 +69,6 @@
 	}
 }
 
-// maxTopics is the largest number of topics that the group uses. The platform allows 100 topics in
-// all, which may have as few as 12 partitions each.
-const maxTopics = 40
-
-// topicNames returns the names of the topics whose partitions the group assigns.
-func (o *Ownership) topicNames() []string {
-	names := make([]string, 0, o.state.topicCount)
-	for number := 1; number <= o.state.topicCount; number++ {
-		names = append(names, topicName(groupTopic, number))
-	}
-	return names
-}
-
-// minSparePercent is by how many percent the number of partitions must exceed that of the listed
-// members for the list to be taken for complete. Of 147 nodes on 96 partitions one was assigned two
-// partitions, and 52 were assigned none.
-const minSparePercent = 25
-
-// nearlyFull reports whether there are hardly more partitions than members that hold one. Then there
-// may be members without a partition, which the assignments don't show.
-func nearlyFull(assignments []damsonwinch.Assignment) bool {
-	holders := make(map[string]bool, len(assignments))
-	for _, assignment := range assignments {
-		holders[assignment.Member] = true
-	}
-	return len(assignments)*100 < len(holders)*(100+minSparePercent)
-}
-
-// countTopics returns the number of topics that have assigned partitions.
-func countTopics(assignments []damsonwinch.Assignment) int {
-	topics := map[string]bool{}
-	for _, assignment := range assignments {
-		topics[assignment.Stream.Topic] = true
-	}
-	return len(topics)
-}
-
 // spareSuccessors is the number of nodes, beyond one per cell, that read the members at
 // fastMemberReadInterval, because several nodes may be lost at once.
 const spareSuccessors = 3
@@ -132,33 +89,7 @@
 
 // maySucceedSoon reports whether this node may be the next to take over a cell.
 func (o *Ownership) maySucceedSoon() bool {
-	return o.state.memberList.strongerCount < len(o.state.cells)+spareSuccessors
-}
-
-// assignedMembers returns the members that hold a partition; see membersByNode.
-func assignedMembers(assignments []damsonwinch.Assignment) []Member {
-	names := make([]string, 0, len(assignments))
-	for _, assignment := range assignments {
-		names = append(names, assignment.Member)
-	}
-	return membersByNode(names)
-}
-
-// membersByNode returns the members with the given names in the group, ordered by node name. Of several
-// incarnations of a node it returns only the newest.
-func membersByNode(names []string) []Member {
-	byNode := make(map[string]Member, len(names))
-	for _, name := range names {
-		member, valid := parseMember(name)
-		if valid && member.Incarnation >= byNode[member.Node].Incarnation {
-			byNode[member.Node] = member
-		}
-	}
-	members := make([]Member, 0, len(byNode))
-	for _, node := range slices.Sorted(maps.Keys(byNode)) {
-		members = append(members, byNode[node])
-	}
-	return members
+	return o.state.memberList.StrongerCount() < len(o.state.cells)+spareSuccessors
 }
 
 // handleLeave releases this node's cells and leaves the group, so that the other nodes don't have to
@@ -183,7 +114,7 @@
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		if err := o.deps.Store.Leave(ctx, groupName, o.options.Self.Name()); err != nil {
+		if err := o.members.Leave(ctx); err != nil {
 			o.deps.Logger.WithError(err).Warn("group not left")
 		}
 		return nil
--- a/pkg/ownership/health.go
+++ b/pkg/ownership/health.go
@@ -7,7 +7,9 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch/pkg/call"
+	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/liveness"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -106,7 +108,7 @@
 func (o *Ownership) successorCells() []string {
 	s := &o.state
 	ranking := o.ranking()
-	if !ranking.maySucceed(o.options.Self) {
+	if !ranking.MaySucceed(o.options.Self) {
 		return nil
 	}
 	var cells []string
@@ -115,8 +117,8 @@
 		if !known || claim.Released || claim.HeldBy(o.options.Self) || o.byEarlierIncarnation(claim) {
 			continue
 		}
-		isOther := func(m Member) bool { return !claim.HeldBy(m) }
-		if best, found := ranking.successor(cell, isOther); found && best.sameIncarnation(o.options.Self) {
+		isOther := func(m membership.Member) bool { return !claim.HeldBy(m) }
+		if best, found := ranking.Successor(cell, isOther); found && best.SameIncarnation(o.options.Self) {
 			cells = append(cells, cell)
 		}
 	}
@@ -124,7 +126,7 @@
 }
 
 // checkOwner starts a health check of a claim's owner.
-func (o *Ownership) checkOwner(claim Claim, now time.Time) {
+func (o *Ownership) checkOwner(claim cellclaim.Claim, now time.Time) {
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, checkTimeout)
 		defer cancel()
@@ -134,31 +136,14 @@
 	})
 }
 
-// lastKey sorts after all keys of a cell's stream. A read of the keys after it returns no records, only
-// the end of the stream.
-const lastKey = "~"
-
 // readStreamEnds starts to read the end offsets of the streams of all cells of a claim's owner.
-func (o *Ownership) readStreamEnds(watched Claim, now time.Time) {
-	var claims []Claim
-	for _, claim := range o.state.claims {
-		if claim.Node == watched.Node && !claim.Released {
-			claims = append(claims, claim)
-		}
-	}
+func (o *Ownership) readStreamEnds(watched cellclaim.Claim, now time.Time) {
+	claims := cellclaim.OfNode(o.state.claims, watched.Node)
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		result := streamEndsRead{node: watched.Node, incarnation: watched.Incarnation, sentAt: now}
-		for _, claim := range claims {
-			page, err := o.deps.Store.Newest(ctx, CellStream(claim, o.options.Partitions), lastKey)
-			if err != nil {
-				result.err = err
-				break
-			}
-			result.ends += page.End
-		}
-		o.send(result)
+		ends, err := cellclaim.StreamEnds(ctx, o.deps.Store, claims, o.options.Partitions)
+		o.send(streamEndsRead{node: watched.Node, incarnation: watched.Incarnation, sentAt: now, ends: ends, err: err})
 		return nil
 	})
 }
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"time"
 
+	"damsonwinch/pkg/cellclaim"
+	"damsonwinch/pkg/membership"
+	"damsonwinch/pkg/succession"
 	"damsonwinch/pkg/wire"
 )
 
@@ -15,9 +17,6 @@
 	// large fleet. The list grows with the fleet, so that a list for each node grows with its square: 588
 	// nodes received 24 MB/s while members came and went.
 	memberUpstreamCount = 8
-	// maxMembersAge is the age above which a list of another node isn't used. That node's own heartbeats
-	// confirm its list every 300 ms.
-	maxMembersAge = 1500 * time.Millisecond
 	// maxMemberFailures is the number of consecutive failures after which a node that may be the next to take
 	// over a cell reads the members from the store once. The other nodes first ask each upstream node.
 	maxMemberFailures = 2
@@ -30,9 +29,6 @@
 // is negative.
 const noGeneration = -1
 
-// errMembersUnknown means that the other node hasn't read the members, or not lately.
-var errMembersUnknown = errors.New("the node doesn't know the present members")
-
 // Times of reads of the members while the group doesn't change.
 const (
 	// listSettleTime is how long after the group has changed the list may still change. The group assigns a
@@ -95,13 +91,13 @@
 }
 
 // memberUpstreams returns the claims of the nodes that read the members for others, or none in a small fleet.
-func (o *Ownership) memberUpstreams() []Claim {
-	return UpstreamClaims(o.state.claims, memberUpstreamCount, func(string) bool { return true })
+func (o *Ownership) memberUpstreams() []cellclaim.Claim {
+	return cellclaim.Upstreams(o.state.claims, memberUpstreamCount, func(string) bool { return true })
 }
 
 // isMemberUpstream reports whether this node reads the members for others.
 func (o *Ownership) isMemberUpstream() bool {
-	return slices.ContainsFunc(o.memberUpstreams(), func(claim Claim) bool { return claim.Node == o.options.Self.Node })
+	return slices.ContainsFunc(o.memberUpstreams(), func(claim cellclaim.Claim) bool { return claim.Node == o.options.Self.Node })
 }
 
 // memberUpstream returns the address of the node from which this one reads the members, or false if it reads
@@ -116,14 +112,14 @@
 	if len(upstreams) == 0 || s.memberFailures >= maxFailures || o.isMemberUpstream() {
 		return "", false
 	}
-	index := (tieRank(groupName, o.options.Self.Node) + uint64(s.memberFetches)) % uint64(len(upstreams))
+	index := (succession.TieRank(membership.GroupName, o.options.Self.Node) + uint64(s.memberFetches)) % uint64(len(upstreams))
 	return upstreams[index].Address, true
 }
 
 // readMembers starts to read the members of the group, from another node or from the store.
 func (o *Ownership) readMembers(now time.Time) {
 	s := &o.state
-	generation, known := s.generation, wire.MembersArgs{Generation: s.listGeneration, Digest: s.memberList.digest}
+	generation, known := s.generation, s.memberList.Request(s.listGeneration)
 	address, found := o.memberUpstream()
 	if found {
 		s.memberFetches++
@@ -134,32 +130,31 @@
 		if found {
 			o.send(o.fetchMembers(ctx, address, known, now))
 		} else {
-			o.send(o.readAssignments(ctx, generation, now))
+			o.send(o.readStoredMembers(ctx, generation, now))
 		}
 		return nil
 	})
 }
 
-// readAssignments reads the members from the store. generation is the newest one that this node has heard of
+// readStoredMembers reads the members from the store. generation is the newest one that this node has heard of
 // before.
-func (o *Ownership) readAssignments(ctx context.Context, generation int, now time.Time) membersRead {
-	assignments, err := o.deps.Store.Assignments(ctx, groupName)
-	return membersRead{
-		members: assignedMembers(assignments), topicCount: countTopics(assignments), nearlyFull: nearlyFull(assignments),
-		generation: generation, sentAt: now, err: err,
-	}
+func (o *Ownership) readStoredMembers(ctx context.Context, generation int, now time.Time) membersRead {
+	list, err := o.members.List(ctx)
+	return membersRead{list: list, generation: generation, sentAt: now, err: err}
 }
 
 // fetchMembers reads the members from another node. known describes this node's list.
 func (o *Ownership) fetchMembers(ctx context.Context, address string, known wire.MembersArgs, now time.Time) membersRead {
 	reply, err := o.deps.FetchMembers(ctx, address, known)
-	age := time.Duration(reply.AgeMs) * time.Millisecond
-	if err == nil && (!reply.Known || age > maxMembersAge) {
-		err = fmt.Errorf("members from %s: %w", address, errMembersUnknown)
+	if err != nil {
+		return membersRead{fromPeer: true, err: err}
+	}
+	list, age, err := membership.FromReply(reply, o.options.Self)
+	if err != nil {
+		return membersRead{fromPeer: true, err: fmt.Errorf("members from %s: %w", address, err)}
 	}
 	return membersRead{
-		members: membersByNode(reply.Members), topicCount: reply.Topics, nearlyFull: reply.NearlyFull, unchanged: reply.Unchanged,
-		generation: reply.Generation, sentAt: now.Add(-age), fromPeer: true, err: err,
+		list: list, unchanged: reply.Unchanged, generation: reply.Generation, sentAt: now.Add(-age), fromPeer: true,
 	}
 }
 
@@ -167,11 +162,22 @@
 func (o *Ownership) confirmMembers(at time.Time) {
 	s := &o.state
 	o.noteMembersRead(at)
-	if before := s.membersComplete; o.updateMembersComplete(at, len(s.memberList.members)) != before {
+	before := s.completeness.Complete()
+	o.updateCompleteness(at, len(s.memberList.Members()))
+	if s.completeness.Complete() != before {
 		o.publishView()
 	}
 }
 
+// updateCompleteness updates whether the list of members counts as complete, as of a time at which it had
+// the given number of members. A list that may hide members counts as complete only if the group can't use
+// more topics, because then no better list will come.
+func (o *Ownership) updateCompleteness(at time.Time, count int) {
+	s := &o.state
+	stable := !s.membersMayGrow && count == len(s.memberList.Members()) && !at.Before(o.membersSettledAt())
+	s.completeness = s.completeness.WithRead(at, stable)
+}
+
 // noteMembersRead notes that this node knew the members at a time.
 func (o *Ownership) noteMembersRead(at time.Time) {
 	if s := &o.state; at.After(s.membersReadAt) {
@@ -186,17 +192,6 @@
 	if confirmedAt == 0 || view.MemberGeneration == noGeneration {
 		return wire.MembersReply{}
 	}
-	list := view.list
-	reply := wire.MembersReply{
-		Known: true, Generation: view.MemberGeneration, Digest: list.digest, Topics: list.topicCount, NearlyFull: list.nearlyFull,
-		AgeMs: int((o.deps.Clock.Now().UnixNano() - confirmedAt) / int64(time.Millisecond)),
-	}
-	if args.Generation == view.MemberGeneration && args.Digest == list.digest {
-		reply.Unchanged = true
-		return reply
-	}
-	for _, member := range list.members {
-		reply.Members = append(reply.Members, member.Name())
-	}
-	return reply
+	age := time.Duration(o.deps.Clock.Now().UnixNano() - confirmedAt)
+	return view.list.Reply(args, view.MemberGeneration, age)
 }
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -16,22 +16,16 @@
 	"golang.org/x/sync/errgroup"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
+	"damsonwinch/pkg/claimpace"
 	"damsonwinch/pkg/feed"
+	"damsonwinch/pkg/liveness"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
 
-// Names of the group and the topics in the store.
-const (
-	groupName  = "nodes"
-	groupTopic = "nodes"
-	// claimTopic holds the newest claim of each cell.
-	claimTopic = "keyed.claims"
-	// cellTopic holds the records of the cells, with one cell per partition.
-	cellTopic = "keyed.cells"
-)
-
 // Intervals and timeouts of the calls to the store.
 const (
 	// joinInterval is the time between two Join calls, which are the node's heartbeats in the group.
@@ -50,9 +44,6 @@
 	claimReadWait = time.Second
 	// tickInterval is the longest time after which run checks again which calls are due.
 	tickInterval = 100 * time.Millisecond
-	// minMembershipTTL is the least time for which the group keeps a member that sends no heartbeat.
-	// Options.MembershipTTL may set a longer time.
-	minMembershipTTL = time.Second
 )
 
 // Deps are the dependencies of Ownership.
@@ -76,9 +67,9 @@
 // View is what a node knows about the owners of the cells.
 type View struct {
 	// Claims holds the newest claim of each cell, by cell.
-	Claims map[string]Claim
+	Claims map[string]cellclaim.Claim
 	// Members are the nodes in the group, as they were last read. Receivers must not change the slice.
-	Members []Member
+	Members []membership.Member
 	// MembersComplete reports whether Members probably holds all members.
 	MembersComplete bool
 	// MemberGeneration is the generation of the group that Members shows; negative before they have been
@@ -87,7 +78,7 @@
 	// Layout is the division of the pools into cells. It is the zero value until one is decided.
 	Layout shard.Layout
 	// list is the list that holds Members.
-	list memberList
+	list membership.List
 	// ConfirmedAt is when the newest answered read of the claims was sent. At that time no newer claims
 	// existed than those in Claims. It is zero until the first response, and after a suspension until the
 	// next one.
@@ -96,7 +87,7 @@
 
 // Owner returns the newest claim of a cell, and whether the cell has an owner: whether there is a claim
 // and it isn't released.
-func (v View) Owner(cell string) (Claim, bool) {
+func (v View) Owner(cell string) (cellclaim.Claim, bool) {
 	claim, known := v.Claims[cell]
 	return claim, known && !claim.Released
 }
@@ -104,8 +95,8 @@
 // Options configure the Ownership of one node.
 type Options struct {
 	// Self is this node as a member of the group.
-	Self Member
-	// MembershipTTL is how long the group keeps a member that sends no heartbeat.
+	Self membership.Member
+	// MembershipTTL is how long the group keeps a member that sends no heartbeat, but at least for a second.
 	MembershipTTL time.Duration
 	// Partitions is the number of partitions of each topic.
 	Partitions int
@@ -124,9 +115,11 @@
 	ctx     context.Context // Cancelled by Close.
 	cancel  context.CancelFunc
 	state   state
+	members membership.Group
+	writer  cellclaim.Writer
 	feed    *feed.Feed
 	// readPace spaces the reads of feed.
-	readPace readPace
+	readPace claimpace.Reads
 	// answeredAt is when the store last answered a call, in Unix nanoseconds.
 	answeredAt atomic.Int64
 	// membersConfirmedAt is the time at which the list of members was last known to be the newest, in Unix
@@ -150,13 +143,10 @@
 		err        error
 	}
 	membersRead struct {
-		members []Member
-		// topicCount is the number of topics of which the group has assigned partitions.
-		topicCount int
-		// nearlyFull reports whether the list may lack members, because hardly any partition is spare.
-		nearlyFull bool
+		// list is not set if unchanged is.
+		list membership.List
 		// generation is that of the group to which the list belongs. If unchanged is set, that is the
-		// list that this node has, and the fields above are not set.
+		// list that this node has.
 		generation int
 		unchanged  bool
 		// fromPeer reports whether another node was asked.
@@ -210,7 +200,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
-		state: state{claims: map[string]Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
+		members: membership.NewGroup(deps.Store, options.Self, options.MembershipTTL), writer: cellclaim.NewWriter(deps.Store),
+		state: state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]liveness.Refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
@@ -348,7 +339,7 @@
 func (o *Ownership) publishView() {
 	s := &o.state
 	o.deps.OnViewChange(View{
-		Claims: maps.Clone(s.claims), Members: s.memberList.members, MembersComplete: s.membersComplete,
+		Claims: maps.Clone(s.claims), Members: s.memberList.Members(), MembersComplete: s.completeness.Complete(),
 		MemberGeneration: s.listGeneration, list: s.memberList, Layout: s.layout, ConfirmedAt: s.confirmedAt,
 	})
 }
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/wire"
 )
@@ -33,19 +34,19 @@
 }
 
 // member returns an incarnation of a node with the usual weight.
-func member(node string, incarnation int) Member {
-	return Member{Node: node, Address: node + ":1", Weight: 400, Incarnation: incarnation}
+func member(node string, incarnation int) membership.Member {
+	return membership.Member{Node: node, Address: node + ":1", Weight: 400, Incarnation: incarnation}
 }
 
 // claimRecord returns the record with which a member claims a cell.
-func claimRecord(t *testing.T, cell string, m Member) damsonwinch.Record {
+func claimRecord(t *testing.T, cell string, m membership.Member) damsonwinch.Record {
 	value, err := json.Marshal(wire.CellClaim{Cell: cell, Node: m.Node, Address: m.Address, Incarnation: m.Incarnation})
 	assert.NilError(t, err)
 	return damsonwinch.Record{Key: cell, Value: value}
 }
 
 // startMember starts the Ownership of a member, which replies to health checks from then on.
-func startMember(t *testing.T, store *memoryStore, self Member, cells ...string) *testNode {
+func startMember(t *testing.T, store *memoryStore, self membership.Member, cells ...string) *testNode {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -67,6 +68,17 @@
 	return n
 }
 
+// startBesideOwner starts the node a while another member owns the cell one, and waits until a owns the free
+// cell two.
+func startBesideOwner(t *testing.T, store *memoryStore, other membership.Member) *testNode {
+	t.Helper()
+	store.appendRecord(claimRecord(t, "one", other))
+	store.members = []string{other.Name()}
+	n := startNode(t, store, "a", "one", "two")
+	waitUntil(t, "the free cell is owned", func() bool { return n.owns("two") })
+	return n
+}
+
 // owns reports whether this node owns a cell, in its newest view.
 func (n *testNode) owns(cell string) bool {
 	claim, owned := n.view.Load().Owner(cell)
@@ -192,12 +204,7 @@
 // TestNodeThatRefusesConnectionsLosesItsCell checks that a reported refused connection suffices for a
 // takeover, even if the group still lists the node.
 func TestNodeThatRefusesConnectionsLosesItsCell(t *testing.T) {
-	store := newMemoryStore()
-	other := member("b", 1)
-	store.appendRecord(claimRecord(t, "one", other))
-	store.members = []string{other.Name()}
-	n := startNode(t, store, "a", "one", "two")
-	waitUntil(t, "the free cell is owned", func() bool { return n.owns("two") })
+	n := startBesideOwner(t, newMemoryStore(), member("b", 1))
 	assert.Assert(t, !n.owns("one"))
 
 	n.ReportRefusedConnection("b", 1)
--- a/pkg/ownership/partitions.go
+++ b/pkg/ownership/partitions.go
@@ -1,46 +1,19 @@
 package ownership
 
 import (
-	"encoding/json"
+	"context"
 	"errors"
-	"strconv"
 
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
-	"damsonwinch/pkg/wire"
+	"damsonwinch/pkg/cellclaim"
 )
 
-// partitionsKey is the key, in the stream of claims, of the number of partitions that have been
-// reserved. No cell has this name.
-const partitionsKey = "@partitions"
-
 // maxCellTopics is the largest number of topics that hold the partitions of cells. The platform allows
 // 100 topics in all.
 const maxCellTopics = 55
 
-// CellStream returns the stream that holds the records of a claim's cell. partitions is the number of
-// partitions of each topic.
-func CellStream(claim Claim, partitions int) damsonwinch.Stream {
-	return PartitionStream(claim.Partition, partitions)
-}
-
-// PartitionStream returns the stream of the partition with a number. The numbers start at 0 and count
-// the partitions of the first topic, then those of the second, and so on. partitions is the number of
-// partitions of each topic.
-func PartitionStream(number, partitions int) damsonwinch.Stream {
-	return damsonwinch.Stream{Topic: topicName(cellTopic, 1+number/partitions), Partition: number % partitions}
-}
-
-// topicName returns the name of the topic with a number in a series of topics. The first has the number
-// 1 and the base name; the names of the others end in a hyphen and their number.
-func topicName(topic string, number int) string {
-	if number == 1 {
-		return topic
-	}
-	return topic + "-" + strconv.Itoa(number)
-}
-
 // Messages about partitions.
 type (
 	// partitionRequested asks run to reserve a partition and to pass its number to onReserved, which must
@@ -74,15 +47,6 @@
 	o.send(moveRequested{cell: cell, token: token, partition: partition})
 }
 
-// nextPartition returns the lowest number above all partitions that are reserved or that a claim names.
-func (o *Ownership) nextPartition() int {
-	next := o.state.reservedPartitions
-	for _, claim := range o.state.claims {
-		next = max(next, claim.Partition+1)
-	}
-	return next
-}
-
 // reserveNextPartition starts to reserve a partition for the first of partitionWaiters. If no partition
 // is left, it drops all waiters.
 func (o *Ownership) reserveNextPartition() {
@@ -90,7 +54,7 @@
 	if len(s.partitionWaiters) == 0 {
 		return
 	}
-	reserved, end := o.nextPartition()+1, s.claimsEnd
+	reserved, end := cellclaim.NextPartition(s.claims, s.reservedPartitions)+1, s.claimsEnd
 	if reserved > maxCellTopics*o.options.Partitions {
 		o.deps.Logger.WithField("taken", reserved).Error("no partition is left for a cell to move to")
 		s.partitionWaiters = nil
@@ -98,11 +62,9 @@
 	}
 	s.appendPending = true
 	o.group.Go(func() error {
-		value, err := json.Marshal(wire.Partitions{Taken: reserved})
-		if err == nil {
-			err = o.appendRecord(damsonwinch.Record{Key: partitionsKey, Value: value}, end)
-		}
-		o.send(partitionAppended{reserved: reserved, end: end, err: err})
+		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+		defer cancel()
+		o.send(partitionAppended{reserved: reserved, end: end, err: o.writer.AppendPartitions(ctx, reserved, end)})
 		return nil
 	})
 }
@@ -110,7 +72,7 @@
 // handlePartitionAppended handles the result of the append that reserves a partition.
 func (o *Ownership) handlePartitionAppended(m partitionAppended) {
 	s := &o.state
-	succeeded := o.finishAppend(m.err, m.end, o.deps.Logger.WithField("cell", partitionsKey))
+	succeeded := o.finishAppend(m.err, m.end, o.deps.Logger.WithField("cell", cellclaim.PartitionsKey))
 	if errors.Is(m.err, damsonwinch.ErrConflict) {
 		return
 	}
@@ -129,12 +91,12 @@
 
 // applyPartitions applies the record of the number of reserved partitions.
 func (o *Ownership) applyPartitions(record damsonwinch.Record) {
-	var stored wire.Partitions
-	if err := json.Unmarshal(record.Value, &stored); err != nil {
+	reserved, err := cellclaim.DecodePartitions(record)
+	if err != nil {
 		o.deps.Logger.WithError(err).Error("number of reserved partitions cannot be decoded")
 		return
 	}
-	o.state.reservedPartitions = max(o.state.reservedPartitions, stored.Taken)
+	o.state.reservedPartitions = max(o.state.reservedPartitions, reserved)
 }
 
 // moveNextClaim starts to append the claim of a cell that moves to another partition, and removes the
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -3,7 +3,11 @@
 import (
 	"time"
 
+	"damsonwinch/pkg/cellclaim"
+	"damsonwinch/pkg/liveness"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/succession"
 )
 
 // state is the state of run. A field whose name ends in Pending is set while a call of that kind is under
@@ -12,7 +16,7 @@
 	// cells are the names of the cells that need an owner.
 	cells []string
 	// claims holds the newest claim of each cell, by cell.
-	claims map[string]Claim
+	claims map[string]cellclaim.Claim
 	// claimedAt is when this node last read a new claim of a cell, by cell. A claim that came with a
 	// snapshot may be old and sets no time.
 	claimedAt map[string]time.Time
@@ -22,15 +26,13 @@
 	haveClaims bool
 	// confirmedAt is when the newest answered read of the claims was sent.
 	confirmedAt time.Time
-	memberList  memberList
+	memberList  membership.List
 	// membersReadAt is when the newest answered read of the members was sent. membersRecoveredAt is when
 	// the newest answered heartbeat was sent that followed a long time without answered ones.
 	membersReadAt      time.Time
 	membersRecoveredAt time.Time
-	// memberCountSince is the time from which the number of members has been the same, and
-	// membersComplete reports whether their list counts as complete.
-	memberCountSince time.Time
-	membersComplete  bool
+	// completeness tells whether the list of members counts as complete.
+	completeness membership.Completeness
 	// layout is the one in force. If none has been decided, this node tries to put proposedLayout in
 	// force.
 	layout         shard.Layout
@@ -61,7 +63,7 @@
 	watchedAt time.Time
 	// ranking is the ranking of the live members, or nil if it has to be computed anew. rankedAt is
 	// when it was computed.
-	ranking  *ranking
+	ranking  *succession.Ranking
 	rankedAt time.Time
 	// misplacedSince is the time from which this node has owned a cell that a far stronger node should
 	// own, or zero.
@@ -110,5 +112,5 @@
 	fetchSentAt  time.Time
 	fetchCount   int
 	// refusals holds the last refused connection of each node, by node.
-	refusals map[string]refusal
+	refusals map[string]liveness.Refusal
 }
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -12,6 +12,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellclaim"
+	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/wire"
 )
 
@@ -28,7 +30,7 @@
 	topicCounts        map[string]int
 	// replying holds the nodes that reply to health checks, and cutOff those of them that are cut off
 	// from the store, both by address.
-	replying map[string]Member
+	replying map[string]membership.Member
 	cutOff   map[string]bool
 	// appends counts the appends that were tried. The next ones, as many as failures, fail with an
 	// unknown outcome.
@@ -60,7 +62,7 @@
 var _ damsonwinch.Store = (*memoryStore)(nil)
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{appended: make(chan struct{}), topicCounts: map[string]int{}, replying: map[string]Member{}, cutOff: map[string]bool{}, nodes: map[string]*testNode{}}
+	return &memoryStore{appended: make(chan struct{}), topicCounts: map[string]int{}, replying: map[string]membership.Member{}, cutOff: map[string]bool{}, nodes: map[string]*testNode{}}
 }
 
 var errNoResponse = errors.New("no response")
@@ -141,7 +143,7 @@
 func (s *memoryStore) Newest(_ context.Context, stream damsonwinch.Stream, _ string) (damsonwinch.KeyPage, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if stream.Topic != claimTopic {
+	if stream.Topic != cellclaim.Topic {
 		return damsonwinch.KeyPage{End: s.cellStreamEnd()}, nil
 	}
 	return damsonwinch.KeyPage{Records: slices.Clone(s.claims), End: len(s.claims)}, nil
@@ -198,10 +200,10 @@
 		if s.unlisted[member] {
 			continue
 		}
-		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: groupTopic, Partition: number}, Member: member})
+		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: membership.Topic, Partition: number}, Member: member})
 	}
 	if len(assignments) > 0 && !s.listFull {
-		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: groupTopic, Partition: len(s.members)}, Member: assignments[0].Member})
+		assignments = append(assignments, damsonwinch.Assignment{Stream: damsonwinch.Stream{Topic: membership.Topic, Partition: len(s.members)}, Member: assignments[0].Member})
 	}
 	return assignments
 }
@@ -210,7 +212,7 @@
 func (s *memoryStore) assign() []damsonwinch.Assignment {
 	var assignments []damsonwinch.Assignment
 	counts := map[string]int{}
-	for topic := range maxTopics {
+	for topic := range membership.MaxTopics {
 		for part := range s.partitionsPerTopic {
 			best := ""
 			for _, member := range slices.Sorted(slices.Values(s.members)) {
@@ -222,7 +224,7 @@
 				return assignments
 			}
 			counts[best]++
-			stream := damsonwinch.Stream{Topic: groupTopic + strconv.Itoa(topic), Partition: part}
+			stream := damsonwinch.Stream{Topic: membership.Topic + strconv.Itoa(topic), Partition: part}
 			assignments = append(assignments, damsonwinch.Assignment{Stream: stream, Member: best})
 		}
 	}
