--- a/pkg/cell/reported_exit_test.go
+++ b/pkg/cell/reported_exit_test.go
@@ -24,6 +24,8 @@
 	// reachable is set while the endpoint answers polls.
 	reachable bool
 	starts    int
+	// records holds all records in the cell's stream.
+	records []damsonwinch.Record
 	// stopped holds the runs that the owner has stopped.
 	stopped []damsonwinch.Run
 }
@@ -55,6 +57,7 @@
 // answer answers the calls among effects.
 func (l *loneEndpoint) answer(effects cell.Effects) {
 	if effects.Commit != nil {
+		l.records = append(l.records, effects.Commit.Records...)
 		l.cell.Committed(l.now, effects.Commit.Number)
 	}
 	for _, start := range effects.Starts {
