Cell: start tasks on their reserved endpoints first, several on one, none over the allowance

Cause, found by review: a reserved endpoint could be idle for good. More urgent short tasks that found no endpoint hid the long-running phase behind them; a task whose endpoint was still full hid one whose endpoint was free; tasks that fit on one endpoint reserved one each; and a reservation outlasted the customer's allowance.

Change: tasks with a reservation come first in each placement, each on its endpoint. An endpoint is reserved for as many tasks as it can hold. A task over its allowance loses its reservation. Reservations are made once a tick instead of with each event, and the search ends at the first task of a phase that finds none.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -46,7 +46,7 @@
 	// and those that are reserved for a probation.
 	suspects           []*task
 	probationEndpoints []*endpoint
-	// reservedEndpoints holds the endpoints that are reserved for a long-running task.
+	// reservedEndpoints holds the endpoints that are reserved for long-running tasks.
 	reservedEndpoints []*endpoint
 	// baselineExits estimates how often endpoints exit for reasons other than their tasks.
 	// probationExits holds the recent exits of endpoints where a task was on probation.
@@ -207,6 +207,7 @@
 		c.continueWithdrawal(e)
 	}
 	c.leaveEvacuatedZones()
+	c.reserveForLongRunning()
 	c.forgetEndedJobs()
 	c.logQuotaWaits()
 	c.logLongWaits()
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -82,9 +82,9 @@
 	// to be started on probation there next. Nothing else starts there meanwhile.
 	probation   *run
 	reservedFor *task
-	// reservedForLongRunning is the long-running task that waits for the short tasks here to end.
-	// Nothing else starts meanwhile.
-	reservedForLongRunning *task
+	// reservedTasks holds the long-running tasks that wait for the short tasks here to end. Nothing else
+	// starts meanwhile.
+	reservedTasks []*task
 	// overdue is set while a call to the endpoint has been unanswered for longer than usual.
 	overdue bool
 	// backoffUntil is the time until which no runs are planned here, after a start was refused or
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -138,6 +138,8 @@
 	suspected bool
 	// readySince is when the task last became ready.
 	readySince time.Time
+	// reservation is the endpoint that is reserved for the task, or nil.
+	reservation *endpoint
 	// probationWaitSince is when the task became ready, or a suspect if that was later. A suspect
 	// waits for its probation from then on.
 	probationWaitSince time.Time
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -17,7 +17,7 @@
 	c.updateCrashProne()
 	clear(c.overQuota)
 	clear(c.quotaBlocked)
-	c.pruneReservations()
+	c.placeReserved()
 	c.placeSuspects()
 	inTime := make([]*phase, 0, len(c.openPhases))
 	var deferred, late []*phase
@@ -35,7 +35,6 @@
 	unplaceable := c.placePhases(inTime, nil)
 	unplaceable = c.placePhases(deferred, unplaceable)
 	c.placePhases(late, unplaceable)
-	c.reserveForLongRunning()
 }
 
 // placePhases starts the tasks of phases, in order. unplaceable holds resource needs for which no
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -180,7 +180,7 @@
 	}
 	var choice choice
 	for _, e := range c.sortedEndpoints {
-		if e.probation == nil && e.reservedFor == nil && e.reservedForLongRunning == nil && c.mayHostProbation(e) && c.fitsWithoutShortRuns(t, e) {
+		if e.probation == nil && e.reservedFor == nil && len(e.reservedTasks) == 0 && c.mayHostProbation(e) && c.fitsWithoutShortRuns(t, e) {
 			choice.offer(e, -e.weightAtRisk())
 		}
 	}
--- a/pkg/cell/reservation.go
+++ b/pkg/cell/reservation.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"damsonwinch"
 )
 
 // reservationDelay is how long a long-running task waits for an endpoint until one is reserved for it.
@@ -10,52 +12,99 @@
 const reservationDelay = 500 * time.Millisecond
 
 // reserveForLongRunning reserves an endpoint for each long-running task that has been waiting for
-// reservationDelay, if one could run it but for the short tasks there. Nothing else starts on that
-// endpoint then. Short tasks need less each, so without a reservation every one that ends would leave
-// room for another short one, and the long-running task would wait until the work runs out.
+// reservationDelay, if one could run it but for the short tasks there. Only the tasks that it is
+// reserved for start on that endpoint then. Short tasks need less each, so without a reservation every
+// one that ends would leave capacity for another short one, and the long-running task would wait until
+// the work runs out.
 func (c *Cell) reserveForLongRunning() {
 	for _, p := range c.openPhases {
 		if !p.spec.Lasting || p.spec.Gang || !p.overQuotaSince.IsZero() {
 			continue
 		}
 		for _, t := range p.ready {
-			if c.now.Sub(t.readySince) >= reservationDelay && !t.suspected && !c.mustWait(t) {
-				c.reserveFor(t)
+			if t.reservation != nil || c.now.Sub(t.readySince) < reservationDelay || t.suspected || c.mustWait(t) {
+				continue
+			}
+			if !c.reserveFor(t) {
+				// The other tasks of the phase need as much.
+				break
 			}
 		}
 	}
 }
 
-// pruneReservations removes the reservations for tasks that don't wait any more, and those of endpoints
-// that can't run the task any more.
-func (c *Cell) pruneReservations() {
-	c.reservedEndpoints = slices.DeleteFunc(c.reservedEndpoints, func(e *endpoint) bool {
-		if t := e.reservedForLongRunning; t.ready && !t.suspected && e.probation == nil && c.fitsWithoutShortRuns(t, e) {
-			return false
+// reserveFor reserves an endpoint for a long-running task: preferably one that is reserved for others
+// already, else the one where short tasks end soonest. It returns false if none can take the task.
+func (c *Cell) reserveFor(t *task) bool {
+	for _, e := range c.reservedEndpoints {
+		if c.canReserve(t, e) {
+			e.reserve(t)
+			return true
 		}
-		e.reservedForLongRunning = nil
-		return true
-	})
-}
-
-// reserveFor reserves an endpoint for a long-running task, unless one is reserved for it already. Of
-// those that could run it without their short tasks it takes the one where these end soonest.
-func (c *Cell) reserveFor(t *task) {
-	if slices.ContainsFunc(c.reservedEndpoints, func(e *endpoint) bool { return e.reservedForLongRunning == t }) {
-		return
 	}
 	var choice choice
 	for _, e := range c.sortedEndpoints {
-		if e.reservedForLongRunning == nil && e.reservedFor == nil && e.probation == nil && c.fitsWithoutShortRuns(t, e) {
+		if len(e.reservedTasks) == 0 && e.reservedFor == nil && e.probation == nil && c.canReserve(t, e) {
 			choice.offer(e, -c.shortRunsEndMs(e))
 		}
 	}
-	if choice.best != nil {
-		choice.best.reservedForLongRunning = t
-		c.reservedEndpoints = append(c.reservedEndpoints, choice.best)
+	if choice.best == nil {
+		return false
+	}
+	choice.best.reserve(t)
+	c.reservedEndpoints = append(c.reservedEndpoints, choice.best)
+	return true
+}
+
+// canReserve reports whether an endpoint could run a task beside its long-running tasks and those that
+// it is reserved for.
+func (c *Cell) canReserve(t *task, e *endpoint) bool {
+	p := t.phase
+	reserved, ofPhase := damsonwinch.Resources{}, 0
+	for _, other := range e.reservedTasks {
+		reserved = reserved.Plus(other.phase.need())
+		if other.phase == p {
+			ofPhase++
+		}
+	}
+	if !e.info.Capacity.Minus(e.longRunningNeed()).Minus(reserved).Holds(p.need()) || !c.fitsWithoutShortRuns(t, e) {
+		return false
+	}
+	return p.spec.MostPerBox == 0 || countOnEndpoint(p, e)+ofPhase < p.spec.MostPerBox
+}
+
+// placeReserved starts the tasks for which endpoints are reserved, where the short tasks have left enough
+// capacity. They come before all others, which may not use these endpoints.
+func (c *Cell) placeReserved() {
+	c.pruneReservations()
+	for _, e := range c.reservedEndpoints {
+		for _, t := range slices.Clone(e.reservedTasks) {
+			switch {
+			case !c.canStart(t, e):
+			case !c.withinQuota(t.phase, 1):
+				e.dropReservation(t)
+			default:
+				e.dropReservation(t)
+				t.phase.removeReady(t)
+				c.planRun(t, e)
+			}
+		}
 	}
 }
 
+// pruneReservations removes the reservations for tasks that don't wait any more, and those of endpoints
+// that can't run the task any more.
+func (c *Cell) pruneReservations() {
+	c.reservedEndpoints = slices.DeleteFunc(c.reservedEndpoints, func(e *endpoint) bool {
+		for _, t := range slices.Clone(e.reservedTasks) {
+			if !t.ready || t.suspected || e.probation != nil || !c.fitsWithoutShortRuns(t, e) {
+				e.dropReservation(t)
+			}
+		}
+		return len(e.reservedTasks) == 0
+	})
+}
+
 // shortRunsEndMs estimates in how many milliseconds the last short run on an endpoint ends.
 func (c *Cell) shortRunsEndMs(e *endpoint) int {
 	last := 0
@@ -67,8 +116,20 @@
 	return last
 }
 
-// reservationAllows reports whether a task may start on an endpoint although another task may be
-// waiting for the endpoint.
+// reserve reserves the endpoint for a task, beside others for which it may be reserved.
+func (e *endpoint) reserve(t *task) {
+	t.reservation = e
+	e.reservedTasks = append(e.reservedTasks, t)
+}
+
+// dropReservation removes the reservation of the endpoint for a task.
+func (e *endpoint) dropReservation(t *task) {
+	t.reservation = nil
+	e.reservedTasks = slices.DeleteFunc(e.reservedTasks, func(other *task) bool { return other == t })
+}
+
+// reservationAllows reports whether a task may start on an endpoint although other tasks may be waiting
+// for it.
 func (e *endpoint) reservationAllows(t *task) bool {
-	return e.reservedForLongRunning == nil || e.reservedForLongRunning == t
+	return len(e.reservedTasks) == 0 || t.reservation == e
 }
