--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -223,7 +223,7 @@
 		if requestedAt.Before(e.knownSince) {
 			continue
 		}
-		if !alive[e.info.Life.ID] && !e.exited && (e.silent || !e.attached) && len(e.runs) > 0 {
+		if !alive[e.info.Life.ID] && !e.exited && !c.mayAnswer(e) && len(e.runs) > 0 {
 			c.markLostByReport(e, "the platform's list of boxes does not have it")
 		}
 	}
--- a/pkg/cell/reported_exit.go
+++ b/pkg/cell/reported_exit.go
@@ -14,20 +14,27 @@
 
 // reportedExited handles the planner's report that an endpoint has exited: a list of boxes doesn't have
 // it. An endpoint that answers lives, whatever the list says, so it is polled first. The planner repeats
-// its report.
+// its report while it has the endpoint in the cell's report.
 func (c *Cell) reportedExited(e *endpoint) {
 	switch {
 	case e.exited:
-	case e.attached && !e.silent && !e.withdrawn:
+	case c.mayAnswer(e):
 		c.requestPoll(e)
 	default:
 		c.markLostByReport(e, "the fleet planner has seen its box without it")
 	}
 }
 
+// mayAnswer reports whether a poll will show whether an endpoint has exited: it has answered the last one,
+// or is registered and hasn't been polled by this owner. The boxes of withdrawn endpoints have been moved
+// or maintained.
+func (c *Cell) mayAnswer(e *endpoint) bool {
+	return !e.silent && !e.withdrawn && (e.attached || e.listed && e.info.Address != "")
+}
+
 // pollExited polls an endpoint that counts as exited, if only a report says so and the registry still
 // lists it. If the report was wrong, the endpoint is used again, and its runs that were given up are
-// stopped. The boxes of withdrawn endpoints have been moved or maintained.
+// stopped.
 func (c *Cell) pollExited(e *endpoint) {
 	if !e.exitReported || !e.listed || e.withdrawn || e.info.Address == "" || c.superseded(e) {
 		return
