Planner: an unanswered order is not repeated on a later life

Cause, found by review: an order whose answer was lost outlasts a refusal since its box is down. If the box was down for another reason, the order was repeated on the endpoint that started there next, which nothing had withdrawn, and its tasks died.

Change: once a list shows the box up with a later life, the order ends: carried out if the box is in the pool that it was to move to, else not carried out, so that a box due for maintenance is due again.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -167,6 +167,10 @@
 		b.issued = nil
 		return
 	}
+	if !o.accepted && o.outcomeUnknown && lifeExited {
+		p.settleUnansweredOrder(b)
+		return
+	}
 	if !o.accepted {
 		return
 	}
@@ -177,6 +181,18 @@
 	}
 }
 
+// settleUnansweredOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
+// later life than the one that the order was to end. That life may have tasks, so the order must not be
+// repeated. Whether the order has been carried out, or the earlier life has exited by itself, shows only
+// for moves; a box whose maintenance is uncertain is due again.
+func (p *Planner) settleUnansweredOrder(b *box) {
+	if b.issued.Pool != "" && b.info.Pool == b.issued.Pool {
+		b.issued = nil
+		return
+	}
+	p.revertOrder(b, b.issued.Order)
+}
+
 // isAvailable reports whether the planner may plan or issue a new order on a box.
 func (p *Planner) isAvailable(b *box) bool {
 	return b.info.State == damsonwinch.BoxUp && b.issued == nil && b.planned == nil &&
@@ -268,8 +284,7 @@
 	case err == nil:
 		o.accepted, o.updatedAt = true, now
 	case o.outcomeUnknown && errors.Is(err, damsonwinch.ErrBoxNotUp):
-		// The box may be down because of this order. Once it is up, issueDueOrders repeats the order, and
-		// the platform accepts it also if it has been carried out.
+		// The box may be down because of this order. The next list that shows it up tells more.
 	case errors.Is(err, damsonwinch.ErrInvalid):
 		b.refusedPools[order.Pool] = true
 		p.revertOrder(b, order)
