Cell: ask for no box for a task that no box can hold

Cause, found by review: whether a box could hold a long-running task was judged by the largest CPU and the largest memory of any of the cell's boxes, which need not be of one box. For a task that fits on none it would have asked for one box after the other.

Change: by the capacity of a box that can hold the task, if there is one.

--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -20,14 +20,17 @@
 	if len(waiting) == 0 {
 		return 0
 	}
-	largest := c.largestBox()
 	boxes := c.hostingBoxes()
 	missing := 0
 	for _, t := range waiting {
-		if !largest.Holds(t.phase.need()) || takeByAny(boxes, t.phase) {
+		if takeByAny(boxes, t.phase) {
 			continue
 		}
-		added := &hostingBox{free: largest, counts: map[*phase]int{}}
+		capacity, exists := c.capacityFor(t.phase)
+		if !exists {
+			continue
+		}
+		added := &hostingBox{free: capacity, counts: map[*phase]int{}}
 		added.take(t.phase)
 		boxes = append(boxes, added)
 		missing++
@@ -47,13 +50,15 @@
 	return waiting
 }
 
-// largestBox returns the highest capacity of the cell's endpoints, by kind of resource.
-func (c *Cell) largestBox() damsonwinch.Resources {
-	var largest damsonwinch.Resources
+// capacityFor returns the capacity of an endpoint of the cell that can hold a task of a phase if it runs
+// nothing else, and whether there is one. Another box need be no larger than those.
+func (c *Cell) capacityFor(p *phase) (damsonwinch.Resources, bool) {
 	for _, e := range c.sortedEndpoints {
-		largest = maxResources(largest, e.info.Capacity)
+		if e.info.Capacity.Holds(p.need()) {
+			return e.info.Capacity, true
+		}
 	}
-	return largest
+	return damsonwinch.Resources{}, false
 }
 
 // hostingBoxes returns the boxes of the endpoints that can be expected to start long-running tasks.
