--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -111,6 +111,8 @@
 		s.cell.Stopped(s.now, lifeArg(s.t, d), parseRun(arg(s.t, d, "run")), errorArg(d, s.t))
 	case "acknowledged":
 		return fmt.Sprintf("the look on its way acknowledges %d ends\n", s.polls[arg(s.t, d, "at")].Request.AckedSequence)
+	case "renews":
+		return s.describeRenewal(arg(s.t, d, "at"))
 	case "advised":
 		s.answerPermitRequest(d)
 	case "paced":
@@ -295,6 +297,11 @@
 	return damsonwinch.ParseLife(arg(t, d, "at"))
 }
 
+// clockMs returns the time on the clock of all endpoints.
+func (s *script) clockMs() int {
+	return int(s.now.UnixMilli() - 1_700_000_000_000 + 5000)
+}
+
 // answerPoll answers the poll of an endpoint. The argument running lists runs as run:percent:load,
 // of which percent and load may be left out, and the argument ended lists results as
 // sequence:run:ending. The endpoint's clock is 5 s ahead of the time since the scenario began.
@@ -305,7 +312,7 @@
 		return "no look is on its way to " + at + "\n"
 	}
 	delete(s.polls, at)
-	reply := damsonwinch.PollReply{StartedUnixMs: intArg(s.t, d, "born", sent.Endpoint.Life.StartedUnixMs), ClockMs: int(s.now.UnixMilli() - 1_700_000_000_000 + 5000)}
+	reply := damsonwinch.PollReply{StartedUnixMs: intArg(s.t, d, "born", sent.Endpoint.Life.StartedUnixMs), ClockMs: s.clockMs()}
 	for _, text := range listArg(s.t, d, "running") {
 		parts := strings.Split(text+":0:0", ":")
 		percent, _ := strconv.Atoi(parts[1])
@@ -321,6 +328,18 @@
 	return s.effectLines()
 }
 
+// describeRenewal says for how long from now the poll on its way to an endpoint renews the leases there.
+func (s *script) describeRenewal(at string) string {
+	sent, exists := s.polls[at]
+	switch {
+	case !exists:
+		return "no look is on its way to " + at + "\n"
+	case sent.Request.LeaseUntilMs == 0:
+		return "the look on its way renews no leases\n"
+	}
+	return fmt.Sprintf("the look on its way renews leases for %d ms\n", sent.Request.LeaseUntilMs-s.clockMs())
+}
+
 // answerPermitRequest answers the last call for permits, with permits for the endpoints in the
 // argument good.
 func (s *script) answerPermitRequest(d *datadriven.TestData) {
