Simulation: related faults around one box

Change: seven in ten bursts are two to four faults of a group on one box. One new kind ends a life while a long-running job is submitted and cuts the next life off after its first start. Lists of boxes take up to 6 s, not 4 s. A mutation takes lists of boxes as requested on arrival.

--- a/pkg/cell/sim_long_running_test.go
+++ b/pkg/cell/sim_long_running_test.go
@@ -96,24 +96,28 @@
 	return limit > 0 && count >= limit
 }
 
-// addLongRunningJobs adds clients with long-running jobs, whose tasks need much memory and little CPU. Some of them
-// fail again and again.
+// addLongRunningJobs adds clients with long-running jobs. Some of them fail again and again.
 func (f *mixedFaults) addLongRunningJobs() {
 	w := f.world
 	for number := range 3 {
-		behaviour := taskBehaviour{need: damsonwinch.Resources{MilliCPU: 200, MemoryMB: 1000 + w.random.IntN(2500)}, longRunning: true}
-		if number == 0 || w.random.Float64() < 0.5 {
-			behaviour.maxUptime = w.randomDuration(5*time.Second, 60*time.Second)
-		}
-		phase := wire.Phase{Count: 1 + w.random.IntN(4), Cpu: behaviour.need.MilliCPU, MemoryMb: behaviour.need.MemoryMB, EstimateMs: 300, Lasting: true, AwayAtMost: 1}
-		if w.random.Float64() < 0.6 {
-			phase.MostPerBox = 1
-		}
-		w.after(w.randomDuration(0, 500*time.Millisecond), func() {
-			c := w.addClient(fmt.Sprintf("service%d", number), simSpec(phase), behaviour)
-			w.after(300*time.Millisecond, c.watchState)
-		})
+		fails := number == 0 || w.random.Float64() < 0.5
+		w.after(w.randomDuration(0, 500*time.Millisecond), func() { f.addLongRunningJob(fmt.Sprintf("service%d", number), fails) })
+	}
+}
+
+// addLongRunningJob adds a client with a long-running job, whose tasks need much memory and little CPU.
+func (f *mixedFaults) addLongRunningJob(id string, fails bool) {
+	w := f.world
+	behaviour := taskBehaviour{need: damsonwinch.Resources{MilliCPU: 200, MemoryMB: 1000 + w.random.IntN(2500)}, longRunning: true}
+	if fails {
+		behaviour.maxUptime = w.randomDuration(5*time.Second, 60*time.Second)
 	}
+	phase := wire.Phase{Count: 1 + w.random.IntN(4), Cpu: behaviour.need.MilliCPU, MemoryMb: behaviour.need.MemoryMB, EstimateMs: 300, Lasting: true, AwayAtMost: 1}
+	if w.random.Float64() < 0.6 {
+		phase.MostPerBox = 1
+	}
+	c := w.addClient(id, simSpec(phase), behaviour)
+	w.after(300*time.Millisecond, c.watchState)
 }
 
 // addDemand adds clients with short jobs: in turns of some seconds, five times the mean and then a twentieth of it.
--- a/pkg/cell/sim_mixed_faults_test.go
+++ b/pkg/cell/sim_mixed_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"damsonwinch"
@@ -21,6 +22,8 @@
 	// maxRepeatDelay the longest time until a fault occurs again.
 	maxFaultOffset = 3 * time.Second
 	maxRepeatDelay = 4 * time.Second
+	// maxRestartDelay is how long a fault waits for the first start on a later life.
+	maxRestartDelay = 5 * time.Second
 	// A request that gets no answer may be carried out minLateness to maxLateness later.
 	minLateness = 2 * time.Second
 	maxLateness = 12 * time.Second
@@ -30,7 +33,7 @@
 	usualBoxListTime = 50 * time.Millisecond
 )
 
-// mixedFaults injects faults in pairs that overlap in time.
+// mixedFaults injects faults that overlap in time.
 type mixedFaults struct {
 	world *world
 	// disturbedUntil is when the last fault ends that has begun so far.
@@ -135,11 +138,41 @@
 	return f.present[fault] > 0
 }
 
-// beginBurst injects two faults that overlap, often on the same box, and each of them perhaps twice.
+// beginBurst injects faults that overlap, mostly on the same box.
 func (f *mixedFaults) beginBurst() {
+	f.disturb(maxFaultOffset)
+	if f.world.random.Float64() < 0.7 {
+		f.beginRelatedFaults()
+		return
+	}
+	f.beginPair()
+}
+
+// beginRelatedFaults injects two to four faults of a group on the same box, half of the times in the order of the
+// group.
+func (f *mixedFaults) beginRelatedFaults() {
+	w, box := f.world, f.chooseBox()
+	kinds := slices.Clone(relatedKinds[w.random.IntN(len(relatedKinds))])
+	for len(kinds) > 2 && w.random.Float64() < 0.3 {
+		dropped := w.random.IntN(len(kinds))
+		kinds = slices.Delete(kinds, dropped, dropped+1)
+	}
+	var offsets []time.Duration
+	for range kinds {
+		offsets = append(offsets, w.randomDuration(0, maxFaultOffset))
+	}
+	if w.random.Float64() < 0.5 {
+		slices.Sort(offsets)
+	}
+	for number, kind := range kinds {
+		w.after(offsets[number], func() { kind(f, box) })
+	}
+}
+
+// beginPair injects two faults, often on the same box, and each of them perhaps twice.
+func (f *mixedFaults) beginPair() {
 	w := f.world
 	box := f.chooseBox()
-	f.disturb(maxFaultOffset)
 	for number := range 2 {
 		kind := w.random.IntN(len(mixedKinds))
 		if number > 0 && w.random.Float64() < 0.4 {
@@ -348,6 +381,9 @@
 	w.after(f.boxListTime+5*time.Millisecond, func() {
 		o.whenRunning(func() {
 			f.readsBoxes[o] = false
+			if w.mutation.requestListsLate {
+				requestedAt = o.now()
+			}
 			o.cell.SetBoxes(o.now(), requestedAt, boxes)
 		})
 	})
--- a/pkg/cell/sim_mixed_kinds_test.go
+++ b/pkg/cell/sim_mixed_kinds_test.go
@@ -1,6 +1,9 @@
 package cell_test
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Faults that last for some time. Those that end in a space go before the name of a box.
 const (
@@ -23,6 +26,17 @@
 	(*mixedFaults).dropRegistrations, (*mixedFaults).useOldLists, (*mixedFaults).slowBoxLists,
 }
 
+// relatedKinds are groups of kinds that are drawn together for one box. The owner's knowledge of the box's runs is
+// then old or wrong in several ways at once.
+var relatedKinds = [][]func(f *mixedFaults, box string){
+	{(*mixedFaults).slowBoxLists, (*mixedFaults).cutLaterLife},
+	{(*mixedFaults).slowBoxLists, (*mixedFaults).cutLaterLife, (*mixedFaults).dropRegistrations},
+	{(*mixedFaults).slowBoxLists, (*mixedFaults).crashOneBox, (*mixedFaults).muteBox, (*mixedFaults).cutBoxFromNextOwner},
+	{(*mixedFaults).delayRequests, (*mixedFaults).cutBox, (*mixedFaults).claimCell},
+	{(*mixedFaults).dropRegistrations, (*mixedFaults).cutBoxFromOwner, (*mixedFaults).killOwner, (*mixedFaults).slowBoxLists},
+	{(*mixedFaults).useOldLists, (*mixedFaults).crashOneBox, (*mixedFaults).killConnections, (*mixedFaults).pauseOwnerAtAppend},
+}
+
 // newestOwner returns the owner that has claimed the cell last.
 func (f *mixedFaults) newestOwner() *simOwner {
 	return f.world.owners[len(f.world.owners)-1]
@@ -120,6 +134,36 @@
 	f.disturb(3 * time.Second)
 }
 
+// cutLaterLife ends the life on a box while a long-running job is submitted, and cuts the next life off soon after its
+// first start if that is within maxRestartDelay.
+func (f *mixedFaults) cutLaterLife(box string) {
+	w := f.world
+	f.crashOneBox(box)
+	w.after(w.randomDuration(500*time.Millisecond, 2*time.Second), func() { f.addLongRunningJob(fmt.Sprintf("service%d", len(w.clients)), false) })
+	end := w.now.Add(maxRestartDelay)
+	var await func()
+	await = func() {
+		switch {
+		case w.runsOn(box) > 0:
+			w.after(w.randomDuration(0, 500*time.Millisecond), func() { f.cutBox(box) })
+		case w.now.Before(end):
+			w.after(50*time.Millisecond, await)
+		}
+	}
+	await()
+}
+
+// runsOn returns the number of runs on a box.
+func (w *world) runsOn(box string) int {
+	count := 0
+	for _, e := range w.endpoints {
+		if e.info.Box == box {
+			count += len(e.runs)
+		}
+	}
+	return count
+}
+
 // delayRequests has a box answer nothing for some time. What it is asked meanwhile it may do seconds later.
 func (f *mixedFaults) delayRequests(box string) {
 	f.begin(late+box, f.world.randomDuration(200*time.Millisecond, 3*time.Second))
@@ -163,7 +207,7 @@
 func (f *mixedFaults) slowBoxLists(string) {
 	w := f.world
 	duration := w.randomDuration(time.Second, 6*time.Second)
-	f.boxListTime = w.randomDuration(500*time.Millisecond, 4*time.Second)
+	f.boxListTime = w.randomDuration(500*time.Millisecond, 6*time.Second)
 	w.logf("lists of boxes take %v for %v", f.boxListTime, duration)
 	w.after(duration, func() { f.boxListTime = usualBoxListTime })
 	f.disturb(duration + f.boxListTime)
--- a/pkg/cell/sim_mixed_run_test.go
+++ b/pkg/cell/sim_mixed_run_test.go
@@ -19,7 +19,7 @@
 	return os.Getenv("DAMSONWINCH_LEASES_FROM_ARRIVAL") != ""
 }
 
-// TestRulesHoldUnderMixedFaults simulates faults in pairs that overlap in time, each perhaps twice, beside long-running
+// TestRulesHoldUnderMixedFaults simulates pairs and groups of faults that overlap in time, beside long-running
 // tasks that fail and turns of demand. DAMSONWINCH_SEEDS and DAMSONWINCH_FIRST_SEED choose the seeds.
 func TestRulesHoldUnderMixedFaults(t *testing.T) {
 	starts, restarts := 0, 0
@@ -50,11 +50,12 @@
 		mutation mutation
 		rule     string
 	}{
-		"leases expire early":      {mutation{expireLeasesEarly: true}, "TWICE"},
-		"records without runs":     {mutation{dropRuns: true}, "TWICE"},
-		"lost runs are kept":       {mutation{keepLostRuns: true}, "LOST: long-running task"},
-		"starts before records":    {mutation{startBeforeRecord: true}, "TWICE"},
-		"commits after a snapshot": {mutation{commitAfterMove: true}, "TWICE"},
+		"leases expire early":                       {mutation{expireLeasesEarly: true}, "TWICE"},
+		"records without runs":                      {mutation{dropRuns: true}, "TWICE"},
+		"lost runs are kept":                        {mutation{keepLostRuns: true}, "LOST: long-running task"},
+		"starts before records":                     {mutation{startBeforeRecord: true}, "TWICE"},
+		"commits after a snapshot":                  {mutation{commitAfterMove: true}, "TWICE"},
+		"lists of boxes as if requested on arrival": {mutation{requestListsLate: true}, "TWICE"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed < 2000; seed++ {
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -50,6 +50,7 @@
 	hideEvacuations   bool // Owners are not told which zones are evacuated.
 	staleEvacuations  bool // What an owner knows of evacuations is trusted however old it is.
 	keepLostRuns      bool // Owners never take the leases of unreachable endpoints for expired, and get no lists of boxes.
+	requestListsLate  bool // Lists of boxes count as requested when they arrive.
 }
 
 // world is a simulation of owners, a store, endpoints and clients on a fake clock and a fake
