Cell, planner: reservations for suspects after their probation wait; tests of what review left open

Cause, found by review: a suspect that no longer waits for probation got no reservation, so that short tasks could keep it waiting as before. Two conditions of the planner had no test that fails without them.

Change: suspects get reservations once their wait for probation is over.

--- a/pkg/boxplan/repeated_order_test.go
+++ b/pkg/boxplan/repeated_order_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/wire"
 )
 
 // TestRefusedRepetitionOfAnOrderKeepsTheOrder guards against more boxes in maintenance than a wave
@@ -36,3 +37,24 @@
 	f.planner.SetBoxes(f.now, f.boxes)
 	assert.Equal(t, len(f.planner.Plan(f.now)), 0, "the wave's only box down is still in maintenance")
 }
+
+// TestInheritedOrderOutlastsARefusal guards against the same after a new planner has taken over: the box is
+// down because of an order that the planner before it had recorded.
+func TestInheritedOrderOutlastsARefusal(t *testing.T) {
+	f := newShardedFleet()
+	f.add("off", 2, 1)
+	inherited := f.boxes[0].Name
+	f.planner.LoadWave(f.now, wire.WaveRecord{Wave: 1, Done: []string{inherited}})
+	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 20 * time.Second, Boxes: []string{inherited, f.boxes[1].Name}})
+	f.planner.LoadOrder(wire.OrderRecord{Box: inherited, Wave: 1, AtMs: int(f.now.UnixMilli())})
+	f.boxes[0].State = damsonwinch.BoxMaintenance
+	f.planner.SetBoxes(f.now, f.boxes)
+
+	f.now = f.now.Add(4 * time.Second)
+	repeated := f.planner.Plan(f.now)
+	assert.Equal(t, len(repeated), 1)
+	f.planner.HandleOrderResult(f.now, repeated[0], damsonwinch.ErrBoxNotUp)
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.planner.SetBoxes(f.now, f.boxes)
+	assert.Equal(t, len(f.planner.Plan(f.now)), 0, "the wave's only box down is still in maintenance")
+}
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -28,7 +28,7 @@
 	// attachedAt is when attached was set.
 	attachedAt time.Time
 	// exited is set once this life is taken to have exited. exitReported is set if that is known only
-	// from the platform's list of boxes, and exitStep is the step at which it was reported.
+	// from a list of boxes, the owner's or the planner's, and exitStep is the step at which it was reported.
 	exited       bool
 	exitReported bool
 	exitStep     int
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -82,7 +82,7 @@
 	if c.mustWait(t) {
 		return fmt.Sprintf("%d attempts at endpoints out of reach may have failed", t.lapsedAttempts)
 	}
-	if t.suspected && !t.phase.spec.Gang && !c.probationWaitExpired(t) {
+	if c.awaitsProbation(t) {
 		return fmt.Sprintf("for %d ms it is only started where nothing else begins; %d endpoints are in use for that, and %d have ended so of late",
 			t.probationWaitSince.Add(c.maxProbationWait(t)).Sub(c.now).Milliseconds(), len(c.probationEndpoints), c.probationExits.CountWithin(c.now, restartTime))
 	}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -82,7 +82,7 @@
 	waiting := p.ready
 	p.ready = nil
 	for i, t := range waiting {
-		if c.mustWait(t) || t.suspected && !t.phase.spec.Gang && !c.probationWaitExpired(t) {
+		if c.mustWait(t) || c.awaitsProbation(t) {
 			p.ready = append(p.ready, t)
 			continue
 		}
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -63,6 +63,11 @@
 	return c.now.Sub(t.probationWaitSince) >= c.maxProbationWait(t)
 }
 
+// awaitsProbation reports whether a task may only be started on probation.
+func (c *Cell) awaitsProbation(t *task) bool {
+	return t.suspected && !t.phase.spec.Gang && !c.probationWaitExpired(t)
+}
+
 // maxProbationWait returns how long a suspect waits for probation. After that it starts like any
 // other task: many suspects, most of which crash nothing, must not be held up.
 func (c *Cell) maxProbationWait(t *task) time.Duration {
--- a/pkg/cell/reservation.go
+++ b/pkg/cell/reservation.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		for _, t := range p.ready {
-			if t.reservation != nil || c.now.Sub(t.readySince) < reservationDelay || t.suspected || c.mustWait(t) {
+			if t.reservation != nil || c.now.Sub(t.readySince) < reservationDelay || c.awaitsProbation(t) || c.mustWait(t) {
 				continue
 			}
 			if !c.reserveFor(t) {
@@ -97,7 +97,7 @@
 func (c *Cell) pruneReservations() {
 	c.reservedEndpoints = slices.DeleteFunc(c.reservedEndpoints, func(e *endpoint) bool {
 		for _, t := range slices.Clone(e.reservedTasks) {
-			if !t.ready || t.suspected || e.probation != nil || !c.fitsWithoutShortRuns(t, e) {
+			if !t.ready || c.awaitsProbation(t) || e.probation != nil || !c.fitsWithoutShortRuns(t, e) {
 				e.dropReservation(t)
 			}
 		}
