--- a/pkg/boxplan/long_running_memory_test.go
+++ b/pkg/boxplan/long_running_memory_test.go
@@ -38,6 +38,18 @@
 	assert.DeepEqual(t, movedTo, []string{shard.CellName("held", 2)})
 }
 
+// TestDifferentBoxesAreNotAskedForWithoutEnd guards against taking box after box for a task that fits on none.
+func TestDifferentBoxesAreNotAskedForWithoutEnd(t *testing.T) {
+	f := newShardedFleet()
+	f.add("held", 2, 2)
+	f.boxes[0].Capacity = damsonwinch.Resources{MilliCPU: scriptMilliCPU, MemoryMB: scriptMemoryMB / 4}
+	f.boxes[1].Capacity = damsonwinch.Resources{MilliCPU: scriptMilliCPU / 4, MemoryMB: scriptMemoryMB}
+	owner := newTestOwner(t, f.now, f.endpoints("held"))
+	owner.submit(wire.Phase{Count: 1, Cpu: scriptMilliCPU / 2, MemoryMb: scriptMemoryMB / 2, EstimateMs: 1000, Lasting: true, AwayAtMost: 1})
+	owner.runFor(time.Second)
+	assert.Equal(t, owner.cell.Report(owner.now).MissingBoxes, 0, "no box of the pool can hold the task")
+}
+
 // endpoints returns the endpoints on a pool's boxes.
 func (f *shardedFleet) endpoints(pool string) []damsonwinch.Endpoint {
 	var endpoints []damsonwinch.Endpoint
