Planner: an inherited maintenance that is accepted is not ordered again, and one done before ends

Cause: the earlier planner's order on one box was refused while its rack was down, so that the record of the wave didn't have the box. The new planner repeated that order, the platform carried it out, and the box was due again. The platform accepted the second order without doing anything, and the planner waited for the life of the endpoint to end.

Change: an accepted order marks its box in the wave, also if it was inherited; an accepted maintenance whose life goes on for MaintainTime and joinTimeout counts as done before.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -174,13 +174,22 @@
 	if !o.accepted {
 		return
 	}
-	moved := o.Pool != "" && b.info.Pool == o.Pool
-	maintained := o.Pool == "" && requestedAt.Sub(o.updatedAt) >= p.options.MaintainTime && (lifeExited || b.info.EndpointID == "")
-	if moved || maintained {
+	if o.Pool != "" && b.info.Pool == o.Pool || p.isMaintained(b, requestedAt, lifeExited) {
 		b.issued = nil
 	}
 }
 
+// isMaintained reports whether a list of boxes, requested at requestedAt, shows that the accepted
+// maintenance of a box is over. lifeExited says whether the life that the order was to end is over. If that
+// life goes on for too long, the platform had maintained the box before and has done nothing.
+func (p *Planner) isMaintained(b *box, requestedAt time.Time, lifeExited bool) bool {
+	if b.issued.Pool != "" {
+		return false
+	}
+	since := requestedAt.Sub(b.issued.updatedAt) - p.options.MaintainTime
+	return since >= 0 && (lifeExited || b.info.EndpointID == "") || since >= joinTimeout
+}
+
 // settleUnansweredOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
 // later life than the one that the order was to end. That life may have tasks, so the order must not be
 // repeated. Whether the order has been carried out, or the earlier life has exited by itself, shows only
@@ -214,13 +223,18 @@
 		b.placement = order.placement()
 		b.planned = nil
 	})
-	wave := planned.wave
-	if w := p.waves[wave]; w != nil {
-		w.ordered[b.info.Name] = true
-	}
+	p.markOrdered(order)
 	p.addOrder(order)
 }
 
+// markOrdered marks the box of an order as ordered in the order's wave, if it has one. An inherited order
+// that the platform refused at first isn't in the earlier planner's record of the wave.
+func (p *Planner) markOrdered(order Order) {
+	if w := p.waves[order.Wave]; w != nil {
+		w.ordered[order.Box] = true
+	}
+}
+
 // issueDueOrders issues the planned orders of boxes whose endpoints have been withdrawn, and repeats
 // the orders that the platform has not accepted, but for those that power boxes off.
 func (p *Planner) issueDueOrders() {
@@ -283,6 +297,7 @@
 	switch {
 	case err == nil:
 		o.accepted, o.updatedAt = true, now
+		p.markOrdered(order)
 	case o.outcomeUnknown && errors.Is(err, damsonwinch.ErrBoxNotUp):
 		// The box may be down because of this order. The next list that shows it up tells more.
 	case errors.Is(err, damsonwinch.ErrInvalid):
