Move the records of a cell's stream to a package of their own

pkg/cell mixed the keys and the row format of its records with the decisions that they hold. pkg/cellrecord now has the keys, the encoding of all kinds of records, the rows of tasks, crashes and lapsed attempts, and the splitting of a commit into appends. pkg/cell translates between its tasks and cellrecord.Task. The bytes of the records are the same.

The tests of the splitting move along unchanged, except that they call the function and not the method. A new test guards against a field of a task that is not restored.

--- a/pkg/cell/lapsed.go
+++ b/pkg/cell/lapsed.go
@@ -1,11 +1,11 @@
 package cell
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/wire"
 )
 
@@ -62,10 +62,6 @@
 	return c.now.Before(t.notBefore) || t.lapsedAttempts > 0 && !t.phase.spec.Lasting && failureCount(t)+t.lapsedAttempts >= c.maxAttempts(t.phase.job())
 }
 
-// lapsedColumns is the number of columns of a row of JobRecord.Lapsed: the index of the task's row,
-// the number of the attempt and the index of the endpoint.
-const lapsedColumns = 3
-
 // writeLapsed adds the lapsed attempts of a job's tasks to its record. rows maps each task to the
 // index of its row in record.Tasks.
 func (c *Cell) writeLapsed(j *job, rows map[*task]int, record *wire.JobRecord) {
@@ -75,23 +71,15 @@
 	for _, e := range c.sortedEndpoints {
 		for _, l := range e.lapsedAttempts {
 			if row, known := rows[l.task]; known && l.task.phase.job() == j {
-				record.Lapsed = append(record.Lapsed, []int{row, l.attempt, endpointIndex(e, record)})
+				cellrecord.AddLapsed(record, cellrecord.LapsedAttempt{Row: row, Attempt: cellrecord.Attempt{Number: l.attempt, Life: e.info.Life}})
 			}
 		}
 	}
 }
 
-// readLapsed restores the lapsed attempts from a job's record.
-func (c *Cell) readLapsed(j *job, record wire.JobRecord) error {
-	for _, row := range record.Lapsed {
-		if len(row) != lapsedColumns || row[0] < 0 || row[0] >= len(record.Tasks) || row[2] < 0 || row[2] >= len(record.Endpoints) {
-			return fmt.Errorf("job %s has an invalid row of lapsed attempts %v", j.id, row)
-		}
-		if t := c.findTask(rowTaskID(j, record.Tasks[row[0]])); t != nil {
-			e := c.ensureEndpoint(damsonwinch.ParseLife(record.Endpoints[row[2]]))
-			e.lapsedAttempts = append(e.lapsedAttempts, lapsedAttempt{task: t, attempt: row[1]})
-			t.lapsedAttempts++
-		}
-	}
-	return nil
+// restoreLapsed restores a lapsed attempt at a task.
+func (c *Cell) restoreLapsed(t *task, attempt cellrecord.Attempt) {
+	e := c.ensureEndpoint(attempt.Life)
+	e.lapsedAttempts = append(e.lapsedAttempts, lapsedAttempt{task: t, attempt: attempt.Number})
+	t.lapsedAttempts++
 }
--- a/pkg/cell/load.go
+++ b/pkg/cell/load.go
@@ -1,13 +1,12 @@
 package cell
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/wire"
 )
 
@@ -19,10 +18,10 @@
 	c.ConfirmOwnership(now)
 	specs := map[string]wire.AcceptedJob{}
 	for _, record := range records {
-		if id, isSpec := strings.CutSuffix(record.Key, specSuffix); isSpec {
+		if kind, id := cellrecord.ParseKey(record.Key); kind == cellrecord.Spec {
 			var spec wire.AcceptedJob
-			if err := json.Unmarshal(record.Value, &spec); err != nil {
-				return fmt.Errorf("read specification of job %s: %w", id, err)
+			if err := cellrecord.Decode(record, &spec); err != nil {
+				return err
 			}
 			specs[id] = spec
 		}
@@ -42,14 +41,15 @@
 // loadRecord restores what one record holds. specs holds the jobs' specifications by job ID; their
 // records have been read before.
 func (c *Cell) loadRecord(record damsonwinch.Record, specs map[string]wire.AcceptedJob) error {
-	switch {
-	case strings.HasSuffix(record.Key, specSuffix):
+	kind, subject := cellrecord.ParseKey(record.Key)
+	switch kind {
+	case cellrecord.Spec:
 		return nil
-	case record.Key == allowancesKey:
+	case cellrecord.Allowances:
 		return c.loadAllowances(record)
-	case strings.HasPrefix(record.Key, endpointKeyPrefix):
-		return c.loadEndpointRecord(record)
-	case strings.HasPrefix(record.Key, workloadPrefix):
+	case cellrecord.Endpoint:
+		return c.loadEndpointRecord(record, damsonwinch.ParseLife(subject))
+	case cellrecord.Workload:
 		return c.loadWorkload(record)
 	}
 	return c.loadJob(record, specs)
@@ -58,8 +58,8 @@
 // loadJob restores a job. A job without a specification has ended, and nothing of it can run.
 func (c *Cell) loadJob(record damsonwinch.Record, specs map[string]wire.AcceptedJob) error {
 	var saved wire.JobRecord
-	if err := json.Unmarshal(record.Value, &saved); err != nil {
-		return fmt.Errorf("read record of job %s: %w", record.Key, err)
+	if err := cellrecord.Decode(record, &saved); err != nil {
+		return err
 	}
 	j := &job{id: record.Key, customer: saved.Customer, endedMs: saved.EndedMs, state: saved.State, recordedState: saved.State, recorded: true}
 	c.jobs[j.id] = j
@@ -74,7 +74,7 @@
 	j.queue, j.spec, j.acceptedMs, j.deadlineMs = accepted.Queue, accepted.Spec, accepted.AcceptedMs, accepted.DueMs
 	j.priority, j.maxAttempts, j.specRecorded = accepted.Priority, accepted.MostAttempts, true
 	c.estimateJob(j)
-	if err := c.readTasks(j, saved); err != nil {
+	if err := c.restoreTasks(j, saved); err != nil {
 		return err
 	}
 	if !j.ended() || j.runCount > 0 {
--- a/pkg/cell/loss.go
+++ b/pkg/cell/loss.go
@@ -248,34 +248,11 @@
 	})
 }
 
-// crashColumns is the number of columns of a row of JobRecord.Crashed, which holds the
-// crash.History of a task: the index of the task's row, Losses, CertainLosses, SimilarLosses,
-// MinAge and MaxAge in milliseconds, Weight and ExtraStarts.
-const crashColumns = 8
-
-// writeCrashes adds a task's history of losses to its job's record, if it has any. It must be
-// called before the task's row is appended to record.Tasks, since it refers to the index of that
-// row.
-func writeCrashes(t *task, record *wire.JobRecord) {
-	if t.crashes.Losses > 0 && !t.done {
-		record.Crashed = append(record.Crashed, []int{len(record.Tasks), t.crashes.Losses, t.crashes.CertainLosses, t.crashes.SimilarLosses, int(t.crashes.MinAge.Milliseconds()), int(t.crashes.MaxAge.Milliseconds()), t.crashes.Weight, t.crashes.ExtraStarts})
-	}
-}
-
-// readCrashes restores the tasks' histories of losses from their job's record.
-func (c *Cell) readCrashes(j *job, record wire.JobRecord) error {
-	for _, row := range record.Crashed {
-		if len(row) != crashColumns || row[0] < 0 || row[0] >= len(record.Tasks) {
-			return fmt.Errorf("job %s has an invalid row of crashes %v", j.id, row)
-		}
-		if t := c.findTask(rowTaskID(j, record.Tasks[row[0]])); t != nil {
-			t.crashes = crash.History{
-				Losses: row[1], CertainLosses: row[2], SimilarLosses: row[3], MinAge: time.Duration(row[4]) * time.Millisecond, MaxAge: time.Duration(row[5]) * time.Millisecond,
-				Weight: row[6], ExtraStarts: row[7],
-			}
-			t.givenUp = c.options.CrashRules.IsCrasher(t.crashes)
-			c.addSuspect(t)
-		}
+// restoreCrashes restores a task's history of losses, if it has any.
+func (c *Cell) restoreCrashes(t *task, history crash.History) {
+	if history.Losses > 0 {
+		t.crashes = history
+		t.givenUp = c.options.CrashRules.IsCrasher(history)
+		c.addSuspect(t)
 	}
-	return nil
 }
--- a/pkg/cell/quota.go
+++ b/pkg/cell/quota.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"math"
@@ -9,13 +8,11 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/wire"
 )
 
-// allowancesKey is the key of the record with the customers' allowances in this cell.
-const allowancesKey = "allowances"
-
 // SetCustomers sets the customers of the configuration in force, which has the given version.
 func (c *Cell) SetCustomers(now time.Time, version int, customers []damsonwinch.Customer) {
 	c.beginEvent(now)
@@ -84,14 +81,14 @@
 func (c *Cell) allowancesRecord(sent *sentCommit) damsonwinch.Record {
 	record, number := c.quota.Record()
 	sent.allocatorToken, sent.allowanceNumber = c.quota.AllocatorToken(), number
-	return damsonwinch.Record{Key: allowancesKey, Value: encode(record)}
+	return cellrecord.EncodeAllowances(record)
 }
 
 // loadAllowances restores the allowances from their record.
 func (c *Cell) loadAllowances(record damsonwinch.Record) error {
 	var saved wire.AllowancesRecord
-	if err := json.Unmarshal(record.Value, &saved); err != nil {
-		return fmt.Errorf("read record of allowances: %w", err)
+	if err := cellrecord.Decode(record, &saved); err != nil {
+		return err
 	}
 	c.quota.Load(saved)
 	return nil
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -1,36 +1,13 @@
 package cell
 
 import (
-	"encoding/json"
 	"fmt"
-	"slices"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/wire"
 )
 
-// specSuffix is the suffix of the key of the record that holds a job as it was submitted. That
-// record is written once.
-const specSuffix = "/spec"
-
-// Columns of a task's row in a job's record: its round, phase and index, the highest attempt
-// number, the number of failed attempts, and 1 if it is done. Rows without field names take 270
-// bytes of the stream per task over its lifetime; with field names they would take 920.
-const (
-	columnRound = iota
-	columnPhase
-	columnIndex
-	columnAttempt
-	columnFailed
-	columnDone
-	// columnRuns is the first column of the attempts that may be running. Each has two: its number
-	// and the index of its endpoint in JobRecord.Endpoints.
-	columnRuns
-)
-
-// runColumns is the number of columns for each attempt that may be running.
-const runColumns = 2
-
 // jobRecords returns the records that hold the present state of a job. It writes the specification
 // once, and deletes it when the job has ended and nothing of it can run.
 func (c *Cell) jobRecords(j *job) []damsonwinch.Record {
@@ -38,14 +15,14 @@
 	if !j.specRecorded && (!j.ended() || j.runCount > 0) {
 		// An owner that takes over an ended job must know which of the job's runs may still exist.
 		j.specRecorded = true
-		records = append(records, damsonwinch.Record{Key: j.id + specSuffix, Value: encode(wire.AcceptedJob{
+		records = append(records, cellrecord.EncodeSpec(j.id, wire.AcceptedJob{
 			Queue: j.queue, Customer: j.customer, AcceptedMs: j.acceptedMs, Priority: j.priority, MostAttempts: j.maxAttempts, DueMs: j.deadlineMs, Spec: j.spec,
-		})})
+		}))
 	}
 	if j.ended() && j.specRecorded && j.runCount == 0 {
 		// Nothing of the job can run any more.
 		j.specRecorded = false
-		records = append(records, damsonwinch.Record{Key: j.id + specSuffix})
+		records = append(records, cellrecord.DeleteSpec(j.id))
 	}
 	record := wire.JobRecord{State: j.state, EndedMs: j.endedMs}
 	if !j.specRecorded {
@@ -54,11 +31,11 @@
 	if !j.ended() || j.runCount > 0 {
 		c.writeLapsed(j, writeTasks(j, &record), &record)
 	}
-	return append(records, damsonwinch.Record{Key: j.id, Value: encode(record)})
+	return append(records, cellrecord.EncodeJob(j.id, record))
 }
 
-// writeTasks adds a row for each started task to a job's record. It returns the row numbers of the
-// tasks with lapsed attempts.
+// writeTasks adds the started tasks to a job's record. It returns the row numbers of the tasks with
+// lapsed attempts.
 func writeTasks(j *job, record *wire.JobRecord) map[*task]int {
 	var rows map[*task]int
 	for _, r := range j.rounds {
@@ -67,112 +44,72 @@
 				if t.lastAttempt == 0 && !t.done {
 					continue
 				}
+				row := cellrecord.AddTask(record, t.recorded())
 				if t.lapsedAttempts > 0 {
 					if rows == nil {
 						rows = map[*task]int{}
 					}
-					rows[t] = len(record.Tasks)
+					rows[t] = row
 				}
-				writeTask(t, record)
 			}
 		}
 	}
 	return rows
 }
 
-// writeTask adds the row of a task to its job's record, and its checkpoint and crashes, if any.
-func writeTask(t *task, record *wire.JobRecord) {
-	row := make([]int, columnRuns, columnRuns+runColumns*len(t.runs))
-	row[columnRound], row[columnPhase], row[columnIndex] = t.phase.round.number, t.phase.number, t.index
-	row[columnAttempt], row[columnFailed] = t.lastAttempt, t.failedAttempts
-	if t.done {
-		row[columnDone] = 1
-	} else if t.checkpoint != "" {
-		record.Saved = append(record.Saved, wire.SavedTask{Row: len(record.Tasks), Checkpoint: t.checkpoint})
+// recorded returns what is recorded about the task.
+func (t *task) recorded() cellrecord.Task {
+	recorded := cellrecord.Task{
+		Round: t.phase.round.number, Phase: t.phase.number, Index: t.index,
+		LastAttempt: t.lastAttempt, FailedAttempts: t.failedAttempts, Done: t.done, Checkpoint: t.checkpoint, Crashes: t.crashes,
 	}
 	for _, r := range t.runs {
-		row = append(row, r.attempt, endpointIndex(r.endpoint, record))
-	}
-	writeCrashes(t, record)
-	record.Tasks = append(record.Tasks, row)
-}
-
-// endpointIndex returns the index of an endpoint in the record's list of endpoints, and adds it
-// there if it is missing.
-func endpointIndex(e *endpoint, record *wire.JobRecord) int {
-	life := e.info.Life.String()
-	if index := slices.Index(record.Endpoints, life); index >= 0 {
-		return index
-	}
-	record.Endpoints = append(record.Endpoints, life)
-	return len(record.Endpoints) - 1
-}
-
-// encode returns the JSON value of a record. Encoding plain structs of strings and numbers can't
-// fail.
-func encode(value any) []byte {
-	data, err := json.Marshal(value)
-	if err != nil {
-		return nil
+		recorded.Runs = append(recorded.Runs, cellrecord.Attempt{Number: r.attempt, Life: r.endpoint.info.Life})
 	}
-	return data
+	return recorded
 }
 
-// readTasks restores a job's rounds from its record. Every attempt listed in it may still be
+// restoreTasks restores a job's rounds from its record. Every attempt listed in it may still be
 // running.
-func (c *Cell) readTasks(j *job, record wire.JobRecord) error {
-	for number, row := range record.Tasks {
-		if err := c.readTask(j, record, row); err != nil {
-			return fmt.Errorf("row %d of job %s: %w", number, j.id, err)
-		}
+func (c *Cell) restoreTasks(j *job, record wire.JobRecord) error {
+	rows, lapsed, err := cellrecord.Tasks(record)
+	if err != nil {
+		return fmt.Errorf("job %s: %w", j.id, err)
 	}
-	for _, saved := range record.Saved {
-		if saved.Row < 0 || saved.Row >= len(record.Tasks) {
-			return fmt.Errorf("job %s has a checkpoint for row %d of %d", j.id, saved.Row, len(record.Tasks))
-		}
-		if t := c.findTask(rowTaskID(j, record.Tasks[saved.Row])); t != nil {
-			t.checkpoint = saved.Checkpoint
+	tasks := make([]*task, len(rows))
+	for index, row := range rows {
+		if tasks[index], err = c.restoreTask(j, row); err != nil {
+			return fmt.Errorf("row %d of job %s: %w", index, j.id, err)
 		}
 	}
-	if err := c.readCrashes(j, record); err != nil {
-		return err
+	for _, attempt := range lapsed {
+		c.restoreLapsed(tasks[attempt.Row], attempt.Attempt)
 	}
-	return c.readLapsed(j, record)
+	return nil
 }
 
-// readTask restores a task from its row in a job's record.
-func (c *Cell) readTask(j *job, record wire.JobRecord, row []int) error {
-	if len(row) < columnRuns || (len(row)-columnRuns)%runColumns != 0 {
-		return fmt.Errorf("invalid row with %d columns", len(row))
+// restoreTask restores a task from what is recorded about it.
+func (c *Cell) restoreTask(j *job, saved cellrecord.Task) (*task, error) {
+	if saved.Round >= j.totalRounds() {
+		return nil, fmt.Errorf("reference to missing round %d of %d", saved.Round, j.totalRounds())
 	}
-	if row[columnRound] >= j.totalRounds() {
-		return fmt.Errorf("reference to missing round %d of %d", row[columnRound], j.totalRounds())
-	}
-	for len(j.rounds) <= row[columnRound] {
+	for len(j.rounds) <= saved.Round {
 		j.rounds = append(j.rounds, newRound(j, len(j.rounds)))
 	}
-	t := c.findTask(rowTaskID(j, row))
+	t := c.findTask(damsonwinch.TaskID{Job: j.id, Round: saved.Round, Phase: saved.Phase, Index: saved.Index})
 	if t == nil {
-		return fmt.Errorf("no task with round, phase and index %v", row[:columnAttempt])
+		return nil, fmt.Errorf("no task with round, phase and index %v", []int{saved.Round, saved.Phase, saved.Index})
 	}
 	j.placed = true
-	j.begun = j.begun || row[columnDone] != 0 || row[columnFailed] > 0
-	t.lastAttempt, t.failedAttempts = row[columnAttempt], row[columnFailed]
-	for runs := row[columnRuns:]; len(runs) > 0; runs = runs[runColumns:] {
-		attempt, index := runs[0], runs[1]
-		if index < 0 || index >= len(record.Endpoints) {
-			return fmt.Errorf("reference to missing endpoint %d of %d", index, len(record.Endpoints))
-		}
-		c.addRun(&run{task: t, attempt: attempt, endpoint: c.ensureEndpoint(damsonwinch.ParseLife(record.Endpoints[index])), state: runUnverified, startedAt: c.now, inherited: true, speedPercent: minSpeedPercent})
+	j.begun = j.begun || saved.Done || saved.FailedAttempts > 0
+	t.lastAttempt, t.failedAttempts, t.checkpoint = saved.LastAttempt, saved.FailedAttempts, saved.Checkpoint
+	for _, attempt := range saved.Runs {
+		c.addRun(&run{task: t, attempt: attempt.Number, endpoint: c.ensureEndpoint(attempt.Life), state: runUnverified, startedAt: c.now, inherited: true, speedPercent: minSpeedPercent})
 	}
-	if row[columnDone] != 0 && !t.done {
+	if saved.Done && !t.done {
 		t.done = true
 		t.phase.unfinishedTasks--
 	}
-	return nil
-}
-
-// rowTaskID returns the ID of the task that a row is about.
-func rowTaskID(j *job, row []int) damsonwinch.TaskID {
-	return damsonwinch.TaskID{Job: j.id, Round: row[columnRound], Phase: row[columnPhase], Index: row[columnIndex]}
+	c.restoreCrashes(t, saved.Crashes)
+	return t, nil
 }
--- a/pkg/cell/snapshot.go
+++ b/pkg/cell/snapshot.go
@@ -5,8 +5,9 @@
 	"slices"
 	"time"
 
+	"damsonwinch/pkg/cellrecord"
+
 	"damsonwinch"
-	"damsonwinch/pkg/wire"
 )
 
 // CommitAge returns how long the append in flight has been waiting, or 0 if there is none.
@@ -27,7 +28,7 @@
 	var records []damsonwinch.Record
 	for _, e := range c.sortedEndpoints {
 		if e.withdrawn {
-			records = append(records, e.withdrawalRecord(c.now))
+			records = append(records, cellrecord.EncodeWithdrawal(e.info.Life, c.now))
 		}
 	}
 	if c.quota.HasAny() {
@@ -57,8 +58,3 @@
 	_, sent := c.commits.inFlight.states[j]
 	return sent
 }
-
-// withdrawalRecord returns the record that says that the endpoint is withdrawn, as of now.
-func (e *endpoint) withdrawalRecord(now time.Time) damsonwinch.Record {
-	return damsonwinch.Record{Key: endpointKeyPrefix + e.info.Life.String(), Value: encode(wire.EndpointRecord{Withdrawn: true, AtMs: int(now.UnixMilli())})}
-}
--- a/pkg/cell/withdrawal.go
+++ b/pkg/cell/withdrawal.go
@@ -1,18 +1,13 @@
 package cell
 
 import (
-	"encoding/json"
-	"fmt"
-	"strings"
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/wire"
 )
 
-// endpointKeyPrefix is the prefix of the keys of the records about endpoints.
-const endpointKeyPrefix = "endpoint/"
-
 // withdrawal is the progress of taking an endpoint out of use, so that its box can be moved or
 // maintained.
 type withdrawal struct {
@@ -97,23 +92,23 @@
 		return
 	}
 	e.withdrawn, e.withdrawal = false, withdrawal{}
-	c.commits.endpointRecords = append(c.commits.endpointRecords, damsonwinch.Record{Key: endpointKeyPrefix + e.info.Life.String()})
+	c.commits.endpointRecords = append(c.commits.endpointRecords, cellrecord.DeleteEndpoint(e.info.Life))
 	c.logEndpoint("endpoint restored", e, "the fleet planner does not need its box")
 }
 
 // recordWithdrawal adds the withdrawal of an endpoint to the next append.
 func (c *Cell) recordWithdrawal(e *endpoint) {
-	c.commits.endpointRecords = append(c.commits.endpointRecords, e.withdrawalRecord(c.now))
+	c.commits.endpointRecords = append(c.commits.endpointRecords, cellrecord.EncodeWithdrawal(e.info.Life, c.now))
 	c.commits.withdrawals = append(c.commits.withdrawals, e)
 }
 
 // loadEndpointRecord restores whether an endpoint is withdrawn.
-func (c *Cell) loadEndpointRecord(record damsonwinch.Record) error {
+func (c *Cell) loadEndpointRecord(record damsonwinch.Record, life damsonwinch.Life) error {
 	var saved wire.EndpointRecord
-	if err := json.Unmarshal(record.Value, &saved); err != nil {
-		return fmt.Errorf("read record of %s: %w", record.Key, err)
+	if err := cellrecord.Decode(record, &saved); err != nil {
+		return err
 	}
-	e := c.ensureEndpoint(damsonwinch.ParseLife(strings.TrimPrefix(record.Key, endpointKeyPrefix)))
+	e := c.ensureEndpoint(life)
 	e.withdrawn, e.withdrawal.recorded = saved.Withdrawn, saved.Withdrawn
 	return nil
 }
@@ -121,6 +116,6 @@
 // deleteEndpointRecord deletes the record about an endpoint, if there is one, with the next append.
 func (c *Cell) deleteEndpointRecord(e *endpoint) {
 	if e.withdrawn {
-		c.commits.endpointRecords = append(c.commits.endpointRecords, damsonwinch.Record{Key: endpointKeyPrefix + e.info.Life.String()})
+		c.commits.endpointRecords = append(c.commits.endpointRecords, cellrecord.DeleteEndpoint(e.info.Life))
 	}
 }
--- a/pkg/cell/workload_record.go
+++ b/pkg/cell/workload_record.go
@@ -1,20 +1,15 @@
 package cell
 
 import (
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/wire"
 )
 
-// workloadPrefix is the prefix of the keys of the records with queue statistics.
-const workloadPrefix = "learned/"
-
 // workloadRecordInterval is the time between two records of the statistics. A new owner needs them only
 // for its first seconds, so older values do little harm.
 const workloadRecordInterval = 3 * time.Second
@@ -29,7 +24,7 @@
 	c.workloadDirty, c.workloadRecordedAt = false, c.now
 	var records []damsonwinch.Record
 	for _, queue := range slices.Sorted(maps.Keys(c.workload)) {
-		records = append(records, damsonwinch.Record{Key: workloadPrefix + queue, Value: encode(c.workload[queue].Record(queue))})
+		records = append(records, cellrecord.EncodeWorkload(queue, c.workload[queue].Record(queue)))
 	}
 	return records
 }
@@ -37,8 +32,8 @@
 // loadWorkload restores the statistics of a queue from their record.
 func (c *Cell) loadWorkload(record damsonwinch.Record) error {
 	var saved wire.QueueRecord
-	if err := json.Unmarshal(record.Value, &saved); err != nil {
-		return fmt.Errorf("read record of queue %s: %w", strings.TrimPrefix(record.Key, workloadPrefix), err)
+	if err := cellrecord.Decode(record, &saved); err != nil {
+		return err
 	}
 	c.workload.Of(saved.Queue).Load(saved)
 	return nil
--- a/pkg/cell/batches_test.go
+++ b/pkg/cellrecord/batches_test.go
@@ -1,4 +1,4 @@
-package cell_test
+package cellrecord_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
-	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/cellrecord"
 )
 
 // TestLargeCommitIsSplitBetweenJobs guards against a commit that can never be appended. The store
@@ -15,14 +15,14 @@
 // larger.
 func TestLargeCommitIsSplitBetweenJobs(t *testing.T) {
 	const maxBytes, jobs, textBytes = 100_000, 200, 4000
-	commit := cell.Commit{Records: []damsonwinch.Record{{Key: "mark", Value: []byte("x")}}}
+	records := []damsonwinch.Record{{Key: "mark", Value: []byte("x")}}
 	for number := range jobs {
 		job := fmt.Sprintf("%016x", number)
-		commit.Records = append(commit.Records,
+		records = append(records,
 			damsonwinch.Record{Key: job + "/spec", Value: make([]byte, textBytes)}, damsonwinch.Record{Key: job, Value: make([]byte, 100)})
 	}
 	var joined []damsonwinch.Record
-	batches := commit.Batches(maxBytes)
+	batches := cellrecord.Batches(records, maxBytes)
 	for _, batch := range batches {
 		bytes := 0
 		for _, record := range batch {
@@ -32,11 +32,11 @@
 		assert.Assert(t, len(batch[len(batch)-1].Value) != textBytes, "a job's specification and its state must be in the same batch")
 		joined = append(joined, batch...)
 	}
-	assert.DeepEqual(t, joined, commit.Records)
+	assert.DeepEqual(t, joined, records)
 	assert.Assert(t, len(batches) < 10, "%d batches", len(batches))
 }
 
 func TestSmallCommitIsOneBatch(t *testing.T) {
-	commit := cell.Commit{Records: []damsonwinch.Record{{Key: "a"}, {Key: "b"}}}
-	assert.DeepEqual(t, commit.Batches(1<<20), [][]damsonwinch.Record{commit.Records})
+	records := []damsonwinch.Record{{Key: "a"}, {Key: "b"}}
+	assert.DeepEqual(t, cellrecord.Batches(records, 1<<20), [][]damsonwinch.Record{records})
 }
--- /dev/null
+++ b/pkg/cellrecord/tasks_test.go
@@ -0,0 +1,37 @@
+package cellrecord_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/cellrecord"
+	"damsonwinch/pkg/crash"
+	"damsonwinch/pkg/wire"
+)
+
+// TestTasksAreRestoredFromTheirRecord guards against a field of a task that is not written, or that
+// is restored into another one. A new owner could then start a task twice.
+func TestTasksAreRestoredFromTheirRecord(t *testing.T) {
+	first, second := damsonwinch.Life{ID: "e", StartedUnixMs: 7}, damsonwinch.Life{ID: "f", StartedUnixMs: 8}
+	tasks := []cellrecord.Task{
+		{Round: 1, Phase: 2, Index: 3, LastAttempt: 4, FailedAttempts: 5, Done: true},
+		{
+			Round: 6, Phase: 7, Index: 8, LastAttempt: 9, FailedAttempts: 10, Checkpoint: "c", Runs: []cellrecord.Attempt{{Number: 8, Life: first}, {Number: 9, Life: second}},
+			Crashes: crash.History{Losses: 1, CertainLosses: 2, SimilarLosses: 3, MinAge: 4 * time.Millisecond, MaxAge: 5 * time.Millisecond, Weight: 6, ExtraStarts: 7},
+		},
+	}
+	lapsed := []cellrecord.LapsedAttempt{{Row: 1, Attempt: cellrecord.Attempt{Number: 7, Life: first}}}
+	var record wire.JobRecord
+	for index, task := range tasks {
+		assert.Equal(t, cellrecord.AddTask(&record, task), index)
+	}
+	cellrecord.AddLapsed(&record, lapsed[0])
+	restored, restoredLapsed, err := cellrecord.Tasks(record)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, restored, tasks)
+	assert.DeepEqual(t, restoredLapsed, lapsed)
+	assert.Equal(t, len(record.Endpoints), 2, "each endpoint is listed once")
+}
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -8,6 +8,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/deadline"
 	"damsonwinch/pkg/idle"
 )
@@ -93,7 +94,7 @@
 // commit appends the records of a commit to the cell's stream in the background. The writer retries until
 // they are stored or the owner stops.
 func (o *Owner) commit(commit cell.Commit) {
-	batches := commit.Batches(o.options.MaxAppendBytes)
+	batches := cellrecord.Batches(commit.Records, o.options.MaxAppendBytes)
 	fences := make([]damsonwinch.Fence, len(batches))
 	for number := range batches {
 		fences[number] = o.writer.NextFence()
--- a/pkg/owner/move.go
+++ b/pkg/owner/move.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
-	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/stream"
 )
 
@@ -108,7 +108,7 @@
 	if len(existing) > 0 {
 		return errPartitionNotEmpty
 	}
-	for _, batch := range (cell.Commit{Records: records}).Batches(o.options.MaxAppendBytes) {
+	for _, batch := range cellrecord.Batches(records, o.options.MaxAppendBytes) {
 		if err := writer.Append(ctx, batch, writer.NextFence()); err != nil {
 			return err
 		}
