Move the waits for customers' allowances from pkg/cell to pkg/quota

Three maps of Cell and their rules concerned only customers and their allowances. quota.Waits holds them: who waits, who may start nothing else, and when a wait begins and ends. quota.CPUBudget is the budget by which a report counts waiting tasks. Resources.Times takes the place of two copies of the same multiplication.

--- a/endpoint.go
+++ b/endpoint.go
@@ -28,6 +28,11 @@
 	return Resources{MilliCPU: r.MilliCPU - other.MilliCPU, MemoryMB: r.MemoryMB - other.MemoryMB, GPUs: r.GPUs - other.GPUs}
 }
 
+// Times returns count times r.
+func (r Resources) Times(count int) Resources {
+	return Resources{MilliCPU: r.MilliCPU * count, MemoryMB: r.MemoryMB * count, GPUs: r.GPUs * count}
+}
+
 // Holds reports whether need fits into the capacity r.
 func (r Resources) Holds(need Resources) bool {
 	return need.MilliCPU <= r.MilliCPU && need.MemoryMB <= r.MemoryMB && need.GPUs <= r.GPUs
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -89,14 +89,10 @@
 	permitCalls int
 	// workload holds, by queue, statistics of how much work arrives and how long it takes.
 	workload workload.Queues
-	// quota holds the customers' allowances in this cell and what they have running here. overQuota
-	// holds the customers with tasks that waited for their allowance at the last placement.
-	// quotaBlocked holds those of them that may start no other task before such a task.
-	quota        *quota.Allowances
-	overQuota    map[string]bool
-	quotaBlocked map[string]bool
-	// overQuotaSince holds, by customer, since when tasks have been waiting for the allowance.
-	overQuotaSince map[string]time.Time
+	// quota holds the customers' allowances in this cell and what they have running here, and
+	// quotaWaits the customers with tasks that wait for their allowances.
+	quota      *quota.Allowances
+	quotaWaits *quota.Waits
 	// workloadDirty is set when workload has changed since it was last recorded.
 	workloadDirty      bool
 	workloadRecordedAt time.Time
@@ -110,19 +106,18 @@
 	if options.CrashRules == (crash.Rules{}) {
 		options.CrashRules = crash.DefaultRules()
 	}
+	allowances := quota.NewAllowances()
 	return &Cell{
 		options: options, token: token,
-		queues:         map[string]damsonwinch.Queue{},
-		jobs:           map[string]*job{},
-		endpoints:      map[damsonwinch.Life]*endpoint{},
-		commits:        newCommits(),
-		workload:       workload.Queues{},
-		queueExits:     map[string]*crash.Exits{},
-		crashProne:     map[string]bool{},
-		quota:          quota.NewAllowances(),
-		overQuota:      map[string]bool{},
-		quotaBlocked:   map[string]bool{},
-		overQuotaSince: map[string]time.Time{},
+		queues:     map[string]damsonwinch.Queue{},
+		jobs:       map[string]*job{},
+		endpoints:  map[damsonwinch.Life]*endpoint{},
+		commits:    newCommits(),
+		workload:   workload.Queues{},
+		queueExits: map[string]*crash.Exits{},
+		crashProne: map[string]bool{},
+		quota:      allowances,
+		quotaWaits: quota.NewWaits(allowances),
 	}
 }
 
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -86,7 +86,7 @@
 		return fmt.Sprintf("for %d ms it is only started where nothing else begins; %d endpoints are in use for that, and %d have ended so of late",
 			t.probationWaitSince.Add(c.maxProbationWait(t)).Sub(c.now).Milliseconds(), len(c.probationEndpoints), c.probationExits.CountWithin(c.now, restartTime))
 	}
-	if !c.quota.Allows(t.phase.job().customer, t.phase.quotaNeed()) || c.overQuota[t.phase.job().customer] {
+	if !c.quota.Allows(t.phase.job().customer, t.phase.quotaNeed()) || c.quotaWaits.HasWaited(t.phase.job().customer) {
 		return c.explainQuota(t)
 	}
 	reasons := map[string]int{}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -15,8 +15,7 @@
 	}
 	c.placementDue = false
 	c.updateCrashProne()
-	clear(c.overQuota)
-	clear(c.quotaBlocked)
+	c.quotaWaits.BeginPlacement()
 	c.placeReserved()
 	c.placeSuspects()
 	inTime := make([]*phase, 0, len(c.openPhases))
--- a/pkg/cell/quota.go
+++ b/pkg/cell/quota.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"math"
-	"slices"
 	"time"
 
 	"damsonwinch"
@@ -27,36 +24,12 @@
 	return damsonwinch.Resources{MilliCPU: p.spec.Cpu, MemoryMB: p.spec.MemoryMb, GPUs: p.spec.Gpu}
 }
 
-// maxOvertakeTime is how long less urgent phases of the same customer may overtake a phase whose
-// tasks need more than is left of the allowance. After that, the customer's other tasks wait for
-// this phase: otherwise a large task would never fit into an allowance that is always fully used.
-const maxOvertakeTime = 200 * time.Millisecond
-
 // withinQuota reports whether count tasks of a phase may start now under the customer's allowance.
-// If not, it notes that the customer waits. After maxOvertakeTime it also blocks the customer's
-// other starts, if the tasks can ever fit into the allowance.
+// If not, it notes that the phase waits.
 func (c *Cell) withinQuota(p *phase, count int) bool {
-	customer := p.job().customer
-	switch {
-	case customer == "":
-		return true
-	case c.quotaBlocked[customer]:
-		return false
-	case c.quota.Allows(customer, scaleResources(p.quotaNeed(), count)):
-		p.overQuotaSince = time.Time{}
-		return true
-	}
-	c.overQuota[customer] = true
-	if p.overQuotaSince.IsZero() {
-		p.overQuotaSince = c.now
-	}
-	c.quotaBlocked[customer] = c.now.Sub(p.overQuotaSince) >= maxOvertakeTime && c.quota.CanEverFit(customer, scaleResources(p.quotaNeed(), count))
-	return false
-}
-
-// scaleResources returns the resources that count tasks need together.
-func scaleResources(need damsonwinch.Resources, count int) damsonwinch.Resources {
-	return damsonwinch.Resources{MilliCPU: need.MilliCPU * count, MemoryMB: need.MemoryMB * count, GPUs: need.GPUs * count}
+	allowed, waitingSince := c.quotaWaits.MayStart(c.now, p.job().customer, p.quotaNeed(), count, p.overQuotaSince)
+	p.overQuotaSince = waitingSince
+	return allowed
 }
 
 // applyAllowances applies the allowances in a call of the planner. If they must be recorded before
@@ -104,7 +77,7 @@
 		}
 		need := p.quotaNeed()
 		if p.spec.Gang {
-			wanted[customer] = wanted[customer].WithTasks(scaleResources(need, len(p.ready)), 1)
+			wanted[customer] = wanted[customer].WithTasks(need.Times(len(p.ready)), 1)
 			continue
 		}
 		wanted[customer] = wanted[customer].WithTasks(need, len(p.ready))
@@ -112,49 +85,16 @@
 	c.quota.Report(c.token, wanted, report)
 }
 
-// allowedCPU tracks how much more CPU customers may use, while a report adds up the waiting tasks.
-// Tasks that may not start must not cause requests for boxes.
-type allowedCPU struct {
-	quota *quota.Allowances
-	// left holds, by customer, the CPU that is left, in thousandths of a core. Customers are added
-	// when they are first asked for.
-	left map[string]int
-}
-
-func (c *Cell) newAllowedCPU() allowedCPU {
-	return allowedCPU{quota: c.quota, left: map[string]int{}}
-}
-
-// take deducts the CPU that a phase's waiting tasks need from what their customer may still use,
-// and returns how much of it was left. Both amounts are in thousandths of a core.
-func (a allowedCPU) take(p *phase, cpu int) int {
-	customer := p.job().customer
-	if customer == "" {
-		return cpu
-	}
-	if _, known := a.left[customer]; !known {
-		a.left[customer] = a.quota.RemainingCPU(customer, math.MaxInt)
-	}
-	taken := min(cpu, a.left[customer])
-	a.left[customer] -= taken
-	return taken
-}
-
 // logQuotaWaits logs which customers have begun to wait for their allowances, and which no longer
 // wait.
 func (c *Cell) logQuotaWaits() {
-	for _, customer := range slices.Sorted(maps.Keys(c.overQuota)) {
-		if c.overQuotaSince[customer].IsZero() {
-			c.overQuotaSince[customer] = c.now
-			c.stats.QuotaWaits++
-			c.logCustomer("customer waits for its allowance", customer, c.quota.Explain(customer))
-		}
+	begun, ended := c.quotaWaits.Update(c.now)
+	for _, customer := range begun {
+		c.stats.QuotaWaits++
+		c.logCustomer("customer waits for its allowance", customer, c.quota.Explain(customer))
 	}
-	for _, customer := range slices.Sorted(maps.Keys(c.overQuotaSince)) {
-		if !c.overQuota[customer] {
-			c.logCustomer("customer goes on", customer, fmt.Sprintf("after %d ms", c.now.Sub(c.overQuotaSince[customer]).Milliseconds()))
-			delete(c.overQuotaSince, customer)
-		}
+	for _, wait := range ended {
+		c.logCustomer("customer goes on", wait.Customer, fmt.Sprintf("after %d ms", wait.Waited.Milliseconds()))
 	}
 }
 
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/wire"
 )
 
@@ -118,7 +119,7 @@
 func (c *Cell) reportWaiting(report *wire.SyncReply) int {
 	memoryMB := 0
 	nowMs := int(c.now.UnixMilli())
-	allowance := c.newAllowedCPU()
+	allowance := quota.NewCPUBudget(c.quota)
 	for _, p := range c.openPhases {
 		need := p.need()
 		if p.spec.Lasting {
@@ -127,7 +128,7 @@
 			continue
 		}
 		wantedCPU := len(p.ready) * need.MilliCPU
-		grantedCPU := allowance.take(p, wantedCPU)
+		grantedCPU := allowance.Take(p.job().customer, wantedCPU)
 		if p.isLate(nowMs) {
 			report.LateCpu += grantedCPU
 			if p.job().runCount == 0 && grantedCPU >= need.MilliCPU {
--- a/pkg/quota/allowances.go
+++ b/pkg/quota/allowances.go
@@ -248,7 +248,7 @@
 
 // WithTasks returns the demand with count more tasks, each of which needs the given resources.
 func (d Demand) WithTasks(need damsonwinch.Resources, count int) Demand {
-	d.Total = d.Total.Plus(damsonwinch.Resources{MilliCPU: need.MilliCPU * count, MemoryMB: need.MemoryMB * count, GPUs: need.GPUs * count})
+	d.Total = d.Total.Plus(need.Times(count))
 	d.Largest = damsonwinch.Resources{
 		MilliCPU: max(d.Largest.MilliCPU, need.MilliCPU), MemoryMB: max(d.Largest.MemoryMB, need.MemoryMB), GPUs: max(d.Largest.GPUs, need.GPUs),
 	}
