Move the permits of a phase to pkg/permit

What a phase knows of the advice service depends on nothing else in the cell: its calls, the decisions, and the validity of tickets. pkg/cell chooses the endpoints to ask about and limits the calls in flight.

A test guards against a second call while one is in flight, a call just after one that failed, and a permit that expires before the start request arrives.

--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -7,6 +7,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/crash"
+	"damsonwinch/pkg/permit"
 	"damsonwinch/pkg/wire"
 )
 
@@ -91,7 +92,7 @@
 	// placed.
 	gangReadySince time.Time
 	gangReserved   map[*endpoint]int
-	advice         advice
+	permits        permit.Permits
 	// lateAtMs is the Unix time in milliseconds after which the job is unlikely to meet its
 	// deadline if the phase still waits; 0 means never.
 	lateAtMs int
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -160,7 +160,7 @@
 	c.stats.Starts++
 	c.effects.Starts = append(c.effects.Starts, Start{Endpoint: r.endpoint.info, Request: damsonwinch.StartRequest{
 		Run: r.id(), Spec: r.task.phase.job().spec.Text, Token: c.token, LeaseUntilMs: leaseUntilMs, Checkpoint: r.task.checkpoint,
-		Ticket: c.permitTicket(r.task.phase, r.endpoint),
+		Ticket: r.task.phase.permits.Ticket(r.endpoint.info.Life.ID),
 	}})
 }
 
@@ -233,7 +233,7 @@
 		r.endpoint.backoffUntil = c.now.Add(endpointBackoff)
 	}
 	if errors.Is(err, damsonwinch.ErrInvalidTicket) {
-		r.task.phase.dropPermit(r.endpoint)
+		r.task.phase.permits.Drop(r.endpoint.info.Life.ID)
 		c.requeue(r)
 		return
 	}
