Move the speed control of filler tasks to pkg/fillerspeed

Two tests guard against speeds that are changed before the last change shows, and against filler tasks that are never paused.

--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"damsonwinch/pkg/fillerspeed"
+
 	"damsonwinch"
 )
 
@@ -91,11 +93,7 @@
 	// could not be sent.
 	backoffUntil time.Time
 	health       health
-	// speedChangedAt is when the speed of a filler task on the endpoint was last changed.
-	// lowTailSince is since when the tail latency of its serving tasks is far below their targets,
-	// or zero.
-	speedChangedAt time.Time
-	lowTailSince   time.Time
+	fillerSpeed  fillerspeed.Controller
 }
 
 // usable reports whether new work may be started on the endpoint.
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -5,6 +5,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/cellrecord"
+	"damsonwinch/pkg/fillerspeed"
 	"damsonwinch/pkg/wire"
 )
 
@@ -104,7 +105,7 @@
 	j.begun = j.begun || saved.Done || saved.FailedAttempts > 0
 	t.lastAttempt, t.failedAttempts, t.checkpoint = saved.LastAttempt, saved.FailedAttempts, saved.Checkpoint
 	for _, attempt := range saved.Runs {
-		c.addRun(&run{task: t, attempt: attempt.Number, endpoint: c.ensureEndpoint(attempt.Life), state: runUnverified, startedAt: c.now, inherited: true, speedPercent: minSpeedPercent})
+		c.addRun(&run{task: t, attempt: attempt.Number, endpoint: c.ensureEndpoint(attempt.Life), state: runUnverified, startedAt: c.now, inherited: true, speedPercent: fillerspeed.MinPercent})
 	}
 	if saved.Done && !t.done {
 		t.done = true
