Move the bound of an endpoint's leases to pkg/leasebound

The estimate of an endpoint's clock and the time by which its leases have expired depend on two samples and nothing else in the cell. The package has the allowance for slow clocks, and Extend takes the place of two calls that had to be made together.

--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"damsonwinch/pkg/fillerspeed"
-
 	"damsonwinch"
+	"damsonwinch/pkg/fillerspeed"
+	"damsonwinch/pkg/leasebound"
 )
 
 // endpoint is one life of the program that runs tasks on a box, as the cell's owner knows it.
@@ -52,14 +52,8 @@
 	// lastBusy is when the last run was removed from the endpoint, or when the endpoint became
 	// known.
 	lastBusy time.Time
-	// clockSampleMs is the endpoint's clock, in milliseconds, in a reply that arrived at
-	// clockSampledAt.
-	clockSampleMs  int
-	clockSampledAt time.Time
-	// leasesExpireBy is the time by which all leases on the endpoint have certainly expired, unless
-	// later requests extend them.
-	leasesExpireBy time.Time
-	polls          polls
+	leases   leasebound.Leases
+	polls    polls
 	// lapsedAttempts holds the attempts on the endpoint whose leases expired while it was out of
 	// reach. Their results aren't known.
 	lapsedAttempts []lapsedAttempt
@@ -106,11 +100,6 @@
 	return e.info.Capacity.Minus(e.used)
 }
 
-// estimateClock returns an estimate of the endpoint's clock at now, in milliseconds.
-func (e *endpoint) estimateClock(now time.Time) int {
-	return e.clockSampleMs + int(now.Sub(e.clockSampledAt).Milliseconds())
-}
-
 // hasLabel reports whether the endpoint has a label. It returns true for the empty label.
 func (e *endpoint) hasLabel(label string) bool {
 	return label == "" || slices.Contains(e.info.Labels, label)
@@ -127,34 +116,16 @@
 	if known := c.endpoints[life]; known != nil {
 		return known
 	}
-	e := &endpoint{info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now}
-	// An earlier owner may have renewed leases until it noticed that it was no longer the owner.
-	e.leasesExpireBy = c.now.Add(c.options.RenewalGrace + withClockDrift(c.options.MaxLease))
+	e := &endpoint{
+		info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now,
+		leases: leasebound.Unknown(c.now, c.options.RenewalGrace, c.options.MaxLease),
+	}
 	c.endpoints[life] = e
 	c.updateZone(e)
 	c.sortedEndpoints = slices.Insert(c.sortedEndpoints, c.indexOfLife(life), e)
 	return e
 }
 
-// withClockDrift returns how long a lease of the given duration may last on this machine's clock if
-// the endpoint's clock is as slow as the platform allows.
-func withClockDrift(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease) * clockDriftFactor)
-}
-
-// leaseMargin is added to every bound of a lease, for rounding and scheduling.
-const leaseMargin = 200 * time.Millisecond
-
-// extendLeaseBound notes that a request may extend the leases on the endpoint until untilMs, in
-// milliseconds on the endpoint's clock.
-func (c *Cell) extendLeaseBound(e *endpoint, untilMs int) {
-	left := time.Duration(untilMs-e.clockSampleMs) * time.Millisecond
-	bound := e.clockSampledAt.Add(withClockDrift(left) + leaseMargin)
-	if bound.After(e.leasesExpireBy) {
-		e.leasesExpireBy = bound
-	}
-}
-
 // SetEndpoints sets the cell's endpoints to those that the registry lists now. Others are kept
 // while they may still hold runs or report results.
 func (c *Cell) SetEndpoints(now time.Time, listed []damsonwinch.Endpoint) {
@@ -192,7 +163,7 @@
 // of lapsed attempts any more.
 func (c *Cell) sweepEndpoints() {
 	c.sortedEndpoints = slices.DeleteFunc(c.sortedEndpoints, func(e *endpoint) bool {
-		if e.listed || len(e.runs) > 0 || len(e.lapsedAttempts) > 0 && !e.exited && c.now.Before(e.leasesExpireBy.Add(lapsedResultWait)) {
+		if e.listed || len(e.runs) > 0 || len(e.lapsedAttempts) > 0 && !e.exited && e.leases.ExpiredFor(c.now) < lapsedResultWait {
 			return false
 		}
 		c.forgetLapsed(e)
@@ -245,7 +216,7 @@
 // markLostKeeping).
 func (c *Cell) expireLeases() {
 	for _, e := range c.sortedEndpoints {
-		if len(e.runs) == 0 || !e.exited && e.attached && !e.silent || !c.now.After(e.leasesExpireBy) {
+		if len(e.runs) == 0 || !e.exited && e.attached && !e.silent || e.leases.ExpiredFor(c.now) <= 0 {
 			continue
 		}
 		if e.exited {
--- a/pkg/cell/filler_speed.go
+++ b/pkg/cell/filler_speed.go
@@ -3,9 +3,8 @@
 import (
 	"time"
 
-	"damsonwinch/pkg/fillerspeed"
-
 	"damsonwinch"
+	"damsonwinch/pkg/fillerspeed"
 )
 
 // SpeedChange is a request to an endpoint to change the speed of a run. The owner passes the reply
--- a/pkg/cell/options.go
+++ b/pkg/cell/options.go
@@ -42,7 +42,3 @@
 	// EndedJobRetention is how long a job can still be queried after it has ended.
 	EndedJobRetention time.Duration
 }
-
-// clockDriftFactor extends leases for a monotonic clock that runs 2% slow, which the platform
-// allows, plus a small margin.
-const clockDriftFactor = 1.03
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -120,8 +120,7 @@
 		request.AckedSequence = 0
 	}
 	if e.attached && !e.silent && !e.exited && c.mayRenewLeases() {
-		request.LeaseUntilMs = e.estimateClock(c.now) + int(c.options.MaxLease.Milliseconds())
-		c.extendLeaseBound(e, request.LeaseUntilMs)
+		request.LeaseUntilMs = e.leases.Extend(c.now, c.options.MaxLease)
 	}
 	c.stats.Polls++
 	c.effects.Polls = append(c.effects.Polls, Poll{Endpoint: e.info, Request: request, Number: sent.number})
@@ -174,7 +173,7 @@
 		c.logEndpoint("endpoint answers again", e, "")
 	}
 	e.silent = false
-	e.clockSampleMs, e.clockSampledAt = reply.ClockMs, c.now
+	e.leases.SampleClock(c.now, reply.ClockMs)
 	c.endProbation(e, sent.sentAt)
 	c.applyResults(e, reply.Finished)
 	if len(reply.Finished) < maxResults {
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -155,8 +155,7 @@
 	r.state = runRequested
 	c.logStart(r)
 	r.startedAt = c.now
-	leaseUntilMs := r.endpoint.estimateClock(c.now) + int(c.options.MaxStartDelay.Milliseconds())
-	c.extendLeaseBound(r.endpoint, leaseUntilMs)
+	leaseUntilMs := r.endpoint.leases.Extend(c.now, c.options.MaxStartDelay)
 	c.stats.Starts++
 	c.effects.Starts = append(c.effects.Starts, Start{Endpoint: r.endpoint.info, Request: damsonwinch.StartRequest{
 		Run: r.id(), Spec: r.task.phase.job().spec.Text, Token: c.token, LeaseUntilMs: leaseUntilMs, Checkpoint: r.task.checkpoint,
--- a/pkg/cell/snapshot.go
+++ b/pkg/cell/snapshot.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"damsonwinch/pkg/cellrecord"
-
 	"damsonwinch"
+	"damsonwinch/pkg/cellrecord"
 )
 
 // CommitAge returns how long the append in flight has been waiting, or 0 if there is none.
