Move the detection of zones that are cut off to pkg/cutoff

Two tests guard against starts in a zone that can't be reached, and against a zone that counts as cut off because of a single endpoint.

--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -4,20 +4,8 @@
 	"slices"
 	"strings"
 	"time"
-)
 
-// Times by which a zone that is cut off from the owner is distinguished from one that can be
-// reached.
-const (
-	// overdueAfter is how long an endpoint that can be reached may take to answer a request.
-	// Usually it takes some 3 ms, and a busy node takes some 50 ms to process the reply.
-	overdueAfter = 150 * time.Millisecond
-	// abandonedAfter is the age at which a call has timed out on this side. That it has not been
-	// answered then says nothing about the endpoint any more.
-	abandonedAfter = 1500 * time.Millisecond
-	// cutOffAfter is how long a zone may have been out of reach until its boxes are no longer
-	// counted on. Replacing them costs moves, and short interruptions are over by then.
-	cutOffAfter = 300 * time.Millisecond
+	"damsonwinch/pkg/cutoff"
 )
 
 // zone is an availability zone, as far as the owner can tell from the replies of its endpoints.
@@ -28,26 +16,19 @@
 	asSlice []*zone
 	// evacuated is set while the operator wants no task to start in the zone.
 	evacuated bool
-	// answeredAt is when an endpoint of the zone last answered a call.
-	answeredAt time.Time
-	// unansweredSince is since when calls to the zone's endpoints have been overdue while none of
-	// its endpoints has answered, or zero if that isn't so. While it is set, the zone may be cut
-	// off.
-	unansweredSince time.Time
-	// unanswered holds the same condition while updateOverdue goes through the endpoints.
-	unanswered bool
+	// link is what the answers of the zone's endpoints show of the way there.
+	link cutoff.Zone
 }
 
-// mayBeCutOff reports whether the zone may be cut off: calls to it are overdue, and none of its
-// endpoints has answered. Nothing is started there then.
+// mayBeCutOff reports whether the zone may be cut off from the owner. Nothing is started there then.
 func (z *zone) mayBeCutOff() bool {
-	return !z.unansweredSince.IsZero()
+	return z.link.MayBeCutOff()
 }
 
-// isCutOff reports whether the zone may have been cut off for cutOffAfter, so that it counts as cut
-// off.
+// isCutOff reports whether the zone has been out of reach for so long that its boxes are no longer
+// counted on.
 func (z *zone) isCutOff(now time.Time) bool {
-	return z.mayBeCutOff() && now.Sub(z.unansweredSince) >= cutOffAfter
+	return z.link.IsCutOff(now)
 }
 
 // ensureZone returns the zone with the given name, and adds it if it isn't known yet.
@@ -76,10 +57,8 @@
 // addressAnswered notes that a call to an endpoint's address has been answered, by this life or
 // another.
 func (c *Cell) addressAnswered(e *endpoint) {
-	e.zone.answeredAt = c.now
 	e.overdue = false
-	if e.zone.mayBeCutOff() {
-		e.zone.unansweredSince = time.Time{}
+	if e.zone.link.Answered(c.now) {
 		c.placementDue = true
 	}
 }
@@ -96,30 +75,26 @@
 // polls that endpoints hold would show that only at the end of their wait.
 func (c *Cell) updateOverdue() {
 	for _, z := range c.zones {
-		z.unanswered = false
+		z.link.BeginCheck()
 	}
 	for _, e := range c.sortedEndpoints {
-		since, overdue := e.oldestOverdueCall(c.now, c.options.PollWait)
-		e.overdue = overdue
-		if overdue && e.zone.answeredAt.Before(since) || e.silent && e.zone.mayBeCutOff() {
-			e.zone.unanswered = true
+		since := e.oldestCall(c.now, c.options.PollWait)
+		if e.overdue = cutoff.IsOverdue(c.now, since); e.overdue {
+			e.zone.link.AddOverdue(since)
+		}
+		if e.silent {
+			e.zone.link.AddSilent()
 		}
 	}
 	for _, z := range c.zones {
-		switch {
-		case !z.unanswered:
-			z.unansweredSince = time.Time{}
-		case !z.mayBeCutOff():
-			z.unansweredSince = c.now
-		}
+		z.link.EndCheck(c.now)
 	}
 }
 
-// oldestOverdueCall returns the earliest time at which the oldest unanswered call to the endpoint
-// could have been answered: when the call was sent, or pollWait later for a poll that the endpoint
-// may hold. It also reports whether that call is overdue: it could have been answered more than
-// overdueAfter ago, and has not timed out.
-func (e *endpoint) oldestOverdueCall(now time.Time, pollWait time.Duration) (time.Time, bool) {
+// oldestCall returns the earliest time at which the oldest unanswered call to the endpoint could have
+// been answered: when the call was sent, or pollWait later for a poll that the endpoint may hold. It
+// returns now if there is no such call.
+func (e *endpoint) oldestCall(now time.Time, pollWait time.Duration) time.Time {
 	oldest := now
 	if sent := e.polls.immediate; sent != nil && sent.sentAt.Before(oldest) {
 		oldest = sent.sentAt
@@ -134,8 +109,7 @@
 			oldest = r.startedAt
 		}
 	}
-	age := now.Sub(oldest)
-	return oldest, age > overdueAfter && age < abandonedAfter
+	return oldest
 }
 
 // homeZone returns the zone in which the tasks of t's job are started while there is capacity, so
