--- /dev/null
+++ b/pkg/boxneed/boxneed_test.go
@@ -0,0 +1,39 @@
+package boxneed_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/boxneed"
+)
+
+func cores(count int) damsonwinch.Resources {
+	return damsonwinch.Resources{MilliCPU: 1000 * count}
+}
+
+// TestMissing guards against long-running tasks that wait forever although the boxes have enough capacity
+// in total, and against orders for boxes that would not help.
+func TestMissing(t *testing.T) {
+	for name, test := range map[string]struct {
+		phase      boxneed.Phase
+		free       []int
+		onFirst    int
+		capacities []damsonwinch.Resources
+		want       int
+	}{
+		"scattered capacity":            {phase: boxneed.Phase{Need: cores(3), Waiting: 1}, free: []int{2, 2}, capacities: []damsonwinch.Resources{cores(4)}, want: 1},
+		"one box holds the rest":        {phase: boxneed.Phase{Need: cores(2), Waiting: 5}, free: []int{2}, capacities: []damsonwinch.Resources{cores(4)}, want: 2},
+		"limit per box":                 {phase: boxneed.Phase{Need: cores(1), Waiting: 2, MaxPerBox: 1}, free: []int{4}, onFirst: 1, capacities: []damsonwinch.Resources{cores(4)}, want: 2},
+		"no box is large enough":        {phase: boxneed.Phase{Need: cores(9), Waiting: 2}, free: []int{4}, capacities: []damsonwinch.Resources{cores(4)}, want: 0},
+		"the smallest box is too small": {phase: boxneed.Phase{Need: cores(6), Waiting: 2}, free: []int{1}, capacities: []damsonwinch.Resources{cores(4), cores(6)}, want: 2},
+	} {
+		var boxes []*boxneed.Box
+		for _, free := range test.free {
+			boxes = append(boxes, &boxneed.Box{Free: cores(free), Counts: map[*boxneed.Phase]int{}})
+		}
+		boxes[0].Counts[&test.phase] = test.onFirst
+		assert.Equal(t, boxneed.Missing([]*boxneed.Phase{&test.phase}, boxes, test.capacities), test.want, name)
+	}
+}
