Move the detection of crash-prone queues to pkg/crash

It needs exits by queue and the time, as the other rules of pkg/crash do. crash.Queues takes the place of two maps of Cell; pkg/cell decides which exits count against a queue, and logs the changes.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -52,10 +52,8 @@
 	// probationExits holds the recent exits of endpoints where a task was on probation.
 	baselineExits  crash.BaselineRate
 	probationExits crash.Exits
-	// queueExits holds, by queue, the recent exits of endpoints shortly after a task of that queue
-	// started there. crashProne holds the queues with many such exits.
-	queueExits map[string]*crash.Exits
-	crashProne map[string]bool
+	// crashQueues finds the queues whose tasks crash many endpoints.
+	crashQueues *crash.Queues
 	// batching is set while Batch runs: finishEvent does nothing until all events of the batch have
 	// been handled.
 	batching bool
@@ -109,15 +107,14 @@
 	allowances := quota.NewAllowances()
 	return &Cell{
 		options: options, token: token,
-		queues:     map[string]damsonwinch.Queue{},
-		jobs:       map[string]*job{},
-		endpoints:  map[damsonwinch.Life]*endpoint{},
-		commits:    newCommits(),
-		workload:   workload.Queues{},
-		queueExits: map[string]*crash.Exits{},
-		crashProne: map[string]bool{},
-		quota:      allowances,
-		quotaWaits: quota.NewWaits(allowances),
+		queues:      map[string]damsonwinch.Queue{},
+		jobs:        map[string]*job{},
+		endpoints:   map[damsonwinch.Life]*endpoint{},
+		commits:     newCommits(),
+		workload:    workload.Queues{},
+		crashQueues: crash.NewQueues(),
+		quota:       allowances,
+		quotaWaits:  quota.NewWaits(allowances),
 	}
 }
 
--- a/pkg/cell/crash_prone.go
+++ b/pkg/cell/crash_prone.go
@@ -2,18 +2,12 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"damsonwinch/pkg/crash"
 )
 
 const (
-	// crashProneExits is the number of endpoints that must have exited within crashProneWindow,
-	// each just after a task of the queue had started there, for the queue to count as crash-prone.
-	crashProneExits  = 2
-	crashProneWindow = 10 * time.Second
 	// crashProneProbationWait is how long a suspect of a crash-prone queue waits for probation. It
 	// is long since most of these suspects belong to the few jobs that do crash endpoints.
 	crashProneProbationWait = 8 * time.Second
@@ -40,28 +34,18 @@
 		young := r.state != runPending && exitedAt.Sub(r.startedAt) < c.options.CrashRules.MeasuredSuspectAge()
 		if young && !counted[queue] {
 			counted[queue] = true
-			if c.queueExits[queue] == nil {
-				c.queueExits[queue] = &crash.Exits{}
-			}
-			c.queueExits[queue].Add(c.now)
+			c.crashQueues.AddExit(queue, c.now)
 		}
 	}
 }
 
 // updateCrashProne recomputes which queues are crash-prone, and logs changes.
 func (c *Cell) updateCrashProne() {
-	for _, queue := range slices.Sorted(maps.Keys(c.queueExits)) {
-		count := c.queueExits[queue].CountWithin(c.now, crashProneWindow)
-		switch {
-		case count >= crashProneExits && !c.crashProne[queue]:
-			c.crashProne[queue] = true
-			c.logQueue("queue's tasks seem to crash endpoints", queue, fmt.Sprintf("%d have exited in the last %v just after one of its tasks had started", count, crashProneWindow))
-		case count < crashProneExits && c.crashProne[queue]:
-			delete(c.crashProne, queue)
-			c.logQueue("queue's tasks crash no endpoints any more", queue, "")
-		}
-		if count == 0 {
-			delete(c.queueExits, queue)
+	for _, change := range c.crashQueues.Update(c.now) {
+		if change.Prone {
+			c.logQueue("queue's tasks seem to crash endpoints", change.Queue, fmt.Sprintf("%d have exited in the last %v just after one of its tasks had started", change.Exits, crash.ProneWindow))
+		} else {
+			c.logQueue("queue's tasks crash no endpoints any more", change.Queue, "")
 		}
 	}
 }
@@ -71,12 +55,12 @@
 // crash-prone queue. So it is known which job has crashed an endpoint, and tasks of sound jobs
 // don't have to wait for probation.
 func (c *Cell) separatedFromOtherJobs(t *task, e *endpoint) bool {
-	if len(c.crashProne) == 0 {
+	if !c.crashQueues.AnyProne() {
 		return true
 	}
 	j := t.phase.job()
 	for _, r := range e.runsByStart {
-		if other := r.task.phase.job(); other != j && (c.crashProne[j.queue] || c.crashProne[other.queue]) && c.now.Sub(r.startedAt) < c.options.CrashRules.SuspectAge {
+		if other := r.task.phase.job(); other != j && (c.crashQueues.IsProne(j.queue) || c.crashQueues.IsProne(other.queue)) && c.now.Sub(r.startedAt) < c.options.CrashRules.SuspectAge {
 			return false
 		}
 	}
--- a/pkg/cell/free_cores.go
+++ b/pkg/cell/free_cores.go
@@ -80,7 +80,7 @@
 // the home zone of the task's job are preferred. If label isn't empty, only endpoints with that
 // label are considered.
 func (c *Cell) chooseEndpoint(t *task, label string) *endpoint {
-	if c.crashProne[t.phase.job().queue] {
+	if c.crashQueues.IsProne(t.phase.job().queue) {
 		return c.chooseLeastAtRisk(t, label)
 	}
 	if home := c.homeZone(t); home != nil {
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -71,7 +71,7 @@
 // maxProbationWait returns how long a suspect waits for probation. After that it starts like any
 // other task: many suspects, most of which crash nothing, must not be held up.
 func (c *Cell) maxProbationWait(t *task) time.Duration {
-	if c.crashProne[t.phase.job().queue] {
+	if c.crashQueues.IsProne(t.phase.job().queue) {
 		return crashProneProbationWait
 	}
 	return defaultProbationWait
@@ -148,7 +148,7 @@
 		return true
 	}
 	maxPercent := maxProbationPercent
-	if len(c.crashProne) > 0 {
+	if c.crashQueues.AnyProne() {
 		maxPercent = maxCrashProneProbationPercent
 	}
 	return len(c.probationEndpoints)+c.probationExits.CountWithin(c.now, restartTime) < max(1, len(c.sortedEndpoints)*maxPercent/fullPercent)
