Move a job's estimate and rounds from pkg/cell to pkg/job

Both follow from the specification, as the rest of pkg/job does. The package had a second computation of the critical path that nothing called; it is removed.

--- a/pkg/cell/deadline.go
+++ b/pkg/cell/deadline.go
@@ -1,24 +1,15 @@
 package cell
 
-import "time"
+import (
+	"time"
 
-// estimateJob computes what a job is expected to take: the time of a task of each phase, the
-// critical path from each phase's start to the end of the job, and the total work.
+	jobs "damsonwinch/pkg/job"
+)
+
+// estimateJob computes what a job is expected to take.
 func (c *Cell) estimateJob(j *job) {
-	stats := c.workload.Of(j.queue)
-	phases := j.spec.Phases
-	j.taskMs, j.criticalPathMs, j.work = make([]int, len(phases)), make([]int, len(phases)), 0
-	for number := len(phases) - 1; number >= 0; number-- {
-		phase := &phases[number]
-		j.taskMs[number] = stats.EstimateMs(phase.EstimateMs)
-		j.criticalPathMs[number] += j.taskMs[number]
-		for _, earlier := range phase.After {
-			j.criticalPathMs[earlier] = max(j.criticalPathMs[earlier], j.criticalPathMs[number])
-		}
-		if !phase.Lasting && !phase.Fills {
-			j.work += phase.Count * phase.Cpu * j.taskMs[number]
-		}
-	}
+	estimate := jobs.EstimateOf(j.spec.Phases, c.workload.Of(j.queue).EstimateMs)
+	j.taskMs, j.criticalPathMs, j.work = estimate.TaskMs, estimate.CriticalPathMs, estimate.Work
 }
 
 // setDeadline computes the deadline of a job from the expected critical path, the queue's deadline
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -7,6 +7,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/crash"
+	jobs "damsonwinch/pkg/job"
 	"damsonwinch/pkg/permit"
 	"damsonwinch/pkg/wire"
 )
@@ -250,24 +251,10 @@
 	p.ready = nil
 }
 
-// totalRounds returns the number of times that the job's phases run.
-func (j *job) totalRounds() int {
-	return max(1, j.spec.Rounds)
-}
-
-// roundDue returns when a round of a repeated job is due. The only round of any other job is due at
-// once.
-func (j *job) roundDue(number int) time.Time {
-	if j.spec.Rounds == 0 {
-		return time.Time{}
-	}
-	return time.UnixMilli(int64(j.spec.FirstMs + number*j.spec.EveryMs))
-}
-
 // startDueRounds starts the rounds of active jobs that are due.
 func (c *Cell) startDueRounds() {
 	for _, j := range c.activeJobs {
-		for !j.ended() && len(j.rounds) < j.totalRounds() && !c.now.Before(j.roundDue(len(j.rounds))) {
+		for !j.ended() && len(j.rounds) < jobs.Rounds(j.spec) && !c.now.Before(jobs.RoundDue(j.spec, len(j.rounds))) {
 			c.startRound(j, len(j.rounds))
 		}
 	}
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -6,6 +6,7 @@
 	"damsonwinch"
 	"damsonwinch/pkg/cellrecord"
 	"damsonwinch/pkg/fillerspeed"
+	jobs "damsonwinch/pkg/job"
 	"damsonwinch/pkg/wire"
 )
 
@@ -91,8 +92,8 @@
 
 // restoreTask restores a task from what is recorded about it.
 func (c *Cell) restoreTask(j *job, saved cellrecord.Task) (*task, error) {
-	if saved.Round >= j.totalRounds() {
-		return nil, fmt.Errorf("reference to missing round %d of %d", saved.Round, j.totalRounds())
+	if saved.Round >= jobs.Rounds(j.spec) {
+		return nil, fmt.Errorf("reference to missing round %d of %d", saved.Round, jobs.Rounds(j.spec))
 	}
 	for len(j.rounds) <= saved.Round {
 		j.rounds = append(j.rounds, newRound(j, len(j.rounds)))
--- a/pkg/cell/results.go
+++ b/pkg/cell/results.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"damsonwinch"
+	jobs "damsonwinch/pkg/job"
 	"damsonwinch/pkg/wire"
 )
 
@@ -129,7 +130,7 @@
 		}
 	}
 	j := r.job
-	if r.unfinishedPhases > 0 || j.ended() || len(j.rounds) < j.totalRounds() {
+	if r.unfinishedPhases > 0 || j.ended() || len(j.rounds) < jobs.Rounds(j.spec) {
 		return
 	}
 	for _, other := range j.rounds {
--- a/pkg/job/check.go
+++ b/pkg/job/check.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"damsonwinch/pkg/wire"
 )
@@ -64,21 +63,6 @@
 	return nil
 }
 
-// CriticalPath returns the estimated duration of the job's longest chain of phases that depend on each
-// other. Each phase counts with the estimate for one of its tasks.
-func CriticalPath(spec wire.JobSpec) time.Duration {
-	var longest time.Duration
-	ends := make([]time.Duration, len(spec.Phases)) // Earliest end of each phase.
-	for number, phase := range spec.Phases {
-		for _, earlier := range phase.After {
-			ends[number] = max(ends[number], ends[earlier])
-		}
-		ends[number] += time.Duration(phase.EstimateMs) * time.Millisecond
-		longest = max(longest, ends[number])
-	}
-	return longest
-}
-
 // IsLongRunning reports whether a job has tasks that run until the job is cancelled.
 func IsLongRunning(spec wire.JobSpec) bool {
 	for _, phase := range spec.Phases {
