Move the judgement of slow endpoints to pkg/slowness

Whether tasks take longer than chance explains is a statistical test on samples of their progress. Samples are told apart by the phase's job, round and number, and not by a pointer into the cell. health.go loses the two constants of the test and keeps the factor by which it ejects.

A test guards against an endpoint that counts as slow because of one wrong estimate or of samples that are out of date.

--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/slowness"
 )
 
 // Rules by which an endpoint counts as unhealthy.
@@ -27,12 +28,8 @@
 	// counts as stalled. The time to restore a checkpoint is added to it.
 	stallTime = 1200 * time.Millisecond
 	// slowFactor is how many times as long as expected the tasks of an endpoint must take for it to
-	// count as slow. slowSquaredDeviations is how far that must exceed what chance explains: the
-	// square of the number of standard deviations.
-	slowFactor            = 2.5
-	slowSquaredDeviations = 16
-	// progressSampleTime is how long a sample of a task's progress counts.
-	progressSampleTime = 3 * time.Second
+	// count as slow.
+	slowFactor = 2.5
 )
 
 // health is what an owner has observed of how well an endpoint does its work.
@@ -47,7 +44,7 @@
 	// time.
 	probing bool
 	// progressSamples holds recent samples of the progress of the endpoint's tasks.
-	progressSamples []progressSample
+	progressSamples slowness.Samples
 }
 
 // healthAllows reports whether an endpoint's health allows new work there: it is not ejected, and
@@ -106,7 +103,7 @@
 	h.ejectedUntil = c.now.Add(min(maxEjection, minEjection<<min(h.consecutiveEjections, 4)))
 	h.consecutiveEjections++
 	h.probing = true
-	h.consecutiveFailures, h.progressSamples = 0, nil
+	h.consecutiveFailures, h.progressSamples = 0, slowness.Samples{}
 	c.stats.Ejections++
 	c.logEndpoint("endpoint ejected", e, reason)
 	return true
@@ -136,7 +133,7 @@
 		}
 		return
 	}
-	if factor := e.health.slowness(c.now); factor >= slowFactor && c.eject(e, "its tasks are slow") {
+	if factor := e.health.progressSamples.Factor(c.now); factor >= slowFactor && c.eject(e, "its tasks are slow") {
 		c.moveRunsAway(e, factor)
 	}
 }
