Split and simplify long functions of pkg/cell

The handling of late results and the counting of an exit are functions of their own. Conditions with several negations have a name. The order of suspects and the sorted IDs of changed jobs are written more simply. Behaviour is unchanged.

--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -133,12 +134,7 @@
 	if w.allowancesDirty {
 		records = append(records, c.allowancesRecord(sent))
 	}
-	ids := make([]string, 0, len(w.dirtyJobs))
-	for id := range w.dirtyJobs {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(w.dirtyJobs)) {
 		j := c.jobs[id]
 		if j == nil {
 			continue
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -163,7 +163,8 @@
 // of lapsed attempts any more.
 func (c *Cell) sweepEndpoints() {
 	c.sortedEndpoints = slices.DeleteFunc(c.sortedEndpoints, func(e *endpoint) bool {
-		if e.listed || len(e.runs) > 0 || len(e.lapsedAttempts) > 0 && !e.exited && e.leases.ExpiredFor(c.now) < lapsedResultWait {
+		mayReport := len(e.lapsedAttempts) > 0 && !e.exited && e.leases.ExpiredFor(c.now) < lapsedResultWait
+		if e.listed || len(e.runs) > 0 || mayReport {
 			return false
 		}
 		c.forgetLapsed(e)
@@ -216,7 +217,8 @@
 // markLostKeeping).
 func (c *Cell) expireLeases() {
 	for _, e := range c.sortedEndpoints {
-		if len(e.runs) == 0 || !e.exited && e.attached && !e.silent || e.leases.ExpiredFor(c.now) <= 0 {
+		answers := e.attached && !e.silent && !e.exited
+		if len(e.runs) == 0 || answers || e.leases.ExpiredFor(c.now) <= 0 {
 			continue
 		}
 		if e.exited {
--- a/pkg/cell/loss.go
+++ b/pkg/cell/loss.go
@@ -26,13 +26,7 @@
 	c.countLossForLapsed(e)
 	c.forgetLapsed(e)
 	blamed := c.runToBlame(e)
-	if len(e.runs) > 0 && !c.startedWithin(e, e.exitedAt(c.now), c.options.CrashRules.MeasuredSuspectAge()) {
-		c.baselineExits.AddExit(c.now)
-	}
-	c.countQueueExits(e, blamed)
-	if e.probation != nil {
-		c.probationExits.Add(c.now)
-	}
+	c.countExit(e, blamed)
 	for _, r := range e.sortedRuns() {
 		if r.state == runPending {
 			// It is removed when its record is committed.
@@ -49,6 +43,18 @@
 	}
 }
 
+// countExit counts the exit of an endpoint for the rates by which tasks are suspected and blamed. blamed is
+// the run that is to blame for the exit, or nil.
+func (c *Cell) countExit(e *endpoint, blamed *run) {
+	if len(e.runs) > 0 && !c.startedWithin(e, e.exitedAt(c.now), c.options.CrashRules.MeasuredSuspectAge()) {
+		c.baselineExits.AddExit(c.now)
+	}
+	c.countQueueExits(e, blamed)
+	if e.probation != nil {
+		c.probationExits.Add(c.now)
+	}
+}
+
 // runLoss describes how a run was lost: with which life, and under which circumstances.
 type runLoss struct {
 	life    damsonwinch.Life
@@ -88,9 +94,13 @@
 
 // lossOf describes the loss of a run's endpoint, as evidence against the run's task.
 func (c *Cell) lossOf(r *run) crash.Loss {
-	exitedAt := r.endpoint.exitedAt(c.now)
-	loss := crash.Loss{MaxAge: r.age(exitedAt), MinAge: r.age(r.endpoint.lastAnsweredAt), Explained: c.hasCommonCause(r.endpoint, exitedAt), Probation: r.endpoint.probation == r, LossRate: c.baselineExits.Rate(c.now)}
-	if r.endpoint.silent && r.endpoint.pollBroken {
+	e := r.endpoint
+	exitedAt := e.exitedAt(c.now)
+	loss := crash.Loss{
+		MaxAge: r.age(exitedAt), MinAge: r.age(e.lastAnsweredAt), Explained: c.hasCommonCause(e, exitedAt), Probation: e.probation == r,
+		LossRate: c.baselineExits.Rate(c.now),
+	}
+	if e.silent && e.pollBroken {
 		// The poll that broke would have reported the end of the run. Without such a poll the run
 		// may have ended before, unreported. A start request whose reply was lost with the endpoint
 		// has probably arrived there. That is taken as certain only on probation, where nothing
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -43,10 +43,7 @@
 	}
 	c.pruneSuspects()
 	for _, t := range c.suspects {
-		if !t.ready || len(t.runs) > 0 || t.phase.spec.Gang || c.mustWait(t) {
-			continue
-		}
-		if !c.withinQuota(t.phase, 1) {
+		if !t.ready || len(t.runs) > 0 || t.phase.spec.Gang || c.mustWait(t) || !c.withinQuota(t.phase, 1) {
 			continue
 		}
 		if e := c.chooseProbationEndpoint(t); e != nil {
@@ -95,13 +92,14 @@
 	})
 	nowMs := int(c.now.UnixMilli())
 	slices.SortStableFunc(c.suspects, func(a, b *task) int {
-		if late := a.phase.isLate(nowMs); late != b.phase.isLate(nowMs) {
-			if late {
-				return 1
-			}
-			return -1
+		late := a.phase.isLate(nowMs)
+		switch {
+		case late == b.phase.isLate(nowMs):
+			return comparePhases(a.phase, b.phase)
+		case late:
+			return 1
 		}
-		return comparePhases(a.phase, b.phase)
+		return -1
 	})
 }
 
--- a/pkg/cell/results.go
+++ b/pkg/cell/results.go
@@ -17,14 +17,7 @@
 	t.phase.job().begun = true
 	r := e.runs[result.Run]
 	if r == nil {
-		// Either the result was applied after an earlier poll or by an earlier owner, or the run's
-		// lease was taken to have expired.
-		if c.resolveLapsed(e, result) && result.Ending == damsonwinch.EndedFailed && !t.phase.spec.Lasting {
-			c.countFailure(t)
-		}
-		if result.Ending == damsonwinch.EndedDone && !t.done && !t.phase.spec.Lasting {
-			c.completeTask(t)
-		}
+		c.applyLateResult(e, t, result)
 		return
 	}
 	if result.Checkpoint != "" {
@@ -47,6 +40,21 @@
 	}
 }
 
+// applyLateResult applies the result of a run that is no longer on its endpoint: either the result was
+// applied after an earlier poll or by an earlier owner, or the run's lease was taken to have expired.
+func (c *Cell) applyLateResult(e *endpoint, t *task, result damsonwinch.RunResult) {
+	wasLapsed := c.resolveLapsed(e, result)
+	if t.phase.spec.Lasting {
+		return
+	}
+	switch {
+	case result.Ending == damsonwinch.EndedFailed && wasLapsed:
+		c.countFailure(t)
+	case result.Ending == damsonwinch.EndedDone && !t.done:
+		c.completeTask(t)
+	}
+}
+
 // attemptFailed counts a failed attempt and makes its task ready for the next one.
 func (c *Cell) attemptFailed(t *task, r *run) {
 	t.avoid = r.endpoint.info.Life
