Move the detection of an owner's pauses to pkg/pause

It depends on the times of two events and on nothing in the cell. The name of the package also keeps pauses of the process apart from suspensions of the machine (pkg/suspend).

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -19,6 +19,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/crash"
+	"damsonwinch/pkg/pause"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/wire"
 	"damsonwinch/pkg/workload"
@@ -73,9 +74,8 @@
 	// suspendedFor is the total time for which the machine was suspended, as of the last call of
 	// CheckSuspension.
 	suspendedFor time.Duration
-	// resumedAt is when this owner last continued after a pause. Messages that it handles within
-	// catchUpTime after that may have arrived during the pause.
-	resumedAt time.Time
+	// pauses detects that this owner has been paused.
+	pauses pause.Detector
 	// lastTickAt is the time of the last Tick.
 	lastTickAt time.Time
 	// confirmedAt is the last time at which this owner's claim of the cell is known to have been
@@ -121,21 +121,11 @@
 // beginEvent sets the current time and advances the logical clock. Each method that handles an
 // event calls it first.
 func (c *Cell) beginEvent(now time.Time) {
-	if !c.now.IsZero() && now.Sub(c.now) > pauseThreshold {
-		c.resumedAt = now
-	}
+	c.pauses.Event(c.now, now)
 	c.now = now
 	c.step++
 }
 
-const (
-	// pauseThreshold is the time without an event after which this owner is taken to have been
-	// paused. Even when nothing else happens, it ticks four times a second.
-	pauseThreshold = 400 * time.Millisecond
-	// catchUpTime is how long it takes after a pause to handle the messages that arrived meanwhile.
-	catchUpTime = 100 * time.Millisecond
-)
-
 // CheckSuspension takes the total time for which the machine has been suspended since this owner
 // began. The monotonic clock does not count that time, so leases and claims that look valid may have
 // expired long ago, and another node may own the cell. CheckSuspension returns true if the total has
@@ -152,12 +142,6 @@
 	return true
 }
 
-// caughtUp reports whether the owner handles messages as soon as they arrive, that is, whether its
-// last pause ended at least catchUpTime ago.
-func (c *Cell) caughtUp() bool {
-	return c.now.Sub(c.resumedAt) >= catchUpTime
-}
-
 // SetQueues sets the queues of the configuration in force. Queues that are no longer configured are
 // kept, since their jobs may still run.
 func (c *Cell) SetQueues(now time.Time, queues []damsonwinch.Queue) {
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -201,7 +201,7 @@
 		if !e.silent {
 			c.logEndpoint("endpoint silent", e, err.Error())
 			e.silent, e.silentSince, e.silentStep = true, c.now, c.step
-			e.pollBroken = c.caughtUp() && c.now.Sub(sent.sentAt) < sent.maxWait
+			e.pollBroken = c.pauses.CaughtUp(c.now) && c.now.Sub(sent.sentAt) < sent.maxWait
 		}
 		if len(e.runs) > 0 {
 			c.effects.ListBoxes = true
