Move the limits of probations to pkg/crash

How many endpoints probations may take up, and how long a suspect waits, are rules of pkg/crash like those for suspects. Their five constants stood in two files of pkg/cell.

A test guards against probations that take the endpoints from all other work, and against a small cell without any probation.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -50,9 +50,9 @@
 	// reservedEndpoints holds the endpoints that are reserved for long-running tasks.
 	reservedEndpoints []*endpoint
 	// baselineExits estimates how often endpoints exit for reasons other than their tasks.
-	// probationExits holds the recent exits of endpoints where a task was on probation.
+	// probationLimit limits how many endpoints probations take up.
 	baselineExits  crash.BaselineRate
-	probationExits crash.Exits
+	probationLimit crash.ProbationLimit
 	// crashQueues finds the queues whose tasks crash many endpoints.
 	crashQueues *crash.Queues
 	// batching is set while Batch runs: finishEvent does nothing until all events of the batch have
--- a/pkg/cell/crash_prone.go
+++ b/pkg/cell/crash_prone.go
@@ -2,23 +2,13 @@
 
 import (
 	"fmt"
-	"time"
 
 	"damsonwinch/pkg/crash"
 )
 
-const (
-	// crashProneProbationWait is how long a suspect of a crash-prone queue waits for probation. It
-	// is long since most of these suspects belong to the few jobs that do crash endpoints.
-	crashProneProbationWait = 8 * time.Second
-	// maxCrashProneProbationPercent takes the place of maxProbationPercent while any queue is
-	// crash-prone. It is lower, since most suspects crash their endpoints then, and their
-	// probations can wait.
-	maxCrashProneProbationPercent = 10
-	// longRunningWork is the work that the loss of a long-running task counts for, in thousandths
-	// of a core times milliseconds. It takes seconds until the task is available again elsewhere.
-	longRunningWork = 60_000_000
-)
+// longRunningWork is the work that the loss of a long-running task counts for, in thousandths of a
+// core times milliseconds. It takes seconds until the task is available again elsewhere.
+const longRunningWork = 60_000_000
 
 // countQueueExits counts the exit of an endpoint against the queues whose tasks had started there
 // just before. If one run is to blame, the exit isn't counted: the first exit under its task has
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -84,7 +84,7 @@
 	}
 	if c.awaitsProbation(t) {
 		return fmt.Sprintf("for %d ms it is only started where nothing else begins; %d endpoints are in use for that, and %d have ended so of late",
-			t.probationWaitSince.Add(c.maxProbationWait(t)).Sub(c.now).Milliseconds(), len(c.probationEndpoints), c.probationExits.CountWithin(c.now, restartTime))
+			t.probationWaitSince.Add(c.maxProbationWait(t)).Sub(c.now).Milliseconds(), len(c.probationEndpoints), c.probationLimit.RecentExits(c.now))
 	}
 	if !c.quota.Allows(t.phase.job().customer, t.phase.quotaNeed()) || c.quotaWaits.HasWaited(t.phase.job().customer) {
 		return c.explainQuota(t)
--- a/pkg/cell/loss.go
+++ b/pkg/cell/loss.go
@@ -51,7 +51,7 @@
 	}
 	c.countQueueExits(e, blamed)
 	if e.probation != nil {
-		c.probationExits.Add(c.now)
+		c.probationLimit.AddExit(c.now)
 	}
 }
 
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -8,18 +8,9 @@
 )
 
 const (
-	// maxProbationPercent is the highest percentage of a cell's endpoints that probations may take
-	// up: those with a task on probation, those reserved for one, and those that have exited with a
-	// task on probation within the last restartTime, after which they are back. Further suspects
-	// wait.
-	maxProbationPercent = 25
-	restartTime         = 3 * time.Second
 	// longRunningClearTime is how long ago a long-running suspect that has reached full progress
 	// must have started to be no longer a suspect.
 	longRunningClearTime = 20 * time.Second
-	// defaultProbationWait is how long a suspect waits for probation if its queue isn't
-	// crash-prone.
-	defaultProbationWait = time.Second
 	// longRunningWeight is the number of short tasks that a long-running one counts for when an
 	// endpoint for a probation is chosen. It takes seconds until the task is available again
 	// elsewhere.
@@ -65,13 +56,9 @@
 	return t.suspected && !t.phase.spec.Gang && !c.probationWaitExpired(t)
 }
 
-// maxProbationWait returns how long a suspect waits for probation. After that it starts like any
-// other task: many suspects, most of which crash nothing, must not be held up.
+// maxProbationWait returns how long a suspect waits for probation.
 func (c *Cell) maxProbationWait(t *task) time.Duration {
-	if c.crashQueues.IsProne(t.phase.job().queue) {
-		return crashProneProbationWait
-	}
-	return defaultProbationWait
+	return crash.MaxProbationWait(c.crashQueues.IsProne(t.phase.job().queue))
 }
 
 // pruneSuspects removes the suspects that are done, whose jobs have ended or that are no longer
@@ -142,14 +129,7 @@
 // mayHostProbation reports whether an endpoint may be used for a probation: it is reserved for one,
 // or the share of the cell's endpoints that probations take up is below the limit.
 func (c *Cell) mayHostProbation(e *endpoint) bool {
-	if e.reservedFor != nil {
-		return true
-	}
-	maxPercent := maxProbationPercent
-	if c.crashQueues.AnyProne() {
-		maxPercent = maxCrashProneProbationPercent
-	}
-	return len(c.probationEndpoints)+c.probationExits.CountWithin(c.now, restartTime) < max(1, len(c.sortedEndpoints)*maxPercent/fullPercent)
+	return e.reservedFor != nil || c.probationLimit.Allows(c.now, len(c.probationEndpoints), len(c.sortedEndpoints), c.crashQueues.AnyProne())
 }
 
 // noRecentStart reports whether no run has started on an endpoint within the last SuspectAge. A
--- /dev/null
+++ b/pkg/crash/probation_limits_test.go
@@ -0,0 +1,21 @@
+package crash
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestProbationsTakeUpAPartOfTheCell guards against probations that take the endpoints from all other work,
+// and against a small cell without any probation.
+func TestProbationsTakeUpAPartOfTheCell(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	var l ProbationLimit
+	assert.Assert(t, l.Allows(now, 0, 2, true), "a small cell may have one probation")
+	assert.Assert(t, l.Allows(now, 9, 40, false) && !l.Allows(now, 10, 40, false))
+	assert.Assert(t, l.Allows(now, 3, 40, true) && !l.Allows(now, 4, 40, true))
+	l.AddExit(now)
+	assert.Assert(t, !l.Allows(now.Add(3*time.Second), 9, 40, false), "the endpoint that has exited isn't back yet")
+	assert.Assert(t, l.Allows(now.Add(3001*time.Millisecond), 9, 40, false))
+}
