Reuse one list of runs when a job's record is written

The record of a job is written at each start, and the list of each task's runs was a new allocation.

--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -40,13 +40,17 @@
 // lapsed attempts.
 func writeTasks(j *job, record *wire.JobRecord) map[*task]int {
 	var rows map[*task]int
+	// One list serves for the runs of all tasks, since a record is written at each start.
+	var runs []cellrecord.Attempt
 	for _, r := range j.rounds {
 		for _, p := range r.phases {
 			for _, t := range p.tasks {
 				if t.lastAttempt == 0 && !t.done {
 					continue
 				}
-				row := cellrecord.AddTask(record, t.recorded())
+				recorded := t.recorded(runs[:0])
+				runs = recorded.Runs
+				row := cellrecord.AddTask(record, recorded)
 				if t.lapsedAttempts > 0 {
 					if rows == nil {
 						rows = map[*task]int{}
@@ -59,11 +63,11 @@
 	return rows
 }
 
-// recorded returns what is recorded about the task.
-func (t *task) recorded() cellrecord.Task {
+// recorded returns what is recorded about the task. It appends the task's runs to the given list.
+func (t *task) recorded(runs []cellrecord.Attempt) cellrecord.Task {
 	recorded := cellrecord.Task{
 		Round: t.phase.round.number, Phase: t.phase.number, Index: t.index,
-		LastAttempt: t.lastAttempt, FailedAttempts: t.failedAttempts, Done: t.done, Checkpoint: t.checkpoint, Crashes: t.crashes,
+		LastAttempt: t.lastAttempt, FailedAttempts: t.failedAttempts, Done: t.done, Checkpoint: t.checkpoint, Crashes: t.crashes, Runs: runs,
 	}
 	for _, r := range t.runs {
 		recorded.Runs = append(recorded.Runs, cellrecord.Attempt{Number: r.attempt, Life: r.endpoint.info.Life})
