--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -19,6 +19,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/crash"
+	"damsonwinch/pkg/pause"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/wire"
 	"damsonwinch/pkg/workload"
@@ -49,13 +50,11 @@
 	// reservedEndpoints holds the endpoints that are reserved for long-running tasks.
 	reservedEndpoints []*endpoint
 	// baselineExits estimates how often endpoints exit for reasons other than their tasks.
-	// probationExits holds the recent exits of endpoints where a task was on probation.
+	// probationLimit limits how many endpoints probations take up.
 	baselineExits  crash.BaselineRate
-	probationExits crash.Exits
-	// queueExits holds, by queue, the recent exits of endpoints shortly after a task of that queue
-	// started there. crashProne holds the queues with many such exits.
-	queueExits map[string]*crash.Exits
-	crashProne map[string]bool
+	probationLimit crash.ProbationLimit
+	// crashQueues finds the queues whose tasks crash many endpoints.
+	crashQueues *crash.Queues
 	// batching is set while Batch runs: finishEvent does nothing until all events of the batch have
 	// been handled.
 	batching bool
@@ -75,9 +74,8 @@
 	// suspendedFor is the total time for which the machine was suspended, as of the last call of
 	// CheckSuspension.
 	suspendedFor time.Duration
-	// resumedAt is when this owner last continued after a pause. Messages that it handles within
-	// catchUpTime after that may have arrived during the pause.
-	resumedAt time.Time
+	// pauses detects that this owner has been paused.
+	pauses pause.Detector
 	// lastTickAt is the time of the last Tick.
 	lastTickAt time.Time
 	// confirmedAt is the last time at which this owner's claim of the cell is known to have been
@@ -89,14 +87,10 @@
 	permitCalls int
 	// workload holds, by queue, statistics of how much work arrives and how long it takes.
 	workload workload.Queues
-	// quota holds the customers' allowances in this cell and what they have running here. overQuota
-	// holds the customers with tasks that waited for their allowance at the last placement.
-	// quotaBlocked holds those of them that may start no other task before such a task.
-	quota        *quota.Allowances
-	overQuota    map[string]bool
-	quotaBlocked map[string]bool
-	// overQuotaSince holds, by customer, since when tasks have been waiting for the allowance.
-	overQuotaSince map[string]time.Time
+	// quota holds the customers' allowances in this cell and what they have running here, and
+	// quotaWaits the customers with tasks that wait for their allowances.
+	quota      *quota.Allowances
+	quotaWaits *quota.Waits
 	// workloadDirty is set when workload has changed since it was last recorded.
 	workloadDirty      bool
 	workloadRecordedAt time.Time
@@ -110,40 +104,28 @@
 	if options.CrashRules == (crash.Rules{}) {
 		options.CrashRules = crash.DefaultRules()
 	}
+	allowances := quota.NewAllowances()
 	return &Cell{
 		options: options, token: token,
-		queues:         map[string]damsonwinch.Queue{},
-		jobs:           map[string]*job{},
-		endpoints:      map[damsonwinch.Life]*endpoint{},
-		commits:        newCommits(),
-		workload:       workload.Queues{},
-		queueExits:     map[string]*crash.Exits{},
-		crashProne:     map[string]bool{},
-		quota:          quota.NewAllowances(),
-		overQuota:      map[string]bool{},
-		quotaBlocked:   map[string]bool{},
-		overQuotaSince: map[string]time.Time{},
+		queues:      map[string]damsonwinch.Queue{},
+		jobs:        map[string]*job{},
+		endpoints:   map[damsonwinch.Life]*endpoint{},
+		commits:     newCommits(),
+		workload:    workload.Queues{},
+		crashQueues: crash.NewQueues(),
+		quota:       allowances,
+		quotaWaits:  quota.NewWaits(allowances),
 	}
 }
 
 // beginEvent sets the current time and advances the logical clock. Each method that handles an
 // event calls it first.
 func (c *Cell) beginEvent(now time.Time) {
-	if !c.now.IsZero() && now.Sub(c.now) > pauseThreshold {
-		c.resumedAt = now
-	}
+	c.pauses.Event(c.now, now)
 	c.now = now
 	c.step++
 }
 
-const (
-	// pauseThreshold is the time without an event after which this owner is taken to have been
-	// paused. Even when nothing else happens, it ticks four times a second.
-	pauseThreshold = 400 * time.Millisecond
-	// catchUpTime is how long it takes after a pause to handle the messages that arrived meanwhile.
-	catchUpTime = 100 * time.Millisecond
-)
-
 // CheckSuspension takes the total time for which the machine has been suspended since this owner
 // began. The monotonic clock does not count that time, so leases and claims that look valid may have
 // expired long ago, and another node may own the cell. CheckSuspension returns true if the total has
@@ -160,12 +142,6 @@
 	return true
 }
 
-// caughtUp reports whether the owner handles messages as soon as they arrive, that is, whether its
-// last pause ended at least catchUpTime ago.
-func (c *Cell) caughtUp() bool {
-	return c.now.Sub(c.resumedAt) >= catchUpTime
-}
-
 // SetQueues sets the queues of the configuration in force. Queues that are no longer configured are
 // kept, since their jobs may still run.
 func (c *Cell) SetQueues(now time.Time, queues []damsonwinch.Queue) {
--- a/pkg/cell/loss.go
+++ b/pkg/cell/loss.go
@@ -26,13 +26,7 @@
 	c.countLossForLapsed(e)
 	c.forgetLapsed(e)
 	blamed := c.runToBlame(e)
-	if len(e.runs) > 0 && !c.startedWithin(e, e.exitedAt(c.now), c.options.CrashRules.MeasuredSuspectAge()) {
-		c.baselineExits.AddExit(c.now)
-	}
-	c.countQueueExits(e, blamed)
-	if e.probation != nil {
-		c.probationExits.Add(c.now)
-	}
+	c.countExit(e, blamed)
 	for _, r := range e.sortedRuns() {
 		if r.state == runPending {
 			// It is removed when its record is committed.
@@ -49,6 +43,18 @@
 	}
 }
 
+// countExit counts the exit of an endpoint for the rates by which tasks are suspected and blamed. blamed is
+// the run that is to blame for the exit, or nil.
+func (c *Cell) countExit(e *endpoint, blamed *run) {
+	if len(e.runs) > 0 && !c.startedWithin(e, e.exitedAt(c.now), c.options.CrashRules.MeasuredSuspectAge()) {
+		c.baselineExits.AddExit(c.now)
+	}
+	c.countQueueExits(e, blamed)
+	if e.probation != nil {
+		c.probationLimit.AddExit(c.now)
+	}
+}
+
 // runLoss describes how a run was lost: with which life, and under which circumstances.
 type runLoss struct {
 	life    damsonwinch.Life
@@ -88,9 +94,13 @@
 
 // lossOf describes the loss of a run's endpoint, as evidence against the run's task.
 func (c *Cell) lossOf(r *run) crash.Loss {
-	exitedAt := r.endpoint.exitedAt(c.now)
-	loss := crash.Loss{MaxAge: r.age(exitedAt), MinAge: r.age(r.endpoint.lastAnsweredAt), Explained: c.hasCommonCause(r.endpoint, exitedAt), Probation: r.endpoint.probation == r, LossRate: c.baselineExits.Rate(c.now)}
-	if r.endpoint.silent && r.endpoint.pollBroken {
+	e := r.endpoint
+	exitedAt := e.exitedAt(c.now)
+	loss := crash.Loss{
+		MaxAge: r.age(exitedAt), MinAge: r.age(e.lastAnsweredAt), Explained: c.hasCommonCause(e, exitedAt), Probation: e.probation == r,
+		LossRate: c.baselineExits.Rate(c.now),
+	}
+	if e.silent && e.pollBroken {
 		// The poll that broke would have reported the end of the run. Without such a poll the run
 		// may have ended before, unreported. A start request whose reply was lost with the endpoint
 		// has probably arrived there. That is taken as certain only on probation, where nothing
@@ -248,34 +258,11 @@
 	})
 }
 
-// crashColumns is the number of columns of a row of JobRecord.Crashed, which holds the
-// crash.History of a task: the index of the task's row, Losses, CertainLosses, SimilarLosses,
-// MinAge and MaxAge in milliseconds, Weight and ExtraStarts.
-const crashColumns = 8
-
-// writeCrashes adds a task's history of losses to its job's record, if it has any. It must be
-// called before the task's row is appended to record.Tasks, since it refers to the index of that
-// row.
-func writeCrashes(t *task, record *wire.JobRecord) {
-	if t.crashes.Losses > 0 && !t.done {
-		record.Crashed = append(record.Crashed, []int{len(record.Tasks), t.crashes.Losses, t.crashes.CertainLosses, t.crashes.SimilarLosses, int(t.crashes.MinAge.Milliseconds()), int(t.crashes.MaxAge.Milliseconds()), t.crashes.Weight, t.crashes.ExtraStarts})
-	}
-}
-
-// readCrashes restores the tasks' histories of losses from their job's record.
-func (c *Cell) readCrashes(j *job, record wire.JobRecord) error {
-	for _, row := range record.Crashed {
-		if len(row) != crashColumns || row[0] < 0 || row[0] >= len(record.Tasks) {
-			return fmt.Errorf("job %s has an invalid row of crashes %v", j.id, row)
-		}
-		if t := c.findTask(rowTaskID(j, record.Tasks[row[0]])); t != nil {
-			t.crashes = crash.History{
-				Losses: row[1], CertainLosses: row[2], SimilarLosses: row[3], MinAge: time.Duration(row[4]) * time.Millisecond, MaxAge: time.Duration(row[5]) * time.Millisecond,
-				Weight: row[6], ExtraStarts: row[7],
-			}
-			t.givenUp = c.options.CrashRules.IsCrasher(t.crashes)
-			c.addSuspect(t)
-		}
+// restoreCrashes restores a task's history of losses, if it has any.
+func (c *Cell) restoreCrashes(t *task, history crash.History) {
+	if history.Losses > 0 {
+		t.crashes = history
+		t.givenUp = c.options.CrashRules.IsCrasher(history)
+		c.addSuspect(t)
 	}
-	return nil
 }
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -8,18 +8,9 @@
 )
 
 const (
-	// maxProbationPercent is the highest percentage of a cell's endpoints that probations may take
-	// up: those with a task on probation, those reserved for one, and those that have exited with a
-	// task on probation within the last restartTime, after which they are back. Further suspects
-	// wait.
-	maxProbationPercent = 25
-	restartTime         = 3 * time.Second
 	// longRunningClearTime is how long ago a long-running suspect that has reached full progress
 	// must have started to be no longer a suspect.
 	longRunningClearTime = 20 * time.Second
-	// defaultProbationWait is how long a suspect waits for probation if its queue isn't
-	// crash-prone.
-	defaultProbationWait = time.Second
 	// longRunningWeight is the number of short tasks that a long-running one counts for when an
 	// endpoint for a probation is chosen. It takes seconds until the task is available again
 	// elsewhere.
@@ -43,10 +34,7 @@
 	}
 	c.pruneSuspects()
 	for _, t := range c.suspects {
-		if !t.ready || len(t.runs) > 0 || t.phase.spec.Gang || c.mustWait(t) {
-			continue
-		}
-		if !c.withinQuota(t.phase, 1) {
+		if !t.ready || len(t.runs) > 0 || t.phase.spec.Gang || c.mustWait(t) || !c.withinQuota(t.phase, 1) {
 			continue
 		}
 		if e := c.chooseProbationEndpoint(t); e != nil {
@@ -68,13 +56,9 @@
 	return t.suspected && !t.phase.spec.Gang && !c.probationWaitExpired(t)
 }
 
-// maxProbationWait returns how long a suspect waits for probation. After that it starts like any
-// other task: many suspects, most of which crash nothing, must not be held up.
+// maxProbationWait returns how long a suspect waits for probation.
 func (c *Cell) maxProbationWait(t *task) time.Duration {
-	if c.crashProne[t.phase.job().queue] {
-		return crashProneProbationWait
-	}
-	return defaultProbationWait
+	return crash.MaxProbationWait(c.crashQueues.IsProne(t.phase.job().queue))
 }
 
 // pruneSuspects removes the suspects that are done, whose jobs have ended or that are no longer
@@ -95,13 +79,14 @@
 	})
 	nowMs := int(c.now.UnixMilli())
 	slices.SortStableFunc(c.suspects, func(a, b *task) int {
-		if late := a.phase.isLate(nowMs); late != b.phase.isLate(nowMs) {
-			if late {
-				return 1
-			}
-			return -1
+		late := a.phase.isLate(nowMs)
+		switch {
+		case late == b.phase.isLate(nowMs):
+			return comparePhases(a.phase, b.phase)
+		case late:
+			return 1
 		}
-		return comparePhases(a.phase, b.phase)
+		return -1
 	})
 }
 
@@ -144,14 +129,7 @@
 // mayHostProbation reports whether an endpoint may be used for a probation: it is reserved for one,
 // or the share of the cell's endpoints that probations take up is below the limit.
 func (c *Cell) mayHostProbation(e *endpoint) bool {
-	if e.reservedFor != nil {
-		return true
-	}
-	maxPercent := maxProbationPercent
-	if len(c.crashProne) > 0 {
-		maxPercent = maxCrashProneProbationPercent
-	}
-	return len(c.probationEndpoints)+c.probationExits.CountWithin(c.now, restartTime) < max(1, len(c.sortedEndpoints)*maxPercent/fullPercent)
+	return e.reservedFor != nil || c.probationLimit.Allows(c.now, len(c.probationEndpoints), len(c.sortedEndpoints), c.crashQueues.AnyProne())
 }
 
 // noRecentStart reports whether no run has started on an endpoint within the last SuspectAge. A
