Move the index of free cores to pkg/freecores

The buckets need an amount and a place in them, and not what an endpoint is. An entry refers to its endpoint as an element of container/list does to its value.

A test guards against endpoints that no search finds, or that are found twice, after others of their bucket have moved.

--- a/pkg/cell/crash_prone.go
+++ b/pkg/cell/crash_prone.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"damsonwinch/pkg/crash"
+	"damsonwinch/pkg/freecores"
 )
 
 // longRunningWork is the work that the loss of a long-running task counts for, in thousandths of a
@@ -63,7 +64,7 @@
 	var choice choice
 	for _, e := range c.sortedEndpoints {
 		if e.hasLabel(label) && c.canStart(t, e) {
-			choice.offer(e, c.preference(t, e)-c.workAtRisk(e, t.phase.job())/milliCPUPerCore)
+			choice.offer(e, c.preference(t, e)-c.workAtRisk(e, t.phase.job())/freecores.MilliCPUPerCore)
 		}
 	}
 	return choice.best
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -6,6 +6,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/fillerspeed"
+	"damsonwinch/pkg/freecores"
 	"damsonwinch/pkg/leasebound"
 )
 
@@ -19,11 +20,8 @@
 	listed bool
 	// pollDue is set while the endpoint is in Cell.pollDue.
 	pollDue bool
-	// indexed is set while the endpoint is in its zone's freeCoreIndex, in the bucket with index
-	// bucket, at position bucketPos there.
-	indexed   bool
-	bucket    int
-	bucketPos int
+	// coreEntry is the endpoint's place in its zone's index of free cores.
+	coreEntry freecores.Entry
 	// attached is set once the endpoint has answered a poll with this owner's token. From then on
 	// it refuses requests of older owners, and all its runs are known.
 	attached bool
@@ -120,6 +118,7 @@
 		info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now,
 		leases: leasebound.Unknown(c.now, c.options.RenewalGrace, c.options.MaxLease),
 	}
+	e.coreEntry.Value = e
 	c.endpoints[life] = e
 	c.updateZone(e)
 	c.sortedEndpoints = slices.Insert(c.sortedEndpoints, c.indexOfLife(life), e)
@@ -169,7 +168,7 @@
 		}
 		c.forgetLapsed(e)
 		delete(c.endpoints, e.info.Life)
-		e.zone.byFreeCores.remove(e)
+		e.zone.byFreeCores.Remove(&e.coreEntry)
 		c.deleteEndpointRecord(e)
 		return true
 	})
--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"damsonwinch/pkg/cutoff"
+	"damsonwinch/pkg/freecores"
 )
 
 // zone is an availability zone, as far as the owner can tell from the replies of its endpoints.
 type zone struct {
 	name        string
-	byFreeCores freeCoreIndex
+	byFreeCores freecores.Index
 	// asSlice contains only this zone, as the argument of chooseInZones.
 	asSlice []*zone
 	// evacuated is set while the operator wants no task to start in the zone.
@@ -47,11 +48,11 @@
 func (c *Cell) updateZone(e *endpoint) {
 	if z := c.ensureZone(e.info.Zone); z != e.zone {
 		if e.zone != nil {
-			e.zone.byFreeCores.remove(e)
+			e.zone.byFreeCores.Remove(&e.coreEntry)
 		}
 		e.zone = z
 	}
-	e.zone.byFreeCores.update(e)
+	e.updateFreeCores()
 }
 
 // addressAnswered notes that a call to an endpoint's address has been answered, by this life or
@@ -127,13 +128,27 @@
 	return j.homeZone
 }
 
+// countFreeCores returns the sum of the free cores of all usable endpoints of the zone, each rounded
+// down.
+func (z *zone) countFreeCores() int {
+	sum := 0
+	for cores := 1; cores <= z.byFreeCores.Highest(); cores++ {
+		for _, entry := range z.byFreeCores.Bucket(cores) {
+			if e := entry.Value.(*endpoint); e.usable() && !e.overdue {
+				sum += cores
+			}
+		}
+	}
+	return sum
+}
+
 // zoneWithMostFreeCores returns the zone with the most free cores, not counting zones that may be
 // cut off. It returns nil if no core is free.
 func (c *Cell) zoneWithMostFreeCores() *zone {
 	var best *zone
 	most := 0
 	for _, z := range c.zones {
-		if free := z.byFreeCores.freeCores(); !z.mayBeCutOff() && free > most {
+		if free := z.countFreeCores(); !z.mayBeCutOff() && free > most {
 			best, most = z, free
 		}
 	}
