Customers' shares by weight

pkg/fairshare classifies each job once, when it is accepted: it is within its customer's share as long as the arrivals of the last second, over all cells, do not exceed the weight; otherwise a cell's part of the weight is proportional to the arrivals there. Cells report their arrivals to the planner and get those of the other cells with its next call; nothing waits for that. Jobs over their share are deferred before all others and placed behind them, among themselves by start-time fair queueing. The classification is part of the job's record.

Nothing changes where no customer has a weight.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -19,6 +19,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/crash"
+	"damsonwinch/pkg/fairshare"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/wire"
 	"damsonwinch/pkg/workload"
@@ -97,6 +98,8 @@
 	quotaBlocked map[string]bool
 	// overQuotaSince holds, by customer, since when tasks have been waiting for the allowance.
 	overQuotaSince map[string]time.Time
+	// shares decides which jobs are within their customers' shares.
+	shares fairshare.Shares
 	// workloadDirty is set when workload has changed since it was last recorded.
 	workloadDirty      bool
 	workloadRecordedAt time.Time
@@ -210,6 +213,7 @@
 	c.reserveForLongRunning()
 	c.forgetEndedJobs()
 	c.logQuotaWaits()
+	c.logShares()
 	c.logLongWaits()
 	c.finishEvent()
 }
--- a/pkg/cell/deferral.go
+++ b/pkg/cell/deferral.go
@@ -94,6 +94,7 @@
 	return overload.Item{
 		CPU: len(p.ready) * p.need().MilliCPU, StartWithinMs: p.startByMs() - nowMs,
 		Value: fixedValueShare*mean + (1-fixedValueShare)*float64(j.work), RemainingWork: float64(rest),
+		OverShare: j.overShare,
 	}
 }
 
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -105,6 +105,8 @@
 	RunsLost      int
 	// QuotaWaits counts how often a customer began to wait for its allowance.
 	QuotaWaits int
+	// JobsOverShare counts jobs that were beyond their customers' shares when they were accepted.
+	JobsOverShare int
 	// TasksGivenUp counts tasks that are not started any more because of the losses of endpoints
 	// under them.
 	TasksGivenUp int
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -26,6 +26,7 @@
 	}
 	lines := []string{fmt.Sprintf("job %s of queue %s is %s (recorded as %s); priority %d, accepted at %d ms, should be done by %d ms",
 		id, j.queue, j.state, j.recordedState, j.priority, j.acceptedMs, j.deadlineMs)}
+	lines = append(lines, c.explainShare(j)...)
 	for _, r := range j.rounds {
 		for _, p := range r.phases {
 			lines = append(lines, c.explainPhase(p)...)
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -50,6 +50,10 @@
 	// long-running and filler tasks do not count.
 	taskMs []int
 	work   int
+	// overShare is set if the job was beyond its customer's share when it was accepted. shareRank
+	// orders such jobs; it is not recorded, so that after a takeover their deadlines do.
+	overShare bool
+	shareRank float64
 	// homeZone is the availability zone where the job's tasks are started as long as there is
 	// capacity.
 	homeZone *zone
--- a/pkg/cell/load.go
+++ b/pkg/cell/load.go
@@ -73,6 +73,7 @@
 	j.customer = accepted.Customer
 	j.queue, j.spec, j.acceptedMs, j.deadlineMs = accepted.Queue, accepted.Spec, accepted.AcceptedMs, accepted.DueMs
 	j.priority, j.maxAttempts, j.specRecorded = accepted.Priority, accepted.MostAttempts, true
+	j.overShare = accepted.OverShare
 	c.estimateJob(j)
 	if err := c.readTasks(j, saved); err != nil {
 		return err
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -8,7 +8,8 @@
 
 // place starts the tasks that are ready, as far as there is capacity. Suspects on probation come
 // first. Then come the phases whose jobs can still meet their deadlines, the most urgent first,
-// then the phases that are deferred in favour of those, and last the late ones.
+// then the phases that are deferred in favour of those, then the late ones. Last come the phases of
+// jobs that are over their customers' shares.
 func (c *Cell) place() {
 	if len(c.openPhases) == 0 || !c.placementDue || !c.evacuationsKnown() {
 		return
@@ -22,7 +23,8 @@
 	inTime := make([]*phase, 0, len(c.openPhases))
 	var deferred, late []*phase
 	nowMs := int(c.now.UnixMilli())
-	for _, p := range c.openPhases {
+	within, over := splitByShare(c.openPhases, nowMs)
+	for _, p := range within {
 		switch {
 		case p.isLate(nowMs):
 			late = append(late, p)
@@ -34,7 +36,9 @@
 	}
 	unplaceable := c.placePhases(inTime, nil)
 	unplaceable = c.placePhases(deferred, unplaceable)
-	c.placePhases(late, unplaceable)
+	unplaceable = c.placePhases(late, unplaceable)
+	c.placePhases(over, unplaceable)
+	c.noteSharesBegun(over)
 }
 
 // placePhases starts the tasks of phases, in order. unplaceable holds resource needs for which no
--- a/pkg/cell/quota.go
+++ b/pkg/cell/quota.go
@@ -21,6 +21,7 @@
 	c.beginEvent(now)
 	defer c.finishEvent()
 	c.quota.Configure(version, customers)
+	c.shares.Configure(customers)
 	c.placementDue = true
 }
 
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -39,7 +39,7 @@
 		// An owner that takes over an ended job must know which of the job's runs may still exist.
 		j.specRecorded = true
 		records = append(records, damsonwinch.Record{Key: j.id + specSuffix, Value: encode(wire.AcceptedJob{
-			Queue: j.queue, Customer: j.customer, AcceptedMs: j.acceptedMs, Priority: j.priority, MostAttempts: j.maxAttempts, DueMs: j.deadlineMs, Spec: j.spec,
+			Queue: j.queue, Customer: j.customer, AcceptedMs: j.acceptedMs, Priority: j.priority, MostAttempts: j.maxAttempts, DueMs: j.deadlineMs, Spec: j.spec, OverShare: j.overShare,
 		})})
 	}
 	if j.ended() && j.specRecorded && j.runCount == 0 {
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -57,6 +57,7 @@
 	report.MissingBoxes = c.missingBoxes()
 	c.reportDedicatedBoxes(&report)
 	c.reportCustomers(&report)
+	report.Arrivals = c.shares.Report(now)
 	return report
 }
 
@@ -170,6 +171,7 @@
 		e.withdrawal.requested, e.withdrawal.urgent, e.maintenanceDue = false, false, false
 	}
 	c.applyAllowances(args)
+	c.applyArrivals(now, args)
 	c.forEachLife(args.Gone, c.reportedExited)
 	c.forEachLife(args.Withdraw, func(e *endpoint) { e.withdrawal.requested = true })
 	c.forEachLife(args.Hurry, func(e *endpoint) { e.withdrawal.requested, e.withdrawal.urgent = true, true })
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -123,6 +123,10 @@
 		s.setBoxes(d)
 	case "allow":
 		s.setAllowance(d)
+	case "weights":
+		s.setWeights(d)
+	case "elsewhere":
+		s.cell.ApplySync(s.now, wire.SyncArgs{Cells: intArg(s.t, d, "cells", 1), Arrivals: []wire.CustomerArrivals{{Customer: arg(s.t, d, "customer"), Count: intArg(s.t, d, "count", 0)}}})
 	case "evacuate":
 		s.evacuated = listArg(s.t, d, "zones")
 		s.cell.SetEvacuations(s.now, s.evacuated, s.now)
@@ -362,6 +366,21 @@
 	})
 }
 
+// setWeights configures customers with weights. Each line of the input is a name and a weight.
+func (s *script) setWeights(d *datadriven.TestData) {
+	var customers []damsonwinch.Customer
+	for _, line := range strings.Split(strings.TrimSpace(d.Input), "\n") {
+		name, text, _ := strings.Cut(line, " ")
+		weight, err := strconv.Atoi(text)
+		if err != nil {
+			d.Fatalf(s.t, "invalid weight: %v", err)
+		}
+		customers = append(customers, damsonwinch.Customer{Name: name, Weight: weight})
+	}
+	s.lastAllowance++
+	s.cell.SetCustomers(s.now, s.lastAllowance, customers)
+}
+
 // setBoxes passes the platform's list of boxes to the cell.
 func (s *script) setBoxes(d *datadriven.TestData) {
 	var boxes []damsonwinch.Box
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -31,6 +31,7 @@
 	}
 	j := c.newJob(args)
 	j.extendClientWait(now, args.WaitMs)
+	c.classify(j)
 	c.jobs[j.id] = j
 	c.activeJobs = append(c.activeJobs, j)
 	c.stats.JobsAccepted++
--- /dev/null
+++ b/pkg/fairshare/order.go
@@ -0,0 +1,37 @@
+package fairshare
+
+// order ranks the jobs over their customers' shares by start-time fair queueing: what the customers
+// within their shares leave unused goes to the others in proportion to their weights, measured in
+// work. A job's rank is a virtual time, the later of the rank of the newest job that has begun and the
+// end of the customer's previous job.
+type order struct {
+	// now is the highest rank of a job that has begun.
+	now float64
+	// ends holds, by customer, the rank at which its last job ends. Customers whose entry is not after
+	// now are removed.
+	ends map[string]float64
+}
+
+// add returns the rank of a customer's next job.
+func (o *order) add(name string, work, weight int) float64 {
+	if o.ends == nil {
+		o.ends = map[string]float64{}
+	}
+	rank := max(o.now, o.ends[name])
+	// A customer without a weight gets as much of the rest as one with the smallest weight.
+	o.ends[name] = rank + float64(max(1, work))/float64(max(1, weight))
+	return rank
+}
+
+// begin notes that a job of the given rank has begun.
+func (o *order) begin(rank float64) {
+	if rank <= o.now {
+		return
+	}
+	o.now = rank
+	for name, end := range o.ends {
+		if end <= rank {
+			delete(o.ends, name)
+		}
+	}
+}
--- a/pkg/overload/heap.go
+++ b/pkg/overload/heap.go
@@ -2,8 +2,8 @@
 
 import "container/heap"
 
-// valueHeap is a heap of items, given by their indexes. The item with the least value per remaining
-// work is on top.
+// valueHeap is a heap of items, given by their indexes. Items over their customers' shares come
+// first; among equals the one with the least value per remaining work is on top.
 type valueHeap struct {
 	items []Item
 	order []int
@@ -18,6 +18,9 @@
 // the order never depends on chance.
 func (h *valueHeap) Less(i, j int) bool {
 	a, b := h.items[h.order[i]], h.items[h.order[j]]
+	if a.OverShare != b.OverShare {
+		return a.OverShare
+	}
 	if left, right := a.Value*b.RemainingWork, b.Value*a.RemainingWork; left != right {
 		return left < right
 	}
--- a/pkg/overload/overload.go
+++ b/pkg/overload/overload.go
@@ -16,6 +16,9 @@
 	// both in thousandths of a core times milliseconds.
 	Value         float64
 	RemainingWork float64
+	// OverShare is set if the job is beyond its customer's share. Such items are deferred before all
+	// others.
+	OverShare bool
 }
 
 // Capacity is the CPU that the items can use.
@@ -40,7 +43,7 @@
 // Defer returns for each item whether it is deferred: it has to wait behind the others, so that those
 // are in time. The items must be in the order in which they have to start, the most urgent first. It
 // adds them one by one. While those added and not deferred can't all start in time, it defers the one
-// of them with the least value per remaining work: Moore's rule for the fewest late jobs, weighted by
+// of them with the least value per remaining work, among those over their customers' shares if there are any: Moore's rule for the fewest late jobs, weighted by
 // value. A job that is nearly done has little work left, so that it is hardly ever deferred.
 func Defer(items []Item, capacity Capacity) []bool {
 	deferred := make([]bool, len(items))
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -15,6 +15,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/boxplan"
+	"damsonwinch/pkg/fairshare"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/shard"
@@ -67,6 +68,7 @@
 	options   Options
 	boxPlan   *boxplan.Planner
 	allocator *quota.Allocator
+	arrivals  *fairshare.Totals // The customers' arrivals in all cells.
 	inbox     chan any
 	group     *errgroup.Group
 	ctx       context.Context // Ends with the planner.
@@ -133,7 +135,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	p := &Planner{
-		deps: deps, options: options, boxPlan: boxplan.New(options.BoxPlanOptions), allocator: quota.NewAllocator(), inbox: make(chan any, inboxCapacity),
+		deps: deps, options: options, boxPlan: boxplan.New(options.BoxPlanOptions), allocator: quota.NewAllocator(), arrivals: fairshare.NewTotals(), inbox: make(chan any, inboxCapacity),
 		writer: stream.New(stream.Deps{Store: deps.Store, Clock: deps.Clock, Metrics: deps.Metrics}, options.Stream, options.Cell, options.Token),
 		group:  group, ctx: ctx, cancel: cancel, done: make(chan struct{}), syncInFlight: map[string]bool{}, syncedAt: map[string]time.Time{}, reportInFlight: map[int]bool{},
 		suspendedBefore: deps.SuspendedTime.Total(),
@@ -250,6 +252,7 @@
 		p.pools, p.layout = m.configuration.Pools, m.layout
 		p.boxPlan.SetPools(p.pools, p.layout)
 		p.allocator.Configure(m.configuration.Version, m.configuration.Customers)
+		p.arrivals.Configure(m.configuration.Customers)
 		if p.layout.Decided() {
 			p.allocator.SetCells(now, p.cellNames())
 		}
@@ -262,6 +265,7 @@
 		delete(p.syncInFlight, m.cell)
 		if m.err == nil {
 			p.boxPlan.SetReport(now, m.cell, m.reply)
+			p.arrivals.SetReport(now, m.cell, m.reply.Arrivals)
 			p.allocator.HandleReply(m.cell, p.options.Token, m.reply)
 			p.allocateThrottled(now)
 		}
--- a/pkg/planner/sync.go
+++ b/pkg/planner/sync.go
@@ -23,6 +23,9 @@
 		Cell: cell, Token: p.options.Token, Withdraw: directives.Withdraw, Hurry: directives.WithdrawUrgently, Restore: directives.Restore, Gone: directives.Exited, Due: directives.DueForMaintenance,
 		CellToken: update.OwnerToken, AllowanceNumber: update.Number, ConfigVersion: update.ConfigVersion, Allowances: update.Allowances,
 	}
+	if p.arrivals.InEffect() {
+		args.Cells, args.Arrivals = len(p.cellNames()), p.arrivals.Elsewhere(p.deps.Clock.Now(), cell)
+	}
 	p.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(p.ctx, callTimeout)
 		defer cancel()
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -19,6 +19,9 @@
 	// had it when the job was accepted.
 	MostAttempts int `json:"most_attempts,omitempty,omitzero"`
 
+	// Whether the job was beyond its customer's share when it was accepted.
+	OverShare bool `json:"over_share,omitempty,omitzero"`
+
 	// Priority that the queue had when the job was accepted; 0 is the highest.
 	Priority int `json:"priority,omitempty,omitzero"`
 
@@ -340,6 +343,15 @@
 const ClassSameDay Class = "same-day"
 const ClassUrgent Class = "urgent"
 
+// CustomerArrivals is how many jobs of a customer arrived within a second.
+type CustomerArrivals struct {
+	// Number of jobs.
+	Count int `json:"count"`
+
+	// Name of the customer.
+	Customer string `json:"customer"`
+}
+
 // CustomerReport describes a customer that needs more than its allowance in a
 // cell, or uses more.
 type CustomerReport struct {
@@ -1274,12 +1286,19 @@
 	// Allowances that are new to the owner or that it has not confirmed.
 	Allowances []AllowanceRow `json:"allowances,omitempty,omitzero"`
 
+	// Jobs that arrived within a second in the other cells, by customer. Customers
+	// with at most half of their weight in the whole fleet are left out.
+	Arrivals []CustomerArrivals `json:"arrivals,omitempty,omitzero"`
+
 	// Name of the cell.
 	Cell string `json:"cell"`
 
 	// Fencing token of the owner that the allowances are for; 0 if there are none.
 	CellToken int `json:"cell_token,omitempty,omitzero"`
 
+	// Number of cells that run jobs; 0 if no customer has a weight.
+	Cells int `json:"cells,omitempty,omitzero"`
+
 	// Version of the configuration by which all allowances that the owner was sent
 	// were allocated.
 	ConfigVersion int `json:"config_version,omitempty,omitzero"`
@@ -1318,6 +1337,10 @@
 	// cell's stream, so that later owners keep to it.
 	AllowanceNumber int `json:"allowance_number,omitempty,omitzero"`
 
+	// Jobs that arrived within the last second in this cell, by customer. The
+	// customers with the most come first.
+	Arrivals []CustomerArrivals `json:"arrivals,omitempty,omitzero"`
+
 	// Customers that need more than their allowances, or use more.
 	Customers []CustomerReport `json:"customers,omitempty,omitzero"`
 
