Shares: a job is charged to its customer's rank when it is accepted

A job that is refused must take nothing of what is left for its customer, so the rank is looked up on arrival and charged on acceptance. Counts of a cell that the planner can't reach are dropped after the second that they describe.

--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -16,9 +16,10 @@
 	if !c.shares.InEffect() || jobs.IsLongRunning(j.spec) || j.spec.Rounds > 0 {
 		return
 	}
-	decision := c.shares.Arrive(c.now, j.customer, j.work)
+	decision := c.shares.Arrive(c.now, j.customer)
 	j.overShare, j.shareRank = decision.Over, decision.Rank
 	if decision.Over {
+		c.shares.Accept(j.customer, j.shareRank, j.work)
 		c.stats.JobsOverShare++
 	}
 }
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -109,10 +109,9 @@
 	return max(0, now.Sub(s.startedAt))
 }
 
-// Arrive counts a job that arrives in this cell, and classifies it. work is its expected work, in
-// thousandths of a core times milliseconds. A job without a customer, or of one that the cell's
-// configuration does not have yet, is within its share.
-func (s *Shares) Arrive(now time.Time, name string, work int) Decision {
+// Arrive counts a job that arrives in this cell, and classifies it. A job without a customer, or of one
+// that the cell's configuration does not have yet, is within its share.
+func (s *Shares) Arrive(now time.Time, name string) Decision {
 	c := s.customers[name]
 	if !s.inEffect || c == nil {
 		return Decision{}
@@ -133,10 +132,19 @@
 		return decision
 	}
 	decision.Over, c.overAt = true, now
-	decision.Rank = s.order.add(name, work, c.weight)
+	decision.Rank = s.order.next(name)
 	return decision
 }
 
+// Accept tells that a job over its customer's share has been accepted with the given rank. work is its
+// expected work, in thousandths of a core times milliseconds, after which its customer's next job is
+// ranked. A refused job takes nothing of what is left for its customer.
+func (s *Shares) Accept(name string, rank float64, work int) {
+	if c := s.customers[name]; c != nil {
+		s.order.add(name, rank, work, c.weight)
+	}
+}
+
 // arrivals returns the known number of a customer's jobs in the last second, and how many of that
 // number it is entitled to. While the other cells' counts are unknown, only this cell's jobs count: a
 // new owner compares them with the whole weight, because it must not take jobs for excess unless its
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -53,9 +53,10 @@
 				var lines []string
 				for range number("count", 1) {
 					now = now.Add(time.Duration(number("every", 0)) * time.Millisecond)
-					decision := shares.Arrive(now, name, number("work", 1000))
+					decision := shares.Arrive(now, name)
 					line := decision.String()
 					if decision.Over {
+						shares.Accept(name, decision.Rank, number("work", 1000))
 						line += fmt.Sprintf(", rank %g", decision.Rank)
 					}
 					lines = append(lines, line)
@@ -80,7 +81,7 @@
 	shares.Configure(customers)
 	totals.Configure(customers)
 	for range 100 {
-		if shares.Arrive(now, "a", 1).Over {
+		if shares.Arrive(now, "a").Over {
 			t.Fatal("a job is over a share that nobody has configured")
 		}
 	}
@@ -104,7 +105,7 @@
 		totals.Configure(customers)
 		for number, c := range customers {
 			for range number + 1 {
-				shares.Arrive(now, c.Name, 1)
+				shares.Arrive(now, c.Name)
 			}
 		}
 		rows := shares.Report(now)
--- a/pkg/fairshare/order.go
+++ b/pkg/fairshare/order.go
@@ -12,15 +12,18 @@
 	ends map[string]float64
 }
 
-// add returns the rank of a customer's next job.
-func (o *order) add(name string, work, weight int) float64 {
+// next returns the rank of a customer's next job.
+func (o *order) next(name string) float64 {
+	return max(o.now, o.ends[name])
+}
+
+// add adds a job of the given rank. A customer without a weight gets as much of the rest as one with the
+// smallest weight.
+func (o *order) add(name string, rank float64, work, weight int) {
 	if o.ends == nil {
 		o.ends = map[string]float64{}
 	}
-	rank := max(o.now, o.ends[name])
-	// A customer without a weight gets as much of the rest as one with the smallest weight.
-	o.ends[name] = rank + float64(max(1, work))/float64(max(1, weight))
-	return rank
+	o.ends[name] = max(rank, o.ends[name]) + float64(max(1, work))/float64(max(1, weight))
 }
 
 // begin notes that a job of the given rank has begun.
--- a/pkg/fairshare/totals.go
+++ b/pkg/fairshare/totals.go
@@ -13,9 +13,10 @@
 	// maxRows is the largest number of customers in a message between the planner and a cell. A
 	// customer beyond it has so few arrivals there that its part of any sum is small.
 	maxRows = 32
-	// maxReportAge is how long the planner relies on a cell's last report. The arrivals of a cell that
-	// can't be reached must not keep down the customer's part in the others.
-	maxReportAge = 2 * time.Second
+	// maxReportAge is how long the planner relies on a cell's last report, which counts the arrivals
+	// of one second. The arrivals of a cell that can't be reached must not keep down the customer's
+	// part in the others.
+	maxReportAge = time.Second
 )
 
 // Report returns how many jobs of each customer arrived in this cell within the last second, for the
