Admission by expected finish time

Under overload jobs were accepted that ended too late to count, while their clients could have come back.

pkg/admission refuses a job that is over its customer's share if it is expected to be late, and any other job only if it certainly is, counting boxes that may be on their way. The client is told when the queue will be short enough, spread over the time that its customer's share takes for the refused jobs. A job that comes back keeps its first rank. Nothing is refused while nothing waits, while the waiting work fits, or before a task time is known; long-running jobs, jobs with a start time and IDs that the cell has are never refused.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/admission"
 	"damsonwinch/pkg/crash"
 	"damsonwinch/pkg/fairshare"
 	"damsonwinch/pkg/quota"
@@ -100,6 +101,8 @@
 	overQuotaSince map[string]time.Time
 	// shares decides which jobs are within their customers' shares.
 	shares fairshare.Shares
+	// refusals remembers the jobs that were refused, for when their clients come back.
+	refusals admission.Refusals
 	// workloadDirty is set when workload has changed since it was last recorded.
 	workloadDirty      bool
 	workloadRecordedAt time.Time
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -107,6 +107,8 @@
 	QuotaWaits int
 	// JobsOverShare counts jobs that were beyond their customers' shares when they were accepted.
 	JobsOverShare int
+	// JobsNotAdmitted counts submissions that were refused because the job could not be in time.
+	JobsNotAdmitted int
 	// TasksGivenUp counts tasks that are not started any more because of the losses of endpoints
 	// under them.
 	TasksGivenUp int
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -18,7 +18,11 @@
 	}
 	decision := c.shares.Arrive(c.now, j.customer)
 	j.overShare, j.shareRank = decision.Over, decision.Rank
-	if decision.Over {
+}
+
+// chargeShare counts an accepted job that is over its customer's share.
+func (c *Cell) chargeShare(j *job) {
+	if j.overShare {
 		c.shares.Accept(j.customer, j.shareRank, j.work)
 		c.stats.JobsOverShare++
 	}
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -32,6 +32,10 @@
 	j := c.newJob(args)
 	j.extendClientWait(now, args.WaitMs)
 	c.classify(j)
+	if !c.admit(j, callID) {
+		return
+	}
+	c.chargeShare(j)
 	c.jobs[j.id] = j
 	c.activeJobs = append(c.activeJobs, j)
 	c.stats.JobsAccepted++
--- a/pkg/owner/counters.go
+++ b/pkg/owner/counters.go
@@ -17,6 +17,7 @@
 	{"jobs_cancelled", func(s cell.Stats) int { return s.JobsCancelled }},
 	{"customers_held", func(s cell.Stats) int { return s.QuotaWaits }},
 	{"jobs_over_share", func(s cell.Stats) int { return s.JobsOverShare }},
+	{"jobs_not_admitted", func(s cell.Stats) int { return s.JobsNotAdmitted }},
 	{"jobs_refused", func(s cell.Stats) int { return s.JobsRefused }},
 	{"runs_started", func(s cell.Stats) int { return s.Starts }},
 	{"runs_repeated", func(s cell.Stats) int { return s.Reruns }},
