--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -26,8 +26,14 @@
 // failed is replaced within about two seconds.
 const maxElsewhereAge = 3 * time.Second
 
-// maxCredit bounds what a customer can save for later of its part of a weight, in jobs.
-const maxCredit = 2
+const (
+	// maxCredit bounds what a customer can save for later of its part of a weight, in jobs.
+	maxCredit = 2
+	// maxUnused bounds in the same way what it can save while it is below its weight. Without it, a
+	// customer with a weight of 2 that sends 0.9 jobs per second at random was over its share with a
+	// fifth of its jobs.
+	maxUnused = 2
+)
 
 // Decision is the classification of a job.
 type Decision struct {
@@ -75,6 +81,9 @@
 	// credit is what has been saved of this cell's part of the weight, in jobs. A part may be much less
 	// than one job per second.
 	credit float64
+	// unused is what the customer has not used of its weight, in jobs. It lets a customer that sends
+	// less than its weight on average, but unevenly, exceed it by a job or two.
+	unused float64
 	// over is set from the first job over the share until quietTime after the last one, at overAt.
 	over   bool
 	overAt time.Time
@@ -121,11 +130,17 @@
 	arrived, entitled := s.arrivals(now, c)
 	decision := Decision{Arrived: arrived, Entitled: int(entitled)}
 	if float64(arrived) <= entitled {
+		c.unused = min(maxUnused, c.unused+entitled/float64(arrived)-1)
 		c.within.add(at)
 		return decision
 	}
 	part := entitled * float64(c.arrived.count(at)) / float64(arrived)
 	c.credit = min(maxCredit, c.credit+entitled/float64(arrived))
+	if c.unused >= 1 {
+		c.unused--
+		c.within.add(at)
+		return decision
+	}
 	if c.credit >= 1 && float64(c.within.count(at)) < math.Ceil(part) {
 		c.credit--
 		c.within.add(at)
