--- a/pkg/cell/admit.go
+++ b/pkg/cell/admit.go
@@ -16,8 +16,10 @@
 		return true
 	}
 	pathMs := slices.Max(j.criticalPathMs)
+	// acceptedMs is by the clock of the node that took the call, which may differ from this one's.
+	withinMs := j.deadlineMs - j.acceptedMs - int(jobOverhead.Milliseconds())
 	request := admission.Job{
-		ID: j.id, Customer: j.customer, WithinMs: j.deadlineMs - int(c.now.UnixMilli()) - int(jobOverhead.Milliseconds()),
+		ID: j.id, Customer: j.customer, WithinMs: withinMs,
 		PathMs: pathMs, MinPathMs: pathMs * minPathPercent / 100, CPU: j.firstCPU(), OverShare: j.overShare,
 	}
 	j.shareRank = c.refusals.Rank(j.id, j.shareRank)
