--- a/pkg/admission/refusals.go
+++ b/pkg/admission/refusals.go
@@ -55,6 +55,12 @@
 	return rank
 }
 
+// Has reports whether the job has been refused and its client may come back.
+func (r *Refusals) Has(id string) bool {
+	_, refused := r.byID[id]
+	return refused
+}
+
 // Remove forgets a job, because it has been accepted.
 func (r *Refusals) Remove(id string) {
 	earlier, refused := r.byID[id]
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -32,6 +32,7 @@
 	j := c.newJob(args)
 	j.extendClientWait(now, args.WaitMs)
 	c.classify(j)
+	c.countArrival(j)
 	if !c.admit(j, callID) {
 		return
 	}
@@ -39,10 +40,6 @@
 	c.jobs[j.id] = j
 	c.activeJobs = append(c.activeJobs, j)
 	c.stats.JobsAccepted++
-	if !jobs.IsLongRunning(j.spec) {
-		criticalPathMs := slices.Max(j.criticalPathMs)
-		c.workload.Of(j.queue).AddJob(now, j.work, j.deadlineMs-j.acceptedMs-criticalPathMs, criticalPathMs)
-	}
 	c.markDirty(j)
 	c.logJob("job accepted", j, fmt.Sprintf("queue %s by configuration %d, %d phases, %d ms of work in a row expected, to be done within %d ms",
 		j.queue, args.ConfigVersion, len(j.spec.Phases), slices.Max(j.criticalPathMs), j.deadlineMs-j.acceptedMs))
@@ -50,6 +47,16 @@
 	c.replyOnceRecorded(j, callID, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
 }
 
+// countArrival counts a job in the statistics of its queue. A refused job counts once, at its first
+// submission: if it did not count, the planner would give no boxes for what a full cell refuses.
+func (c *Cell) countArrival(j *job) {
+	if jobs.IsLongRunning(j.spec) || c.refusals.Has(j.id) {
+		return
+	}
+	criticalPathMs := slices.Max(j.criticalPathMs)
+	c.workload.Of(j.queue).AddJob(c.now, j.work, j.deadlineMs-j.acceptedMs-criticalPathMs, criticalPathMs)
+}
+
 // newJob returns the job that a client has submitted. It has no rounds yet.
 func (c *Cell) newJob(args wire.JobArgs) *job {
 	j := &job{
