Merge: customers' shares by weight, admission by the expected finish

Until now no decision read a customer's weight: a customer that sent eight times its usual rate took the boxes of all others. Jobs beyond their customer's share wait behind the others while a cell is full, and jobs that can't be in time are refused with the time to come back. Only where a customer has a weight.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -18,7 +18,9 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/admission"
 	"damsonwinch/pkg/crash"
+	"damsonwinch/pkg/fairshare"
 	"damsonwinch/pkg/pause"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/wire"
@@ -91,6 +93,10 @@
 	// quotaWaits the customers with tasks that wait for their allowances.
 	quota      *quota.Allowances
 	quotaWaits *quota.Waits
+	// shares decides which jobs are within their customers' shares.
+	shares fairshare.Shares
+	// refusals remembers the jobs that were refused, for when their clients come back.
+	refusals admission.Refusals
 	// workloadDirty is set when workload has changed since it was last recorded.
 	workloadDirty      bool
 	workloadRecordedAt time.Time
@@ -186,6 +192,7 @@
 	c.reserveForLongRunning()
 	c.forgetEndedJobs()
 	c.logQuotaWaits()
+	c.logShares()
 	c.logLongWaits()
 	c.finishEvent()
 }
--- a/pkg/cell/deferral.go
+++ b/pkg/cell/deferral.go
@@ -15,10 +15,13 @@
 // deferPhases chooses the phases that have to wait behind others when not all can meet their
 // deadlines, and sets deferred on them.
 func (c *Cell) deferPhases() {
+	nowMs := int(c.now.UnixMilli())
 	for _, p := range c.openPhases {
 		p.deferred = false
+		if p.isLate(nowMs) {
+			c.withdrawCharge(p.job())
+		}
 	}
-	nowMs := int(c.now.UnixMilli())
 	waiting, needed := c.onTimePhases(nowMs)
 	capacity := c.capacity()
 	if needed <= capacity.FreeCPU {
@@ -94,6 +97,7 @@
 	return overload.Item{
 		CPU: len(p.ready) * p.need().MilliCPU, StartWithinMs: p.startByMs() - nowMs,
 		Value: fixedValueShare*mean + (1-fixedValueShare)*float64(j.work), RemainingWork: float64(rest),
+		OverShare: j.overShare,
 	}
 }
 
