Decide the layout of a fleet whose member list stays incomplete

Cause: the group assigns partitions of 20 topics, however many its members name. With 12 partitions per topic that is 240 partitions, unevenly shared, for 300 members. The list has no spare partition and shows fewer topics than membership.MaxTopics, so that a better one was awaited for good, and proposeLayout returned without a log line.

Change: a node without a partition announces itself to the node that decides on the layout, until it is decided. The members count as complete once the number of listed and announced ones is stable for 2 s. The node that decides reads the members every 500 ms. pkg/shardplan decides 6 s after the first read of the members in any case, takes members into account that may be missing, and says what it waits for. One shard is no longer chosen at once because too few members for two are known, if more may be missing.

--- a/pkg/membership/group.go
+++ b/pkg/membership/group.go
@@ -78,3 +78,12 @@
 func (l List) MayGrow() bool {
 	return l.nearlyFull && l.topicCount < MaxTopics
 }
+
+// MaxMissing returns an estimate of how many members the list may lack, beyond the announced ones. Until the group
+// uses enough topics it lists about half of the members with each number of topics.
+func (l List) MaxMissing(announced int) int {
+	if !l.nearlyFull {
+		return 0
+	}
+	return max(0, len(l.members)-announced)
+}
--- a/pkg/node/layout.go
+++ b/pkg/node/layout.go
@@ -5,8 +5,10 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/membership"
+	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/planner"
 	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/shardplan"
 )
 
 // fleetCell is the cell whose owner plans for all boxes. No pool has this name, because the operator's naming
@@ -37,24 +39,39 @@
 // boxCountReceived holds the number of boxes of the fleet, from the planner's first list of them.
 type boxCountReceived struct{ count int }
 
-// proposeLayout chooses the number of shards and proposes a layout, if none has been decided. Only the node
-// that runs the planner does so, because no other node knows the number of boxes. If one shard is enough for
-// the members listed so far, it is enough for more members too. To choose more shards, the list must be
-// complete.
+// decideLayout decides on a layout from what this node knows. Only the node that runs the planner knows the number of
+// boxes.
+func (n *Node) decideLayout(view ownership.View) shardplan.Decision {
+	in := shardplan.Input{
+		Boxes: n.state.boxCount, Pools: poweredOnPools(n.state.configuration),
+		Weights: append(memberWeights(view.Members), memberWeights(view.Announced)...), Complete: view.MembersComplete, MaxMissing: view.MaxMissing,
+	}
+	if !view.MembersReadAt.IsZero() {
+		in.SinceFirstRead = n.deps.Clock.Now().Sub(view.MembersReadAt)
+	}
+	return shardplan.Decide(in)
+}
+
+// proposeLayout proposes a layout if none is in force and this node can decide on one.
 func (n *Node) proposeLayout() {
 	view := n.View()
-	pools := poweredOnPools(n.state.configuration)
-	if view.Layout.Decided() || n.state.boxCount == 0 || len(pools) == 0 {
+	if view.Layout.Decided() || n.state.boxCount == 0 {
 		return
 	}
-	count := shard.ChooseCount(n.state.boxCount, len(pools), memberWeights(view.Members))
-	if count > 1 && !view.MembersComplete {
+	decision := n.decideLayout(view)
+	if !decision.Layout.Decided() {
 		return
 	}
-	n.deps.Logger.WithFields(logrus.Fields{
-		"shards": count, "boxes": n.state.boxCount, "pools": len(pools), "members": len(view.Members),
-	}).Info("layout of cells decided")
-	n.ownership.ProposeLayout(shard.New(count, pools))
+	logger := n.deps.Logger.WithFields(logrus.Fields{
+		"shards": decision.Layout.Shards, "boxes": n.state.boxCount, "pools": len(decision.Layout.Pools), "members": len(view.Members),
+		"announced": len(view.Announced), "assumed": decision.Assumed,
+	})
+	if decision.Incomplete {
+		logger.Warn("layout of cells decided without a complete list of members")
+	} else {
+		logger.Info("layout of cells decided")
+	}
+	n.ownership.ProposeLayout(decision.Layout)
 }
 
 // memberWeights returns the weights of members, in the same order.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -141,7 +141,7 @@
 	n.ownership = ownership.New(ownership.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, OnViewChange: n.setView,
 		FetchClaims: n.router.Claims, FetchMembers: n.router.Members, SuspendedTime: deps.SuspendedTime,
-	}, ownership.Options{Self: options.Self, MembershipTTL: options.MembershipTTL, Partitions: options.Partitions, FirstStart: options.FirstStart})
+	}, ownership.Options{Self: options.Self, MembershipTTL: options.MembershipTTL, Partitions: options.Partitions, AnnounceCell: fleetCell, FirstStart: options.FirstStart})
 	n.relayPeers = relay.NewPeers(n.countedDial("relays"), deps.Clock)
 	n.relay = relay.New(relay.Deps{
 		Store: deps.Platform.Store, Clock: deps.Clock, Logger: deps.Logger, Metrics: deps.Metrics, Follow: n.relayPeers.Follow,
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -50,10 +50,10 @@
 		return
 	}
 	o.noteMembersRead(m.sentAt)
-	s.membersMayGrow = m.list.MayGrow()
-	o.updateCompleteness(m.sentAt, len(m.list.Members()))
 	s.topicCount = m.list.TopicsNeeded(s.topicCount)
 	s.memberList, s.listGeneration = m.list, m.generation
+	s.announced = s.announced.WithoutExpired(o.deps.Clock.Now())
+	o.updateCompleteness(m.sentAt)
 	o.invalidateRanking()
 	o.publishView()
 }
@@ -81,7 +81,7 @@
 		// The node has to learn how many topics the group uses by now.
 		return joinInterval
 	}
-	if o.maySucceedSoon() {
+	if o.maySucceedSoon() || o.decidesLayout() {
 		return fastMemberReadInterval
 	}
 	return slowMemberReadInterval
--- a/pkg/ownership/member_source.go
+++ b/pkg/ownership/member_source.go
@@ -163,31 +163,43 @@
 	s := &o.state
 	o.noteMembersRead(at)
 	before := s.completeness.Complete()
-	o.updateCompleteness(at, len(s.memberList.Members()))
+	s.announced = s.announced.WithoutExpired(o.deps.Clock.Now())
+	o.updateCompleteness(at)
 	if s.completeness.Complete() != before {
 		o.publishView()
 	}
 }
 
-// updateCompleteness updates whether the list of members counts as complete, as of a time at which it had
-// the given number of members. A list that may hide members counts as complete only if the group can't use
-// more topics, because then no better list will come.
-func (o *Ownership) updateCompleteness(at time.Time, count int) {
+// updateCompleteness updates whether the members that this node knows count as complete, as of a time. If the list may
+// hide members, they count as complete only if the hidden ones announce themselves, or if the group can't use more
+// topics, because then no better list will come.
+func (o *Ownership) updateCompleteness(at time.Time) {
 	s := &o.state
-	stable := !s.membersMayGrow && count == len(s.memberList.Members()) && !at.Before(o.membersSettledAt())
+	announced := len(s.announced.Members(s.memberList))
+	count := len(s.memberList.Members()) + announced
+	mayHideMembers := s.memberList.MayGrow() && announced == 0
+	stable := !mayHideMembers && count == s.knownMembers && !at.Before(o.membersSettledAt())
+	s.knownMembers = count
 	s.completeness = s.completeness.WithRead(at, stable)
 }
 
 // noteMembersRead notes that this node knew the members at a time.
 func (o *Ownership) noteMembersRead(at time.Time) {
-	if s := &o.state; at.After(s.membersReadAt) {
+	s := &o.state
+	if at.After(s.membersReadAt) {
 		s.membersReadAt = at
 	}
-	o.membersConfirmedAt.Store(o.state.membersReadAt.UnixNano())
+	if s.membersFirstReadAt.IsZero() {
+		s.membersFirstReadAt = at
+	}
+	o.membersConfirmedAt.Store(s.membersReadAt.UnixNano())
 }
 
-// MemberReply returns the reply to another node's request for the members.
+// MemberReply returns the reply to another node's request for the members, and notes the announcement in it.
 func (o *Ownership) MemberReply(view View, args wire.MembersArgs) wire.MembersReply {
+	if args.Announced != "" {
+		o.send(memberAnnounced{name: args.Announced})
+	}
 	confirmedAt := o.membersConfirmedAt.Load()
 	if confirmedAt == 0 || view.MemberGeneration == noGeneration {
 		return wire.MembersReply{}
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"sync/atomic"
 	"time"
 
@@ -22,7 +21,6 @@
 	"damsonwinch/pkg/liveness"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
-	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
 
@@ -64,34 +62,6 @@
 	OnViewChange func(View)
 }
 
-// View is what a node knows about the owners of the cells.
-type View struct {
-	// Claims holds the newest claim of each cell, by cell.
-	Claims map[string]cellclaim.Claim
-	// Members are the nodes in the group, as they were last read. Receivers must not change the slice.
-	Members []membership.Member
-	// MembersComplete reports whether Members probably holds all members.
-	MembersComplete bool
-	// MemberGeneration is the generation of the group that Members shows; negative before they have been
-	// read.
-	MemberGeneration int
-	// Layout is the division of the pools into cells. It is the zero value until one is decided.
-	Layout shard.Layout
-	// list is the list that holds Members.
-	list membership.List
-	// ConfirmedAt is when the newest answered read of the claims was sent. At that time no newer claims
-	// existed than those in Claims. It is zero until the first response, and after a suspension until the
-	// next one.
-	ConfirmedAt time.Time
-}
-
-// Owner returns the newest claim of a cell, and whether the cell has an owner: whether there is a claim
-// and it isn't released.
-func (v View) Owner(cell string) (cellclaim.Claim, bool) {
-	claim, known := v.Claims[cell]
-	return claim, known && !claim.Released
-}
-
 // Options configure the Ownership of one node.
 type Options struct {
 	// Self is this node as a member of the group.
@@ -100,6 +70,9 @@
 	MembershipTTL time.Duration
 	// Partitions is the number of partitions of each topic.
 	Partitions int
+	// AnnounceCell is the cell whose owner decides the layout. A node that holds no partition of the group
+	// announces itself to that owner until the layout has been decided. If it is empty, no node does.
+	AnnounceCell string
 	// FirstStart reports whether the whole system starts for the first time. The node then gives the
 	// others time to join before it claims cells, even if there are claims already.
 	FirstStart bool
@@ -298,6 +271,8 @@
 			return
 		}
 		o.handleJoined(m.membership, now)
+	case memberAnnounced:
+		o.handleAnnounced(m, now)
 	case membersRead:
 		s.memberReadPending = false
 		if m.err != nil {
@@ -335,15 +310,6 @@
 	}
 }
 
-// publishView passes a copy of the current view to OnViewChange.
-func (o *Ownership) publishView() {
-	s := &o.state
-	o.deps.OnViewChange(View{
-		Claims: maps.Clone(s.claims), Members: s.memberList.Members(), MembersComplete: s.completeness.Complete(),
-		MemberGeneration: s.listGeneration, list: s.memberList, Layout: s.layout, ConfirmedAt: s.confirmedAt,
-	})
-}
-
 // startDueCalls starts the calls that are due. At most one append to the stream of claims runs at a
 // time.
 func (o *Ownership) startDueCalls() {
@@ -364,6 +330,7 @@
 	if !s.fetchPending && o.claimsOverdue(now) && now.Sub(s.fetchSentAt) >= joinInterval {
 		o.fetchPeerClaims(now)
 	}
+	o.announceIfUnlisted(now)
 	o.watchOwners(now)
 	if s.appendPending || !s.haveClaims || now.Sub(s.appendFailedAt) < appendRetryDelay {
 		return
--- a/pkg/ownership/ownership_test.go
+++ b/pkg/ownership/ownership_test.go
@@ -61,7 +61,7 @@
 			return store.membersReply(address, args)
 		},
 		OnViewChange: func(view View) { n.view.Store(&view) },
-	}, Options{Self: self, Partitions: 24})
+	}, Options{Self: self, Partitions: 24, AnnounceCell: "@fleet"})
 	n.SetCells(cells)
 	store.locked(func() { store.replying[self.Address], store.nodes[self.Address] = self, n })
 	t.Cleanup(func() { assert.Check(t, n.Close()) })
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -31,6 +31,14 @@
 	// the newest answered heartbeat was sent that followed a long time without answered ones.
 	membersReadAt      time.Time
 	membersRecoveredAt time.Time
+	// membersFirstReadAt is when the first answered read of the members was sent.
+	membersFirstReadAt time.Time
+	// announced holds the nodes that have announced themselves to this one. announcedAt is when this node last
+	// announced itself.
+	announced   membership.Announcements
+	announcedAt time.Time
+	// knownMembers is the number of listed and announced members when completeness was last updated.
+	knownMembers int
 	// completeness tells whether the list of members counts as complete.
 	completeness membership.Completeness
 	// layout is the one in force. If none has been decided, this node tries to put proposedLayout in
@@ -41,8 +49,6 @@
 	// requested.
 	listGeneration  int
 	listRequestedAt time.Time
-	// membersMayGrow reports whether the list may lack members and the group can use more topics.
-	membersMayGrow bool
 	// memberFetches is the number of requests for the members to other nodes, which determines the node
 	// that is asked next, and memberFailures how many of them have failed since one was answered.
 	// memberListBehind is set if the last answer came from a node that didn't have the present list.
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -51,6 +51,10 @@
 	joins           int
 	// nodes holds the nodes that reply to requests for the members, by address.
 	nodes map[string]*testNode
+	// group assigns the partitions, if it is set.
+	group *assigningGroup
+	// refuseAnnouncements makes requests for the members fail that announce the asking node.
+	refuseAnnouncements bool
 	// unlisted holds the names of members that the group doesn't list yet.
 	unlisted map[string]bool
 	// appendsUntil is when the streams of cells stop growing.
@@ -167,6 +171,9 @@
 	}
 	s.topicCounts[request.Member] = len(request.Topics)
 	s.joins++
+	if s.group != nil {
+		return s.group.join(request), nil
+	}
 	if listing := fmt.Sprint(s.assignments()); listing != s.listing {
 		s.listing = listing
 		s.generation++
@@ -179,6 +186,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.members = slices.DeleteFunc(s.members, func(other string) bool { return other == member })
+	if s.group != nil {
+		s.group.leave(member)
+	}
 	return nil
 }
 
@@ -192,6 +202,9 @@
 
 // assignments returns the partitions that the group has assigned.
 func (s *memoryStore) assignments() []damsonwinch.Assignment {
+	if s.group != nil {
+		return s.group.assignments()
+	}
 	if s.partitionsPerTopic > 0 {
 		return s.assign()
 	}
@@ -235,8 +248,9 @@
 func (s *memoryStore) membersReply(address string, args wire.MembersArgs) (wire.MembersReply, error) {
 	s.mutex.Lock()
 	n := s.nodes[address]
+	refused := s.refuseAnnouncements && args.Announced != ""
 	s.mutex.Unlock()
-	if n == nil {
+	if n == nil || refused {
 		return wire.MembersReply{}, errNoResponse
 	}
 	return n.MemberReply(*n.view.Load(), args), nil
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -879,6 +879,10 @@
 
 // MembersArgs asks a node for the members of the group of nodes that it knows.
 type MembersArgs struct {
+	// Name in the group of the asking node if the group has assigned no partition to
+	// it, so that lists don't hold it; else empty.
+	Announced string `json:"announced,omitempty,omitzero"`
+
 	// Digest of that list.
 	Digest int `json:"digest,omitempty,omitzero"`
 
