Report what a node waits for before it serves clients

Cause: a fleet refused everything without a line that said why. A call before the decision on the layout was neither logged nor counted.

Calls refused before the layout is decided are counted in calls_refused and logged with what the node waits for. The node checks once a second whether the time limit of the decision has passed.

--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
 	"damsonwinch/pkg/job"
@@ -10,10 +11,15 @@
 	"damsonwinch/pkg/wire"
 )
 
-// undecidedReply returns the reply to a call that arrives before the layout of the cells is decided. If the
-// call were routed, its job could get into the wrong cell and would not be found later.
-func undecidedReply() wire.JobReply {
-	return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "the layout of the cells has not been decided yet", RetryAfterMs: retryAfterMs}
+// refuseUndecided counts and logs a call that arrives before the layout of the cells is decided, and returns the reply
+// to it. If the call were routed, its job could get into the wrong cell and would not be found later.
+func (r *Router) refuseUndecided(m method, args wire.JobArgs) wire.JobReply {
+	reply := wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "the layout of the cells has not been decided yet", RetryAfterMs: retryAfterMs}
+	r.deps.Metrics.Add("calls_refused", 1)
+	r.deps.Logger.WithFields(logrus.Fields{
+		"call": m.name, "queue": args.Queue, "job": args.Id, "why": reply.Reason, "waits_for": r.deps.Cells.WaitReason(),
+	}).Warn("call refused before the node can serve clients")
+	return reply
 }
 
 // Submit implements damsonwinch.JobService. It sends a long-running job to the pool's cell for long-running
@@ -21,7 +27,7 @@
 func (r *Router) Submit(ctx context.Context, args wire.JobArgs) wire.JobReply {
 	layout := r.deps.Cells.View().Layout
 	if !layout.Decided() {
-		return undecidedReply()
+		return r.refuseUndecided(submitMethod, args)
 	}
 	number := layout.JobShard(args.Id)
 	if args.Spec != nil && job.IsLongRunning(*args.Spec) {
@@ -46,7 +52,7 @@
 func (r *Router) find(ctx context.Context, m method, args wire.JobArgs) wire.JobReply {
 	layout := r.deps.Cells.View().Layout
 	if !layout.Decided() {
-		return undecidedReply()
+		return r.refuseUndecided(m, args)
 	}
 	number, longRunning := layout.JobShard(args.Id), layout.LongRunningJobShard(args.Pool)
 	reply := r.route(ctx, m, argsForCell(args, number))
@@ -61,7 +67,7 @@
 func (r *Router) Pending(ctx context.Context, args wire.JobArgs) wire.JobReply {
 	layout := r.deps.Cells.View().Layout
 	if !layout.Decided() {
-		return undecidedReply()
+		return r.refuseUndecided(pendingMethod, args)
 	}
 	replies := make([]wire.JobReply, layout.Shards)
 	var group errgroup.Group
--- a/pkg/intake/jobs_test.go
+++ b/pkg/intake/jobs_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
 	"damsonwinch/pkg/metrics"
@@ -48,8 +49,9 @@
 
 // fakeCells are cells that are all owned by this node.
 type fakeCells struct {
-	layout shard.Layout
-	owners map[string]*fakeOwner
+	layout     shard.Layout
+	owners     map[string]*fakeOwner
+	waitReason string
 }
 
 func (c *fakeCells) LocalOwner(cell string) (CellOwner, bool) {
@@ -60,6 +62,7 @@
 func (c *fakeCells) View() ownership.View                { return ownership.View{Layout: c.layout} }
 func (c *fakeCells) StoreAnsweredAt() time.Time          { return time.Time{} }
 func (c *fakeCells) ReportRefusedConnection(string, int) {}
+func (c *fakeCells) WaitReason() string                  { return c.waitReason }
 
 func (c *fakeCells) MemberReply(wire.MembersArgs) wire.MembersReply { return wire.MembersReply{} }
 func (c *fakeCells) DirectoryReply(wire.DirectoryArgs) wire.DirectoryReply {
@@ -135,3 +138,19 @@
 		assert.Assert(t, reply.RetryAfterMs > 0)
 	}
 }
+
+// TestRefusalBeforeTheLayoutSaysWhatTheNodeWaitsFor guards against a fleet that refuses everything without a line that
+// says why.
+func TestRefusalBeforeTheLayoutSaysWhatTheNodeWaitsFor(t *testing.T) {
+	logger, hook := logrustest.NewNullLogger()
+	counters := metrics.New()
+	router := New(Deps{Cells: &fakeCells{waitReason: "layout: not decided"}, Clock: clockwork.NewRealClock(), Metrics: counters, Logger: logger})
+	for _, call := range []func(context.Context, wire.JobArgs) wire.JobReply{router.Submit, router.Show, router.Cancel, router.Pending} {
+		reply := call(t.Context(), wire.JobArgs{Queue: "queue", Pool: "pool", Id: "a1"})
+		assert.Equal(t, reply.Outcome, wire.JobOutcomeRefused)
+		assert.Assert(t, reply.RetryAfterMs > 0)
+		assert.Equal(t, hook.LastEntry().Data["waits_for"], "layout: not decided")
+	}
+	assert.Equal(t, counters.Count("calls_refused"), 4)
+	assert.Equal(t, len(hook.AllEntries()), 4)
+}
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -51,6 +51,8 @@
 	MemberReply(args wire.MembersArgs) wire.MembersReply
 	// DirectoryReply returns the reply to another node's request for the endpoints of some cells.
 	DirectoryReply(args wire.DirectoryArgs) wire.DirectoryReply
+	// WaitReason says what this node waits for before it serves clients. It is empty if it waits for nothing.
+	WaitReason() string
 	// ReportRefusedConnection reports that an incarnation of a node has refused a connection, which
 	// shows that its process has ended.
 	ReportRefusedConnection(node string, incarnation int)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -112,7 +112,9 @@
 	wakePlacementFeed chan struct{}
 	// lists holds the endpoints of all cells for other nodes.
 	lists *directory.Lists
-	state state
+	// waitReason says what this node waits for before it serves clients. It is empty if it waits for nothing.
+	waitReason atomic.Pointer[string]
+	state      state
 	// done is closed once the main goroutine has ended.
 	done chan struct{}
 }
@@ -136,6 +138,7 @@
 	}
 	n.view.Store(&ownership.View{})
 	n.endpointAccess.Store(&endpointAccess{})
+	n.waitReason.Store(new(string))
 	n.runners.Store(&map[string]cellRunner{})
 	n.router = intake.New(intake.Deps{Cells: n, Dial: n.countedDial("calls"), Clock: deps.Clock, Metrics: deps.Metrics, Logger: deps.Logger})
 	n.ownership = ownership.New(ownership.Deps{
@@ -286,11 +289,12 @@
 	return err
 }
 
-// run is the main goroutine. It handles messages, and updates the runners every second.
+// run is the main goroutine. It handles messages, and updates the runners and the readiness every second.
 func (n *Node) run() error {
 	defer close(n.done)
 	ticker := n.deps.Clock.NewTicker(time.Second)
 	defer ticker.Stop()
+	n.updateReadiness()
 	for {
 		select {
 		case <-n.ctx.Done():
@@ -298,7 +302,9 @@
 		case m := <-n.inbox:
 			n.handle(m)
 		case <-ticker.Chan():
+			n.proposeLayout()
 			n.updateRunners()
+			n.updateReadiness()
 		}
 	}
 }
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/readiness"
 	"damsonwinch/pkg/shard"
 )
 
@@ -30,6 +31,8 @@
 	// No runner is started again for that claim.
 	stoppedTokens map[string]int
 	stopping      bool
+	// readiness tracks what the node waits for before it serves clients.
+	readiness readiness.Tracker
 }
 
 // The node's main goroutine handles these messages, and alone holds the state.
