Simulation of pkg/cell: requests to endpoints that are carried out late

The test prints the time from an unanswered start to the task's next start, and from the end of a run to its result.

--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -145,6 +145,7 @@
 	e.lastSequence++
 	e.finished = append(e.finished, damsonwinch.RunResult{Run: r.request.Run, Sequence: e.lastSequence, Ending: ending})
 	e.world.rules.runEnded(e, r, ending)
+	e.world.late.runEnded(r.request.Run)
 	callbacks := e.onResult
 	e.onResult, e.onExit = nil, nil
 	for _, callback := range callbacks {
--- /dev/null
+++ b/pkg/cell/sim_late_requests_test.go
@@ -0,0 +1,189 @@
+package cell_test
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/cell"
+)
+
+const (
+	// nodeCallTimeout is the timeout of an owner's calls, beside the time for which an endpoint may hold a poll.
+	nodeCallTimeout = 500 * time.Millisecond
+	// lateShare is the share of requests that are carried out late while the fault is present.
+	// concentratedShare is that at a single box.
+	lateShare         = 0.055
+	concentratedShare = 0.5
+	lateFaultTime     = 5 * time.Second
+)
+
+// lateRequests leaves a share of the requests to endpoints unanswered and has them carried out seconds later. It also
+// measures what these requests delay.
+type lateRequests struct {
+	world *world
+	// shares holds, by box, the share of requests that are carried out late now.
+	shares map[string]float64
+	// pendingStarts holds, by task, the newest start request that has not been answered.
+	pendingStarts map[damsonwinch.TaskID]pendingStart
+	// endedAt holds when a run ended of which no owner has received the result.
+	endedAt map[damsonwinch.Run]time.Time
+	// measures is set in seeds in which no other call gets lost: only these are measured.
+	measures bool
+	// restartDelays are the times from an unanswered start of a short task to its next start by the same owner.
+	// resultDelays are the times from the end of a run until an owner received its result.
+	restartDelays []time.Duration
+	resultDelays  []time.Duration
+	polls         int
+}
+
+// pendingStart is a start request that has not been answered.
+type pendingStart struct {
+	owner   *simOwner
+	attempt int
+	sentAt  time.Time
+}
+
+// simulateLateRequests runs the simulation of a seed in which requests to endpoints are carried out late, at all boxes
+// or at one. In half of the seeds other faults are present, too.
+func simulateLateRequests(seed uint64, m mutation) *world {
+	w := newMixedWorld(seed, m)
+	w.late = &lateRequests{world: w, shares: map[string]float64{}, pendingStarts: map[damsonwinch.TaskID]pendingStart{}, endedAt: map[damsonwinch.Run]time.Time{}}
+	w.resetsOnExit = w.random.Float64() < 0.5
+	otherFaults := w.random.Float64() < 0.5
+	w.late.measures = !otherFaults
+	w.setUpMixed()
+	w.mixed.addLongRunningJobs()
+	w.mixed.addDemand()
+	for burst := range mixedBursts {
+		w.after(w.randomDuration(2*time.Second, 4*time.Second)+time.Duration(burst)*mixedBurstInterval, func() {
+			w.late.begin()
+			if otherFaults {
+				w.mixed.beginBurst()
+			}
+		})
+	}
+	w.run(w.now.Add(mixedEnd))
+	return w
+}
+
+// begin makes requests late for lateFaultTime: a small share at all boxes, or a large one at a single box.
+func (l *lateRequests) begin() {
+	w := l.world
+	w.mixed.disturb(lateFaultTime)
+	if w.random.Float64() < 0.5 {
+		l.shares[w.randomBox()] = concentratedShare
+	} else {
+		for box := range w.boxCount {
+			l.shares[fmt.Sprintf("box-%d", box)] = lateShare
+		}
+	}
+	w.logf("requests are carried out late at %d boxes", len(l.shares))
+	w.after(lateFaultTime, func() { clear(l.shares) })
+}
+
+// intercept leaves a request unanswered if it is to be carried out late, and reports whether it is.
+func (l *lateRequests) intercept(e *simEndpoint, timeout time.Duration, handle func(e *simEndpoint) func() error, done func(err error)) bool {
+	w := l.world
+	share := l.shares[e.info.Box]
+	if share == 0 || w.random.Float64() >= share {
+		return false
+	}
+	delay := w.randomDuration(minLateness, maxLateness)
+	w.mixed.disturb(delay)
+	w.after(delay, func() { w.mixed.carryOut(e, handle, delay) })
+	w.after(timeout, func() { done(errNoReply) })
+	return true
+}
+
+// startSent notes a start request, and how long after an unanswered one it comes.
+func (l *lateRequests) startSent(o *simOwner, start cell.Start) {
+	if l == nil || l.world.behaviourOf(start.Request.Task).longRunning {
+		return
+	}
+	if earlier, found := l.pendingStarts[start.Request.Task]; found && l.measures && earlier.owner == o && earlier.attempt < start.Request.Attempt {
+		l.restartDelays = append(l.restartDelays, l.world.now.Sub(earlier.sentAt))
+	}
+	l.pendingStarts[start.Request.Task] = pendingStart{owner: o, attempt: start.Request.Attempt, sentAt: l.world.now}
+}
+
+// startReturned notes the reply to a start request.
+func (l *lateRequests) startReturned(start cell.Start, err error) {
+	if l != nil && err != errNoReply && l.pendingStarts[start.Request.Task].attempt == start.Request.Attempt {
+		delete(l.pendingStarts, start.Request.Task)
+	}
+}
+
+// runEnded notes the end of a run while requests are carried out late.
+func (l *lateRequests) runEnded(run damsonwinch.Run) {
+	if l != nil && l.measures && len(l.shares) > 0 && !l.world.behaviourOf(run.Task).longRunning {
+		l.endedAt[run] = l.world.now
+	}
+}
+
+// resultsReturned notes the results that a reply to a poll brings an owner.
+func (l *lateRequests) resultsReturned(o *simOwner, reply damsonwinch.PollReply) {
+	if l == nil {
+		return
+	}
+	l.polls++
+	for _, result := range reply.Finished {
+		if at, found := l.endedAt[result.Run]; found && !o.exited {
+			l.resultDelays = append(l.resultDelays, l.world.now.Sub(at))
+			delete(l.endedAt, result.Run)
+		}
+	}
+}
+
+// summary returns the number of delays and their quantiles.
+func summary(delays []time.Duration) string {
+	if len(delays) == 0 {
+		return "none"
+	}
+	sorted := slices.Clone(delays)
+	slices.Sort(sorted)
+	at := func(percent int) int64 { return sorted[(len(sorted)-1)*percent/100].Milliseconds() }
+	return fmt.Sprintf("%d; median %d ms, 90%% within %d ms, 99%% within %d ms", len(sorted), at(50), at(90), at(99))
+}
+
+// TestRulesHoldWithLateRequests simulates requests that are carried out seconds late: no task may run twice because a
+// start was given up that then took effect. DAMSONWINCH_SEEDS and DAMSONWINCH_FIRST_SEED choose the seeds.
+func TestRulesHoldWithLateRequests(t *testing.T) {
+	var restarts, results []time.Duration
+	polls, starts := 0, 0
+	seeds := testSeeds(100)
+	for _, seed := range seeds {
+		w := simulateLateRequests(seed, mutation{})
+		if w.rules.violation != "" {
+			t.Errorf("seed %d: %s\n%s", seed, w.rules.violation, strings.Join(w.log, "\n"))
+		}
+		restarts, results = append(restarts, w.late.restartDelays...), append(results, w.late.resultDelays...)
+		polls, starts = polls+w.late.polls, starts+w.rules.startCount
+	}
+	t.Logf("%d seeds, %d starts, %d polls", len(seeds), starts, polls)
+	t.Logf("from an unanswered start to the next one: %s", summary(restarts))
+	t.Logf("from the end of a run to its result: %s", summary(results))
+}
+
+// TestLateRequestRulesDetectDisabledMechanisms makes sure that a task which runs twice because of late requests is
+// found.
+func TestLateRequestRulesDetectDisabledMechanisms(t *testing.T) {
+	for seed := uint64(1); seed < 500; seed++ {
+		if violation := simulateLateRequests(seed, mutation{expireLeasesEarly: true}).rules.violation; strings.HasPrefix(violation, "TWICE") {
+			t.Logf("seed %d: %s", seed, violation)
+			return
+		}
+	}
+	t.Fatal("no seed violated the rule although leases expire early")
+}
+
+// TestLateRequestsAreDeterministic makes sure that a seed which has found a fault finds it again.
+func TestLateRequestsAreDeterministic(t *testing.T) {
+	first, second := simulateLateRequests(1, mutation{}), simulateLateRequests(1, mutation{})
+	assert.DeepEqual(t, first.log, second.log)
+}
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -303,12 +303,16 @@
 // call sends a request to the endpoint with the given ID. handle handles the request there and
 // returns a function that returns the reply's error. done is called with that error once the reply
 // arrives, or with the error of the call. Requests and replies may get lost, and a request may be
-// handled seconds after its call has timed out.
-func (o *simOwner) call(id string, handle func(e *simEndpoint) func() error, done func(err error)) {
+// handled seconds after its call has timed out. timeout is the timeout of the node's calls of this
+// kind, which only simulations of late requests use.
+func (o *simOwner) call(id string, timeout time.Duration, handle func(e *simEndpoint) func() error, done func(err error)) {
 	w := o.world
 	e := w.newestLife(id)
 	switch {
 	case e != nil && !e.exited:
+		if w.late != nil && w.late.intercept(e, timeout, handle, done) {
+			return
+		}
 		o.callLife(e, handle, done)
 	case w.sharedIDs:
 		o.callSharedID(id, handle, done)
@@ -382,17 +386,19 @@
 
 // sendStart sends a start request and passes the reply to the cell.
 func (o *simOwner) sendStart(start cell.Start) {
-	o.call(start.Endpoint.Life.ID, func(e *simEndpoint) func() error {
+	o.world.late.startSent(o, start)
+	o.call(start.Endpoint.Life.ID, nodeCallTimeout, func(e *simEndpoint) func() error {
 		err := e.start(start.Request)
 		return func() error { return err }
 	}, func(err error) {
+		o.world.late.startReturned(start, err)
 		o.whenRunning(func() { o.cell.Started(o.now(), start.Endpoint.Life, start.Request.Run, err) })
 	})
 }
 
 // sendStop sends a stop request and passes the reply to the cell.
 func (o *simOwner) sendStop(stop cell.Stop) {
-	o.call(stop.Endpoint.Life.ID, func(e *simEndpoint) func() error {
+	o.call(stop.Endpoint.Life.ID, nodeCallTimeout, func(e *simEndpoint) func() error {
 		err := e.stop(stop.Request)
 		return func() error { return err }
 	}, func(err error) {
@@ -410,7 +416,7 @@
 	}
 	var reply damsonwinch.PollReply
 	var receiver *simEndpoint
-	o.call(poll.Endpoint.Life.ID, func(e *simEndpoint) func() error {
+	o.call(poll.Endpoint.Life.ID, request.MaxWait+nodeCallTimeout, func(e *simEndpoint) func() error {
 		receiver = e
 		pollReply, err := e.pollAddressedTo(poll.Endpoint.Life, request)
 		reply = pollReply
@@ -426,6 +432,7 @@
 			wait = request.MaxWait
 		}
 		w.after(wait, func() {
+			w.late.resultsReturned(o, reply)
 			o.whenRunning(func() { o.cell.Polled(o.now(), poll.Endpoint.Life, poll.Number, reply, err) })
 		})
 	})
@@ -449,6 +456,7 @@
 			reply, err = e.pollAddressedTo(poll.Endpoint.Life, request)
 		}
 		w.after(delay, func() {
+			w.late.resultsReturned(o, reply)
 			o.whenRunning(func() { o.cell.Polled(o.now(), poll.Endpoint.Life, poll.Number, reply, err) })
 		})
 	}
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -98,6 +98,9 @@
 	operator *simOperator
 	// mixed injects pairs of faults that overlap in time. It is nil in all other simulations.
 	mixed *mixedFaults
+	// late leaves some requests to endpoints unanswered and carries them out late. It is nil in most
+	// simulations.
+	late *lateRequests
 	// sharedIDs gives all lives on a box the same ID.
 	sharedIDs bool
 	startedAt time.Time
@@ -156,7 +159,7 @@
 
 // chance returns true with the given probability while faults may occur, and false otherwise.
 func (w *world) chance(probability float64) bool {
-	return w.faultsOn && (w.mixed == nil || w.mixed.disturbed()) && w.random.Float64() < probability
+	return w.faultsOn && (w.mixed == nil || w.mixed.disturbed()) && (w.late == nil || !w.late.measures) && w.random.Float64() < probability
 }
 
 // behaviourOf returns how a task behaves.
