Simulation of pkg/cell: gangs and the end of jobs beside late requests

Endpoints of the simulation let the members of a gang wait for each other and end together, and jobs must have ended 20 s after the last one came. An owner that has just taken over repeats unanswered first polls, too.

--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -128,6 +128,10 @@
 	if e.world.planner != nil {
 		e.world.rules.checkCap(need.MilliCPU)
 	}
+	if e.world.isGang(request.Task) {
+		e.world.startGangMember(e, r, behaviour.duration)
+		return nil
+	}
 	e.world.at(r.endsAt, func() { e.endRun(r, r.ending) })
 	if behaviour.crashes && request.Task.Phase == 0 && request.Task.Index == behaviour.crashIndex {
 		e.world.after(behaviour.crashAfter, func() { e.crashUnder(request.Run) })
@@ -146,6 +150,9 @@
 	e.finished = append(e.finished, damsonwinch.RunResult{Run: r.request.Run, Sequence: e.lastSequence, Ending: ending})
 	e.world.rules.runEnded(e, r, ending)
 	e.world.late.runEnded(r.request.Run)
+	if ending != damsonwinch.EndedDone && e.world.isGang(r.request.Task) {
+		e.world.endGang(r.request.Task, damsonwinch.EndedGangFailed)
+	}
 	callbacks := e.onResult
 	e.onResult, e.onExit = nil, nil
 	for _, callback := range callbacks {
--- a/pkg/cell/sim_late_requests_test.go
+++ b/pkg/cell/sim_late_requests_test.go
@@ -11,6 +11,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/cell"
+	"damsonwinch/pkg/wire"
 )
 
 const (
@@ -21,6 +22,10 @@
 	lateShare         = 0.055
 	concentratedShare = 0.5
 	lateFaultTime     = 5 * time.Second
+	gangJobsPerBurst  = 4
+	// backlogTime is the time before the end of the simulation in which no more jobs come. Without other faults all
+	// are done by then.
+	backlogTime = 20 * time.Second
 )
 
 // lateRequests leaves a share of the requests to endpoints unanswered and has them carried out seconds later. It also
@@ -35,6 +40,8 @@
 	endedAt map[damsonwinch.Run]time.Time
 	// measures is set in seeds in which no other call gets lost: only these are measured.
 	measures bool
+	// demandEnds is when the last short job comes.
+	demandEnds time.Time
 	// oneBox is set if the fault is at a single box.
 	oneBox bool
 	// restartDelays are the times from an unanswered start of a short task to its next start by the same owner.
@@ -63,6 +70,7 @@
 	w.setUpMixed()
 	w.mixed.addLongRunningJobs()
 	w.mixed.addDemand()
+	w.late.addGangs()
 	for burst := range mixedBursts {
 		w.after(w.randomDuration(2*time.Second, 4*time.Second)+time.Duration(burst)*mixedBurstInterval, func() {
 			w.late.begin()
@@ -71,10 +79,35 @@
 			}
 		})
 	}
+	w.late.demandEnds = w.now.Add(mixedEnd - backlogTime)
 	w.run(w.now.Add(mixedEnd))
+	w.late.checkDone()
 	return w
 }
 
+// addGangs adds clients with jobs of two tasks that run together.
+func (l *lateRequests) addGangs() {
+	w := l.world
+	for number := range 2 * gangJobsPerBurst {
+		at := time.Duration(number/gangJobsPerBurst)*mixedBurstInterval + w.randomDuration(time.Second, 10*time.Second)
+		w.after(at, func() {
+			behaviour := taskBehaviour{need: damsonwinch.Resources{MilliCPU: 1000, MemoryMB: 500}, duration: w.randomDuration(300*time.Millisecond, time.Second)}
+			phase := wire.Phase{Count: 2, Cpu: behaviour.need.MilliCPU, MemoryMb: behaviour.need.MemoryMB, EstimateMs: 600, Gang: true}
+			c := w.addClient(fmt.Sprintf("gang%d", number), simSpec(phase), behaviour)
+			w.after(300*time.Millisecond, c.watchUntilEnd)
+		})
+	}
+}
+
+// checkDone checks that jobs have ended, unless there were other faults.
+func (l *lateRequests) checkDone() {
+	for _, c := range l.world.clients {
+		if c.unfinished() && l.measures {
+			l.world.rules.fail("LOST: %s has not ended %v after the last job came", c.id, backlogTime)
+		}
+	}
+}
+
 // begin makes requests late for lateFaultTime: a small share at all boxes, or a large one at a single box.
 func (l *lateRequests) begin() {
 	w := l.world
--- a/pkg/cell/sim_long_running_test.go
+++ b/pkg/cell/sim_long_running_test.go
@@ -139,6 +139,9 @@
 	number := 0
 	var arrive func()
 	arrive = func() {
+		if w.late != nil && w.now.After(w.late.demandEnds) {
+			return
+		}
 		number++
 		if w.random.Float64() < float64(meanInterval)/5/float64(interval) {
 			f.addShortJob(fmt.Sprintf("job%d", number))
--- a/pkg/cell/unanswered.go
+++ b/pkg/cell/unanswered.go
@@ -110,7 +110,7 @@
 		return
 	}
 	for _, e := range c.sortedEndpoints {
-		if e.exited || !e.attached {
+		if e.exited {
 			continue
 		}
 		oldest, found := e.oldestCall()
