--- a/pkg/cell/sim_late_requests_test.go
+++ b/pkg/cell/sim_late_requests_test.go
@@ -49,6 +49,9 @@
 	restartDelays []time.Duration
 	resultDelays  []time.Duration
 	polls         int
+	// followUps counts the starts that owners took for unanswered, and suspicions the endpoints that they excluded.
+	followUps  int
+	suspicions int
 }
 
 // pendingStart is a start request that has not been answered.
@@ -61,8 +64,7 @@
 // simulateLateRequests runs the simulation of a seed in which requests to endpoints are carried out late, at all boxes
 // or at one. In half of the seeds other faults are present, too.
 func simulateLateRequests(seed uint64, m mutation) *world {
-	w := newMixedWorld(seed, m)
-	w.late = &lateRequests{world: w, shares: map[string]float64{}, pendingStarts: map[damsonwinch.TaskID]pendingStart{}, endedAt: map[damsonwinch.Run]time.Time{}}
+	w := newLateWorld(seed, m)
 	w.resetsOnExit = w.random.Float64() < 0.5
 	otherFaults := w.random.Float64() < 0.5
 	w.late.measures = !otherFaults
@@ -85,6 +87,13 @@
 	return w
 }
 
+// newLateWorld returns a simulation in which requests can be carried out late. It has no boxes yet.
+func newLateWorld(seed uint64, m mutation) *world {
+	w := newMixedWorld(seed, m)
+	w.late = &lateRequests{world: w, shares: map[string]float64{}, pendingStarts: map[damsonwinch.TaskID]pendingStart{}, endedAt: map[damsonwinch.Run]time.Time{}}
+	return w
+}
+
 // addGangs adds clients with jobs of two tasks that run together.
 func (l *lateRequests) addGangs() {
 	w := l.world
@@ -176,6 +185,17 @@
 	}
 }
 
+// logged counts the decisions that a line of an owner's log reports.
+func (l *lateRequests) logged(line cell.LogLine) {
+	switch {
+	case l == nil:
+	case line.Message == "start overdue":
+		l.followUps++
+	case line.Message == "endpoint suspected":
+		l.suspicions++
+	}
+}
+
 // summary returns the number of delays and their quantiles.
 func summary(delays []time.Duration) string {
 	if len(delays) == 0 {
@@ -191,7 +211,7 @@
 // start was given up that then took effect. DAMSONWINCH_SEEDS and DAMSONWINCH_FIRST_SEED choose the seeds.
 func TestRulesHoldWithLateRequests(t *testing.T) {
 	restarts, results := map[bool][]time.Duration{}, map[bool][]time.Duration{}
-	polls, starts := 0, 0
+	polls, starts, suspicions := 0, 0, 0
 	seeds := testSeeds(100)
 	for _, seed := range seeds {
 		w := simulateLateRequests(seed, mutation{})
@@ -200,9 +220,9 @@
 		}
 		at := w.late.oneBox
 		restarts[at], results[at] = append(restarts[at], w.late.restartDelays...), append(results[at], w.late.resultDelays...)
-		polls, starts = polls+w.late.polls, starts+w.rules.startCount
+		polls, starts, suspicions = polls+w.late.polls, starts+w.rules.startCount, suspicions+w.late.suspicions
 	}
-	t.Logf("%d seeds, %d starts, %d polls", len(seeds), starts, polls)
+	t.Logf("%d seeds, %d starts, %d polls, %d suspected endpoints", len(seeds), starts, polls, suspicions)
 	for _, oneBox := range []bool{false, true} {
 		t.Logf("one box only %v: from an unanswered start to the next one: %s", oneBox, summary(restarts[oneBox]))
 		t.Logf("one box only %v: from the end of a run to its result: %s", oneBox, summary(results[oneBox]))
@@ -221,6 +241,27 @@
 	t.Fatal("no seed violated the rule although leases expire early")
 }
 
+// TestAnsweredCallsCostNothing guards against calls that are followed up although endpoints answer, however many there
+// are: each would cost a poll, and a start that is taken for unanswered a stop as well.
+func TestAnsweredCallsCostNothing(t *testing.T) {
+	for _, boxes := range []int{mixedBoxes, 2 * mixedBoxes, 4 * mixedBoxes} {
+		starts := 0
+		for seed := uint64(1); seed <= 10; seed++ {
+			w := newLateWorld(seed, mutation{})
+			w.boxCount, w.late.measures = boxes, true
+			w.setUpMixed()
+			w.mixed.addDemand()
+			w.late.demandEnds = w.now.Add(mixedEnd)
+			w.run(w.now.Add(mixedEnd))
+			assert.Equal(t, w.rules.violation, "")
+			assert.Equal(t, w.late.followUps, 0, "%d boxes, seed %d", boxes, seed)
+			assert.Equal(t, w.late.suspicions, 0, "%d boxes, seed %d", boxes, seed)
+			starts += w.rules.startCount
+		}
+		t.Logf("%d boxes: %d starts, none taken for unanswered", boxes, starts)
+	}
+}
+
 // TestLateRequestsAreDeterministic makes sure that a seed which has found a fault finds it again.
 func TestLateRequestsAreDeterministic(t *testing.T) {
 	first, second := simulateLateRequests(1, mutation{}), simulateLateRequests(1, mutation{})
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -176,6 +176,7 @@
 		return
 	}
 	for _, line := range effects.LogLines {
+		w.late.logged(line)
 		if line.Message == "run lost" || strings.HasPrefix(line.Message, "job failed") {
 			w.logf("%s: %s %s %s: %s", o.name, line.Message, line.Task, line.Job, line.Reason)
 		}
