Cells: suspected endpoints are used again while too few others are left

At most a third of the usable endpoints are excluded, also after others have exited, and the only one is never left out. Runs aren't moved to a suspected endpoint.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -203,6 +203,7 @@
 	c.startDueRounds()
 	c.expireLeases()
 	c.checkUnanswered()
+	c.limitSuspected()
 	c.resendStops()
 	c.updateOverdue()
 	c.requestBoxList()
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -167,12 +167,12 @@
 	}
 }
 
-// fitsElsewhere reports whether another endpoint that is not ejected has capacity for a run, now or
+// fitsElsewhere reports whether another endpoint that is neither ejected nor suspected has capacity for a run, now or
 // once its short tasks have ended. The largest tasks may fit only where they are, and would never
 // finish if they were stopped there again and again.
 func (c *Cell) fitsElsewhere(r *run) bool {
 	for _, e := range c.sortedEndpoints {
-		if e != r.endpoint && e.usable() && !c.now.Before(e.health.ejectedUntil) && e.info.Capacity.Minus(e.longRunningNeed()).Holds(r.task.phase.need()) {
+		if e != r.endpoint && e.usable() && !e.suspected && !c.now.Before(e.health.ejectedUntil) && e.info.Capacity.Minus(e.longRunningNeed()).Holds(r.task.phase.need()) {
 			return true
 		}
 	}
--- a/pkg/cell/unanswered.go
+++ b/pkg/cell/unanswered.go
@@ -62,7 +62,28 @@
 // maySuspect reports whether the cell can do without one more endpoint.
 func (c *Cell) maySuspect() bool {
 	excluded, usable := c.countExcluded()
-	return responsiveness.MayExclude(excluded, max(usable, minEjectionBase))
+	return mayBeExcluded(excluded+1, usable)
+}
+
+// mayBeExcluded reports whether so many of a cell's usable endpoints may be ejected or suspected. At least one is left.
+func mayBeExcluded(excluded, usable int) bool {
+	return excluded < usable && responsiveness.MayExclude(excluded-1, max(usable, minEjectionBase))
+}
+
+// limitSuspected puts suspected endpoints back into use while too many are excluded, because others have exited or
+// can't be used.
+func (c *Cell) limitSuspected() {
+	for _, e := range c.sortedEndpoints {
+		if !e.suspected || !e.usable() {
+			continue
+		}
+		if excluded, usable := c.countExcluded(); mayBeExcluded(excluded, usable) {
+			return
+		}
+		e.suspected = false
+		c.placementDue = true
+		c.logEndpoint("endpoint used although suspected", e, "too few others are left")
+	}
 }
 
 // countExcluded returns how many of the cell's usable endpoints are ejected or suspected, and how many are usable.
@@ -79,7 +100,7 @@
 	return excluded, usable
 }
 
-// leavesUnanswered reports whether a call to the endpoint may stay unanswered: so it started nothing new, for now.
+// leavesUnanswered reports whether the endpoint gets no new work because of unanswered calls.
 func (e *endpoint) leavesUnanswered() bool {
 	return e.overdue || e.suspected
 }
