Appends: a single late response doesn't delay the next hedge

Cause: the hedge delay was four times the duration of the last successful try. After one response that came 150 ms late, the next append was hedged only after 600 ms, and if its response was lost it waited for its timeout.

Change: the hedge delay follows the usual duration, which at most doubles with each try; timeouts still follow the last one. A store that becomes slow gets additional tries in its first appends instead of in the first one only. TestSlowStoreGetsNoHedgedCalls sets the usual duration in place of the last one, since that is what it now depends on; its check is the same.

--- a/pkg/stream/hedge.go
+++ b/pkg/stream/hedge.go
@@ -16,8 +16,9 @@
 	// minHedgeDelay is the shortest time between two tries while none has been answered. The store
 	// answers within 5 ms, and a busy node takes 20 ms to read the response.
 	minHedgeDelay = 40 * time.Millisecond
-	// hedgeDelayFactor times the duration of the last successful try replaces minHedgeDelay if that
-	// product is longer. A store that becomes slow thus gets one additional try at first and none later.
+	// hedgeDelayFactor times the usual duration of successful tries replaces minHedgeDelay if that product
+	// is longer. A store that becomes slow thus gets additional tries in the first appends and none later,
+	// and a single late response doesn't delay the hedging of the next append.
 	hedgeDelayFactor = 4
 	// maxConcurrentTries bounds the tries in flight. If three in ten responses are lost, three tries
 	// are all lost in 3 of 100 calls.
@@ -46,8 +47,8 @@
 		_ = tries.Wait()
 		w.failedTries.Store(0)
 	}()
-	lastDuration := time.Duration(w.lastDuration.Load())
-	timeout, hedgeDelay, retryDelay := min(maxTimeout, max(minTimeout, timeoutFactor*lastDuration)), max(minHedgeDelay, hedgeDelayFactor*lastDuration), minRetryDelay
+	timeout := min(maxTimeout, max(minTimeout, timeoutFactor*time.Duration(w.lastDuration.Load())))
+	hedgeDelay, retryDelay := max(minHedgeDelay, hedgeDelayFactor*time.Duration(w.usualDuration.Load())), minRetryDelay
 	results := make(chan error, maxConcurrentTries)
 	timer := w.deps.Clock.NewTimer(0)
 	defer timer.Stop()
--- a/pkg/stream/hedge_test.go
+++ b/pkg/stream/hedge_test.go
@@ -45,7 +45,7 @@
 func TestSlowStoreGetsNoHedgedCalls(t *testing.T) {
 	store := &scriptedStore{}
 	w := newWriter(store)
-	w.lastDuration.Store(int64(minHedgeDelay))
+	w.usualDuration.Store(int64(minHedgeDelay))
 	store.responses = []scriptedResponse{{after: 2 * minHedgeDelay}}
 	assert.NilError(t, w.Append(context.Background(), nil, w.NextFence()))
 	assert.Equal(t, len(store.fences), 1)
@@ -66,3 +66,36 @@
 	assert.ErrorIs(t, w.Append(ctx, nil, w.NextFence()), context.DeadlineExceeded)
 	assert.Equal(t, len(store.fences), maxConcurrentTries)
 }
+
+// TestOneLateResponseDoesNotDelayHedging guards against a hedge delay that follows a single late response. While some
+// responses are late, the next append whose response is lost then waited for its timeout.
+func TestOneLateResponseDoesNotDelayHedging(t *testing.T) {
+	late := scriptedResponse{after: 150 * time.Millisecond}
+	store := &scriptedStore{responses: []scriptedResponse{{after: 5 * time.Millisecond}, late, {silent: true}, {silent: true}, {silent: true}}}
+	w := newWriter(store)
+	clock := clockwork.NewRealClock()
+	var took time.Duration
+	for range 3 {
+		started := clock.Now()
+		assert.NilError(t, w.Append(context.Background(), nil, w.NextFence()))
+		took = clock.Since(started)
+	}
+	assert.Assert(t, took >= minHedgeDelay && took < minTimeout, "%v", took)
+}
+
+// TestSlowStoreGetsFewAdditionalCalls checks that a store whose responses all take long gets no hedged calls after a
+// few appends.
+func TestSlowStoreGetsFewAdditionalCalls(t *testing.T) {
+	slow := 200 * time.Millisecond
+	store := &scriptedStore{}
+	for range 30 {
+		store.responses = append(store.responses, scriptedResponse{after: slow})
+	}
+	w := newWriter(store)
+	for range 6 {
+		assert.NilError(t, w.Append(context.Background(), nil, w.NextFence()))
+	}
+	before := len(store.fences)
+	assert.NilError(t, w.Append(context.Background(), nil, w.NextFence()))
+	assert.Equal(t, len(store.fences), before+1)
+}
--- a/pkg/stream/writer.go
+++ b/pkg/stream/writer.go
@@ -49,10 +49,11 @@
 	producer string
 	epoch    int
 	sequence int
-	// lastDuration is how long the last successful try took, in nanoseconds, and failedTries how many
-	// tries of the call in flight have failed.
-	lastDuration atomic.Int64
-	failedTries  atomic.Int64
+	// lastDuration is how long the last successful try took, in nanoseconds, and usualDuration the same
+	// without single late responses. failedTries is how many tries of the call in flight have failed.
+	lastDuration  atomic.Int64
+	usualDuration atomic.Int64
+	failedTries   atomic.Int64
 }
 
 // New returns a writer of a stream. Its fences contain the given producer and epoch.
@@ -125,11 +126,18 @@
 	defer cancel(nil)
 	err := call(limited)
 	if err == nil {
-		w.lastDuration.Store(int64(w.deps.Clock.Since(started)))
+		w.setDuration(w.deps.Clock.Since(started))
 	}
 	return err
 }
 
+// setDuration notes how long a successful try took. The usual duration at most doubles with each try.
+func (w *Writer) setDuration(took time.Duration) {
+	w.lastDuration.Store(int64(took))
+	usual := max(time.Duration(w.usualDuration.Load()), minHedgeDelay/hedgeDelayFactor)
+	w.usualDuration.Store(int64(min(took, 2*usual)))
+}
+
 // checkResult takes the error of a try, or nil. It reports whether the call is done, and then returns
 // the error of the call. Otherwise it counts a failed try.
 func (w *Writer) checkResult(ctx context.Context, err error) (bool, error) {
