Cells: repeated polls renew leases once a second only

At an endpoint that is cut off, the polls that repeat unanswered ones would have extended the bound of its leases by up to 0.2 s, and its tasks wait for that bound before they start elsewhere.

--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -22,6 +22,8 @@
 	// answeredStep is the step at which the newest answered poll was sent.
 	answeredStep int
 	lastSentAt   time.Time
+	// renewedAt is when the last poll was sent that renews the leases.
+	renewedAt time.Time
 }
 
 // sentPoll is a poll that has not been answered yet.
@@ -124,7 +126,8 @@
 		// and discard its first results.
 		request.AckedSequence = 0
 	}
-	if e.attached && !e.silent && !e.exited && c.mayRenewLeases() {
+	if e.attached && !e.silent && !e.exited && c.mayRenewLeases() && !c.skipsRenewal(e) {
+		e.polls.renewedAt = c.now
 		request.LeaseUntilMs = e.estimateClock(c.now) + int(c.options.MaxLease.Milliseconds())
 		c.extendLeaseBound(e, request.LeaseUntilMs)
 	}
--- a/pkg/cell/unanswered.go
+++ b/pkg/cell/unanswered.go
@@ -210,6 +210,16 @@
 	}
 }
 
+// repeatedRenewalInterval is the time between two renewals of leases by polls that repeat unanswered ones. Leases last
+// for several seconds.
+const repeatedRenewalInterval = time.Second
+
+// skipsRenewal reports whether the next poll renews no leases, because it repeats an unanswered one. If the endpoint is
+// cut off, each renewal makes its tasks wait longer until they may start elsewhere.
+func (c *Cell) skipsRenewal(e *endpoint) bool {
+	return len(e.polls.overdue) > 0 && c.now.Sub(e.polls.renewedAt) < repeatedRenewalInterval
+}
+
 // overdueStartReturned handles the reply to a start request that came after the usual time, or the error that the
 // request failed with. A poll may have shown meanwhile that the run exists.
 func (c *Cell) overdueStartReturned(r *run, err error) {
