Cells: an owner that was held up takes no call for unanswered at once

After 120 ms without an event, while there are active jobs, replies may wait that arrived meanwhile: no call counts as unanswered for 100 ms. Before a tick the owner applies the messages in its inbox. Otherwise a small node that is held up would send polls and stops because of replies that it has.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -79,6 +79,9 @@
 	// resumedAt is when this owner last continued after a pause. Messages that it handles within
 	// catchUpTime after that may have arrived during the pause.
 	resumedAt time.Time
+	// stalledUntil is the time until which this owner may have to handle replies that arrived while it
+	// was held up.
+	stalledUntil time.Time
 	// lastTickAt is the time of the last Tick.
 	lastTickAt time.Time
 	// confirmedAt is the last time at which this owner's claim of the cell is known to have been
@@ -138,6 +141,9 @@
 	if !c.now.IsZero() && now.Sub(c.now) > pauseThreshold {
 		c.resumedAt = now
 	}
+	if !c.now.IsZero() && len(c.activeJobs) > 0 && now.Sub(c.now) > stallThreshold {
+		c.stalledUntil = now.Add(catchUpTime)
+	}
 	c.now = now
 	c.step++
 }
@@ -146,6 +152,10 @@
 	// pauseThreshold is the time without an event after which this owner is taken to have been
 	// paused. Even when nothing else happens, it ticks four times a second.
 	pauseThreshold = 400 * time.Millisecond
+	// stallThreshold is the time without an event, while there are active jobs, after which this owner
+	// is taken to have been held up, since it ticks every busyTickInterval then. Replies may have
+	// arrived meanwhile, so that no call counts as unanswered for catchUpTime.
+	stallThreshold = 120 * time.Millisecond
 	// catchUpTime is how long it takes after a pause to handle the messages that arrived meanwhile.
 	catchUpTime = 100 * time.Millisecond
 )
--- a/pkg/cell/unanswered.go
+++ b/pkg/cell/unanswered.go
@@ -127,7 +127,7 @@
 func (c *Cell) checkUnanswered() {
 	c.callsDueAt = time.Time{}
 	shortest, known := c.answerTimes.Bound()
-	if !known || !c.caughtUp() {
+	if !known || !c.caughtUp() || c.now.Before(c.stalledUntil) {
 		return
 	}
 	for _, e := range c.sortedEndpoints {
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -179,6 +179,8 @@
 		case m := <-o.inbox:
 			o.cell.Batch(func() { o.applyMessages(m) })
 		case <-timer.Chan():
+			// A reply that waits in the inbox must not count as missing.
+			o.cell.Batch(o.applyWaitingMessages)
 			now := o.deps.Clock.Now()
 			o.cell.Tick(now)
 			o.replyToSyncs(now, false)
@@ -215,15 +217,18 @@
 	}
 }
 
-// applyMessages applies a message and those that wait behind it in the inbox, at most inboxCapacity in total.
+// applyMessages applies a message and those that wait behind it in the inbox.
 func (o *Owner) applyMessages(m message) {
-	for applied := 1; ; applied++ {
-		m.apply(o, o.deps.Clock.Now())
-		if applied >= inboxCapacity {
-			return
-		}
+	m.apply(o, o.deps.Clock.Now())
+	o.applyWaitingMessages()
+}
+
+// applyWaitingMessages applies the messages that wait in the inbox, at most inboxCapacity.
+func (o *Owner) applyWaitingMessages() {
+	for range inboxCapacity {
 		select {
-		case m = <-o.inbox:
+		case m := <-o.inbox:
+			m.apply(o, o.deps.Clock.Now())
 		default:
 			return
 		}
