Cells: runs that are to be stopped for another reason don't go on

A run whose start was not answered goes on if it turns out to exist before its stop is confirmed. That must not hold if its job was cancelled meanwhile or its gang is stopped: both would have kept a run that nobody waits for. A stop that waits for the reply to an overdue start is sent when the start is overdue.

--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -268,7 +268,7 @@
 		case r.state == runUncertain && !r.stopping && sentStep >= r.listedAfterStep:
 			// The start request may still arrive.
 			c.stopUnanswered(r)
-			r.keepIfListed = true
+			r.keepIfListed = !r.task.phase.spec.Gang
 		}
 	}
 }
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -295,7 +295,8 @@
 	if !r.stopping {
 		c.logRun("stop", r, reason)
 	}
-	r.stopping = true
+	// A run that has another reason to be stopped doesn't go on if a poll lists it.
+	r.stopping, r.keepIfListed = true, false
 	if r.state == runRequested {
 		// The reply to the start request is on its way. A stop that overtakes the start would still
 		// be effective, but the reply shows whether the run has started.
--- a/pkg/cell/unanswered.go
+++ b/pkg/cell/unanswered.go
@@ -193,6 +193,10 @@
 		c.observeUnanswered(e)
 		c.logRun("start overdue", r, "")
 		c.requestPoll(e)
+		if r.stopping {
+			// The stop has waited for the reply to the start.
+			c.sendStop(r)
+		}
 	}
 }
 
@@ -233,7 +237,10 @@
 		r.state, r.listedAfterStep = runConfirmed, c.step
 		r.task.phase.job().begun = true
 		r.task.refusals = 0
-		if r.keepIfListed && !r.stopConfirmed {
+		switch {
+		case r.task.phase.job().ended() || r.task.done:
+			c.stop(r, "its job has ended")
+		case r.keepIfListed && !r.stopConfirmed:
 			// A stop that is on its way may still end the run. Its result then shows that.
 			r.stopping, r.keepIfListed = false, false
 		}
