--- a/pkg/responsiveness/calls.go
+++ b/pkg/responsiveness/calls.go
@@ -14,19 +14,19 @@
 	minUnanswered    = 2.5
 	suspectShare     = 0.3
 	factorOverOthers = 4
-	// answersToRecover is how many calls in a row a suspected endpoint must answer in time to return to normal use. One
+	// answersToRecover is how many calls in a row a suspected endpoint must answer to return to normal use. One
 	// that leaves a third of its calls unanswered does that in one of 25 cases. It is then suspected again sooner than at
 	// first, since its earlier calls still count.
 	answersToRecover = 8
 	// Polls are held for less time while the recent calls include minLost unanswered ones, and these are minLostShare of
-	// all. The exit of one endpoint in a large cell leaves fewer.
+	// all. A large cell often has a single unanswered call, for example when an endpoint exits.
 	minLost      = 2
 	minLostShare = 0.01
 	// recentLoss is the weight of unanswered calls from which an endpoint counts as one that has just left a call
 	// unanswered. One call falls below it after 2 s.
 	recentLoss = 0.5
-	// maxExcludedShare is the inverse of the largest share of a cell's endpoints that may be excluded.
-	maxExcludedShare = 3
+	// endpointsPerExcluded is how many endpoints a cell must have for each one that is excluded.
+	endpointsPerExcluded = 3
 )
 
 // Calls counts how many of the recent calls to an endpoint, or to all endpoints of a cell, were answered in time.
@@ -34,10 +34,12 @@
 type Calls struct {
 	answered   float64
 	unanswered float64
-	// answeredInRow is the number of calls that were answered in time since the last one that was not.
+	// answeredInRow is the number of answers since a call last counted as unanswered.
 	answeredInRow int
-	countedAt     time.Time
-	slowest       time.Duration
+	// countedAt is the time to which the weights have been reduced.
+	countedAt time.Time
+	// slowest is the longest time of a recent answer.
+	slowest time.Duration
 }
 
 // decay reduces the weight of what was observed before now.
@@ -111,5 +113,5 @@
 
 // MayExclude reports whether one more endpoint may be excluded: at most a third of the given number may be.
 func MayExclude(excluded, endpoints int) bool {
-	return (excluded+1)*maxExcludedShare <= endpoints
+	return (excluded+1)*endpointsPerExcluded <= endpoints
 }
