--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -23,6 +23,7 @@
 	"damsonwinch/pkg/fairshare"
 	"damsonwinch/pkg/pause"
 	"damsonwinch/pkg/quota"
+	"damsonwinch/pkg/responsiveness"
 	"damsonwinch/pkg/wire"
 	"damsonwinch/pkg/workload"
 )
@@ -76,7 +77,7 @@
 	// suspendedFor is the total time for which the machine was suspended, as of the last call of
 	// CheckSuspension.
 	suspendedFor time.Duration
-	// pauses detects that this owner has been paused.
+	// pauses detects that this owner has been paused or held up.
 	pauses pause.Detector
 	// lastTickAt is the time of the last Tick.
 	lastTickAt time.Time
@@ -85,6 +86,11 @@
 	confirmedAt time.Time
 	evacuations evacuations
 	commits     commits
+	// answerTimes holds how long endpoints take to answer, and calls how many calls stay unanswered.
+	answerTimes responsiveness.AnswerTimes
+	calls       responsiveness.Calls
+	// callsDueAt is the time by which the next call in flight counts as unanswered, or zero.
+	callsDueAt time.Time
 	// permitCalls is the number of calls for permits in flight.
 	permitCalls int
 	// workload holds, by queue, statistics of how much work arrives and how long it takes.
@@ -128,6 +134,9 @@
 // event calls it first.
 func (c *Cell) beginEvent(now time.Time) {
 	c.pauses.Event(c.now, now)
+	if len(c.activeJobs) > 0 {
+		c.pauses.BusyEvent(c.now, now)
+	}
 	c.now = now
 	c.step++
 }
@@ -178,6 +187,8 @@
 	c.endpointsChanged()
 	c.startDueRounds()
 	c.expireLeases()
+	c.checkUnanswered()
+	c.limitSuspected()
 	c.resendStops()
 	c.updateOverdue()
 	c.requestBoxList()
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -110,19 +110,11 @@
 }
 
 // canEject reports whether the cell can do without one more endpoint: one that is usable and not
-// ejected would be left, and at most maxEjectedPercent would be ejected.
+// ejected would be left, and at most maxEjectedPercent would be ejected
+// or suspected.
 func (c *Cell) canEject() bool {
-	ejected, usable := 0, 0
-	for _, e := range c.sortedEndpoints {
-		if !e.usable() {
-			continue
-		}
-		usable++
-		if c.now.Before(e.health.ejectedUntil) {
-			ejected++
-		}
-	}
-	return ejected+1 < usable && (ejected+1)*100 <= max(usable, minEjectionBase)*maxEjectedPercent
+	excluded, usable := c.countExcluded()
+	return excluded+1 < usable && (excluded+1)*100 <= max(usable, minEjectionBase)*maxEjectedPercent
 }
 
 // checkProgress ejects an endpoint whose tasks are stalled or slow, and moves runs away from it.
@@ -172,12 +164,12 @@
 	}
 }
 
-// fitsElsewhere reports whether another endpoint that is not ejected has capacity for a run, now or
+// fitsElsewhere reports whether another endpoint that is neither ejected nor suspected has capacity for a run, now or
 // once its short tasks have ended. The largest tasks may fit only where they are, and would never
 // finish if they were stopped there again and again.
 func (c *Cell) fitsElsewhere(r *run) bool {
 	for _, e := range c.sortedEndpoints {
-		if e != r.endpoint && e.usable() && !c.now.Before(e.health.ejectedUntil) && e.info.Capacity.Minus(e.longRunningNeed()).Holds(r.task.phase.need()) {
+		if e != r.endpoint && e.usable() && !e.suspected && !c.now.Before(e.health.ejectedUntil) && e.info.Capacity.Minus(e.longRunningNeed()).Holds(r.task.phase.need()) {
 			return true
 		}
 	}
--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -79,7 +79,7 @@
 		z.link.BeginCheck()
 	}
 	for _, e := range c.sortedEndpoints {
-		since := e.oldestCall(c.now, c.options.PollWait)
+		since := e.oldestUnansweredCall(c.now)
 		if e.overdue = cutoff.IsOverdue(c.now, since); e.overdue {
 			e.zone.link.AddOverdue(since)
 		}
@@ -92,22 +92,25 @@
 	}
 }
 
-// oldestCall returns the earliest time at which the oldest unanswered call to the endpoint could have
-// been answered: when the call was sent, or pollWait later for a poll that the endpoint may hold. It
-// returns now if there is no such call.
-func (e *endpoint) oldestCall(now time.Time, pollWait time.Duration) time.Time {
+// oldestUnansweredCall returns the earliest time at which the oldest unanswered call to the endpoint could
+// have been answered: when the call was sent, or maxWait later for a poll that the endpoint may hold. It
+// returns now if there is no such call. Calls that could have been answered before the endpoint last
+// answered another one are left out: they got lost, and the endpoint can be reached.
+func (e *endpoint) oldestUnansweredCall(now time.Time) time.Time {
 	oldest := now
-	if sent := e.polls.immediate; sent != nil && sent.sentAt.Before(oldest) {
-		oldest = sent.sentAt
-	}
-	if sent := e.polls.waiting; sent != nil {
-		if at := sent.sentAt.Add(pollWait); at.Before(oldest) {
+	consider := func(at time.Time) {
+		if at.Before(oldest) && at.After(e.lastAnsweredAt) {
 			oldest = at
 		}
 	}
+	for _, sent := range append([]*sentPoll{e.polls.immediate, e.polls.waiting}, e.polls.overdue...) {
+		if sent != nil {
+			consider(sent.sentAt.Add(sent.maxWait))
+		}
+	}
 	for _, r := range e.runsByStart {
-		if r.state == runRequested && r.startedAt.Before(oldest) {
-			oldest = r.startedAt
+		if r.state == runRequested || r.startOverdue {
+			consider(r.startedAt)
 		}
 	}
 	return oldest
@@ -134,7 +137,7 @@
 	sum := 0
 	for cores := 1; cores <= z.byFreeCores.Highest(); cores++ {
 		for _, entry := range z.byFreeCores.Bucket(cores) {
-			if e := entry.Value.(*endpoint); e.usable() && !e.overdue {
+			if e := entry.Value.(*endpoint); e.usable() && !e.leavesUnanswered() {
 				sum += cores
 			}
 		}
--- a/pkg/pause/pause.go
+++ b/pkg/pause/pause.go
@@ -9,12 +9,17 @@
 	threshold = 400 * time.Millisecond
 	// catchUpTime is how long it takes after a pause to handle the messages that arrived meanwhile.
 	catchUpTime = 100 * time.Millisecond
+	// busyThreshold is the time without an event after which a busy process is taken to have been held up: it
+	// ticks each 50 ms. Replies may have arrived meanwhile.
+	busyThreshold = 120 * time.Millisecond
 )
 
 // Detector detects pauses. The zero value has seen none.
 type Detector struct {
 	// resumedAt is when the process last continued after a pause.
 	resumedAt time.Time
+	// heldUpUntil is the time until which the process may have to handle what arrived while it was held up.
+	heldUpUntil time.Time
 }
 
 // Event notes an event that is handled now. previous is when the process was last known to do something,
@@ -31,3 +36,16 @@
 func (d *Detector) CaughtUp(now time.Time) bool {
 	return now.Sub(d.resumedAt) >= catchUpTime
 }
+
+// BusyEvent notes an event that a busy process handles now, in addition to Event.
+func (d *Detector) BusyEvent(previous, now time.Time) {
+	if !previous.IsZero() && now.Sub(previous) > busyThreshold {
+		d.heldUpUntil = now.Add(catchUpTime)
+	}
+}
+
+// CaughtUpBusy reports whether a busy process handles messages as soon as they arrive. It is stricter than
+// CaughtUp: shorter times without an event count, too.
+func (d *Detector) CaughtUpBusy(now time.Time) bool {
+	return !now.Before(d.heldUpUntil)
+}
