Evacuation: account of what still runs in an evacuated zone

Cause: the operator who evacuates a zone learns neither what still runs there nor when it may be switched off.

Explain says of a run in an evacuated zone why it stays there.

A report has no further field where no zone is evacuated.

--- a/pkg/cell/evacuation.go
+++ b/pkg/cell/evacuation.go
@@ -76,6 +76,24 @@
 	return spec.Checkpoints && !spec.Gang && c.canWaitForCapacity(r)
 }
 
+// explainStay says why a run in an evacuated zone has not been stopped.
+func (c *Cell) explainStay(r *run) string {
+	spec := r.task.phase.spec
+	switch {
+	case r.state != runConfirmed:
+		return "its endpoint has not confirmed it"
+	case spec.Lasting && !c.mayInterrupt(r.task.phase):
+		return "no more tasks of its phase may be unavailable"
+	case !spec.Lasting && (!spec.Checkpoints || spec.Gang):
+		return "it runs to its end"
+	case !c.mayLeaveZone(r):
+		return "its job would be late if it were moved"
+	case !c.canStartElsewhere(r):
+		return "no other endpoint can take it now"
+	}
+	return "it is about to be moved"
+}
+
 // logEvacuation logs that the evacuation of a zone has begun or ended, and what the cell has there.
 func (c *Cell) logEvacuation(z *zone) {
 	endpoints, runs := 0, 0
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -63,6 +63,8 @@
 		line += fmt.Sprintf("; attempt %d on %s is %s", r.attempt, r.endpoint.info.Life, runStateNames[r.state])
 		if r.stopping {
 			line += " and to be stopped"
+		} else if r.endpoint.zone.evacuated {
+			line += ", in an evacuated zone: " + c.explainStay(r)
 		}
 	}
 	if t.ready && len(t.runs) == 0 {
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -57,6 +57,7 @@
 	report.MissingBoxes = c.missingBoxes()
 	c.reportDedicatedBoxes(&report)
 	c.reportCustomers(&report)
+	c.reportEvacuatedZones(&report)
 	return report
 }
 
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -152,6 +152,14 @@
 			lives = append(lives, reported.Endpoint)
 		}
 		return strings.Join(lives, " ") + "\n"
+	case "report-zones":
+		report := s.cell.Report(s.now)
+		lines := ""
+		for _, row := range report.EvacuatedZones {
+			lines += fmt.Sprintf("%s: %d endpoints, %d unknown, runs %d short %d checkpoint %d lasting %d stray; confirmed %d ms ago\n",
+				row.Zone, row.Endpoints, row.UnknownEndpoints, row.ShortRuns, row.CheckpointRuns, row.LastingRuns, row.StrayRuns, report.EvacuationsAgeMs)
+		}
+		return lines
 	case "wake":
 		return fmt.Sprintf("in %d ms\n", s.cell.NextTick().Sub(s.now).Milliseconds())
 	case "pending":
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -1324,6 +1324,14 @@
 	// Endpoints of the cell.
 	Endpoints []EndpointReport `json:"endpoints,omitempty,omitzero"`
 
+	// Zones that the owner knows to be evacuated, also those in which the cell has no
+	// endpoint.
+	EvacuatedZones []ZoneReport `json:"evacuated_zones,omitempty,omitzero"`
+
+	// How long ago the store confirmed that there were no evacuations beside those,
+	// in milliseconds. It has no meaning without evacuated zones.
+	EvacuationsAgeMs int `json:"evacuations_age_ms,omitempty,omitzero"`
+
 	// Whether this node owns the cell and has loaded its records. If not, the reply
 	// says nothing else.
 	Known bool `json:"known"`
@@ -1414,3 +1422,32 @@
 	// Number of the wave.
 	Wave int `json:"wave"`
 }
+
+// ZoneReport says what still runs in an evacuated zone on the endpoints of a cell.
+// A report that has one for a zone says that the owner knows of its evacuation.
+type ZoneReport struct {
+	// Number of attempts of short tasks with checkpoints.
+	CheckpointRuns int `json:"checkpoint_runs,omitempty,omitzero"`
+
+	// Estimated time until the short tasks have ended, in milliseconds.
+	EmptyMs int `json:"empty_ms,omitempty,omitzero"`
+
+	// Number of endpoints in the zone that have not exited.
+	Endpoints int `json:"endpoints,omitempty,omitzero"`
+
+	// Number of attempts of long-running tasks.
+	LastingRuns int `json:"lasting_runs,omitempty,omitzero"`
+
+	// Number of attempts of short tasks without checkpoints.
+	ShortRuns int `json:"short_runs,omitempty,omitzero"`
+
+	// Number of runs that endpoints list and the owner doesn't know.
+	StrayRuns int `json:"stray_runs,omitempty,omitzero"`
+
+	// Number of endpoints on which runs may exist that the owner can't see: they have
+	// not answered it, and leases there may still be in force.
+	UnknownEndpoints int `json:"unknown_endpoints,omitempty,omitzero"`
+
+	// Name of the availability zone.
+	Zone string `json:"zone"`
+}
