Planner: track evacuated zones, power off the boxes of zones that stay evacuated

Cause: boxes of an evacuated zone stayed in their pools, powered on, for as long as the evacuation lasted.

Change: boxes of a zone that has been evacuated for evacuation_power_off_s (120 s by default, so that evacuations of seconds change nothing) are withdrawn and moved to the powered-off pool as far as nothing runs there. If the zone is taken back before the order, the endpoint is restored; after it, the box is a powered-off box like others, and the neediest cell gets it by a second move. The planner feeds the account of pkg/evacuation, logs a zone's state when it changes, at most once a second, and shows gauges. The time since when a zone has been evacuated is the node's, so that a new planner goes on with it.

The scripts of pkg/boxplan have new commands (run, withdraw, carry-out) and pass a map of times to SetEvacuatedZones, whose signature has changed; the outputs of the existing ones are unchanged.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -57,7 +57,9 @@
 	since time.Time
 	// urgent says that the running tasks are to be stopped instead of waited for.
 	urgent bool
-	cause  string // See Order.
+	// evacuation says that the box is to be powered off because its zone is evacuated.
+	evacuation bool
+	cause      string // See Order.
 }
 
 // issuedOrder is an order that has been issued and whose effect has not been seen yet.
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -27,6 +27,9 @@
 	// TakeoverDelay is the minimum time between an order of one planner on a box and an order of
 	// its successor on the same box.
 	TakeoverDelay time.Duration
+	// EvacuationPowerOffDelay is how long a zone must have been evacuated until its boxes are powered
+	// off as far as nothing runs there; 0 for never.
+	EvacuationPowerOffDelay time.Duration
 	// OrdersPerSecond is how many orders the platform takes in a second; 0 for no limit.
 	OrdersPerSecond int
 }
@@ -85,8 +88,8 @@
 	upEndpoints map[string]bool
 	// cutOffZones are the zones whose boxes the owners of the cells can't reach.
 	cutOffZones map[string]bool
-	// evacuatedZones are the zones in which the operator wants no task to start.
-	evacuatedZones map[string]bool
+	// evacuatedZones holds since when the operator has wanted no task to start in a zone.
+	evacuatedZones map[string]time.Time
 	// waves are the maintenance waves by number.
 	waves map[int]*wave
 	// boxesRequestedAt is when the newest list of boxes was requested.
@@ -159,13 +162,14 @@
 	p.orderPace.advance(now)
 	p.attachReports()
 	p.findCutOffZones()
-	p.cancelMovesInEvacuatedZones()
+	p.updatePlansForEvacuations()
 	p.countBoxes()
 	p.updateDemands()
 	p.planWaves()
 	p.issueDueOrders()
 	p.fillCells()
 	p.powerOffSurplus()
+	p.powerOffEvacuatedZones()
 	p.issueDuePowerOffs()
 	return p.orders
 }
--- a/pkg/boxplan/script_test.go
+++ b/pkg/boxplan/script_test.go
@@ -34,6 +34,11 @@
 	// long-running tasks, by the name of the box.
 	emptyMs     map[string]int
 	longRunning map[string]int
+	// running holds the number of runs by the name of the box. withdrawn holds the boxes whose cells have
+	// recorded the withdrawal that the last plan asked for, and ordered the orders that are to be carried out.
+	running   map[string]int
+	withdrawn map[string]bool
+	ordered   []boxplan.Order
 	// evacuated holds the evacuated zones.
 	evacuated []string
 	now       time.Time
@@ -50,10 +55,13 @@
 //	wave number=N down=N s=S pools=(P, ...): a wave for all boxes of some pools, of which at most N may
 //	  be down at the same time, to be completed within S seconds
 //	evacuate zones=(Z, ...): the operator evacuates these zones and no others
+//	run box=B tasks=N: a box has N runs
+//	withdraw: the cells record the withdrawals that the last plan asked for
+//	carry-out: the platform carries out the orders so far
 //	plan at=MS: prints the orders and the withdrawals that the planner decides at that time
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &script{t: t, emptyMs: map[string]int{}, longRunning: map[string]int{}, now: time.Unix(1_000_000, 0)}
+		s := &script{t: t, emptyMs: map[string]int{}, longRunning: map[string]int{}, running: map[string]int{}, withdrawn: map[string]bool{}, now: time.Unix(1_000_000, 0)}
 		datadriven.RunTest(t, path, s.run)
 	})
 }
@@ -75,6 +83,14 @@
 		s.wave(d)
 	case "evacuate":
 		s.evacuate(d)
+	case "run":
+		var box string
+		d.ScanArgs(t, "box", &box)
+		s.running[box] = number(t, d, "tasks")
+	case "withdraw":
+		s.withdraw()
+	case "carry-out":
+		s.carryOut()
 	case "plan":
 		s.now = time.Unix(1_000_000, 0).Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 		return s.plan()
@@ -97,7 +113,7 @@
 // fleet creates the pools and boxes that the lines of the input give, and the planner.
 func (s *script) fleet(shards int, input string) {
 	s.layout = shard.New(shards, nil)
-	s.planner = boxplan.New(boxplan.Options{MoveTime: 1500 * time.Millisecond, MaintainTime: 2 * time.Second, ScaleDownDelay: time.Second, TakeoverDelay: 3 * time.Second})
+	s.planner = boxplan.New(boxplan.Options{MoveTime: 1500 * time.Millisecond, MaintainTime: 2 * time.Second, ScaleDownDelay: time.Second, TakeoverDelay: 3 * time.Second, EvacuationPowerOffDelay: time.Minute})
 	for i, line := range strings.Split(input, "\n") {
 		fields := strings.Fields(line)
 		count, err := strconv.Atoi(fields[1])
@@ -142,7 +158,7 @@
 	shardNumber := number(s.t, d, "shard")
 	for _, b := range s.boxes {
 		if b.Pool == pool && s.layout.BoxShard(b.Name) == shardNumber {
-			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: !slices.Contains(s.evacuated, b.Zone), EmptyMs: s.emptyMs[b.Name], Lasting: s.longRunning[b.Name]})
+			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: !slices.Contains(s.evacuated, b.Zone) && !s.withdrawn[b.Name], EmptyMs: s.emptyMs[b.Name], Lasting: s.longRunning[b.Name], Runs: s.running[b.Name], Withdrawn: s.withdrawn[b.Name]})
 		}
 	}
 	s.planner.SetReport(s.now, shard.CellName(pool, shardNumber), reply)
@@ -167,7 +183,38 @@
 	for _, arg := range d.CmdArgs {
 		s.evacuated = append(s.evacuated, arg.Vals...)
 	}
-	s.planner.SetEvacuatedZones(s.evacuated)
+	since := map[string]time.Time{}
+	for _, zone := range s.evacuated {
+		since[zone] = s.now
+	}
+	s.planner.SetEvacuatedZones(since)
+}
+
+// withdraw makes the reports show the withdrawals that the last plan asked for as recorded.
+func (s *script) withdraw() {
+	clear(s.withdrawn)
+	for _, cell := range s.cells() {
+		directives := s.planner.Directives(cell)
+		for _, id := range slices.Concat(directives.Withdraw, directives.WithdrawUrgently) {
+			s.withdrawn[strings.TrimPrefix(id, "at-")] = true
+		}
+	}
+}
+
+// carryOut has the platform accept the orders so far and move the boxes.
+func (s *script) carryOut() {
+	for _, order := range s.ordered {
+		s.planner.HandleOrderResult(s.now, order, nil)
+		for i := range s.boxes {
+			if s.boxes[i].Name == order.Box {
+				s.boxes[i].Pool = order.Pool
+				delete(s.withdrawn, order.Box)
+			}
+		}
+	}
+	s.ordered = nil
+	s.now = s.now.Add(time.Millisecond)
+	s.planner.SetBoxes(s.now, s.boxes)
 }
 
 // cells returns the names of all cells.
@@ -183,7 +230,9 @@
 // sorted.
 func (s *script) plan() string {
 	var lines []string
-	for _, order := range s.planner.Plan(s.now) {
+	orders := s.planner.Plan(s.now)
+	s.ordered = append(s.ordered, orders...)
+	for _, order := range orders {
 		lines = append(lines, fmt.Sprintf("move %s to %s", order.Box, shard.CellName(order.Pool, order.Shard)))
 	}
 	for _, cell := range s.cells() {
--- a/pkg/node/evacuations.go
+++ b/pkg/node/evacuations.go
@@ -32,6 +32,15 @@
 	return slices.Sorted(maps.Keys(e.byZone))
 }
 
+// since returns since when this node has followed each request, by zone.
+func (e *evacuations) since() map[string]time.Time {
+	since := make(map[string]time.Time, len(e.byZone))
+	for zone, current := range e.byZone {
+		since[zone] = current.since
+	}
+	return since
+}
+
 // setEvacuation applies a request of the operator, unless this node follows it already.
 func (n *Node) setEvacuation(request damsonwinch.Evacuation) {
 	current, evacuated := n.state.evacuations.byZone[request.Zone]
@@ -78,7 +87,7 @@
 		case *owner.Owner:
 			runner.SetEvacuations(zones, n.state.evacuations.confirmedAt)
 		case *planner.Planner:
-			runner.SetEvacuatedZones(zones)
+			runner.SetEvacuatedZones(n.state.evacuations.since())
 		}
 	}
 }
--- a/pkg/node/runners.go
+++ b/pkg/node/runners.go
@@ -110,9 +110,9 @@
 		Metrics: n.deps.Metrics, Sync: n.router.Sync, WaveReport: n.deps.Platform.WaveReport,
 		SuspendedTime:  n.deps.SuspendedTime,
 		OnFirstBoxList: func(count int) { n.send(boxCountReceived{count: count}) },
-	}, planner.Options{Node: n.options.Self.Node, Cell: claim.Cell, Stream: cellclaim.Stream(claim, n.options.Partitions), Token: claim.Token, BoxPlanOptions: n.options.BoxPlanOptions})
+	}, planner.Options{Node: n.options.Self.Node, Cell: claim.Cell, Stream: cellclaim.Stream(claim, n.options.Partitions), Token: claim.Token, BoxPlanOptions: n.options.BoxPlanOptions, EvacuationBound: n.options.CellOptions.MaxEvacuationAge})
 	started.Configure(n.state.configuration, n.state.layout)
-	started.SetEvacuatedZones(n.state.evacuations.zones())
+	started.SetEvacuatedZones(n.state.evacuations.since())
 	for _, wave := range n.state.waves {
 		started.SetWave(wave)
 	}
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -15,6 +15,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/boxplan"
+	"damsonwinch/pkg/evacuation"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/shard"
@@ -59,22 +60,26 @@
 	Stream         damsonwinch.Stream // The planner's stream: orders, progress of waves, allowances.
 	Token          int                // The epoch by which this node owns the fleet's cell.
 	BoxPlanOptions boxplan.Options
+	// EvacuationBound is the longest time after the evacuation of a zone for which an owner that doesn't
+	// know of it may start tasks there.
+	EvacuationBound time.Duration
 }
 
 // Planner is a running fleet planner. One goroutine handles messages and plans, calls run in others.
 type Planner struct {
-	deps      Deps
-	options   Options
-	boxPlan   *boxplan.Planner
-	allocator *quota.Allocator
-	inbox     chan any
-	group     *errgroup.Group
-	ctx       context.Context // Ends with the planner.
-	cancel    context.CancelFunc
-	done      chan struct{}
-	writer    *stream.Writer
-	pools     []damsonwinch.Pool
-	layout    shard.Layout
+	deps        Deps
+	options     Options
+	boxPlan     *boxplan.Planner
+	allocator   *quota.Allocator
+	evacuations *evacuation.Tracker
+	inbox       chan any
+	group       *errgroup.Group
+	ctx         context.Context // Ends with the planner.
+	cancel      context.CancelFunc
+	done        chan struct{}
+	writer      *stream.Writer
+	pools       []damsonwinch.Pool
+	layout      shard.Layout
 	// syncInFlight holds the cells whose owners are being called; syncedAt is when each was called last.
 	syncInFlight     map[string]bool
 	syncedAt         map[string]time.Time
@@ -101,7 +106,7 @@
 		layout        shard.Layout
 	}
 	waveRequested  struct{ wave damsonwinch.Wave }
-	zonesEvacuated struct{ zones []string }
+	zonesEvacuated struct{ since map[string]time.Time }
 	synced         struct { // The result of a call to the owner of a cell.
 		cell  string
 		reply wire.SyncReply
@@ -133,7 +138,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	p := &Planner{
-		deps: deps, options: options, boxPlan: boxplan.New(options.BoxPlanOptions), allocator: quota.NewAllocator(), inbox: make(chan any, inboxCapacity),
+		deps: deps, options: options, boxPlan: boxplan.New(options.BoxPlanOptions), allocator: quota.NewAllocator(), evacuations: evacuation.New(options.EvacuationBound), inbox: make(chan any, inboxCapacity),
 		writer: stream.New(stream.Deps{Store: deps.Store, Clock: deps.Clock, Metrics: deps.Metrics}, options.Stream, options.Cell, options.Token),
 		group:  group, ctx: ctx, cancel: cancel, done: make(chan struct{}), syncInFlight: map[string]bool{}, syncedAt: map[string]time.Time{}, reportInFlight: map[int]bool{},
 		suspendedBefore: deps.SuspendedTime.Total(),
@@ -171,9 +176,10 @@
 	p.send(waveRequested{wave: wave})
 }
 
-// SetEvacuatedZones sets the availability zones in which the operator wants no task to start.
-func (p *Planner) SetEvacuatedZones(zones []string) {
-	p.send(zonesEvacuated{zones: zones})
+// SetEvacuatedZones sets the availability zones in which the operator wants no task to start, and since when
+// this node has known of each evacuation. The map must not change any more.
+func (p *Planner) SetEvacuatedZones(since map[string]time.Time) {
+	p.send(zonesEvacuated{since: since})
 }
 
 // send queues a message, which is dropped if the planner is stopped. It blocks while the inbox is full.
@@ -249,6 +255,7 @@
 	case configured:
 		p.pools, p.layout = m.configuration.Pools, m.layout
 		p.boxPlan.SetPools(p.pools, p.layout)
+		p.evacuations.SetCells(p.workingCells())
 		p.allocator.Configure(m.configuration.Version, m.configuration.Customers)
 		if p.layout.Decided() {
 			p.allocator.SetCells(now, p.cellNames())
@@ -257,11 +264,12 @@
 	case waveRequested:
 		p.boxPlan.SetWave(now, m.wave)
 	case zonesEvacuated:
-		p.boxPlan.SetEvacuatedZones(m.zones)
+		p.setEvacuatedZones(m.since)
 	case synced:
 		delete(p.syncInFlight, m.cell)
 		if m.err == nil {
 			p.boxPlan.SetReport(now, m.cell, m.reply)
+			p.evacuations.SetReport(now, m.cell, m.reply)
 			p.allocator.HandleReply(m.cell, p.options.Token, m.reply)
 			p.allocateThrottled(now)
 		}
@@ -306,6 +314,7 @@
 		p.flush()
 		p.reportWaves()
 		p.logPools(now)
+		p.trackEvacuations(now)
 	}
 	p.allocateThrottled(now)
 	for _, cell := range p.cellNames() {
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -148,7 +148,7 @@
 		},
 		BoxPlanOptions: boxplan.Options{
 			MoveTime: seconds(bounds.MoveS), MaintainTime: seconds(bounds.MaintainS), ScaleDownDelay: scaleDownDelay, TakeoverDelay: milliseconds(bounds.HolderMs),
-			OrdersPerSecond: int(config.BoxOrdersPerS * boxOrderShare),
+			OrdersPerSecond: int(config.BoxOrdersPerS * boxOrderShare), EvacuationPowerOffDelay: evacuationPowerOffDelay(config),
 		},
 		MembershipTTL:  milliseconds(orDefault(config.GroupTtlMs, defaultMembershipTTLMs)),
 		Partitions:     orDefault(config.Partitions, defaultPartitions),
@@ -157,6 +157,18 @@
 	}
 }
 
+// evacuationPowerOffDelay returns how long a zone must have been evacuated until its boxes are powered off.
+func evacuationPowerOffDelay(config settings.Node) time.Duration {
+	if config.EvacuationPowerOffS == 0 {
+		return defaultEvacuationPowerOff
+	}
+	return seconds(config.EvacuationPowerOffS)
+}
+
+// defaultEvacuationPowerOff is well beyond evacuations that end within seconds. A box that is powered off and
+// brought back does no work for some 4 s, and each of the two moves has its price.
+const defaultEvacuationPowerOff = 2 * time.Minute
+
 // boxOrderShare is the share of the orders that the platform takes in a second that the planner issues.
 // The rest allows for orders that are on their way for different times.
 const boxOrderShare = 0.9
--- a/pkg/process/node_test.go
+++ b/pkg/process/node_test.go
@@ -42,7 +42,10 @@
 	// has an effect only with revokeFailClosed.
 	maxKeyAgeMs      int
 	revokeFailClosed bool
-	logger           *logrus.Logger // If nil, only errors are logged, to stderr.
+	// evacuationPowerOffS is how long a zone must have been evacuated until its boxes are powered off, in
+	// seconds; 0 for the default.
+	evacuationPowerOffS float64
+	logger              *logrus.Logger // If nil, only errors are logged, to stderr.
 }
 
 // newCluster starts a platform with six boxes and the given number of nodes until the test ends.
@@ -85,7 +88,7 @@
 	return settings.Node{
 		Node: fmt.Sprintf("node-%d", number), Zone: "zone", ClientAddress: freeAddress(t), ReadyAddress: freeAddress(t),
 		CallAddress: freeAddress(t), DebugAddress: freeAddress(t), Store: store, Boxes: boxes, Advice: advice,
-		FirstStart: number < len(c.nodes), CoreShare: c.coreShare, MemoryMb: 256, GroupTtlMs: 700,
+		FirstStart: number < len(c.nodes), CoreShare: c.coreShare, MemoryMb: 256, GroupTtlMs: 700, EvacuationPowerOffS: c.evacuationPowerOffS,
 		Bounds: settings.Bounds{LeaseMostMs: 3000, StopMs: 50, DrainMs: 1000, KeepEndedS: 60, GraceS: 5, MoveS: 0.3, MaintainS: 0.3, RevokeMs: c.maxKeyAgeMs, RevokeFailClosed: c.revokeFailClosed, EvacuationMs: evacuationBoundMs},
 	}
 }
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -291,6 +291,11 @@
 	// IP and port on which the node serves its metrics over HTTP, at /debug/vars.
 	DebugAddress string `json:"debug_address"`
 
+	// How long an availability zone must have been evacuated until its boxes are
+	// powered off as far as nothing runs there, in seconds. From 1 to 86400; the
+	// default is 120.
+	EvacuationPowerOffS float64 `json:"evacuation_power_off_s,omitempty,omitzero"`
+
 	// Whether the whole system is started for the first time. The node then gives the
 	// others time to join before it claims cells. The default is false.
 	FirstStart bool `json:"first_start,omitempty,omitzero"`
