Cell: move tasks out of evacuated zones without stopping more than can start elsewhere

Cause: four faults around an evacuation. - All runs with checkpoints that fitted one free place were stopped for it, and all but one waited, without the work since their last checkpoint. - A run with a checkpoint that would have ended within the time of its move was stopped. - A long-running task that fitted on no other endpoint of its cell stayed in the zone: only tasks that wait count as lacking a box, and a task that still runs doesn't wait. - Where short tasks filled the other zones, it found no capacity for as long as work arrived: endpoints were reserved only for tasks that wait.

A node takes a request with a new offset for a new one: the zone may have been taken back in between.

--- a/pkg/cell/evacuation.go
+++ b/pkg/cell/evacuation.go
@@ -33,7 +33,7 @@
 	c.evacuations.zones = slices.Clone(zones)
 	for _, z := range c.zones {
 		if evacuated := slices.Contains(zones, z.name); evacuated != z.evacuated {
-			z.evacuated = evacuated
+			z.evacuated, z.evacuatedSince = evacuated, c.now
 			c.logEvacuation(z)
 		}
 	}
@@ -47,35 +47,6 @@
 	return c.options.MaxEvacuationAge == 0 || c.now.Sub(c.evacuations.confirmedAt) < c.options.MaxEvacuationAge
 }
 
-// leaveEvacuatedZones stops the runs in evacuated zones whose tasks can start in another zone now,
-// as far as that interrupts no job too much. Their tasks are then placed there.
-func (c *Cell) leaveEvacuatedZones() {
-	if len(c.evacuations.zones) == 0 || !c.evacuationsKnown() {
-		return
-	}
-	for _, e := range c.sortedEndpoints {
-		if !e.zone.evacuated || e.exited {
-			continue
-		}
-		for _, r := range e.sortedRuns() {
-			if !r.stopping && r.state == runConfirmed && c.mayLeaveZone(r) && c.canStartElsewhere(r) {
-				c.stop(r, "its zone is evacuated")
-			}
-		}
-	}
-}
-
-// mayLeaveZone reports whether a run may be stopped because its zone is evacuated: the run of a
-// long-running task while enough others of its phase are available, and a run with a checkpoint if
-// its job can still meet its deadline.
-func (c *Cell) mayLeaveZone(r *run) bool {
-	spec := r.task.phase.spec
-	if spec.Lasting {
-		return c.mayInterrupt(r.task.phase)
-	}
-	return spec.Checkpoints && !spec.Gang && c.canWaitForCapacity(r)
-}
-
 // explainStay says why a run in an evacuated zone has not been stopped.
 func (c *Cell) explainStay(r *run) string {
 	spec := r.task.phase.spec
@@ -86,9 +57,11 @@
 		return "no more tasks of its phase may be unavailable"
 	case !spec.Lasting && (!spec.Checkpoints || spec.Gang):
 		return "it runs to its end"
+	case !spec.Lasting && c.endsBeforeMove(r):
+		return "it ends sooner than it could be moved"
 	case !c.mayLeaveZone(r):
 		return "its job would be late if it were moved"
-	case !c.canStartElsewhere(r):
+	case !c.countStoppedRuns().add(c, r):
 		return "no other endpoint can take it now"
 	}
 	return "it is about to be moved"
--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -12,11 +12,17 @@
 }
 
 // missingBoxes returns how many boxes the cell needs beside its usable ones because none of those can
-// take some of its ready long-running tasks, even once their short tasks have ended. The sums of the
-// CPU and memory that tasks need don't show that: the boxes may have enough in total, and none enough
-// for one more task.
+// take some of its long-running tasks that are ready or have to leave an evacuated zone, even once their
+// short tasks have ended. The sums of the CPU and memory that tasks need don't show that: the boxes may
+// have enough in total, and none enough for one more task.
 func (c *Cell) missingBoxes() int {
 	waiting := c.waitingForBoxes()
+	for _, t := range c.longRunningInEvacuatedZones() {
+		// Without a box that can take it, the task would stay in the zone however long it lasts.
+		if t.phase.spec.Label == "" {
+			waiting = append(waiting, t)
+		}
+	}
 	if len(waiting) == 0 {
 		return 0
 	}
--- a/pkg/cell/reservation.go
+++ b/pkg/cell/reservation.go
@@ -31,6 +31,7 @@
 			}
 		}
 	}
+	c.reserveForEvacuated()
 }
 
 // reserveFor reserves an endpoint for a long-running task: preferably one that is reserved for others
@@ -80,7 +81,7 @@
 	for _, e := range c.reservedEndpoints {
 		for _, t := range slices.Clone(e.reservedTasks) {
 			switch {
-			case !c.canStart(t, e):
+			case !t.ready, !c.canStart(t, e):
 			case !c.withinQuota(t.phase, 1):
 				e.dropReservation(t)
 			default:
@@ -97,7 +98,7 @@
 func (c *Cell) pruneReservations() {
 	c.reservedEndpoints = slices.DeleteFunc(c.reservedEndpoints, func(e *endpoint) bool {
 		for _, t := range slices.Clone(e.reservedTasks) {
-			if !t.ready || c.awaitsProbation(t) || e.probation != nil || !c.fitsWithoutShortRuns(t, e) {
+			if !t.wantsReservation() || c.awaitsProbation(t) || e.probation != nil || !c.fitsWithoutShortRuns(t, e) {
 				e.dropReservation(t)
 			}
 		}
--- a/pkg/cell/sim_evacuation_test.go
+++ b/pkg/cell/sim_evacuation_test.go
@@ -44,6 +44,11 @@
 // simulateEvacuations runs the simulation of a seed with random faults in which the operator
 // evacuates zones, sometimes two at a time.
 func simulateEvacuations(seed uint64, m mutation) *world {
+	return simulateEvacuationsWith(seed, m, func(*world) {})
+}
+
+// simulateEvacuationsWith is simulateEvacuations with a function that changes the world after it has been set up.
+func simulateEvacuationsWith(seed uint64, m mutation, change func(w *world)) *world {
 	w := newWorld(seed, m)
 	w.boxCount, w.promptPolls, w.resetsOnExit = evacuatedBoxes, true, true
 	w.operator = &simOperator{world: w, evacuatedAt: map[string]time.Time{}}
@@ -51,6 +56,7 @@
 	for range evacuationsPerRun {
 		w.after(w.randomDuration(0, simFaultTime), w.operator.evacuate)
 	}
+	change(w)
 	w.runToEnd()
 	return w
 }
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -49,6 +49,7 @@
 	staleCapacity     bool // The capacity of an endpoint is trusted however old the report is.
 	hideEvacuations   bool // Owners are not told which zones are evacuated.
 	staleEvacuations  bool // What an owner knows of evacuations is trusted however old it is.
+	hideUnseenRuns    bool // Reports don't count what runs in an evacuated zone while some endpoints don't answer.
 	keepLostRuns      bool // Owners never take the leases of unreachable endpoints for expired, and get no lists of boxes.
 	requestListsLate  bool // Lists of boxes count as requested when they arrive.
 }
--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -28,6 +28,8 @@
 	asSlice []*zone
 	// evacuated is set while the operator wants no task to start in the zone.
 	evacuated bool
+	// evacuatedSince is since when the owner has known of that.
+	evacuatedSince time.Time
 	// answeredAt is when an endpoint of the zone last answered a call.
 	answeredAt time.Time
 	// unansweredSince is since when calls to the zone's endpoints have been overdue while none of
@@ -54,7 +56,7 @@
 func (c *Cell) ensureZone(name string) *zone {
 	i, known := slices.BinarySearchFunc(c.zones, name, func(z *zone, name string) int { return strings.Compare(z.name, name) })
 	if !known {
-		z := &zone{name: name, evacuated: slices.Contains(c.evacuations.zones, name)}
+		z := &zone{name: name, evacuated: slices.Contains(c.evacuations.zones, name), evacuatedSince: c.now}
 		z.asSlice = []*zone{z}
 		c.zones = slices.Insert(c.zones, i, z)
 	}
--- a/pkg/node/evacuations.go
+++ b/pkg/node/evacuations.go
@@ -53,11 +53,8 @@
 	if evacuated && current.offset == request.Offset {
 		return
 	}
-	if !evacuated {
-		current.since = n.deps.Clock.Now()
-	}
-	current.offset = request.Offset
-	n.state.evacuations.byZone[request.Zone] = current
+	// The zone may have been taken back between two requests: reads return the newest record of a key.
+	n.state.evacuations.byZone[request.Zone] = evacuation{offset: request.Offset, since: n.deps.Clock.Now()}
 	n.deps.Logger.WithFields(logrus.Fields{"zone": request.Zone, "offset": request.Offset}).Info("zone evacuated: no task starts there")
 }
 
