Cell: cold endpoints of a zone that is taken back get work gradually

Cause: all endpoints of a zone come back at once, and cold: with a backlog, whole phases started on slow ones.

Change: while an endpoint is cold, in the first 1.5 s after the end of its zone's evacuation, short tasks get half of its cores, and evenly more with time. It is warm once its registration says so.

The effect on clients has not been measured.

--- a/pkg/cell/evacuation.go
+++ b/pkg/cell/evacuation.go
@@ -33,7 +33,12 @@
 	c.evacuations.zones = slices.Clone(zones)
 	for _, z := range c.zones {
 		if evacuated := slices.Contains(zones, z.name); evacuated != z.evacuated {
-			z.evacuated, z.evacuatedSince = evacuated, c.now
+			z.evacuated = evacuated
+			if evacuated {
+				z.evacuatedSince = c.now
+			} else {
+				z.returnedAt = c.now
+			}
 			c.logEvacuation(z)
 		}
 	}
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -141,6 +141,8 @@
 		return "have no permit"
 	case !c.probationAllows(t, e):
 		return "have just started something that may crash them, or are reserved for it"
+	case !c.allowsWhileCold(p, e):
+		return "are cold after the evacuation of their zone"
 	case !c.canStart(t, e):
 		return "have enough tasks of this phase"
 	}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -115,7 +115,7 @@
 	if !e.free().Holds(p.need()) || !e.usable() || e.strayRuns > 0 || !c.capacityKnown(e) || e.overdue || e.zone.mayBeCutOff() || !c.healthAllows(e) || t.runsOn(e) || c.now.Before(e.backoffUntil) || !e.hasLabel(p.spec.Label) {
 		return false
 	}
-	return p.spec.MostPerBox == 0 || countOnEndpoint(p, e) < p.spec.MostPerBox
+	return c.allowsWhileCold(p, e) && (p.spec.MostPerBox == 0 || countOnEndpoint(p, e) < p.spec.MostPerBox)
 }
 
 // countOnEndpoint returns the number of a phase's runs on an endpoint, including the capacity
--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -30,6 +30,8 @@
 	evacuated bool
 	// evacuatedSince is since when the owner has known of that.
 	evacuatedSince time.Time
+	// returnedAt is when the owner learned that the newest evacuation had ended, or zero.
+	returnedAt time.Time
 	// answeredAt is when an endpoint of the zone last answered a call.
 	answeredAt time.Time
 	// unansweredSince is since when calls to the zone's endpoints have been overdue while none of
