Planner: reset the gauges on evacuations when planning ends

Cause: a node that no longer plans kept the last values.

Change: they are set to 0 when the planner stops.

Result: TestEvacuatedZoneGetsNoTasks and TestEvacuatedZoneIsPoweredOffAndComesBack pass three times in a row.

--- a/pkg/planner/evacuations.go
+++ b/pkg/planner/evacuations.go
@@ -33,8 +33,17 @@
 func (p *Planner) trackEvacuations(now time.Time) {
 	p.evacuations.SetBoxes(p.boxPlan.BoxesInEvacuatedZones())
 	p.evacuations.Update(now)
+	p.setEvacuationGauges(p.evacuations.Zones())
+	for _, status := range p.evacuations.Changes(now) {
+		p.logEvacuation(status)
+	}
+}
+
+// setEvacuationGauges shows the states of all evacuated zones as gauges. A planner that stops sets them to 0, since
+// its node knows nothing of the zones from then on.
+func (p *Planner) setEvacuationGauges(statuses []evacuation.Status) {
 	clear, unconfirmed, runs, unknown, boxes := 0, 0, 0, 0, 0
-	for _, status := range p.evacuations.Zones() {
+	for _, status := range statuses {
 		if status.Clear() {
 			clear++
 		}
@@ -48,9 +57,6 @@
 	p.deps.Metrics.SetGauge("evacuated_runs", runs)
 	p.deps.Metrics.SetGauge("evacuated_endpoints_unknown", unknown)
 	p.deps.Metrics.SetGauge("evacuated_boxes", boxes)
-	for _, status := range p.evacuations.Changes(now) {
-		p.logEvacuation(status)
-	}
 }
 
 // logEvacuation logs the state of an evacuated zone.
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -194,6 +194,7 @@
 func (p *Planner) run() error {
 	defer close(p.done)
 	defer p.cancel()
+	defer p.setEvacuationGauges(nil)
 	if err := p.takeOver(); err != nil {
 		p.deps.Logger.WithError(err).Warn("planning not taken over")
 		return err
