--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -64,6 +64,8 @@
 		line += fmt.Sprintf("; attempt %d on %s is %s", r.attempt, r.endpoint.info.Life, runStateNames[r.state])
 		if r.stopping {
 			line += " and to be stopped"
+		} else if r.endpoint.zone.evacuated {
+			line += ", in an evacuated zone: " + c.explainStay(r)
 		}
 	}
 	if t.ready && len(t.runs) == 0 {
@@ -142,6 +144,8 @@
 		return "have no permit"
 	case !c.probationAllows(t, e):
 		return "have just started something that may crash them, or are reserved for it"
+	case !c.allowsWhileCold(p, e):
+		return "are cold after the evacuation of their zone"
 	case !c.canStart(t, e):
 		return "have enough tasks of this phase"
 	}
--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -6,18 +6,13 @@
 )
 
 // missingBoxes returns how many boxes the cell needs beside its usable ones because none of those can
-// take some of its ready long-running tasks, even once their short tasks have ended.
+// take some of its long-running tasks that are ready or have to leave an evacuated zone, even once their
+// short tasks have ended.
 func (c *Cell) missingBoxes() int {
-	waiting := c.waitingForBoxes()
-	if len(waiting) == 0 {
+	phases, rows := c.waitingForBoxes()
+	if len(phases) == 0 {
 		return 0
 	}
-	phases := make([]*boxneed.Phase, 0, len(waiting))
-	rows := make(map[*phase]*boxneed.Phase, len(waiting))
-	for _, p := range waiting {
-		rows[p] = &boxneed.Phase{Need: p.need(), MaxPerBox: p.spec.MostPerBox, Waiting: len(p.ready)}
-		phases = append(phases, rows[p])
-	}
 	var boxes []*boxneed.Box
 	var capacities []damsonwinch.Resources
 	for _, e := range c.sortedEndpoints {
@@ -29,16 +24,30 @@
 	return boxneed.Missing(phases, boxes, capacities)
 }
 
-// waitingForBoxes returns the phases with ready long-running tasks that a box with enough capacity could
-// take. Tasks that need a label are left out, since another box need not have it.
-func (c *Cell) waitingForBoxes() []*phase {
-	var waiting []*phase
+// waitingForBoxes returns the phases with long-running tasks that a box with enough capacity could take, in
+// order and by phase. Tasks that need a label are left out, since another box need not have it.
+func (c *Cell) waitingForBoxes() (phases []*boxneed.Phase, rows map[*phase]*boxneed.Phase) {
+	rows = map[*phase]*boxneed.Phase{}
+	add := func(p *phase, count int) {
+		if p.spec.Label != "" || count == 0 {
+			return
+		}
+		if rows[p] == nil {
+			rows[p] = &boxneed.Phase{Need: p.need(), MaxPerBox: p.spec.MostPerBox}
+			phases = append(phases, rows[p])
+		}
+		rows[p].Waiting += count
+	}
 	for _, p := range c.openPhases {
-		if p.spec.Lasting && p.spec.Label == "" && p.overQuotaSince.IsZero() && len(p.ready) > 0 {
-			waiting = append(waiting, p)
+		if p.spec.Lasting && p.overQuotaSince.IsZero() {
+			add(p, len(p.ready))
 		}
 	}
-	return waiting
+	for _, t := range c.longRunningInEvacuatedZones() {
+		// Without a box that can take it, the task would stay in the zone however long it lasts.
+		add(t.phase, 1)
+	}
+	return phases, rows
 }
 
 // hostingBox returns what the endpoint's box has for long-running tasks. It counts the tasks there of the
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -59,6 +59,7 @@
 	c.reportDedicatedBoxes(&report)
 	c.reportCustomers(&report)
 	report.Arrivals = c.shares.Report(now)
+	c.reportEvacuatedZones(&report)
 	return report
 }
 
--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -17,6 +17,10 @@
 	asSlice []*zone
 	// evacuated is set while the operator wants no task to start in the zone.
 	evacuated bool
+	// evacuatedSince is since when the owner has known of that.
+	evacuatedSince time.Time
+	// returnedAt is when the owner learned that the newest evacuation had ended, or zero.
+	returnedAt time.Time
 	// link is what the answers of the zone's endpoints show of the way there.
 	link cutoff.Zone
 }
@@ -36,7 +40,7 @@
 func (c *Cell) ensureZone(name string) *zone {
 	i, known := slices.BinarySearchFunc(c.zones, name, func(z *zone, name string) int { return strings.Compare(z.name, name) })
 	if !known {
-		z := &zone{name: name, evacuated: slices.Contains(c.evacuations.zones, name)}
+		z := &zone{name: name, evacuated: slices.Contains(c.evacuations.zones, name), evacuatedSince: c.now}
 		z.asSlice = []*zone{z}
 		c.zones = slices.Insert(c.zones, i, z)
 	}
