--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -21,11 +21,12 @@
 	c.placeReserved()
 	c.placeSuspects()
 	inTime := make([]*phase, 0, len(c.openPhases))
-	var deferred, late []*phase
+	var deferred, late, over []*phase
 	nowMs := int(c.now.UnixMilli())
-	within, over := splitByShare(c.openPhases, nowMs)
-	for _, p := range within {
+	for _, p := range c.openPhases {
 		switch {
+		case p.job().overShare:
+			over = append(over, p)
 		case p.isLate(nowMs):
 			late = append(late, p)
 		case p.deferred:
@@ -34,6 +35,7 @@
 			inTime = append(inTime, p)
 		}
 	}
+	sortByRank(over, nowMs)
 	unplaceable := c.placePhases(inTime, nil)
 	unplaceable = c.placePhases(deferred, unplaceable)
 	unplaceable = c.placePhases(late, unplaceable)
--- a/pkg/cell/share.go
+++ b/pkg/cell/share.go
@@ -37,17 +37,9 @@
 	}
 }
 
-// splitByShare separates the phases of jobs that are over their customers' shares from the others. It
-// sorts them by rank, those that can still be in time and are not deferred first, late ones last.
-func splitByShare(phases []*phase, nowMs int) (within, over []*phase) {
-	within = make([]*phase, 0, len(phases))
-	for _, p := range phases {
-		if p.job().overShare {
-			over = append(over, p)
-		} else {
-			within = append(within, p)
-		}
-	}
+// sortByRank sorts the phases of jobs that are over their customers' shares by rank, those first that can
+// still be in time and are not deferred, late ones last.
+func sortByRank(over []*phase, nowMs int) {
 	urgency := func(p *phase) int {
 		switch {
 		case p.isLate(nowMs):
@@ -60,7 +52,6 @@
 	slices.SortStableFunc(over, func(a, b *phase) int {
 		return cmp.Or(cmp.Compare(urgency(a), urgency(b)), cmp.Compare(a.job().shareRank, b.job().shareRank))
 	})
-	return within, over
 }
 
 // noteSharesBegun tells the shares which jobs over their customers' shares have begun in time.
