--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -6,7 +6,9 @@
 )
 
 // missingBoxes returns how many boxes the cell needs beside its usable ones because none of those can
-// take some of its ready long-running tasks, even once their short tasks have ended.
+// take some of its ready long-running tasks, even once their short tasks have ended. The sums of the
+// CPU and memory that tasks need don't show that: the boxes may have enough in total, and none enough
+// for one more task.
 func (c *Cell) missingBoxes() int {
 	waiting := c.waitingForBoxes()
 	if len(waiting) == 0 {
