--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -6,14 +6,8 @@
 )
 
 // missingBoxes returns how many boxes the cell needs beside its usable ones because none of those can
-<<<<<<< HEAD
 // take some of its long-running tasks that are ready or have to leave an evacuated zone, even once their
 // short tasks have ended.
-=======
-// take some of its ready long-running tasks, even once their short tasks have ended. The sums of the
-// CPU and memory that tasks need don't show that: the boxes may have enough in total, and none enough
-// for one more task.
->>>>>>> cellsplit
 func (c *Cell) missingBoxes() int {
 	phases, rows := c.waitingForBoxes()
 	if len(phases) == 0 {
