Layout: one shard is decided on at once, as before

Cause: a rule of the new decision waited for more members where too few for two shards were known.

Change: the rule of before; fleets that were served keep their layout.

--- a/pkg/shard/count.go
+++ b/pkg/shard/count.go
@@ -38,18 +38,6 @@
 	return best
 }
 
-// Carries reports whether none of the nodes that own cells is overloaded with a number of shards. False also means that
-// there are fewer nodes than cells.
-func Carries(boxes, pools, shards int, weights []int) bool {
-	cells := shards * pools
-	if cells == 0 || cells > len(weights) {
-		return false
-	}
-	strongest := slices.Clone(weights)
-	slices.SortFunc(strongest, func(a, b int) int { return b - a })
-	return load(boxes, shards, strongest[cells-1]) <= 1
-}
-
 // load returns the load of a node of the given weight that owns one cell of a fleet with the given
 // numbers of boxes and shards. A load of 1 is the most that the node can carry.
 func load(boxes, shards, weight int) float64 {
--- a/pkg/shardplan/shardplan.go
+++ b/pkg/shardplan/shardplan.go
@@ -54,9 +54,8 @@
 		return Decision{WaitsFor: "no member is known"}
 	}
 	count := shard.ChooseCount(in.Boxes, len(in.Pools), in.Weights)
-	// One shard that the known members can carry is enough for more members, too.
-	enough := count == 1 && (in.MaxMissing == 0 || shard.Carries(in.Boxes, len(in.Pools), count, in.Weights))
-	if in.Complete || enough {
+	// One shard is decided on at once. More shards than that have to wait for the members that they are for.
+	if in.Complete || count == 1 {
 		return Decision{Layout: shard.New(count, in.Pools)}
 	}
 	if in.SinceFirstRead < maxListWait {
