--- a/pkg/node/layout.go
+++ b/pkg/node/layout.go
@@ -44,7 +44,7 @@
 func (n *Node) decideLayout(view ownership.View) shardplan.Decision {
 	in := shardplan.Input{
 		Boxes: n.state.boxCount, Pools: poweredOnPools(n.state.configuration),
-		Weights: append(memberWeights(view.Members), memberWeights(view.Announced)...), Complete: view.MembersComplete, MaxMissing: view.MaxMissing,
+		Weights: memberWeights(view.Members), Announced: memberWeights(view.Announced), Complete: view.MembersComplete, MaxMissing: view.MaxMissing,
 	}
 	if !view.MembersReadAt.IsZero() {
 		in.SinceFirstRead = n.deps.Clock.Now().Sub(view.MembersReadAt)
--- a/pkg/shardplan/shardplan.go
+++ b/pkg/shardplan/shardplan.go
@@ -23,8 +23,10 @@
 	Boxes int
 	// Pools are the names of the pools whose boxes are powered on.
 	Pools []string
-	// Weights are those of the known members, in thousandths of a core.
-	Weights []int
+	// Weights are those of the members that the group lists, in thousandths of a core, and Announced those of the
+	// members that have announced themselves.
+	Weights   []int
+	Announced []int
 	// Complete reports whether all members are known. If not, MaxMissing is an estimate of how many are not.
 	Complete   bool
 	MaxMissing int
@@ -53,16 +55,19 @@
 	case len(in.Weights) == 0:
 		return Decision{WaitsFor: "no member is known"}
 	}
-	count := shard.ChooseCount(in.Boxes, len(in.Pools), in.Weights)
 	// One shard is decided on at once. More shards than that have to wait for the members that they are for.
+	count, known := shard.ChooseCount(in.Boxes, len(in.Pools), in.Weights), slices.Concat(in.Weights, in.Announced)
+	if count > 1 {
+		count = shard.ChooseCount(in.Boxes, len(in.Pools), known)
+	}
 	if in.Complete || count == 1 {
 		return Decision{Layout: shard.New(count, in.Pools)}
 	}
 	if in.SinceFirstRead < maxListWait {
 		return Decision{WaitsFor: fmt.Sprintf("the list of members is not complete: %d are known, up to %d may be missing, waited %d of %d ms",
-			len(in.Weights), in.MaxMissing, in.SinceFirstRead.Milliseconds(), maxListWait.Milliseconds())}
+			len(known), in.MaxMissing, in.SinceFirstRead.Milliseconds(), maxListWait.Milliseconds())}
 	}
-	count = shard.ChooseCount(in.Boxes, len(in.Pools), withAssumed(in.Weights, in.MaxMissing))
+	count = shard.ChooseCount(in.Boxes, len(in.Pools), withAssumed(known, in.MaxMissing))
 	return Decision{Layout: shard.New(count, in.Pools), Assumed: in.MaxMissing, Incomplete: true}
 }
 
