Layout: the node that decides reads the members as often as before

Cause: it read them every 500 ms, so that more members were listed when the number of boxes became known. TestLargeFleetDecidesItsLayout holds its bounds.

--- a/pkg/ownership/announce.go
+++ b/pkg/ownership/announce.go
@@ -47,11 +47,3 @@
 		o.publishView()
 	}
 }
-
-// decidesLayout reports whether this node owns AnnounceCell and the layout hasn't been decided. Such a node reads the
-// members at fastMemberReadInterval: with reads every 2.5 s, a list that has to be stable for 2 s counts as complete
-// only 2.5 to 5 s after its last change.
-func (o *Ownership) decidesLayout() bool {
-	s := &o.state
-	return !s.layout.Decided() && s.claims[o.options.AnnounceCell].HeldBy(o.options.Self)
-}
--- a/pkg/ownership/group.go
+++ b/pkg/ownership/group.go
@@ -81,7 +81,7 @@
 		// The node has to learn how many topics the group uses by now.
 		return joinInterval
 	}
-	if o.maySucceedSoon() || o.decidesLayout() {
+	if o.maySucceedSoon() {
 		return fastMemberReadInterval
 	}
 	return slowMemberReadInterval
