Cell: an unanswered start on probation is no proof that the task ran

Cause: lossOf took a start on probation whose reply was lost with the endpoint as one that certainly ran, so that one known exit and one start that never arrived gave the task up.

Why this works: only an answer to the start or a poll that lists the run shows that it ran.

--- a/pkg/cell/loss.go
+++ b/pkg/cell/loss.go
@@ -102,10 +102,9 @@
 	}
 	if e.silent && e.pollBroken {
 		// The poll that broke would have reported the end of the run. Without such a poll the run
-		// may have ended before, unreported. A start request whose reply was lost with the endpoint
-		// has probably arrived there. That is taken as certain only on probation, where nothing
-		// else had started: the weight of the loss accounts for the doubt.
-		loss.MinAge, loss.Certain = loss.MaxAge, r.state == runConfirmed || loss.Probation
+		// may have ended before, unreported. A start request that was not answered may never have
+		// arrived at the endpoint, not even on probation.
+		loss.MinAge, loss.Certain = loss.MaxAge, r.state == runConfirmed
 	}
 	if r.inherited {
 		loss.MaxAge = max(loss.MaxAge, c.options.CrashRules.MaxCrashAge)
