Cell: a task isn't given up by number for losses that others cause

Cause: after three losses a task has two more starts, whatever causes the losses. Losses for which another task was to blame counted too, and after a second without a probation the two starts were made beside other tasks, where a loss tells nothing about the task.

Why this works: a loss for which a task on probation is to blame counts against that task only, and a task whose starts are counted is only started on probation, beyond the limit on their number once it has waited as long as a suspect may.

--- a/pkg/cell/loss.go
+++ b/pkg/cell/loss.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		loss := c.lossOf(r)
-		loss.Explained = loss.Explained || blamed != nil && blamed != r
+		loss.OtherBlamed = blamed != nil && blamed != r
 		if keep(r) {
 			r.pendingLoss = &runLoss{life: e.info.Life, details: loss}
 			continue
@@ -252,8 +252,8 @@
 	details := loss.details
 	c.effects.LogLines = append(c.effects.LogLines, LogLine{
 		Message: "run lost", Job: r.task.phase.job().id, Task: r.id().Task.String(), Endpoint: loss.life.String(), Debug: r.task.crashes.Losses <= 1,
-		Reason: fmt.Sprintf("its endpoint ended %d to %d ms after its start (surely under it %t, explained %t, on trial %t, rate %.3f a second); attempt %d, %d endpoints ended under its task, weight %d, %d starts since",
-			details.MinAge.Milliseconds(), details.MaxAge.Milliseconds(), details.Certain, details.Explained, details.Probation, details.LossRate, r.attempt, r.task.crashes.Losses, r.task.crashes.Weight, r.task.crashes.ExtraStarts),
+		Reason: fmt.Sprintf("its endpoint ended %d to %d ms after its start (surely under it %t, explained %t, another task to blame %t, on trial %t, rate %.3f a second); attempt %d, %d endpoints ended under its task, weight %d, %d starts since",
+			details.MinAge.Milliseconds(), details.MaxAge.Milliseconds(), details.Certain, details.Explained, details.OtherBlamed, details.Probation, details.LossRate, r.attempt, r.task.crashes.Losses, r.task.crashes.Weight, r.task.crashes.ExtraStarts),
 	})
 }
 
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -40,7 +40,7 @@
 		if e := c.chooseProbationEndpoint(t); e != nil {
 			t.phase.removeReady(t)
 			c.planRun(t, e)
-		} else if !c.probationWaitExpired(t) {
+		} else if !c.mayStartBesideOthers(t) {
 			c.reserveForProbation(t)
 		}
 	}
@@ -51,9 +51,16 @@
 	return c.now.Sub(t.probationWaitSince) >= c.maxProbationWait(t)
 }
 
+// mayStartBesideOthers reports whether a suspect may be started like any other task, because it has waited
+// too long for probation. A task whose starts are counted never is: it would be given up for what others
+// cause.
+func (c *Cell) mayStartBesideOthers(t *task) bool {
+	return c.probationWaitExpired(t) && !c.options.CrashRules.CountsStarts(t.crashes)
+}
+
 // awaitsProbation reports whether a task may only be started on probation.
 func (c *Cell) awaitsProbation(t *task) bool {
-	return t.suspected && !t.phase.spec.Gang && !c.probationWaitExpired(t)
+	return t.suspected && !t.phase.spec.Gang && !c.mayStartBesideOthers(t)
 }
 
 // maxProbationWait returns how long a suspect waits for probation.
@@ -72,7 +79,7 @@
 		return !t.suspected
 	})
 	c.probationEndpoints = slices.DeleteFunc(c.probationEndpoints, func(e *endpoint) bool {
-		if t := e.reservedFor; t != nil && (!t.suspected || !t.ready || !e.usable() || c.probationWaitExpired(t)) {
+		if t := e.reservedFor; t != nil && (!t.suspected || !t.ready || !e.usable() || c.mayStartBesideOthers(t)) {
 			e.reservedFor = nil
 		}
 		return e.probation == nil && e.reservedFor == nil
@@ -123,13 +130,17 @@
 	if e.probation != nil || e.reservedFor != nil && e.reservedFor != t || !c.separatedFromOtherJobs(t, e) {
 		return false
 	}
-	return !t.suspected || t.phase.spec.Gang || c.probationWaitExpired(t) || c.mayHostProbation(e) && c.noRecentStart(e)
+	return !t.suspected || t.phase.spec.Gang || c.mayStartBesideOthers(t) || c.mayHostProbation(t, e) && c.noRecentStart(e)
 }
 
-// mayHostProbation reports whether an endpoint may be used for a probation: it is reserved for one,
+// mayHostProbation reports whether an endpoint may be used for a task's probation: it is reserved for one,
 // or the share of the cell's endpoints that probations take up is below the limit.
-func (c *Cell) mayHostProbation(e *endpoint) bool {
-	return e.reservedFor != nil || c.probationLimit.Allows(c.now, len(c.probationEndpoints), len(c.sortedEndpoints), c.crashQueues.AnyProne())
+func (c *Cell) mayHostProbation(t *task, e *endpoint) bool {
+	inUse, total := len(c.probationEndpoints), len(c.sortedEndpoints)
+	if e.reservedFor != nil || c.probationLimit.Allows(c.now, inUse, total, c.crashQueues.AnyProne()) {
+		return true
+	}
+	return c.probationWaitExpired(t) && crash.AllowsOverdueProbation(inUse, total)
 }
 
 // noRecentStart reports whether no run has started on an endpoint within the last SuspectAge. A
@@ -163,7 +174,7 @@
 	}
 	var choice choice
 	for _, e := range c.sortedEndpoints {
-		if e.probation == nil && e.reservedFor == nil && len(e.reservedTasks) == 0 && c.mayHostProbation(e) && c.fitsWithoutShortRuns(t, e) {
+		if e.probation == nil && e.reservedFor == nil && len(e.reservedTasks) == 0 && c.mayHostProbation(t, e) && c.fitsWithoutShortRuns(t, e) {
 			choice.offer(e, -e.weightAtRisk())
 		}
 	}
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -113,8 +113,10 @@
 	// Certain is set if the task certainly ran.
 	Certain bool
 	// Explained is set if something else has probably caused the loss: other endpoints were lost at
-	// the same time, for example those of a rack or zone, or another task was on probation there.
+	// the same time, for example those of a rack or zone.
 	Explained bool
+	// OtherBlamed is set if another task, which was on probation there, is to blame for the loss.
+	OtherBlamed bool
 	// Probation is set if the task was on probation there and was not seen to have outlived it.
 	Probation bool
 	// LossRate is the recent rate, per second, at which an endpoint is lost by itself.
@@ -122,11 +124,15 @@
 }
 
 // Add returns a task's history with one more loss. It returns an empty history if the task was certainly
-// older than MaxCrashAge, and therefore isn't held responsible any more.
+// older than MaxCrashAge, and therefore isn't held responsible any more. A loss that another task is to
+// blame for doesn't count.
 func (r Rules) Add(history History, loss Loss) History {
 	if r.low(loss.MinAge) >= r.MaxCrashAge {
 		return History{}
 	}
+	if loss.OtherBlamed {
+		return history
+	}
 	history.Weight += r.weigh(history, loss)
 	history.Losses++
 	if loss.Certain {
@@ -177,9 +183,10 @@
 	return r.weigh(before, loss) >= r.ProofWeight
 }
 
-// IsSuspect reports whether a task is a suspect, so that it must be started on probation.
+// IsSuspect reports whether a task is a suspect, so that it must be started on probation. Each task is one
+// whose starts are counted: beside others it could use them up for what others have caused.
 func (r Rules) IsSuspect(history History) bool {
-	return history.SimilarLosses > 1 || history.SimilarLosses == 1 && history.MaxAge <= r.MeasuredSuspectAge()
+	return r.CountsStarts(history) || history.SimilarLosses > 1 || history.SimilarLosses == 1 && history.MaxAge <= r.MeasuredSuspectAge()
 }
 
 // MeasuredSuspectAge returns the measured age up to which a task may be a suspect the first time:
--- a/pkg/crash/crash_test.go
+++ b/pkg/crash/crash_test.go
@@ -14,9 +14,9 @@
 // Commands:
 //
 //	fresh: goes on with a task that has no history
-//	end age=MS [least=MS] [sure] [explained] [trial] [rate=R]: an endpoint is lost under the task;
-//	  least (if missing, age) stands for MinAge, age for MaxAge, sure for Certain, trial for
-//	  Probation, and rate for LossRate
+//	end age=MS [least=MS] [sure] [explained] [other] [trial] [rate=R]: an endpoint is lost under the
+//	  task; least (if missing, age) stands for MinAge, age for MaxAge, sure for Certain, other for
+//	  OtherBlamed, trial for Probation, and rate for LossRate
 //	start: the task is started
 //
 // Each command prints the task's history, and how the task must be started next.
@@ -30,7 +30,7 @@
 			case "fresh":
 				history = crash.History{}
 			case "end":
-				loss := crash.Loss{Certain: d.HasArg("sure"), Explained: d.HasArg("explained"), Probation: d.HasArg("trial")}
+				loss := crash.Loss{Certain: d.HasArg("sure"), Explained: d.HasArg("explained"), OtherBlamed: d.HasArg("other"), Probation: d.HasArg("trial")}
 				var ms int
 				d.ScanArgs(t, "age", &ms)
 				loss.MaxAge = time.Duration(ms) * time.Millisecond
--- a/pkg/crash/probation_limits.go
+++ b/pkg/crash/probation_limits.go
@@ -54,3 +54,10 @@
 	}
 	return inUse+l.RecentExits(now) < max(1, total*maxPercent/100)
 }
+
+// AllowsOverdueProbation reports whether one more endpoint may be used for the probation of a task that has
+// waited for it for MaxProbationWait and mustn't start beside others. The endpoints that have exited don't
+// count: where tasks crash their endpoints all the time, such a task would never be started.
+func AllowsOverdueProbation(inUse, total int) bool {
+	return inUse < max(1, total*maxProbationPercent/100)
+}
--- a/pkg/crash/probation_limits_test.go
+++ b/pkg/crash/probation_limits_test.go
@@ -19,3 +19,10 @@
 	assert.Assert(t, !l.Allows(now.Add(3*time.Second), 9, 40, false), "the endpoint that has exited isn't back yet")
 	assert.Assert(t, l.Allows(now.Add(3001*time.Millisecond), 9, 40, false))
 }
+
+// TestOverdueProbationsTakeUpAPartOfTheCell guards against a task that mustn't start beside others and waits for its
+// probation forever, because endpoints exit all the time.
+func TestOverdueProbationsTakeUpAPartOfTheCell(t *testing.T) {
+	assert.Assert(t, AllowsOverdueProbation(0, 2), "a small cell may have one probation")
+	assert.Assert(t, AllowsOverdueProbation(9, 40) && !AllowsOverdueProbation(10, 40))
+}
