Cell: a run that no poll has listed yet isn't stalled

Cause: isStalled took the time since a run's last progress from the replies that listed it. A run that no reply has listed yet has none, so that an endpoint was ejected whenever a reply came while each of its short runs was new.

Why this works: until a poll has listed a run, its progress counts from when its start was confirmed. An endpoint whose runs really make no progress for 1.2 s is ejected as before (script stall-unlisted-run, which failed before).

--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -139,13 +139,22 @@
 			continue
 		}
 		tasks++
-		if c.now.Sub(r.progress.AdvancedAt()) < stallTime+c.options.RestoreTime {
+		if c.now.Sub(r.lastAdvancedAt()) < stallTime+c.options.RestoreTime {
 			return false
 		}
 	}
 	return tasks > 0 && !e.silent
 }
 
+// lastAdvancedAt returns when the run was last seen to have made progress. Until a poll has listed it, that is
+// when its start was confirmed.
+func (r *run) lastAdvancedAt() time.Time {
+	if advancedAt := r.progress.AdvancedAt(); advancedAt.After(r.confirmedAt) {
+		return advancedAt
+	}
+	return r.confirmedAt
+}
+
 // moveRunsAway stops the runs on an unhealthy endpoint that would finish sooner elsewhere. If a
 // phase allows speculative attempts, its runs are not stopped but get another attempt elsewhere.
 // slowness is how many times as long as elsewhere runs take on the endpoint; with 0 they never end
