Cell: log a job that waits while none of its tasks runs

An owner now logs, after 2 s and each 2 s from then on, the job that has waited longest of those of which nothing runs, their number, and the number of endpoints by reason. One line each 2 s from a cell at most, however many jobs wait, and a look at the open phases each 0.5 s.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -79,6 +79,10 @@
 	suspendedFor time.Duration
 	// pauses detects that this owner has been paused or held up.
 	pauses pause.Detector
+	// idleJobsCheckedAt and idleJobLoggedAt are the times of the last check and the last log line of
+	// logIdleJobs.
+	idleJobsCheckedAt time.Time
+	idleJobLoggedAt   time.Time
 	// lastTickAt is the time of the last Tick.
 	lastTickAt time.Time
 	// confirmedAt is the last time at which this owner's claim of the cell is known to have been
@@ -205,6 +209,7 @@
 	c.logQuotaWaits()
 	c.logShares()
 	c.logLongWaits()
+	c.logIdleJobs()
 	c.finishEvent()
 }
 
