Planner: withdraw no more boxes to be powered off than the platform can take

Cause: the planner withdrew every box beyond what its cell had needed, at once, whatever the platform takes. 3,000 boxes at 64 a second stand withdrawn for up to 47 s, and orders for needed boxes are refused along with the others.

Why this works: boxes that the platform can't take yet stay in use.

--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -32,6 +32,9 @@
 	EvacuationPowerOffDelay time.Duration
 	// OrdersPerSecond is how many orders the platform takes in a second; 0 for no limit.
 	OrdersPerSecond int
+	// PowerOffsPerSecond is how many boxes the platform can power off in a second; 0 for no limit. No more
+	// than that are being withdrawn for it at a time.
+	PowerOffsPerSecond int
 }
 
 // Order is an order to the platform to move a box to another pool or to maintain it.
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -214,27 +214,45 @@
 	return b.report.EmptyMs + b.report.Lasting*longRunningMs
 }
 
-// powerOffSurplus starts to power off the boxes that cells have not needed for a while.
+// powerOffSurplus starts to power off the boxes that cells have not needed for a while, no more at a time
+// than the platform takes soon. A withdrawn box that waits for its order is of no use to anyone, and its cell
+// may need it meanwhile.
 func (p *Planner) powerOffSurplus() {
 	poweredOff, exists := p.poweredOffPool()
 	if !exists {
 		return
 	}
+	pending := p.pendingPowerOffs()
 	for _, name := range p.cellNames {
 		c := p.cells[name]
 		if c.poweredOff || !c.hasFreshReport(p.now) {
 			continue
 		}
-		for p.boxCount(name) > c.retained() {
+		for p.boxCount(name) > c.retained() && (p.options.PowerOffsPerSecond == 0 || pending < p.options.PowerOffsPerSecond) {
 			b := p.easiestToEmpty(name, poweredOff)
 			if b == nil {
 				break
 			}
+			pending++
 			p.startWithdrawal(b, plannedOrder{pool: poweredOff, shard: b.shard, cause: fmt.Sprintf("cell %s has needed no more than %d boxes", name, c.retained())})
 		}
 	}
 }
 
+// pendingPowerOffs returns how many boxes are to be powered off and still in their pools by what the platform
+// has accepted.
+func (p *Planner) pendingPowerOffs() int {
+	count := 0
+	for _, b := range p.boxesByName {
+		planned := b.planned != nil && p.isPoweredOff(b.planned.pool)
+		issued := b.issued != nil && !b.issued.accepted && p.isPoweredOff(b.issued.Pool)
+		if planned || issued {
+			count++
+		}
+	}
+	return count
+}
+
 // easiestToEmpty returns the box of a cell that can be empty soonest and may be moved to the pool of
 // powered-off boxes. It prefers zones where the cell has many boxes, and returns nil if there is no
 // such box.
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -148,7 +149,7 @@
 		},
 		BoxPlanOptions: boxplan.Options{
 			MoveTime: seconds(bounds.MoveS), MaintainTime: seconds(bounds.MaintainS), ScaleDownDelay: scaleDownDelay, TakeoverDelay: milliseconds(bounds.HolderMs),
-			OrdersPerSecond: int(config.BoxOrdersPerS * boxOrderShare), EvacuationPowerOffDelay: evacuationPowerOffDelay(config),
+			OrdersPerSecond: int(config.BoxOrdersPerS * boxOrderShare), PowerOffsPerSecond: int(math.Ceil(config.PowerOffsPerS)), EvacuationPowerOffDelay: evacuationPowerOffDelay(config),
 		},
 		MembershipTTL:  milliseconds(orDefault(config.GroupTtlMs, defaultMembershipTTLMs)),
 		Partitions:     orDefault(config.Partitions, defaultPartitions),
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -323,6 +323,11 @@
 	// 24.
 	Partitions int `json:"partitions,omitempty,omitzero"`
 
+	// Number of boxes that the platform can power off in a second. No more are
+	// withdrawn for that at a time: the others stay in use until the platform can
+	// take them. From 0 to 1000000; the default 0 stands for no limit.
+	PowerOffsPerS float64 `json:"power_offs_per_s,omitempty,omitzero"`
+
 	// IP and port on which the node answers the load balancer's readiness checks.
 	ReadyAddress string `json:"ready_address"`
 
