Process: a configuration that comes before the client handler isn't lost

Seen by callers: a node that had just started refused every client ("no configuration yet") until the operator changed the configuration, and called itself ready. TestResultsOfLaterLifeAreAccepted failed of it once beside busy processes.

Cause: NewNode starts the node and creates the handler of clients' calls after that. A configuration that the node read in between was dropped.

In a failed play the owner logs "job completed" 0.09 s after it accepted the job, before any endpoint is crashed; one of the nodes never logs a call.

Why this works: what comes before the handler is kept and put in force once it exists, in order, under one lock.

--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -12,10 +12,8 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"damsonwinch"
 	"damsonwinch/pkg/boxplan"
 	"damsonwinch/pkg/cell"
-	"damsonwinch/pkg/customer"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/node"
@@ -83,7 +81,7 @@
 	advice := platform.NewAdvisor(config.Advice, deps)
 	n := &Node{env: env, Metrics: set, closers: []func(){store.Close, endpoints.Close, fleet.Close, advice.Close}}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	var clientHandler atomic.Pointer[platform.ClientHandler]
+	var configuration clientConfiguration
 	running, err := node.New(node.Deps{
 		Platform: node.Platform{
 			Store: store, Endpoints: endpoints, Fleet: fleet, Advisor: advice,
@@ -92,11 +90,7 @@
 			WaveReport: platform.WaveReport,
 		},
 		Clock: env.Clock, SuspendedTime: env.SuspendedTime, Dial: env.Dial, Logger: env.Logger, Metrics: set, CallListener: listeners[0],
-		OnConfiguration: func(configuration damsonwinch.Configuration, customers *customer.Index) {
-			if handler := clientHandler.Load(); handler != nil {
-				handler.Configure(configuration, customers)
-			}
-		},
+		OnConfiguration: configuration.put,
 	}, nodeOptions(config, env))
 	if err != nil {
 		n.cancel()
@@ -104,7 +98,7 @@
 	}
 	n.node = running
 	handler := platform.NewClientHandler(running.JobService(), env.Clock, set, platform.ClientHandlerOptions{Logger: env.Logger, MaxKeyAge: maxKeyAge(config.Bounds), ConfirmedAt: running.ConfigurationConfirmedAt})
-	clientHandler.Store(handler)
+	configuration.attach(handler)
 	n.clientServer = n.serve(listeners[1], handler, env.Logger)
 	n.readyServer = n.serve(listeners[2], http.HandlerFunc(n.handleReady), env.Logger)
 	n.debug = serveDebug(listeners[3], set)
