Cell: a loss blamed on another task counts if it fits the task's earlier ones

Cause: a sound task was on probation when the crashing one took the endpoint down, and was blamed.

Evidence: "run lost crashing1.0.0.0 ... another task to blame true ... 2 endpoints ended under its task" at the third crash, 226 to 800 ms after the start, where its earlier losses were at 366 to 397 ms.

Why this works: such a loss counts if the task may have had the same age as at its earlier losses. Sound tasks lose their endpoints at ages that differ, and their last two starts are on probation in any case.

--- a/pkg/cell/sim_crash_test.go
+++ b/pkg/cell/sim_crash_test.go
@@ -75,7 +75,9 @@
 //     everything it received then.
 //   - 20784: a start was never carried out. Its endpoint answered 2 s later and exited, so that the task
 //     seemed to have reached the age at which earlier losses no longer count.
-var failedCrashSeeds = []uint64{6583, 10685, 11009, 20784}
+//   - 31400: a task crashed an endpoint where another one was on probation, which was blamed. The loss
+//     counted against none of the others.
+var failedCrashSeeds = []uint64{6583, 10685, 11009, 20784, 31400}
 
 // TestTasksThatCrashTheirEndpointsAreGivenUp guards against a fault that took down most of a pool.
 // Two tasks crashed each endpoint 10 ms after their start there, and some twenty other tasks were
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -125,12 +125,14 @@
 
 // Add returns a task's history with one more loss. It returns an empty history if the task was certainly
 // older than MaxCrashAge, and therefore isn't held responsible any more. A loss that another task is to
-// blame for doesn't count.
+// blame for counts only if it fits the task's earlier losses: that blame may be wrong.
 func (r Rules) Add(history History, loss Loss) History {
 	if r.low(loss.MinAge) >= r.MaxCrashAge {
 		return History{}
 	}
-	if loss.OtherBlamed {
+	low, high := r.low(loss.MinAge), r.high(loss.MaxAge)
+	similar := history.SimilarLosses > 0 && low <= history.MaxAge && high >= history.MinAge
+	if loss.OtherBlamed && !similar {
 		return history
 	}
 	history.Weight += r.weigh(history, loss)
@@ -138,11 +140,10 @@
 	if loss.Certain {
 		history.CertainLosses++
 	}
-	low, high := r.low(loss.MinAge), r.high(loss.MaxAge)
 	switch {
 	case history.SimilarLosses > 0 && high < history.MinAge:
 		// The endpoint was lost before the task reached the age of the earlier losses.
-	case history.SimilarLosses > 0 && low <= history.MaxAge:
+	case similar:
 		history.SimilarLosses, history.MinAge, history.MaxAge = history.SimilarLosses+1, max(history.MinAge, low), min(history.MaxAge, high)
 	case !loss.Explained:
 		// No task becomes a suspect for a loss that is explained: when a rack loses power,
