Cell: ask for a box where no single one has room for a task

Seen by callers: a job waits for as long as long-running tasks hold CPU on one box and memory on the other, beside boxes that are half empty.

Cause: the report took the largest CPU and the largest memory that are left beside long-running tasks, which may be those of different boxes, and found that the task fits.

Why this works: the report looks for one box that has all that the task needs.

--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"damsonwinch"
@@ -67,12 +68,13 @@
 // tasks do not fit beside one. A job with tasks of 29 cores once made no progress for 15 s although
 // the pool had 38 boxes of 32 cores and half of their total capacity was free.
 func (c *Cell) reportDedicatedBoxes(report *wire.SyncReply) {
-	var box, besideLongRunning damsonwinch.Resources
+	var box damsonwinch.Resources
+	var besideLongRunning []damsonwinch.Resources
 	for _, e := range c.sortedEndpoints {
 		box = maxResources(box, e.info.Capacity)
 		if used := e.longRunningNeed(); used != (damsonwinch.Resources{}) {
 			report.LastingBoxes++
-			besideLongRunning = maxResources(besideLongRunning, e.info.Capacity.Minus(used))
+			besideLongRunning = addUnlessHeld(besideLongRunning, e.info.Capacity.Minus(used))
 		}
 	}
 	if report.LastingBoxes == 0 {
@@ -81,7 +83,7 @@
 	nowMs := int(c.now.UnixMilli())
 	add := func(p *phase, count int, late bool) {
 		need := p.need()
-		if p.spec.Lasting || besideLongRunning.Holds(need) {
+		if p.spec.Lasting || anyHolds(besideLongRunning, need) {
 			return
 		}
 		if late {
@@ -100,6 +102,22 @@
 	}
 }
 
+// addUnlessHeld adds what is left on a box to what is left on others, without those amounts that another one
+// holds. Few are left of many boxes.
+func addUnlessHeld(left []damsonwinch.Resources, amount damsonwinch.Resources) []damsonwinch.Resources {
+	if anyHolds(left, amount) {
+		return left
+	}
+	left = slices.DeleteFunc(left, func(other damsonwinch.Resources) bool { return amount.Holds(other) })
+	return append(left, amount)
+}
+
+// anyHolds reports whether one of the amounts holds what a task needs. The largest CPU and the largest memory
+// may be those of different boxes.
+func anyHolds(left []damsonwinch.Resources, need damsonwinch.Resources) bool {
+	return slices.ContainsFunc(left, func(amount damsonwinch.Resources) bool { return amount.Holds(need) })
+}
+
 // maxResources returns, for each kind of resource, the larger of the two amounts.
 func maxResources(a, b damsonwinch.Resources) damsonwinch.Resources {
 	return damsonwinch.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPUs: max(a.GPUs, b.GPUs)}
