--- a/pkg/cell/long_waits.go
+++ b/pkg/cell/long_waits.go
@@ -6,7 +6,8 @@
 )
 
 // longWait is how long a long-running task, or a job of which nothing runs, may wait for an endpoint until
-// that is logged, and the time after which it is logged again. A task that can start anywhere waits for less than 0.1 s.
+// that is logged, and the time after which it is logged again. A task that can start anywhere waits for less
+// than 0.1 s.
 const longWait = 2 * time.Second
 
 // logLongWaits logs which phases have long-running tasks that have been waiting for longWait, and why
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -52,7 +52,7 @@
 }
 
 // mayStartBesideOthers reports whether a suspect may be started like any other task, because it has waited
-// too long for probation. A task whose starts are counted never is: it would be given up for what others
+// too long for probation. A task whose starts are counted never may: it would be given up for what others
 // cause.
 func (c *Cell) mayStartBesideOthers(t *task) bool {
 	return c.probationWaitExpired(t) && !c.options.CrashRules.CountsStarts(t.crashes)
--- a/pkg/crash/crash.go
+++ b/pkg/crash/crash.go
@@ -184,8 +184,8 @@
 	return r.weigh(before, loss) >= r.ProofWeight
 }
 
-// IsSuspect reports whether a task is a suspect, so that it must be started on probation. Each task is one
-// whose starts are counted: beside others it could use them up for what others have caused.
+// IsSuspect reports whether a task is a suspect, so that it must be started on probation. A task whose starts
+// are counted is one in any case: beside other tasks, it would use up its starts for what those cause.
 func (r Rules) IsSuspect(history History) bool {
 	return r.CountsStarts(history) || history.SimilarLosses > 1 || history.SimilarLosses == 1 && history.MaxAge <= r.MeasuredSuspectAge()
 }
