--- a/pkg/boxneed/boxneed.go
+++ b/pkg/boxneed/boxneed.go
@@ -1,6 +1,7 @@
 // Package boxneed computes how many more boxes are needed for long-running tasks that fit on none of the
-// present ones. The sums of the CPU and memory that tasks need don't show that: the boxes may have enough
-// in total, and none enough for one more task.
+// present ones, and for other tasks that fit beside none of the long-running ones. The sums of the CPU and
+// memory that tasks need don't show that: the boxes may have enough in total, and none enough for one more
+// task.
 package boxneed
 
 import "damsonwinch"
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -1,10 +1,10 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/boxneed"
 	"damsonwinch/pkg/quota"
 	"damsonwinch/pkg/wire"
 )
@@ -53,7 +53,7 @@
 	}
 	memoryMB += c.reportWaiting(&report)
 	if boxMemoryMB > 0 {
-		report.MemoryShare = memoryMB * sharesPerBox / boxMemoryMB
+		report.MemoryShare = memoryMB * boxneed.MilliPerBox / boxMemoryMB
 	}
 	report.Spread = c.spreadBoxes()
 	report.MissingBoxes = c.missingBoxes()
@@ -68,29 +68,23 @@
 // tasks do not fit beside one. A job with tasks of 29 cores once made no progress for 15 s although
 // the pool had 38 boxes of 32 cores and half of their total capacity was free.
 func (c *Cell) reportDedicatedBoxes(report *wire.SyncReply) {
-	var box damsonwinch.Resources
-	var besideLongRunning []damsonwinch.Resources
+	var dedicated boxneed.Dedicated
 	for _, e := range c.sortedEndpoints {
-		box = maxResources(box, e.info.Capacity)
-		if used := e.longRunningNeed(); used != (damsonwinch.Resources{}) {
-			report.LastingBoxes++
-			besideLongRunning = addUnlessHeld(besideLongRunning, e.info.Capacity.Minus(used))
-		}
+		dedicated.AddBox(e.info.Capacity, e.longRunningNeed())
 	}
+	report.LastingBoxes = dedicated.Hosts()
 	if report.LastingBoxes == 0 {
 		return
 	}
 	nowMs := int(c.now.UnixMilli())
 	add := func(p *phase, count int, late bool) {
-		need := p.need()
-		if p.spec.Lasting || anyHolds(besideLongRunning, need) {
-			return
+		switch {
+		case p.spec.Lasting:
+		case late:
+			report.WholeLateBoxes += dedicated.MilliBoxes(p.need(), count)
+		default:
+			report.WholeBoxes += dedicated.MilliBoxes(p.need(), count)
 		}
-		if late {
-			report.WholeLateBoxes += count * sharesPerBox / tasksPerBox(box, need)
-			return
-		}
-		report.WholeBoxes += count * sharesPerBox / tasksPerBox(box, need)
 	}
 	for _, p := range c.openPhases {
 		add(p, len(p.ready), p.isLate(nowMs))
@@ -102,37 +96,6 @@
 	}
 }
 
-// addUnlessHeld adds what is left on a box to what is left on others, without those amounts that another one
-// holds. Few are left of many boxes.
-func addUnlessHeld(left []damsonwinch.Resources, amount damsonwinch.Resources) []damsonwinch.Resources {
-	if anyHolds(left, amount) {
-		return left
-	}
-	left = slices.DeleteFunc(left, func(other damsonwinch.Resources) bool { return amount.Holds(other) })
-	return append(left, amount)
-}
-
-// anyHolds reports whether one of the amounts holds what a task needs. The largest CPU and the largest memory
-// may be those of different boxes.
-func anyHolds(left []damsonwinch.Resources, need damsonwinch.Resources) bool {
-	return slices.ContainsFunc(left, func(amount damsonwinch.Resources) bool { return amount.Holds(need) })
-}
-
-// maxResources returns, for each kind of resource, the larger of the two amounts.
-func maxResources(a, b damsonwinch.Resources) damsonwinch.Resources {
-	return damsonwinch.Resources{MilliCPU: max(a.MilliCPU, b.MilliCPU), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPUs: max(a.GPUs, b.GPUs)}
-}
-
-// tasksPerBox returns how many tasks with the given need fit on an empty box with the capacity box,
-// but at least 1.
-func tasksPerBox(box, need damsonwinch.Resources) int {
-	return max(1, min(box.MilliCPU/max(1, need.MilliCPU), box.MemoryMB/max(1, need.MemoryMB)))
-}
-
-// sharesPerBox is what a whole box counts as in the report's MemoryShare, WholeBoxes and
-// WholeLateBoxes.
-const sharesPerBox = 1000
-
 // reportWaiting adds the demand of the ready tasks to the report. Short tasks count only as far as
 // their customers' allowances permit. It returns the memory in MB that the tasks of phases that are
 // not late need.
