Logs: what a long-running task waits for, as the owner and the planner see it

The owner's line on a waiting long-running task tells what it has reported to the planner and when, when the planner last called, since when endpoints have been withdrawn, silent, suspected or with stray runs, and how many withdrawals the stream doesn't hold. The planner's line tells, while an owner can use fewer boxes than its long-running tasks need, how many other boxes count for the cell, why they can't be used yet, and the age of the oldest. A gauge by node holds the longest present wait.

No decision changes.

--- a/pkg/boxplan/demand.go
+++ b/pkg/boxplan/demand.go
@@ -87,6 +87,10 @@
 	// shortSince is since when the cell has had fewer boxes than requiredLongRunning; zero if it
 	// has enough.
 	shortSince time.Time
+	// unservedSince is since when the cell's owner has been able to use fewer boxes than requiredLongRunning;
+	// zero if it has enough. Boxes on their way to the cell don't count, so that it can be set while shortSince
+	// is not. It is for the log only.
+	unservedSince time.Time
 	// meanRequired and meanRequiredOnTime are running means of required and requiredOnTime, updated
 	// at averagedAt. They decide how many boxes the cell gives to other pools.
 	meanRequired       float64
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -59,7 +59,7 @@
 // all shards give up boxes for them. A box that is being maintained is back within that time.
 const longRunningWait = 4 * time.Second
 
-// updateShortSince updates shortSince of all cells.
+// updateShortSince updates shortSince and unservedSince of all cells.
 func (p *Planner) updateShortSince() {
 	for _, name := range p.cellNames {
 		switch c := p.cells[name]; {
@@ -68,6 +68,7 @@
 		case c.shortSince.IsZero():
 			c.shortSince = p.now
 		}
+		p.cells[name].updateUnservedSince(p.now)
 	}
 }
 
--- a/pkg/boxplan/script_test.go
+++ b/pkg/boxplan/script_test.go
@@ -57,6 +57,8 @@
 //	evacuate zones=(Z, ...): the operator evacuates these zones and no others
 //	run box=B tasks=N: a box has N runs
 //	withdraw: the cells record the withdrawals that the last plan asked for
+//	accept: the platform accepts the orders so far, and has moved no box yet
+//	summary: prints the planner's lines on the cells
 //	carry-out: the platform carries out the orders so far
 //	plan at=MS: prints the orders and the withdrawals that the planner decides at that time
 func TestScripts(t *testing.T) {
@@ -91,6 +93,10 @@
 		s.withdraw()
 	case "carry-out":
 		s.carryOut()
+	case "accept":
+		s.accept()
+	case "summary":
+		return strings.Join(s.planner.Summary(), "\n")
 	case "plan":
 		s.now = time.Unix(1_000_000, 0).Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 		return s.plan()
@@ -201,6 +207,13 @@
 	}
 }
 
+// accept has the platform accept the orders so far.
+func (s *script) accept() {
+	for _, order := range s.ordered {
+		s.planner.HandleOrderResult(s.now, order, nil)
+	}
+}
+
 // carryOut has the platform accept the orders so far and move the boxes.
 func (s *script) carryOut() {
 	for _, order := range s.ordered {
--- a/pkg/boxplan/summary.go
+++ b/pkg/boxplan/summary.go
@@ -18,6 +18,9 @@
 		if shortage := p.shortages[name]; shortage != "" {
 			lines = append(lines, shortage)
 		}
+		if !c.unservedSince.IsZero() {
+			lines = append(lines, p.longRunningState(c).describe(name))
+		}
 		n := counts[name]
 		boxes := fmt.Sprintf("%s: %d boxes at work, %d coming, %d being emptied, %d in maintenance, %d down, %d out of reach, %d in evacuated zones", name, n[boxWorking], n[boxComing], n[boxEmptying], n[boxMaintained], n[boxDown], n[boxSilent], n[boxEvacuated])
 		if c.poweredOff {
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -110,8 +110,10 @@
 	// workloadDirty is set when workload has changed since it was last recorded.
 	workloadDirty      bool
 	workloadRecordedAt time.Time
-	effects            Effects
-	stats              Stats
+	// lastSync is what is known of the newest call of the fleet planner.
+	lastSync lastSync
+	effects  Effects
+	stats    Stats
 }
 
 // New returns an empty cell for the owner with the given fencing token. Load must come before any
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -48,6 +48,8 @@
 	// strayRuns is the number of runs in the last poll's reply that the cell doesn't know. The
 	// capacity that they use until they have ended isn't known.
 	strayRuns int
+	// strayRunsSince is since when each reply has had such runs; zero if the last one had none.
+	strayRunsSince time.Time
 	// lastBusy is when the last run was removed from the endpoint, or when the endpoint became
 	// known.
 	lastBusy time.Time
@@ -86,6 +88,8 @@
 	// unanswered that the endpoint gets no new work.
 	calls     responsiveness.Calls
 	suspected bool
+	// suspectedSince is when suspected was last set.
+	suspectedSince time.Time
 	// backoffUntil is the time until which no runs are planned here, after a start was refused or
 	// could not be sent.
 	backoffUntil time.Time
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
-	"strings"
 
 	"damsonwinch"
 )
@@ -92,19 +90,7 @@
 	if !c.quota.Allows(t.phase.job().customer, t.phase.quotaNeed()) || c.quotaWaits.HasWaited(t.phase.job().customer) {
 		return c.explainQuota(t)
 	}
-	reasons := map[string]int{}
-	for _, e := range c.sortedEndpoints {
-		reasons[c.obstacle(t, e)]++
-	}
-	if len(reasons) == 0 {
-		return "the cell has no endpoints"
-	}
-	parts := make([]string, 0, len(reasons))
-	for reason, count := range reasons {
-		parts = append(parts, fmt.Sprintf("%d endpoints %s", count, reason))
-	}
-	slices.Sort(parts)
-	return strings.Join(parts, ", ")
+	return describeObstacles(c.obstacles(t), c.now)
 }
 
 // obstacle says why a task can't start on an endpoint now. The result is a predicate, as in "3
--- a/pkg/cell/long_waits.go
+++ b/pkg/cell/long_waits.go
@@ -19,7 +19,7 @@
 		}
 		if t := p.longestWaiting(); t != nil && c.now.Sub(t.readySince) >= longWait {
 			p.waitLoggedAt = c.now
-			c.logWait("long-running task waits", t, len(p.ready))
+			c.logWait("long-running task waits", t, len(p.ready), c.explainWait(t)+"; "+c.lastSync.describe(c.now))
 		}
 	}
 }
@@ -51,7 +51,7 @@
 	}
 	if longest != nil {
 		c.idleJobLoggedAt = c.now
-		c.logWait("job waits, none of its tasks runs", longest, count)
+		c.logWait("job waits, none of its tasks runs", longest, count, c.explainWait(longest))
 	}
 }
 
@@ -66,12 +66,27 @@
 	return longest
 }
 
+// LongestLongRunningWait returns for how long the long-running task that waits longest has been ready to
+// start, or 0 if none is.
+func (c *Cell) LongestLongRunningWait(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, p := range c.openPhases {
+		if !p.spec.Lasting {
+			continue
+		}
+		if t := p.longestWaiting(); t != nil {
+			longest = max(longest, now.Sub(t.readySince))
+		}
+	}
+	return longest
+}
+
 // logWait logs how long a task has been waiting, and why. count is the number of those that wait like it.
-func (c *Cell) logWait(message string, t *task, count int) {
+func (c *Cell) logWait(message string, t *task, count int, reason string) {
 	need := t.phase.need()
 	c.effects.LogLines = append(c.effects.LogLines, LogLine{
 		Message: message, Job: t.phase.job().id, Task: t.id().String(),
 		Reason: fmt.Sprintf("for %d ms, as one of %d; it needs %d thousandths of a core and %d MB: %s",
-			c.now.Sub(t.readySince).Milliseconds(), count, need.MilliCPU, need.MemoryMB, c.explainWait(t)),
+			c.now.Sub(t.readySince).Milliseconds(), count, need.MilliCPU, need.MemoryMB, reason),
 	})
 }
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -259,6 +259,12 @@
 		r.lastListedStep = c.step
 		c.applyProgress(r, progress)
 	}
+	switch {
+	case e.strayRuns == 0:
+		e.strayRunsSince = time.Time{}
+	case e.strayRunsSince.IsZero():
+		e.strayRunsSince = c.now
+	}
 	for _, r := range e.sortedRuns() {
 		switch {
 		case r.lastListedStep == c.step:
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -61,6 +61,7 @@
 	c.reportCustomers(&report)
 	report.Arrivals = c.shares.Report(now)
 	c.reportEvacuatedZones(&report)
+	c.lastSync.reportedAt, c.lastSync.spreadBoxes, c.lastSync.missingBoxes = now, report.Spread, report.MissingBoxes
 	return report
 }
 
@@ -163,6 +164,8 @@
 	for _, e := range c.sortedEndpoints {
 		c.continueWithdrawal(e)
 	}
+	c.updateWithdrawnSince()
+	c.lastSync.calledAt = now
 }
 
 // forEachLife calls do for each endpoint to which one of the given lives may refer. The planner
--- a/pkg/cell/unanswered.go
+++ b/pkg/cell/unanswered.go
@@ -53,7 +53,7 @@
 	e.calls.ObserveUnanswered(c.now)
 	c.calls.ObserveUnanswered(c.now)
 	if !e.suspected && !e.zone.mayBeCutOff() && e.calls.Suspect(c.now, &c.calls) && c.maySuspect() {
-		e.suspected = true
+		e.suspected, e.suspectedSince = true, c.now
 		c.stats.Suspicions++
 		c.logEndpoint("endpoint suspected", e, "it leaves many calls unanswered")
 	}
--- a/pkg/cell/withdrawal.go
+++ b/pkg/cell/withdrawal.go
@@ -18,6 +18,21 @@
 	urgent bool
 	// recorded is set once the stream holds the withdrawal.
 	recorded bool
+	// since is when the planner first asked for the withdrawal, or when this owner loaded it; zero if the
+	// endpoint is not being withdrawn.
+	since time.Time
+}
+
+// updateWithdrawnSince updates since of all endpoints.
+func (c *Cell) updateWithdrawnSince() {
+	for _, e := range c.sortedEndpoints {
+		switch isLeaving := e.withdrawn || e.withdrawal.requested; {
+		case !isLeaving:
+			e.withdrawal.since = time.Time{}
+		case e.withdrawal.since.IsZero():
+			e.withdrawal.since = c.now
+		}
+	}
 }
 
 // continueWithdrawal goes on with a withdrawal that the planner has requested: it empties the
@@ -110,6 +125,9 @@
 	}
 	e := c.ensureEndpoint(life)
 	e.withdrawn, e.withdrawal.recorded = saved.Withdrawn, saved.Withdrawn
+	if saved.Withdrawn {
+		e.withdrawal.since = c.now
+	}
 	return nil
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -289,7 +289,7 @@
 	return err
 }
 
-// run is the main goroutine. It handles messages, and updates the runners and the readiness every second.
+// run is the main goroutine. It handles messages, and updates the runners, the readiness and a gauge every second.
 func (n *Node) run() error {
 	defer close(n.done)
 	ticker := n.deps.Clock.NewTicker(time.Second)
@@ -305,6 +305,7 @@
 			n.proposeLayout()
 			n.updateRunners()
 			n.updateReadiness()
+			n.publishLongRunningWait()
 		}
 	}
 }
--- a/pkg/node/runners.go
+++ b/pkg/node/runners.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"damsonwinch"
 	"damsonwinch/pkg/cellclaim"
 	"damsonwinch/pkg/owner"
@@ -50,6 +52,18 @@
 	}
 }
 
+// publishLongRunningWait sets the gauge of the longest present wait of a long-running task in the cells that this
+// node owns.
+func (n *Node) publishLongRunningWait() {
+	longest := time.Duration(0)
+	for _, runner := range *n.runners.Load() {
+		if cellOwner, isOwner := runner.(*owner.Owner); isOwner {
+			longest = max(longest, cellOwner.LongRunningWait())
+		}
+	}
+	n.deps.Metrics.SetGauge("long_running_wait_ms", int(longest.Milliseconds()))
+}
+
 // shouldRun reports whether this node should run the cell of a claim: it holds the claim and isn't stopping.
 func (n *Node) shouldRun(claim cellclaim.Claim) bool {
 	return claim.HeldBy(n.options.Self) && !n.state.stopping
--- a/pkg/owner/owner.go
+++ b/pkg/owner/owner.go
@@ -97,6 +97,8 @@
 	publishedStats cell.Stats
 	// tasksWaiting is set while tasks wait for capacity.
 	tasksWaiting atomic.Bool
+	// longRunningWait is the result of LongRunningWait, in nanoseconds.
+	longRunningWait atomic.Int64
 	// ready is closed once the cell's state has been loaded.
 	ready chan struct{}
 	// done is closed once the owner has stopped.
@@ -186,6 +188,7 @@
 			o.replyToSyncs(now, false)
 			o.maybeStartMove(now)
 			o.publishStats()
+			o.longRunningWait.Store(int64(o.cell.LongestLongRunningWait(now)))
 		}
 		o.checkSuspension()
 		if o.executeEffects() {
@@ -209,6 +212,12 @@
 	return o.tasksWaiting.Load()
 }
 
+// LongRunningWait returns how long the long-running task of the cell that waits longest has been waiting, as of
+// the newest tick. Any goroutine may call it.
+func (o *Owner) LongRunningWait() time.Duration {
+	return time.Duration(o.longRunningWait.Load())
+}
+
 // updateTasksWaiting updates tasksWaiting and calls OnTasksWaiting if it has become true.
 func (o *Owner) updateTasksWaiting() {
 	waiting := o.cell.HasWaitingTasks()
