--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -176,19 +176,21 @@
 	if !o.accepted {
 		return
 	}
-	if o.Pool != "" && b.info.Pool == o.Pool || p.isMaintained(b, requestedAt, lifeExited) {
+	if o.Pool != "" && b.info.Pool == o.Pool || p.isOver(b, requestedAt, lifeExited) {
 		b.issued = nil
 	}
 }
 
-// isMaintained reports whether a list of boxes, requested at requestedAt, shows that the accepted
-// maintenance of a box is over. lifeExited says whether the life that the order was to end is over. If that
-// life goes on for too long, the platform had maintained the box before and has done nothing.
-func (p *Planner) isMaintained(b *box, requestedAt time.Time, lifeExited bool) bool {
-	if b.issued.Pool != "" {
-		return false
+// isOver reports whether a list of boxes, requested at requestedAt, shows a box after what the accepted order
+// on it took, wherever the box is. lifeExited says whether the life that the order was to end is over. If that
+// life goes on for too long, the platform had maintained the box before and has done nothing. A box that a late
+// copy of an earlier order has moved on is in neither its former pool nor that of the order.
+func (p *Planner) isOver(b *box, requestedAt time.Time, lifeExited bool) bool {
+	duration := p.options.MoveTime
+	if b.issued.Pool == "" {
+		duration = p.options.MaintainTime
 	}
-	since := requestedAt.Sub(b.issued.updatedAt) - p.options.MaintainTime
+	since := requestedAt.Sub(b.issued.updatedAt) - duration
 	return since >= 0 && (lifeExited || b.info.EndpointID == "") || since >= joinTimeout
 }
 
--- /dev/null
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -0,0 +1,49 @@
+package boxplan_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/boxplan"
+	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/wire"
+)
+
+// shortReport returns the report of a cell of the pool "short" that needs boxes for long-running tasks.
+func (f *shardedFleet) shortReport(missing int) wire.SyncReply {
+	return wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, MissingBoxes: missing, Endpoints: f.reports("short", 0)}
+}
+
+// planShort gives the planner a list of boxes and the report of a cell of the pool "short", and returns its orders.
+func (f *shardedFleet) planShort(after time.Duration, missing int) []boxplan.Order {
+	f.now = f.now.Add(after)
+	f.planner.SetBoxes(f.now, f.boxes)
+	f.planner.SetReport(f.now, shard.CellName("short", 0), f.shortReport(missing))
+	return f.planner.Plan(f.now)
+}
+
+// TestMoveOvertakenByAnEarlierOneIsOver guards against a cell that counts a box for good which never comes: the
+// platform has moved it to the cell's pool, and then to another one by a late copy of an earlier order.
+func TestMoveOvertakenByAnEarlierOneIsOver(t *testing.T) {
+	f := newShardedFleet()
+	f.add("off", 2, 1)
+	orders := f.planShort(0, 1)
+	assert.Assert(t, len(orders) > 0)
+	for _, order := range orders {
+		f.planner.HandleOrderResult(f.now, order, nil)
+	}
+	for i := range f.boxes {
+		f.boxes[i].State = damsonwinch.BoxMoving
+	}
+	f.planShort(400*time.Millisecond, 1)
+	for i := range f.boxes {
+		f.boxes[i].State, f.boxes[i].Pool, f.boxes[i].EndpointID = damsonwinch.BoxUp, "held", "elsewhere-"+f.boxes[i].Name
+	}
+	for range 5 {
+		f.planShort(time.Second, 1)
+	}
+	assert.Equal(t, len(f.planner.IssuedOrders()), 0)
+}
