Boxplan: a refused order isn't repeated on a later life of its box

What callers saw: the runs on a box are ended by an order for which it had not been withdrawn, long-running tasks among them.

Cause: an order that the platform refuses because of its rate is repeated until it is accepted. If the box crashes and comes back between two calls, the repeated order meets the later life. The rule that an order ends with the life it was for applied only after an unanswered call.

TestRefusedOrderDoesNotEndALaterLife failed before: the order was repeated on a life reported as usable and not withdrawn.

The fix works because a list that shows the box up with a later life settles the order whatever the answers to its calls were.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -169,8 +169,8 @@
 		b.issued = nil
 		return
 	}
-	if !o.accepted && o.outcomeUnknown && lifeExited {
-		p.settleUnansweredOrder(b)
+	if !o.accepted && lifeExited {
+		p.settleUnacceptedOrder(b)
 		return
 	}
 	if !o.accepted {
@@ -194,11 +194,11 @@
 	return since >= 0 && (lifeExited || b.info.EndpointID == "") || since >= joinTimeout
 }
 
-// settleUnansweredOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
+// settleUnacceptedOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
 // later life than the one that the order was to end. That life may have tasks, so the order must not be
 // repeated. Whether the order has been carried out, or the earlier life has exited by itself, shows only
 // for moves; a box whose maintenance is uncertain is due again.
-func (p *Planner) settleUnansweredOrder(b *box) {
+func (p *Planner) settleUnacceptedOrder(b *box) {
 	if b.issued.Pool != "" && b.info.Pool == b.issued.Pool {
 		b.issued = nil
 		return
--- a/pkg/boxplan/overtaken_order_test.go
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -47,3 +47,21 @@
 	}
 	assert.Equal(t, len(f.planner.IssuedOrders()), 0)
 }
+
+// TestRefusedOrderDoesNotEndALaterLife guards against an order that ends the runs of a life not withdrawn for it: the
+// platform has taken no order for a while, and meanwhile the box has crashed and come back.
+func TestRefusedOrderDoesNotEndALaterLife(t *testing.T) {
+	f := newOneBoxFleet()
+	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 10 * time.Second, Boxes: []string{f.box.Name}})
+	f.report(1, false)
+	f.plan(0)
+	f.report(1, true)
+	orders := f.plan(100 * time.Millisecond)
+	assert.Equal(t, len(orders), 1)
+	f.planner.HandleOrderResult(f.now, orders[0], damsonwinch.ErrRefused)
+	f.list(damsonwinch.BoxDown)
+	f.now = f.now.Add(time.Second)
+	f.list(damsonwinch.BoxUp)
+	f.report(2, false)
+	assert.Equal(t, len(f.plan(time.Second)), 0, "the later life is not withdrawn")
+}
