Boxplan: a box that is down isn't counted for the cell it is ordered to

What callers saw: a long-running task waits beside powered-off boxes for as long as a box is down, 10 s and more.

Cause: servedPool counted a box with an issued order for the order's pool before it looked at whether the box is down, so that its cell's shortage was 0. A box keeps its order while it is down if the platform had accepted it, if an answer was lost, or if an earlier planner had recorded it; the platform refuses its repetitions.

Evidence: TestBoxThatIsDownIsNotWaitedFor failed before.

The fix works because the cell asks for another box as soon as a list shows this one down; if it comes back first, the cell has one box more, which is powered off like any other that isn't needed.

--- a/pkg/boxplan/box_counts.go
+++ b/pkg/boxplan/box_counts.go
@@ -70,9 +70,9 @@
 
 // servedPool returns the pool that a box serves, or will serve by the decisions made so far; empty for
 // none. A box that is being maintained counts for its pool, since it is back soon. A box in an evacuated
-// zone counts for no pool.
+// zone counts for no pool, nor does one that is down: when it is back is unknown, whatever order it has.
 func (p *Planner) servedPool(b *box) string {
-	if p.isEvacuated(b) {
+	if p.isEvacuated(b) || b.info.State == damsonwinch.BoxDown {
 		return ""
 	}
 	if b.issued != nil {
@@ -86,9 +86,6 @@
 		// work until it is back.
 		return b.planned.pool
 	}
-	if b.info.State == damsonwinch.BoxDown {
-		return ""
-	}
 	c := p.cells[b.cellName()]
 	joining := p.now.Sub(b.upSince) < joinTimeout
 	if joining || c == nil || (b.report != nil && b.report.Usable) || (b.report == nil && !c.hasFreshReport(p.now)) {
--- a/pkg/boxplan/overtaken_order_test.go
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -65,3 +65,29 @@
 	f.report(2, false)
 	assert.Equal(t, len(f.plan(time.Second)), 0, "the later life is not withdrawn")
 }
+
+// TestBoxThatIsDownIsNotWaitedFor guards against a long-running task that waits for as long as a box is down: the
+// box had been ordered into the task's cell and crashed, and another box was powered off.
+func TestBoxThatIsDownIsNotWaitedFor(t *testing.T) {
+	for name, answer := range map[string]error{"after the move": nil, "after a lost answer": errNoAnswer} {
+		t.Run(name, func(t *testing.T) {
+			f := newShardedFleet()
+			f.add("off", 2, 1)
+			orders := f.planShort(0, 1)
+			assert.Equal(t, len(orders), 1)
+			f.planner.HandleOrderResult(f.now, orders[0], answer)
+			for i := range f.boxes {
+				if f.boxes[i].Name == orders[0].Box {
+					f.boxes[i].State = damsonwinch.BoxDown
+				}
+			}
+			var others []string
+			for _, order := range f.planShort(time.Second, 1) {
+				if order.Box != orders[0].Box {
+					others = append(others, order.Box)
+				}
+			}
+			assert.Equal(t, len(others), 1, "the other powered-off box is ordered")
+		})
+	}
+}
--- a/pkg/boxplan/sim_test.go
+++ b/pkg/boxplan/sim_test.go
@@ -24,8 +24,10 @@
 // against boxes that keep orders without effect. DAMSONWINCH_SEEDS and DAMSONWINCH_FIRST_SEED choose the seeds.
 func TestCellsGetBoxesUnderFaults(t *testing.T) {
 	first, count := environmentNumber(t, "DAMSONWINCH_FIRST_SEED", 1), environmentNumber(t, "DAMSONWINCH_SEEDS", 20)
+	var longest time.Duration
 	for seed := first; seed < first+count; seed++ {
 		w := simulate(uint64(seed))
+		longest = max(longest, w.rules.longestWait)
 		if w.rules.violation != "" {
 			t.Errorf("seed %d: %s", seed, w.rules.violation)
 			if count == 1 {
@@ -33,6 +35,7 @@
 			}
 		}
 	}
+	t.Logf("the longest wait for a missing box was %s", longest)
 }
 
 // TestSimulationIsDeterministic makes sure that a seed which has found a fault finds it again.
