--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -169,34 +169,36 @@
 		b.issued = nil
 		return
 	}
-	if !o.accepted && o.outcomeUnknown && lifeExited {
-		p.settleUnansweredOrder(b)
+	if !o.accepted && lifeExited {
+		p.settleUnacceptedOrder(b)
 		return
 	}
 	if !o.accepted {
 		return
 	}
-	if o.Pool != "" && b.info.Pool == o.Pool || p.isMaintained(b, requestedAt, lifeExited) {
+	if o.Pool != "" && b.info.Pool == o.Pool || p.isOver(b, requestedAt, lifeExited) {
 		b.issued = nil
 	}
 }
 
-// isMaintained reports whether a list of boxes, requested at requestedAt, shows that the accepted
-// maintenance of a box is over. lifeExited says whether the life that the order was to end is over. If that
-// life goes on for too long, the platform had maintained the box before and has done nothing.
-func (p *Planner) isMaintained(b *box, requestedAt time.Time, lifeExited bool) bool {
-	if b.issued.Pool != "" {
-		return false
+// isOver reports whether a list of boxes, requested at requestedAt, shows a box after what the accepted order
+// on it took, wherever the box is. lifeExited says whether the life that the order was to end is over. If that
+// life goes on for too long, the platform had maintained the box before and has done nothing. A box that a late
+// copy of an earlier order has moved on is in neither its former pool nor that of the order.
+func (p *Planner) isOver(b *box, requestedAt time.Time, lifeExited bool) bool {
+	duration := p.options.MoveTime
+	if b.issued.Pool == "" {
+		duration = p.options.MaintainTime
 	}
-	since := requestedAt.Sub(b.issued.updatedAt) - p.options.MaintainTime
+	since := requestedAt.Sub(b.issued.updatedAt) - duration
 	return since >= 0 && (lifeExited || b.info.EndpointID == "") || since >= joinTimeout
 }
 
-// settleUnansweredOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
+// settleUnacceptedOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
 // later life than the one that the order was to end. That life may have tasks, so the order must not be
 // repeated. Whether the order has been carried out, or the earlier life has exited by itself, shows only
 // for moves; a box whose maintenance is uncertain is due again.
-func (p *Planner) settleUnansweredOrder(b *box) {
+func (p *Planner) settleUnacceptedOrder(b *box) {
 	if b.issued.Pool != "" && b.info.Pool == b.issued.Pool {
 		b.issued = nil
 		return
--- /dev/null
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -0,0 +1,93 @@
+package boxplan_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/boxplan"
+	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/wire"
+)
+
+// shortReport returns the report of a cell of the pool "short" that needs boxes for long-running tasks.
+func (f *shardedFleet) shortReport(missing int) wire.SyncReply {
+	return wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, MissingBoxes: missing, Endpoints: f.reports("short", 0)}
+}
+
+// planShort gives the planner a list of boxes and the report of a cell of the pool "short", and returns its orders.
+func (f *shardedFleet) planShort(after time.Duration, missing int) []boxplan.Order {
+	f.now = f.now.Add(after)
+	f.planner.SetBoxes(f.now, f.boxes)
+	f.planner.SetReport(f.now, shard.CellName("short", 0), f.shortReport(missing))
+	return f.planner.Plan(f.now)
+}
+
+// TestMoveOvertakenByAnEarlierOneIsOver guards against a cell that counts a box for good which never comes: the
+// platform has moved it to the cell's pool, and then to another one by a late copy of an earlier order.
+func TestMoveOvertakenByAnEarlierOneIsOver(t *testing.T) {
+	f := newShardedFleet()
+	f.add("off", 2, 1)
+	orders := f.planShort(0, 1)
+	assert.Assert(t, len(orders) > 0)
+	for _, order := range orders {
+		f.planner.HandleOrderResult(f.now, order, nil)
+	}
+	for i := range f.boxes {
+		f.boxes[i].State = damsonwinch.BoxMoving
+	}
+	f.planShort(400*time.Millisecond, 1)
+	for i := range f.boxes {
+		f.boxes[i].State, f.boxes[i].Pool, f.boxes[i].EndpointID = damsonwinch.BoxUp, "held", "elsewhere-"+f.boxes[i].Name
+	}
+	for range 5 {
+		f.planShort(time.Second, 1)
+	}
+	assert.Equal(t, len(f.planner.IssuedOrders()), 0)
+}
+
+// TestRefusedOrderDoesNotEndALaterLife guards against an order that ends the runs of a life not withdrawn for it: the
+// platform has taken no order for a while, and meanwhile the box has crashed and come back.
+func TestRefusedOrderDoesNotEndALaterLife(t *testing.T) {
+	f := newOneBoxFleet()
+	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 10 * time.Second, Boxes: []string{f.box.Name}})
+	f.report(1, false)
+	f.plan(0)
+	f.report(1, true)
+	orders := f.plan(100 * time.Millisecond)
+	assert.Equal(t, len(orders), 1)
+	f.planner.HandleOrderResult(f.now, orders[0], damsonwinch.ErrRefused)
+	f.list(damsonwinch.BoxDown)
+	f.now = f.now.Add(time.Second)
+	f.list(damsonwinch.BoxUp)
+	f.report(2, false)
+	assert.Equal(t, len(f.plan(time.Second)), 0, "the later life is not withdrawn")
+}
+
+// TestBoxThatIsDownIsNotWaitedFor guards against a long-running task that waits for as long as a box is down: the
+// box had been ordered into the task's cell and crashed, and another box was powered off.
+func TestBoxThatIsDownIsNotWaitedFor(t *testing.T) {
+	for name, answer := range map[string]error{"after the move": nil, "after a lost answer": errNoAnswer} {
+		t.Run(name, func(t *testing.T) {
+			f := newShardedFleet()
+			f.add("off", 2, 1)
+			orders := f.planShort(0, 1)
+			assert.Equal(t, len(orders), 1)
+			f.planner.HandleOrderResult(f.now, orders[0], answer)
+			for i := range f.boxes {
+				if f.boxes[i].Name == orders[0].Box {
+					f.boxes[i].State = damsonwinch.BoxDown
+				}
+			}
+			var others []string
+			for _, order := range f.planShort(time.Second, 1) {
+				if order.Box != orders[0].Box {
+					others = append(others, order.Box)
+				}
+			}
+			assert.Equal(t, len(others), 1, "the other powered-off box is ordered")
+		})
+	}
+}
