Owners find a silent endpoint that has unknown runs or is suspected

What callers saw: an endpoint that listed a run its owner doesn't know, or that was suspected, and then stopped answering stayed "attached and answering" for as long as it was registered. Its runs did not lapse, so that their tasks were not started elsewhere, and it counted as an endpoint that would take waiting tasks.

Cause: such endpoints are polled every PollRetryInterval (300 ms), and each poll took the place of the one before it. A poll times out after 500 ms, when it was no longer known, so that its failure was dropped. Where answers are quick, repeatPolls keeps the earlier polls and hides the fault. Before eight answers, or with a bound of 300 ms and more, it doesn't.

Why the fix works: no poll is sent while one that is answered at once is in flight, as in all other branches of pollIfDue. The poll then times out and the endpoint counts as silent.

Evidence: TestEndpointWithUnknownRunsCountsAsSilent failed before.

--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -88,7 +88,8 @@
 		if e.polls.immediate == nil {
 			c.sendPoll(e, 0)
 		}
-	case e.polls.waiting != nil:
+	case e.polls.waiting != nil, e.polls.immediate != nil:
+		// A poll that is replaced before it times out would never show that the endpoint is silent.
 	case e.appliedSequence > e.recordedSequence:
 		// The endpoint would not hold a poll but answer at once with the same results, which can't
 		// be acknowledged before they are recorded. While the store is unavailable the leases still
--- a/pkg/cell/reservation_test.go
+++ b/pkg/cell/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,6 +25,8 @@
 	startedOn map[damsonwinch.TaskID]damsonwinch.Life
 	startedAt map[damsonwinch.TaskID]time.Time
 	calls     int
+	listed    []damsonwinch.Endpoint
+	faults    endpointFaults
 }
 
 // newCrowdedCell returns a cell with endpoints of 4 cores with the given IDs, each of them attached.
@@ -31,18 +34,17 @@
 	c := &crowdedCell{
 		t: t, now: time.UnixMilli(1_700_000_000_000), cell: cell.New(simOptions(mutation{}), 1),
 		running: map[damsonwinch.Life][]damsonwinch.RunProgress{}, results: map[damsonwinch.Life][]damsonwinch.RunResult{},
-		startedOn: map[damsonwinch.TaskID]damsonwinch.Life{}, startedAt: map[damsonwinch.TaskID]time.Time{},
+		startedOn: map[damsonwinch.TaskID]damsonwinch.Life{}, startedAt: map[damsonwinch.TaskID]time.Time{}, faults: newEndpointFaults(),
 	}
 	assert.NilError(t, c.cell.Load(c.now, nil))
 	c.cell.SetQueues(c.now, []damsonwinch.Queue{
 		{Name: "first", Pool: "pool", MaxAttempts: 3, DeadlineFactor: 20, TargetLatency: 20 * time.Second},
 		{Name: "second", Pool: "pool", Priority: 1, MaxAttempts: 3, DeadlineFactor: 20, TargetLatency: 20 * time.Second},
 	})
-	var endpoints []damsonwinch.Endpoint
 	for _, id := range ids {
-		endpoints = append(endpoints, damsonwinch.Endpoint{Life: damsonwinch.Life{ID: id}, Box: "box-" + id, Address: id + ":1", Pool: "pool", Capacity: damsonwinch.Resources{MilliCPU: 4000, MemoryMB: 8000}})
+		c.listed = append(c.listed, damsonwinch.Endpoint{Life: damsonwinch.Life{ID: id}, Box: "box-" + id, Address: id + ":1", Pool: "pool", Capacity: damsonwinch.Resources{MilliCPU: 4000, MemoryMB: 8000}})
 	}
-	c.cell.SetEndpoints(c.now, endpoints)
+	c.cell.SetEndpoints(c.now, c.listed)
 	c.runFor(100 * time.Millisecond)
 	return c
 }
@@ -62,6 +64,7 @@
 		for range 4 {
 			c.answer(c.cell.TakeEffects())
 		}
+		c.timeOutPolls()
 	}
 }
 
@@ -72,16 +75,23 @@
 	}
 	for _, start := range effects.Starts {
 		life := start.Endpoint.Life
+		if err := c.faults.refusals[life.ID]; err != nil {
+			c.cell.Started(c.now, life, start.Request.Run, err)
+			continue
+		}
 		c.running[life] = append(c.running[life], damsonwinch.RunProgress{Run: start.Request.Run})
 		c.startedOn[start.Request.Task], c.startedAt[start.Request.Task] = life, c.now
 		c.cell.Started(c.now, life, start.Request.Run, nil)
 	}
 	for _, poll := range effects.Polls {
+		if c.losesPoll(poll) {
+			continue
+		}
 		life := poll.Endpoint.Life
 		for at := range c.running[life] {
 			c.running[life][at].DonePercent = int(c.now.Sub(c.startedAt[c.running[life][at].Run.Task]) / (100 * time.Millisecond))
 		}
-		c.cell.Polled(c.now, life, poll.Number, damsonwinch.PollReply{ClockMs: int(c.now.UnixMilli()), Running: c.running[life], Finished: c.results[life]}, nil)
+		c.cell.Polled(c.now, life, poll.Number, damsonwinch.PollReply{ClockMs: int(c.now.UnixMilli()), Running: slices.Concat(c.running[life], c.faults.strays[life.ID]), Finished: c.results[life]}, nil)
 	}
 }
 
