Simulation: long-running tasks run again within 6 s beside two endpoints with room

In all simulations with random, mixed or late faults, shrinking boxes, evacuations and shared identities: after 7 s of calm a long-running task that has run before must not wait for more than 6 s while two endpoints have had room for it for 3 s, by what runs there and not by what the owner knows. A violation logs what the owner says of the task.

--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -247,6 +247,7 @@
 	w := e.world
 	w.logf("%s crashes under %s", e.info.Life, run.Task)
 	w.rules.crashCounts[run.Task]++
+	w.disturbedAt = w.now
 	e.exit()
 	w.after(w.randomDuration(2*time.Second, 4*time.Second), func() { w.addEndpoint(e.info.Box) })
 }
--- a/pkg/cell/sim_faults_test.go
+++ b/pkg/cell/sim_faults_test.go
@@ -30,6 +30,7 @@
 // setUp adds boxes, an owner and clients, and schedules random faults.
 func (w *world) setUp(jobs int) {
 	w.setUpWithoutFaults(jobs)
+	w.after(0, w.restarts.check)
 	for range faultsPerRun {
 		w.after(w.randomDuration(0, simFaultTime), w.injectFault)
 	}
--- a/pkg/cell/sim_mixed_faults_test.go
+++ b/pkg/cell/sim_mixed_faults_test.go
@@ -97,6 +97,7 @@
 	}
 	w.mixed.recordRegistrations()
 	w.addOwner()
+	w.after(0, w.restarts.check)
 	w.after(0, w.mixed.longRunning.check)
 }
 
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -107,6 +107,10 @@
 	startedAt time.Time
 	// requestDelayed is set while a request is handled long after it was sent.
 	requestDelayed bool
+	// disturbedAt is when the last fault was present in simulations without mixed faults.
+	disturbedAt time.Time
+	// restarts checks that long-running tasks run again.
+	restarts *restartRule
 	// faultsOn is set while faults may occur.
 	faultsOn bool
 	// boxMilliCPU is the CPU of each box. In some simulations there is little.
@@ -138,7 +142,7 @@
 		streams: []*simStream{newSimStream()}, streamDown: map[int]bool{}, behaviours: map[string]taskBehaviour{}, faultsOn: true, cuts: map[string]bool{},
 		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond,
 	}
-	w.rules, w.startedAt = newRules(w), w.now
+	w.rules, w.restarts, w.startedAt = newRules(w), newRestartRule(w), w.now
 	w.boxMilliCPU = 5000 + 1000*w.random.IntN(5)
 	return w
 }
