Owners count on endpoints for long-running tasks by the rule by which they start them

What callers saw: a long-running task waits although the cell asks for no box. Each endpoint with room for it had a reason not to start it: runs that its owner doesn't know, many unanswered calls, a short task after an ejection, a capacity that isn't known, or refusals of all starts. Beside an endpoint that refused all starts, a task waited even though short tasks followed each other on another one: the endpoint was reserved for the task again and again, since no short task runs where all starts are refused.

Cause: canStart and mayHostLongRunning were two rules. The second one, which decides whether a box is missing, knew six of the fifteen reasons of the first. The reservations used a third one.

The change: obstacle.go has the reasons as one typed list. Starts, explanations, reservations and the number of missing boxes are decided by it. An endpoint is not counted on for long-running tasks while it has an obstacle that can be expected to last (as before), or once it has had any obstacle for 2 s. Gaps of up to 0.5 s don't end that time, since obstacles that come with each short task follow each other with shorter ones. An endpoint that has refused two starts or more in a row takes no long-running task for 4 s, unless it accepts a start meanwhile. That is longer than the longest backoff of a task, so that the task can be started elsewhere between two tries.

Evidence: TestBoxIsAskedForWhereEachEndpointIsUnsuitable failed before in six cases (unknown runs, suspected, probed with a short task, both refusals, capacity not known), TestEndpointThatRefusesStartsIsNotReserved at the first of its two refusals.

The scenario evacuation-account expects another text: an endpoint that has not answered and is in an evacuated zone is explained by the zone, because obstacles that last come first.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -195,6 +195,7 @@
 	c.limitSuspected()
 	c.resendStops()
 	c.updateOverdue()
+	c.updateObstructions()
 	c.requestBoxList()
 	c.checkProbations()
 	c.baselineExits.Observe(now, c.countExposed())
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -89,6 +89,8 @@
 	// backoffUntil is the time until which no runs are planned here, after a start was refused or
 	// could not be sent.
 	backoffUntil time.Time
+	refusals     refusals
+	obstruction  obstruction
 	health       health
 	fillerSpeed  fillerspeed.Controller
 }
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-
-	"damsonwinch"
 )
 
 // runStateNames describes the run states in explanations. A start that is ordered has been
@@ -110,55 +108,9 @@
 // obstacle says why a task can't start on an endpoint now. The result is a predicate, as in "3
 // endpoints lack memory".
 func (c *Cell) obstacle(t *task, e *endpoint) string {
-	p := t.phase
-	switch {
-	case !e.listed, e.exited:
-		return "have ended"
-	case !e.attached:
-		return "have not answered yet"
-	case e.silent:
-		return "do not answer"
-	case e.overdue, e.zone.mayBeCutOff():
-		return "have not answered for longer than usual, as yet"
-	case e.suspected:
-		return "leave many calls unanswered"
-	case e.withdrawn, e.withdrawal.requested:
-		return "are being withdrawn"
-	case e.info.Draining:
-		return "drain"
-	case e.zone.evacuated:
-		return "are in an evacuated zone"
-	case !c.capacityKnown(e):
-		return "have not said for too long how much room they have"
-	case e.strayRuns > 0:
-		return "have runs that should not be there"
-	case !c.healthAllows(e), c.now.Before(e.backoffUntil):
-		return "are unhealthy"
-	case !e.hasLabel(p.spec.Label):
-		return "lack the label " + p.spec.Label
-	case !e.free().Holds(p.need()):
-		return "lack " + lackingResource(e.free(), p.need())
-	case !e.reservationAllows(t):
-		return "are reserved for a long-running task"
-	case !c.hasPermit(p, e):
-		return "have no permit"
-	case !c.probationAllows(t, e):
-		return "have just started something that may crash them, or are reserved for it"
-	case !c.allowsWhileCold(p, e):
-		return "are cold after the evacuation of their zone"
-	case !c.canStart(t, e):
-		return "have enough tasks of this phase"
-	}
-	return "could take it"
-}
-
-// lackingResource names a resource of which there is less free than a task needs.
-func lackingResource(free, need damsonwinch.Resources) string {
-	switch {
-	case free.MilliCPU < need.MilliCPU:
-		return "CPU"
-	case free.MemoryMB < need.MemoryMB:
-		return "memory"
-	}
-	return "GPUs"
+	found := c.findObstacle(t, e)
+	if found == obstacleLabel {
+		return obstacleNames[found] + " " + t.phase.spec.Label
+	}
+	return obstacleNames[found]
 }
--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -61,11 +61,3 @@
 	}
 	return b
 }
-
-// mayHostLongRunning reports whether an endpoint can be expected to start long-running tasks, now or as
-// soon as it is attached.
-func (c *Cell) mayHostLongRunning(e *endpoint) bool {
-	isPresent := e.listed && !e.exited && !e.silent && !e.zone.isCutOff(c.now)
-	isLeaving := e.withdrawn || e.withdrawal.requested || e.info.Draining || e.zone.evacuated
-	return isPresent && !isLeaving && !c.now.Before(e.health.ejectedUntil)
-}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -109,18 +109,14 @@
 // canStart reports whether a task may be started on an endpoint now, by all rules: backoff,
 // capacity, health, reservations, probations and permits.
 func (c *Cell) canStart(t *task, e *endpoint) bool {
-	return !c.mustWait(t) && c.canHost(t, e) && e.reservationAllows(t) && c.probationAllows(t, e) && c.hasPermit(t.phase, e)
+	return !c.mustWait(t) && c.canHost(t, e) && c.claimObstacle(t, e) == noObstacle
 }
 
-// canHost reports whether an endpoint has capacity for a task and may run it, apart from permits
-// and probations.
+// canHost reports whether an endpoint has capacity for a task and may run it, apart from reservations,
+// probations and permits.
 func (c *Cell) canHost(t *task, e *endpoint) bool {
-	p := t.phase
 	// Most endpoints of a busy cell are full, so capacity is checked first.
-	if !e.free().Holds(p.need()) || !e.usable() || e.strayRuns > 0 || !c.capacityKnown(e) || e.leavesUnanswered() || e.zone.mayBeCutOff() || !c.healthAllows(e) || t.runsOn(e) || c.now.Before(e.backoffUntil) || !e.hasLabel(p.spec.Label) {
-		return false
-	}
-	return c.allowsWhileCold(p, e) && (p.spec.MostPerBox == 0 || countOnEndpoint(p, e) < p.spec.MostPerBox)
+	return e.free().Holds(t.phase.need()) && c.endpointObstacle(e) == noObstacle && c.taskObstacle(t, e) == noObstacle
 }
 
 // countOnEndpoint returns the number of a phase's runs on an endpoint, including the capacity
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -188,7 +188,7 @@
 // have ended.
 func (c *Cell) fitsWithoutShortRuns(t *task, e *endpoint) bool {
 	p := t.phase
-	if !e.usable() || e.leavesUnanswered() || e.zone.mayBeCutOff() || !c.healthAllows(e) || !e.hasLabel(p.spec.Label) || !c.hasPermit(p, e) {
+	if c.endpointObstacle(e) != noObstacle || p.spec.Lasting && e.refusals.persist(c.now) || !e.hasLabel(p.spec.Label) || !c.hasPermit(p, e) {
 		return false
 	}
 	return e.info.Capacity.Minus(e.longRunningNeed()).Holds(p.need()) && (p.spec.MostPerBox == 0 || countOnEndpoint(p, e) < p.spec.MostPerBox)
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -217,6 +217,7 @@
 // confirm notes that a run exists: its endpoint has accepted or listed it.
 func (c *Cell) confirm(r *run) {
 	r.state, r.listedAfterStep, r.confirmedAt = runConfirmed, c.step, c.now
+	r.endpoint.refusals = refusals{}
 }
 
 // isStartRefusal reports whether an error means that the endpoint has refused to start the run.
@@ -246,6 +247,7 @@
 	case errors.Is(err, damsonwinch.ErrNoCapacity), errors.Is(err, damsonwinch.ErrUnhealthy):
 		// The endpoint's free capacity or health differs from what the cell knows of it.
 		r.endpoint.backoffUntil = c.now.Add(endpointBackoff)
+		r.endpoint.refusals.add(c.now)
 	}
 	if errors.Is(err, damsonwinch.ErrInvalidTicket) {
 		r.task.phase.permits.Drop(r.endpoint.info.Life.ID)
@@ -257,22 +259,6 @@
 	c.requeue(r)
 }
 
-// backOffTask delays the next start of a task that endpoints refuse, longer each time. Each start
-// costs a record and a call, and a request that one endpoint refuses as invalid is refused by the
-// next one as well.
-func (c *Cell) backOffTask(t *task) {
-	t.notBefore = c.now.Add(min(maxStartBackoff, minStartBackoff<<min(t.refusals, 8)))
-	t.refusals++
-}
-
-// Bounds of the backoff after a refused start. The first one is short, since another endpoint may
-// soon accept the task. The last one is about as long as it takes to notice that the endpoints'
-// program has been replaced.
-const (
-	minStartBackoff = 100 * time.Millisecond
-	maxStartBackoff = 2 * time.Second
-)
-
 // startNotSent removes a run whose start request has certainly not reached its endpoint.
 func (c *Cell) startNotSent(r *run, err error) {
 	c.logRun("start not sent", r, err.Error())
--- /dev/null
+++ b/pkg/cell/start_backoff.go
@@ -0,0 +1,46 @@
+package cell
+
+import "time"
+
+const (
+	// minRefusals is the number of starts in a row that an endpoint must have refused to count as one that
+	// refuses starts. A single one may be due to a task that had not ended there.
+	minRefusals = 2
+	// refusalMemory is how long after its last refusal an endpoint counts as one that refuses starts, unless
+	// it accepts one meanwhile. It is longer than the longest backoff of a task, so that the task has time
+	// to find another endpoint between two tries.
+	refusalMemory = 2 * maxStartBackoff
+)
+
+// refusals counts the starts in a row that an endpoint has refused because of its health or capacity.
+type refusals struct {
+	count int
+	last  time.Time
+}
+
+// add notes a refusal.
+func (r *refusals) add(now time.Time) {
+	r.count++
+	r.last = now
+}
+
+// persist reports whether the endpoint has refused all its recent starts.
+func (r *refusals) persist(now time.Time) bool {
+	return r.count >= minRefusals && now.Sub(r.last) < refusalMemory
+}
+
+// backOffTask delays the next start of a task that endpoints refuse, longer each time. Each start
+// costs a record and a call, and a request that one endpoint refuses as invalid is refused by the
+// next one as well.
+func (c *Cell) backOffTask(t *task) {
+	t.notBefore = c.now.Add(min(maxStartBackoff, minStartBackoff<<min(t.refusals, 8)))
+	t.refusals++
+}
+
+// Bounds of the backoff after a refused start. The first one is short, since another endpoint may
+// soon accept the task. The last one is about as long as it takes to notice that the endpoints'
+// program has been replaced.
+const (
+	minStartBackoff = 100 * time.Millisecond
+	maxStartBackoff = 2 * time.Second
+)
