Owners ask for permits for long-running tasks also where short tasks run

What callers saw: a long-running task of a queue with advice waits as long as short tasks come to its cell.

Cause: a permit was asked for only where a task has capacity at present, and an endpoint was reserved only if there was a valid permit for it. Short tasks need less and go first, so that neither came about. A phase that placement skips, because others that need less have found no capacity, asked for none at all.

The change: if no endpoint has capacity now, a long-running phase asks for permits for those that would have it once their short tasks have ended, each once. An endpoint on which the service has decided well may be reserved, since the decision doesn't change. The permit is asked for again when the capacity is there, if it has expired.

--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -38,6 +38,11 @@
 	return !c.needsPermit(p) || p.permits.Valid(c.now, e.info.Life.ID)
 }
 
+// mayGetPermit reports whether a phase needs no permit for an endpoint, or can have one when it starts there.
+func (c *Cell) mayGetPermit(p *phase, e *endpoint) bool {
+	return !c.needsPermit(p) || p.permits.Permitted(e.info.Life.ID)
+}
+
 // requestPermits requests permits for endpoints that could take the phase's tasks and for which it
 // has no valid permit, the best ones first.
 func (c *Cell) requestPermits(p *phase) {
@@ -45,12 +50,7 @@
 		return
 	}
 	t := p.ready[0]
-	var candidates []*endpoint
-	for _, e := range c.sortedEndpoints {
-		if !p.permits.Refused(e.info.Life.ID) && c.canHost(t, e) && !c.hasPermit(p, e) {
-			candidates = append(candidates, e)
-		}
-	}
+	candidates := c.permitCandidates(t)
 	if len(candidates) == 0 {
 		return
 	}
@@ -64,6 +64,29 @@
 	c.effects.PermitRequests = append(c.effects.PermitRequests, request)
 }
 
+// permitCandidates returns the endpoints that could take a task if its phase had a permit. If none can now, it
+// returns for a long-running task those that could once their short tasks have ended and on which the service
+// has not decided yet: only an endpoint with a permit is reserved.
+func (c *Cell) permitCandidates(t *task) []*endpoint {
+	p := t.phase
+	var now, later []*endpoint
+	for _, e := range c.sortedEndpoints {
+		switch id := e.info.Life.ID; {
+		case p.permits.Refused(id):
+		case c.canHost(t, e):
+			if !c.hasPermit(p, e) {
+				now = append(now, e)
+			}
+		case p.spec.Lasting && !p.permits.Permitted(id) && c.fitsBesideLongRunning(t, e):
+			later = append(later, e)
+		}
+	}
+	if len(now) > 0 {
+		return now
+	}
+	return later
+}
+
 // Advised handles the reply to a call for permits. The permits are valid for at least the given
 // time from sentAt, when the call was sent.
 func (c *Cell) Advised(now, sentAt time.Time, request PermitRequest, permits []damsonwinch.Permit, valid time.Duration, err error) {
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -48,6 +48,9 @@
 func (c *Cell) placePhases(phases []*phase, unplaceable []damsonwinch.Resources) []damsonwinch.Resources {
 	for _, p := range phases {
 		if exceedsAny(p, unplaceable) {
+			if p.spec.Lasting {
+				c.requestPermits(p)
+			}
 			continue
 		}
 		if p.spec.Gang {
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -187,8 +187,13 @@
 // fitsWithoutShortRuns reports whether a task could run on an endpoint once the short runs there
 // have ended.
 func (c *Cell) fitsWithoutShortRuns(t *task, e *endpoint) bool {
+	return c.fitsBesideLongRunning(t, e) && c.mayGetPermit(t.phase, e)
+}
+
+// fitsBesideLongRunning does the same as fitsWithoutShortRuns, apart from permits.
+func (c *Cell) fitsBesideLongRunning(t *task, e *endpoint) bool {
 	p := t.phase
-	if c.endpointObstacle(e) != noObstacle || p.spec.Lasting && e.refusals.persist(c.now) || !e.hasLabel(p.spec.Label) || !c.hasPermit(p, e) {
+	if c.endpointObstacle(e) != noObstacle || p.spec.Lasting && e.refusals.persist(c.now) || !e.hasLabel(p.spec.Label) {
 		return false
 	}
 	return e.info.Capacity.Minus(e.longRunningNeed()).Holds(p.need()) && (p.spec.MostPerBox == 0 || countOnEndpoint(p, e) < p.spec.MostPerBox)
--- a/pkg/cell/reservation_test.go
+++ b/pkg/cell/reservation_test.go
@@ -83,6 +83,13 @@
 		c.startedOn[start.Request.Task], c.startedAt[start.Request.Task] = life, c.now
 		c.cell.Started(c.now, life, start.Request.Run, nil)
 	}
+	for _, request := range effects.PermitRequests {
+		var permits []damsonwinch.Permit
+		for _, id := range request.Endpoints {
+			permits = append(permits, damsonwinch.Permit{EndpointID: id, Ticket: "ticket-" + id})
+		}
+		c.cell.Advised(c.now, c.now, request, permits, 2*time.Second, nil)
+	}
 	for _, poll := range effects.Polls {
 		if c.losesPoll(poll) {
 			continue
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -50,6 +50,12 @@
 	return decided && !permitted
 }
 
+// Permitted reports whether the service has decided that the phase may run on an endpoint, even if the permit
+// is no longer valid. The decision does not change, so a new permit can be had.
+func (p *Permits) Permitted(endpointID string) bool {
+	return p.decisions[endpointID]
+}
+
 // Asked notes that a call has been made.
 func (p *Permits) Asked(now time.Time) {
 	p.inFlight, p.requestedAt = true, now
