A long-running phase that has waited for its allowance is compared with the present one

What callers saw: a long-running task whose customer's allowance had been raised still waited, as long as short tasks of others found no capacity. No endpoint was reserved for it, and it counted for no missing box.

Cause: overQuotaSince is only updated when placement tries to start the phase. Placement skips a phase that needs at least as much as one that has found no capacity, so that the phase counted as one over its allowance until the others were done.

The change: reservations, missing boxes, deferral and admission compare a phase that has waited with the customer's present allowance.

Evidence: TestTaskWithinItsAllowanceAgainGetsAnEndpoint failed before.

--- a/pkg/cell/admit.go
+++ b/pkg/cell/admit.go
@@ -75,7 +75,7 @@
 	}
 	nowMs := int(c.now.UnixMilli())
 	for _, p := range c.openPhases {
-		if !p.spec.Lasting && len(p.ready) > 0 && p.overQuotaSince.IsZero() && goesBefore(p, j, nowMs) {
+		if !p.spec.Lasting && len(p.ready) > 0 && !c.waitsForAllowance(p) && goesBefore(p, j, nowMs) {
 			queue.AheadCPU += len(p.ready) * p.need().MilliCPU
 		}
 	}
--- a/pkg/cell/deferral.go
+++ b/pkg/cell/deferral.go
@@ -41,7 +41,7 @@
 // the CPU that those tasks need, in thousandths of a core.
 func (c *Cell) onTimePhases(nowMs int) (waiting []*phase, needed int) {
 	for _, p := range c.openPhases {
-		if !p.spec.Lasting && p.lateAtMs > 0 && !p.isLate(nowMs) && len(p.ready) > 0 && p.overQuotaSince.IsZero() {
+		if !p.spec.Lasting && p.lateAtMs > 0 && !p.isLate(nowMs) && len(p.ready) > 0 && !c.waitsForAllowance(p) {
 			waiting = append(waiting, p)
 			needed += len(p.ready) * p.need().MilliCPU
 		}
--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -39,7 +39,7 @@
 		rows[p].Waiting += count
 	}
 	for _, p := range c.openPhases {
-		if p.spec.Lasting && p.overQuotaSince.IsZero() {
+		if p.spec.Lasting && !c.waitsForAllowance(p) {
 			add(p, len(p.ready))
 		}
 	}
--- a/pkg/cell/quota.go
+++ b/pkg/cell/quota.go
@@ -33,6 +33,17 @@
 	return allowed
 }
 
+// waitsForAllowance reports whether the tasks of a phase wait for their customer's allowance. Placement doesn't
+// look at a phase while others find no capacity, so a phase that has waited is compared with the present
+// allowance.
+func (c *Cell) waitsForAllowance(p *phase) bool {
+	count := 1
+	if p.spec.Gang {
+		count = len(p.ready)
+	}
+	return !p.overQuotaSince.IsZero() && !c.quota.Allows(p.job().customer, p.quotaNeed().Times(count))
+}
+
 // applyAllowances applies the allowances in a call of the planner. If they must be recorded before
 // they are confirmed to the planner, the next append records them.
 func (c *Cell) applyAllowances(args wire.SyncArgs) {
--- a/pkg/cell/reservation.go
+++ b/pkg/cell/reservation.go
@@ -18,7 +18,7 @@
 // the work runs out.
 func (c *Cell) reserveForLongRunning() {
 	for _, p := range c.openPhases {
-		if !p.spec.Lasting || p.spec.Gang || !p.overQuotaSince.IsZero() {
+		if !p.spec.Lasting || p.spec.Gang || c.waitsForAllowance(p) {
 			continue
 		}
 		for _, t := range p.ready {
--- a/pkg/cell/task_wait_test.go
+++ b/pkg/cell/task_wait_test.go
@@ -10,6 +10,40 @@
 	"damsonwinch/pkg/wire"
 )
 
+// allow sets the CPU that the customer "c" may use.
+func (c *crowdedCell) allow(number, milliCPU int) {
+	limit := damsonwinch.Resources{MilliCPU: 8000}
+	c.cell.SetCustomers(c.now, number, []damsonwinch.Customer{{Name: "c", Cap: limit}})
+	c.cell.ApplySync(c.now, wire.SyncArgs{
+		Token: 1, CellToken: 1, AllowanceNumber: number, ConfigVersion: number,
+		Allowances: []wire.AllowanceRow{{Customer: "c", Amount: wire.Amount{Cpu: milliCPU}, Cap: wire.Amount{Cpu: limit.MilliCPU}}},
+	})
+}
+
+// submitFor submits a job of the customer "c".
+func (c *crowdedCell) submitFor(queue, id string, phase wire.Phase) {
+	spec := simSpec(phase)
+	c.calls++
+	c.cell.Submit(c.now, wire.JobArgs{Queue: queue, Id: id, Customer: "c", Spec: &spec, ReceivedMs: int(c.now.UnixMilli())}, c.calls)
+}
+
+// TestTaskWithinItsAllowanceAgainGetsAnEndpoint guards against a long-running phase that counts as one over its
+// allowance, for which nothing is reserved and no box asked for, although the allowance has been raised: while
+// short tasks find no capacity, placement skips the phase and doesn't look at its allowance.
+func TestTaskWithinItsAllowanceAgainGetsAnEndpoint(t *testing.T) {
+	c := newCrowdedCell(t, "a")
+	c.allow(1, 0)
+	c.runFor(100 * time.Millisecond)
+	c.submitFor("second", "lasts", usualPhase())
+	c.runFor(100 * time.Millisecond)
+	c.submit("first", "short", wire.Phase{Count: 60, Cpu: 2000, MemoryMb: 500, EstimateMs: 300})
+	c.churn("a", time.Second)
+	assert.Equal(t, c.cell.Report(c.now).MissingBoxes, 0)
+	c.allow(2, 8000)
+	c.churn("a", 3*time.Second)
+	assert.Assert(t, c.hasStarted("lasts", 0), "%v", c.cell.Explain("lasts"))
+}
+
 // TestLongRunningTaskGetsAPermitBesideShortTasks guards against a long-running task that waits as long as short
 // tasks come: without a permit no endpoint is reserved for it, and without capacity there no permit was asked for.
 func TestLongRunningTaskGetsAPermitBesideShortTasks(t *testing.T) {
