--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -39,7 +39,7 @@
 		rows[p].Waiting += count
 	}
 	for _, p := range c.openPhases {
-		if p.spec.Lasting && p.overQuotaSince.IsZero() {
+		if p.spec.Lasting && !c.waitsForAllowance(p) {
 			add(p, len(p.ready))
 		}
 	}
@@ -61,11 +61,3 @@
 	}
 	return b
 }
-
-// mayHostLongRunning reports whether an endpoint can be expected to start long-running tasks, now or as
-// soon as it is attached.
-func (c *Cell) mayHostLongRunning(e *endpoint) bool {
-	isPresent := e.listed && !e.exited && !e.silent && !e.zone.isCutOff(c.now)
-	isLeaving := e.withdrawn || e.withdrawal.requested || e.info.Draining || e.zone.evacuated
-	return isPresent && !isLeaving && !c.now.Before(e.health.ejectedUntil)
-}
--- a/pkg/cell/obstacles.go
+++ b/pkg/cell/wait_reasons.go
@@ -9,8 +9,7 @@
 
 // obstacleCount tells at how many endpoints the same obstacle keeps a task from starting.
 type obstacleCount struct {
-	// obstacle is a predicate; see Cell.obstacle.
-	obstacle  string
+	obstacle  obstacle
 	endpoints int
 	// since is the earliest time at which the obstacle is known to have begun at one of the endpoints; zero
 	// if the cell doesn't keep that.
@@ -25,11 +24,11 @@
 func (c *Cell) obstacles(t *task) []obstacleCount {
 	var counts []obstacleCount
 	for _, e := range c.sortedEndpoints {
-		obstacle := c.obstacle(t, e)
-		at := slices.IndexFunc(counts, func(n obstacleCount) bool { return n.obstacle == obstacle })
+		found := c.findObstacle(t, e)
+		at := slices.IndexFunc(counts, func(n obstacleCount) bool { return n.obstacle == found })
 		if at < 0 {
 			at = len(counts)
-			counts = append(counts, obstacleCount{obstacle: obstacle})
+			counts = append(counts, obstacleCount{obstacle: found})
 		}
 		counts[at].add(e)
 	}
@@ -37,7 +36,7 @@
 		if a.endpoints != b.endpoints {
 			return b.endpoints - a.endpoints
 		}
-		return strings.Compare(a.obstacle, b.obstacle)
+		return strings.Compare(obstacleNames[a.obstacle], obstacleNames[b.obstacle])
 	})
 	return counts
 }
@@ -51,45 +50,44 @@
 			n.unrecorded++
 		}
 	}
-	if since := e.unavailableSince(); !since.IsZero() && (n.since.IsZero() || since.Before(n.since)) {
+	if since := n.obstacle.since(e); !since.IsZero() && (n.since.IsZero() || since.Before(n.since)) {
 		n.since = since
 	}
 }
 
-// unavailableSince returns since when the endpoint gets no new work at all, and zero if it gets some or if
-// the cell doesn't keep that time.
-func (e *endpoint) unavailableSince() time.Time {
-	switch {
-	case !e.listed, e.exited:
-		return time.Time{}
-	case !e.attached:
+// since returns since when an endpoint has had the obstacle, and zero if the cell doesn't keep that.
+func (o obstacle) since(e *endpoint) time.Time {
+	switch o {
+	case obstacleUnreached, obstacleUnattached:
 		return e.knownSince
-	case e.silent:
+	case obstacleSilent:
 		return e.silentSince
-	case e.overdue:
+	case obstacleOverdue:
 		return e.lastAnsweredAt
-	case e.suspected:
+	case obstacleSuspected:
 		return e.suspectedSince
-	case e.withdrawn, e.withdrawal.requested:
+	case obstacleWithdrawn:
 		return e.withdrawal.since
+	case obstacleStrayRuns:
+		return e.strayRunsSince
 	}
-	return e.strayRunsSince
+	return time.Time{}
 }
 
-// describeObstacles describes obstacles as of now.
-func describeObstacles(counts []obstacleCount, now time.Time) string {
+// describeObstacles describes the obstacles to a task as of now.
+func describeObstacles(t *task, counts []obstacleCount, now time.Time) string {
 	if len(counts) == 0 {
 		return "the cell has no endpoints"
 	}
 	parts := make([]string, 0, len(counts))
 	for _, n := range counts {
-		parts = append(parts, n.describe(now))
+		parts = append(parts, n.describe(t, now))
 	}
 	return strings.Join(parts, ", ")
 }
 
-// describe describes the obstacle and its endpoints as of now.
-func (n obstacleCount) describe(now time.Time) string {
+// describe describes the obstacle to a task and its endpoints as of now.
+func (n obstacleCount) describe(t *task, now time.Time) string {
 	var details []string
 	if !n.since.IsZero() {
 		details = append(details, fmt.Sprintf("for up to %d ms", now.Sub(n.since).Milliseconds()))
@@ -97,7 +95,10 @@
 	if n.withdrawn > 0 {
 		details = append(details, fmt.Sprintf("%d withdrawn of which %d are not recorded", n.withdrawn, n.unrecorded))
 	}
-	line := fmt.Sprintf("%d endpoints %s", n.endpoints, n.obstacle)
+	line := fmt.Sprintf("%d endpoints %s", n.endpoints, obstacleNames[n.obstacle])
+	if n.obstacle == obstacleLabel {
+		line += " " + t.phase.spec.Label
+	}
 	if len(details) > 0 {
 		line += " (" + strings.Join(details, ", ") + ")"
 	}
