Boxplan: an order is repeated only on a life that is reported as withdrawn

What callers saw: all runs on a box are ended by a repeated order, although the owner of the box's cell uses it.

Cause: before the first call with an order the planner requires that the owner reports the life as withdrawn; before a repetition it required nothing. The life may be in use by then: a new planner repeats a recorded order that had no effect, on a later life under the same ID; or the owner has forgotten the withdrawal, since it removes the record of an endpoint that the registry hasn't listed for a while.

Evidence: TestInheritedOrderDoesNotEndALaterLifeWithItsID and TestOrderIsNotRepeatedOnALifeInUseAgain failed before.

The fix works because the report that allows a first call is now required for each, and an order whose life is reported as usable has ended, so that its box is free for other decisions. Boxes that are powered off have no life in use.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -265,8 +265,7 @@
 	case b.planned != nil:
 		return b.planned.pool, b.report != nil && b.report.Withdrawn
 	case b.issued != nil:
-		return b.issued.Pool, !b.issued.accepted && !b.issued.inFlight && p.now.Sub(b.issued.sentAt) >= orderRetryDelay &&
-			p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay
+		return b.issued.Pool, p.mayRepeat(b)
 	}
 	return "", false
 }
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -164,6 +164,7 @@
 	p.orders, p.spareBoxes, p.boxesExamined = nil, nil, 0
 	p.orderPace.advance(now)
 	p.attachReports()
+	p.dropOrdersOnUsedLives()
 	p.findCutOffZones()
 	p.updatePlansForEvacuations()
 	p.countBoxes()
--- a/pkg/boxplan/overtaken_order_test.go
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -91,3 +91,32 @@
 		})
 	}
 }
+
+// TestInheritedOrderDoesNotEndALaterLifeWithItsID guards against a recorded order that a new planner repeats before it
+// has heard that a later life under the same ID is in use.
+func TestInheritedOrderDoesNotEndALaterLifeWithItsID(t *testing.T) {
+	f := newOneBoxFleet()
+	f.planner.LoadOrder(wire.OrderRecord{Box: f.box.Name, Pool: "short", AtMs: int(f.now.UnixMilli()), Endpoint: damsonwinch.Life{ID: "at-" + f.box.Name, StartedUnixMs: 1}.String()})
+	f.list(damsonwinch.BoxUp)
+	assert.Equal(t, len(f.plan(10*time.Second)), 0, "the owner of the cell has not reported yet")
+	f.report(2, false)
+	assert.Equal(t, len(f.plan(time.Second)), 0, "a later life is in use")
+	assert.Equal(t, len(f.planner.IssuedOrders()), 0)
+}
+
+// TestOrderIsNotRepeatedOnALifeInUseAgain guards against an order that ends the runs of a life whose owner has lost
+// its withdrawal.
+func TestOrderIsNotRepeatedOnALifeInUseAgain(t *testing.T) {
+	f := newOneBoxFleet()
+	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 10 * time.Second, Boxes: []string{f.box.Name}})
+	f.report(1, false)
+	f.plan(0)
+	f.report(1, true)
+	orders := f.plan(100 * time.Millisecond)
+	assert.Equal(t, len(orders), 1)
+	f.planner.HandleOrderResult(f.now, orders[0], damsonwinch.ErrRefused)
+	f.report(1, false)
+	assert.Equal(t, len(f.plan(time.Second)), 0)
+	f.report(1, true)
+	assert.Equal(t, len(f.plan(time.Second)), 1, "it is withdrawn and ordered again")
+}
