Boxplan: a cell keeps its own box before another one is moved to it

What callers saw: a long-running task waits for a box to be moved to its cell, beside a box of the cell that is up, idle and withdrawn.

Cause: only boxes with a planned power-off were given back to their cell. A box whose power-off the platform had refused because of its rate was not, nor was one that was being emptied for another cell's backlog. Without a powered-off box the task waited longRunningWait, the short tasks of a box elsewhere, and a move.

The fix works because an order that each call has refused had no effect, and its record is harmless: no planner repeats an order on a life in use. A box on its way to another cell is kept only if that cell has enough for its own long-running tasks without it, and no cell gives away boxes that its long-running tasks need, so that two cells can't take one box from each other in turns.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -14,8 +14,8 @@
 const (
 	// orderRetryDelay is the minimum time between two calls to the platform with the same order.
 	orderRetryDelay = 300 * time.Millisecond
-	// joinTimeout is how long a box that the platform lists as up may take until it is usable in
-	// its pool.
+	// joinTimeout is how long a box that the platform lists as up, or that was to be moved and is kept, may
+	// take until it is usable in its pool.
 	joinTimeout = 3 * time.Second
 )
 
@@ -41,6 +41,8 @@
 	// upSince is the request time of the first list that shows the box with its present state,
 	// pool and endpoint.
 	upSince time.Time
+	// keptAt is when the newest decision to move the box was taken back. Its cell uses it again soon.
+	keptAt time.Time
 	// refusedPools are the pools to which the platform refuses to move the box.
 	refusedPools map[string]bool
 }
@@ -212,10 +214,11 @@
 		p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay
 }
 
-// startWithdrawal has the endpoint of a box withdrawn, so that the planned order can be issued.
+// startWithdrawal has the endpoint of a box withdrawn, so that the planned order can be issued. It takes the place of
+// one that the platform has refused.
 func (p *Planner) startWithdrawal(b *box, planned plannedOrder) {
 	planned.since = p.now
-	p.updateBox(b, func() { b.planned = &planned })
+	p.updateBox(b, func() { b.planned, b.issued = &planned, nil })
 }
 
 // issueOrder issues a planned order on a box on which nothing runs. The order will be among those that
--- /dev/null
+++ b/pkg/boxplan/given_back_test.go
@@ -0,0 +1,76 @@
+package boxplan_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch"
+	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/wire"
+)
+
+// TestRefusedPowerOffIsTakenBack guards against a cell that waits for a box to be moved to it while one of its own
+// is withdrawn and idle, because the platform refuses the order to power it off.
+func TestRefusedPowerOffIsTakenBack(t *testing.T) {
+	f := newShardedFleet()
+	f.add("short", 4, 0)
+	f.add("off", 1, 1)
+	name := shard.CellName("short", 0)
+	report := f.shortReport(0)
+	withdrawn := map[string]bool{}
+	plan := func(after time.Duration, missing int) (ordered []string) {
+		f.now = f.now.Add(after)
+		f.planner.SetBoxes(f.now, f.boxes)
+		report.MissingBoxes = missing
+		for i := range report.Endpoints {
+			row := &report.Endpoints[i]
+			row.Withdrawn = withdrawn[row.Endpoint]
+			row.Usable = !row.Withdrawn
+		}
+		f.planner.SetReport(f.now, name, report)
+		for _, order := range f.planner.Plan(f.now) {
+			ordered = append(ordered, order.Pool)
+			f.planner.HandleOrderResult(f.now, order, damsonwinch.ErrRefused)
+		}
+		return ordered
+	}
+	for range 4 {
+		plan(time.Second, 0)
+		for _, life := range f.planner.Directives(name).Withdraw {
+			withdrawn[life] = true
+		}
+	}
+	assert.Assert(t, len(f.planner.IssuedOrders()) > 0, "boxes are to be powered off")
+	assert.Assert(t, !slices.Contains(plan(100*time.Millisecond, 1), "short"), "no box has to be moved")
+	assert.Equal(t, len(f.planner.Directives(name).Restore), 1)
+}
+
+// TestBoxOnItsWayElsewhereIsKeptForLongRunningTasks guards against a long-running task that waits for a box of
+// another pool, while a box of its own cell is being emptied for another cell's backlog.
+func TestBoxOnItsWayElsewhereIsKeptForLongRunningTasks(t *testing.T) {
+	f := newShardedFleet()
+	f.add("short", 6, 0)
+	f.add("held", 1, 0)
+	f.planner.SetBoxes(f.now.Add(-time.Minute), f.boxes)
+	short, held := shard.CellName("short", 0), shard.CellName("held", 0)
+	backlog := wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, WaitingCpu: 100 * scriptMilliCPU, Endpoints: f.reports("held", 0)}
+	f.planner.SetReport(f.now, held, backlog)
+	idle := f.shortReport(0)
+	f.planner.SetReport(f.now, short, idle)
+	f.planner.Plan(f.now)
+	leaving := f.planner.Directives(short).WithdrawUrgently
+	assert.Assert(t, len(leaving) > 0, "boxes are on their way to the backlog's cell")
+
+	f.now = f.now.Add(200 * time.Millisecond)
+	for i := range idle.Endpoints {
+		row := &idle.Endpoints[i]
+		row.Usable = !slices.Contains(leaving, row.Endpoint)
+	}
+	idle.MissingBoxes = 1
+	f.planner.SetReport(f.now, short, idle)
+	f.planner.Plan(f.now)
+	assert.Equal(t, len(f.planner.Directives(short).WithdrawUrgently), len(leaving)-1, "one box is kept")
+}
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math"
 	"time"
-
-	"damsonwinch"
 )
 
 // fillCells decides which boxes to give to cells that need more: first powered-off ones, then those
@@ -81,7 +79,7 @@
 // the order; see Order.
 func (p *Planner) addBoxTo(cellName, cause string) bool {
 	pool := p.cells[cellName].pool
-	if p.cancelPowerOff(cellName) {
+	if p.keepBox(cellName) {
 		return true
 	}
 	if b := p.bestPoweredOffBox(cellName); b != nil {
@@ -95,18 +93,6 @@
 	return false
 }
 
-// cancelPowerOff keeps one box of the cell that was to be powered off, and reports whether there was
-// one.
-func (p *Planner) cancelPowerOff(cellName string) bool {
-	for _, b := range p.boxesByCell[cellName] {
-		if b.planned != nil && p.isPoweredOff(b.planned.pool) && !p.isEvacuated(b) {
-			p.updateBox(b, func() { b.planned = nil })
-			return true
-		}
-	}
-	return false
-}
-
 // bestSpareBox returns the best box for a cell among those of other pools: boxes that cells of the
 // same shard can spare (for exceptions see mayDonate), and boxes of any shard that are being
 // withdrawn to be powered off. It returns nil if there is none. Cells of other shards don't donate
@@ -151,12 +137,6 @@
 // cutOffZoneCost puts the boxes of a zone that is cut off behind all others.
 const cutOffZoneCost = 1_000_000
 
-// isBeingPoweredOff reports whether a box is up and is being withdrawn to be powered off. In an evacuated
-// zone such a box is of no use to another cell.
-func (p *Planner) isBeingPoweredOff(b *box) bool {
-	return b.planned != nil && b.planned.wave == 0 && p.isPoweredOff(b.planned.pool) && b.info.State == damsonwinch.BoxUp && !p.isEvacuated(b)
-}
-
 // canEmptySoon reports whether a box is in use and can soon be empty because it has no long-running
 // tasks. A box in an evacuated zone isn't in use.
 func (p *Planner) canEmptySoon(b *box) bool {
--- a/pkg/boxplan/sim_rules_test.go
+++ b/pkg/boxplan/sim_rules_test.go
@@ -123,7 +123,7 @@
 				r.withdrawnSince[e.life] = w.now
 			}
 			if since := r.lasted(w, r.withdrawnSince[e.life]); since > simWithdrawnBound+w.platform.timeForAllOrders() {
-				r.violate(w, "endpoint %s of cell %s has been withdrawn for %s", e.life, name, since)
+				r.violate(w, "endpoint %s of cell %s has been withdrawn for %s, order %+v", e.life, name, since, w.planner.IssuedOrders()[e.box])
 			}
 		}
 	}
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -26,3 +26,53 @@
 		}
 	}
 }
+
+// isRefused reports whether the platform has refused each call with the order, so that the order has had no effect
+// and can be taken back.
+func (o *issuedOrder) isRefused() bool {
+	return !o.accepted && !o.inFlight && !o.outcomeUnknown && !o.inherited
+}
+
+// revocableMove returns the pool to which a box is to be moved if that can still be taken back, and whether it can.
+// The record of a refused order remains; a later planner doesn't repeat it while the life is in use.
+func (p *Planner) revocableMove(b *box) (pool string, revocable bool) {
+	switch {
+	case b.info.State != damsonwinch.BoxUp || p.isEvacuated(b):
+		return "", false
+	case b.planned != nil:
+		return b.planned.pool, b.planned.wave == 0
+	case b.issued != nil:
+		return b.issued.Pool, b.issued.Wave == 0 && b.issued.isRefused()
+	}
+	return "", false
+}
+
+// isBeingPoweredOff reports whether a box is up and is to be powered off, which can be taken back. In an evacuated
+// zone such a box is of no use to another cell.
+func (p *Planner) isBeingPoweredOff(b *box) bool {
+	pool, revocable := p.revocableMove(b)
+	return revocable && p.isPoweredOff(pool)
+}
+
+// keepBox keeps one box of a cell that was to be moved away, and reports whether there was one: a box that was to be
+// powered off or, if the cell lacks boxes for its long-running tasks, one that another cell doesn't need for its own.
+// Such a box is in use at once, any other one only after a move.
+func (p *Planner) keepBox(cellName string) bool {
+	receiver := p.cells[cellName]
+	for _, b := range p.boxesByCell[cellName] {
+		if _, revocable := p.revocableMove(b); !revocable {
+			continue
+		}
+		if p.isBeingPoweredOff(b) || p.longRunningShortage(receiver) > 0 && p.canForgo(p.servedCell(b)) {
+			p.updateBox(b, func() { b.planned, b.issued, b.keptAt = nil, nil, p.now })
+			return true
+		}
+	}
+	return false
+}
+
+// canForgo reports whether a cell has enough boxes for its long-running tasks without one of those on their way to it.
+func (p *Planner) canForgo(cellName string) bool {
+	c := p.cells[cellName]
+	return c == nil || p.longRunningShortage(c) < 0
+}
