An endpoint stays reserved for a probation only while the task can be started there

What callers saw: an endpoint on which nothing started any more, without end.

Cause: an endpoint that is reserved for the probation of a task stayed reserved while the task was ready and the endpoint usable. A task whose starts are counted, after three lost endpoints, gives its place up at no time. If its customer's allowance was used up meanwhile, or the endpoint could not take it any more (ejected, suspected, smaller), the endpoint was kept for a task that could not start there, and in a small cell no other endpoint for its probation was allowed.

The change: the reservation ends when the task waits for its allowance or no longer fits beside the long-running tasks there, as other reservations do. It is made anew, elsewhere if need be, at the next placement.

The explanation of such a task gave a negative time. It now says that there is no time limit.

Evidence: TestProbationReservationEndsWithTheAllowance failed before.

--- a/pkg/cell/endpoint_faults_test.go
+++ b/pkg/cell/endpoint_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"damsonwinch"
@@ -21,6 +22,8 @@
 	// many have since the last one.
 	losses map[string]int
 	lost   map[string]int
+	// exited holds endpoints that have exited: another life answers at their addresses.
+	exited map[string]bool
 	// unanswered holds the polls that got lost and have not timed out yet.
 	unanswered []lostPoll
 }
@@ -33,7 +36,15 @@
 
 // newEndpointFaults returns an endpointFaults without any fault.
 func newEndpointFaults() endpointFaults {
-	return endpointFaults{refusals: map[string]error{}, strays: map[string][]damsonwinch.RunProgress{}, losses: map[string]int{}, lost: map[string]int{}}
+	return endpointFaults{refusals: map[string]error{}, strays: map[string][]damsonwinch.RunProgress{}, losses: map[string]int{}, lost: map[string]int{}, exited: map[string]bool{}}
+}
+
+// exit ends an endpoint and everything that runs there.
+func (c *crowdedCell) exit(id string) {
+	c.faults.exited[id] = true
+	c.running[damsonwinch.Life{ID: id}] = nil
+	c.listed = slices.DeleteFunc(c.listed, func(info damsonwinch.Endpoint) bool { return info.Life.ID == id })
+	c.cell.SetEndpoints(c.now, c.listed)
 }
 
 // losesPoll reports whether a poll gets lost. It then fails after pollTimeout.
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -84,8 +84,7 @@
 		return fmt.Sprintf("%d attempts at endpoints out of reach may have failed", t.lapsedAttempts)
 	}
 	if c.awaitsProbation(t) {
-		return fmt.Sprintf("for %d ms it is only started where nothing else begins; %d endpoints are in use for that, and %d have ended so of late",
-			t.probationWaitSince.Add(c.maxProbationWait(t)).Sub(c.now).Milliseconds(), len(c.probationEndpoints), c.probationLimit.RecentExits(c.now))
+		return c.explainProbationWait(t)
 	}
 	if !c.quota.Allows(t.phase.job().customer, t.phase.quotaNeed()) || c.quotaWaits.HasWaited(t.phase.job().customer) {
 		return c.explainQuota(t)
@@ -105,6 +104,16 @@
 	return strings.Join(parts, ", ")
 }
 
+// explainProbationWait says for how long a suspect is only started on probation.
+func (c *Cell) explainProbationWait(t *task) string {
+	until := "until it has run for long enough"
+	if !c.options.CrashRules.CountsStarts(t.crashes) {
+		until = fmt.Sprintf("for %d ms", t.probationWaitSince.Add(c.maxProbationWait(t)).Sub(c.now).Milliseconds())
+	}
+	return fmt.Sprintf("%s it is only started where nothing else begins; %d endpoints are in use for that, and %d have ended so of late",
+		until, len(c.probationEndpoints), c.probationLimit.RecentExits(c.now))
+}
+
 // obstacle says why a task can't start on an endpoint now. The result is a predicate, as in "3
 // endpoints lack memory".
 func (c *Cell) obstacle(t *task, e *endpoint) string {
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -79,7 +79,7 @@
 		return !t.suspected
 	})
 	c.probationEndpoints = slices.DeleteFunc(c.probationEndpoints, func(e *endpoint) bool {
-		if t := e.reservedFor; t != nil && (!t.suspected || !t.ready || !e.usable() || c.mayStartBesideOthers(t)) {
+		if t := e.reservedFor; t != nil && !c.needsProbationOn(t, e) {
 			e.reservedFor = nil
 		}
 		return e.probation == nil && e.reservedFor == nil
@@ -97,6 +97,11 @@
 	})
 }
 
+// needsProbationOn reports whether an endpoint that is reserved for a task's probation remains so.
+func (c *Cell) needsProbationOn(t *task, e *endpoint) bool {
+	return t.suspected && t.ready && !c.mayStartBesideOthers(t) && !c.waitsForAllowance(t.phase) && c.fitsWithoutShortRuns(t, e)
+}
+
 // chooseProbationEndpoint returns the endpoint for a task's probation, or nil if none can start the
 // task. Of several it takes the one whose crash would lose the least.
 func (c *Cell) chooseProbationEndpoint(t *task) *endpoint {
--- a/pkg/cell/reservation_test.go
+++ b/pkg/cell/reservation_test.go
@@ -95,6 +95,10 @@
 			continue
 		}
 		life := poll.Endpoint.Life
+		if c.faults.exited[life.ID] {
+			c.cell.Polled(c.now, life, poll.Number, damsonwinch.PollReply{}, damsonwinch.ErrOtherLife)
+			continue
+		}
 		for at := range c.running[life] {
 			c.running[life][at].DonePercent = int(c.now.Sub(c.startedAt[c.running[life][at].Run.Task]) / (100 * time.Millisecond))
 		}
--- a/pkg/cell/task_wait_test.go
+++ b/pkg/cell/task_wait_test.go
@@ -55,3 +55,27 @@
 	c.churn("a", 5*time.Second)
 	assert.Assert(t, c.hasStarted("lasts", 0), "%v", c.cell.Explain("lasts"))
 }
+
+// TestProbationReservationEndsWithTheAllowance guards against an endpoint where nothing starts any more, because
+// it is reserved for the probation of a task that waits for its customer's allowance.
+func TestProbationReservationEndsWithTheAllowance(t *testing.T) {
+	c := newCrowdedCell(t, "a", "b", "c", "d")
+	c.allow(1, 8000)
+	c.runFor(100 * time.Millisecond)
+	c.submitFor("first", "lasts", usualPhase())
+	for _, id := range []string{"a", "b", "c"} {
+		c.runFor(200 * time.Millisecond)
+		assert.Equal(t, c.startedOn[damsonwinch.TaskID{Job: "lasts"}].ID, id)
+		if id == "c" {
+			c.submit("first", "short", wire.Phase{Count: 2, Cpu: 2000, MemoryMb: 500, EstimateMs: 300})
+			c.runFor(50 * time.Millisecond)
+		}
+		c.exit(id)
+	}
+	c.runFor(5 * time.Second)
+	c.allow(2, 0)
+	c.finishAll("d")
+	c.submit("first", "more", wire.Phase{Count: 1, Cpu: 2000, MemoryMb: 500, EstimateMs: 300})
+	c.runFor(3 * time.Second)
+	assert.Assert(t, c.hasStarted("more", 0), "%v %v", c.cell.Explain("lasts"), c.cell.Explain("more"))
+}
