A refused start doesn't begin the wait of its task anew

What callers saw: no line "long-running task waits" for a task that endpoints refused every 2 s, however long that went on, and a reservation half a second late after each refusal.

Cause: a task whose start was refused became ready anew, with a new readySince. Its backoff is 2 s at most, the time after which the line is due.

The change: a start that has certainly not begun (refused, not sent, or dropped once its record was in the stream) leaves readySince as it was.

Evidence: TestRefusedStartsDoNotEndTheWait failed before. TestProbedEndpointTakesLongRunningTasks is new and passed before: an endpoint that is probed after its ejection takes long-running tasks where there are no short ones.

TestBoxIsAskedForWhereEachEndpointIsUnsuitable now also checks within what time the task starts once the cause has ended.

--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -144,7 +144,7 @@
 	// set while the task is in the cell's suspects.
 	crashes   crash.History
 	suspected bool
-	// readySince is when the task last became ready.
+	// readySince is when the task last became ready, not counting starts that have certainly not begun.
 	readySince time.Time
 	// reservation is the endpoint that is reserved for the task, or nil.
 	reservation *endpoint
--- a/pkg/cell/obstacle_test.go
+++ b/pkg/cell/obstacle_test.go
@@ -21,6 +21,9 @@
 	phase *wire.Phase
 	// explained is a part of the explanation of why the task waits.
 	explained string
+	// end ends the cause of the reason, if the task can start on b then. It starts within endsWithin.
+	end        func(c *crowdedCell)
+	endsWithin time.Duration
 	// wants is how many boxes the cell asks for once the task has waited.
 	wants int
 }
@@ -45,13 +48,18 @@
 	c.runFor(3 * time.Second)
 }
 
+// acceptStarts has endpoint b accept starts again.
+func (c *crowdedCell) acceptStarts() {
+	c.faults.refusals["b"] = nil
+}
+
 func obstacleCases() []obstacleCase {
 	return []obstacleCase{
 		{name: "none", arrange: func(*crowdedCell) {}},
 		{name: "silent", explained: "do not answer", wants: 1, arrange: func(c *crowdedCell) {
 			c.faults.losses["b"] = neverAnswers
 			c.runFor(2 * time.Second)
-		}},
+		}, end: func(c *crowdedCell) { c.faults.losses["b"] = 0 }, endsWithin: time.Second},
 		{name: "never answered", explained: "have not answered yet", wants: 1, arrange: func(c *crowdedCell) {
 			c.faults.losses["new"] = neverAnswers
 			c.relist(func(info *damsonwinch.Endpoint) { info.Life.ID = "new" })
@@ -63,29 +71,37 @@
 		}},
 		{name: "draining", explained: "drain", wants: 1, arrange: func(c *crowdedCell) {
 			c.relist(func(info *damsonwinch.Endpoint) { info.Draining = true })
-		}},
+		}, end: func(c *crowdedCell) {
+			c.relist(func(info *damsonwinch.Endpoint) { info.Draining = false })
+		}, endsWithin: 100 * time.Millisecond},
 		{name: "to be withdrawn", explained: "are being withdrawn", wants: 1, arrange: func(c *crowdedCell) {
 			c.cell.ApplySync(c.now, wire.SyncArgs{Withdraw: []string{"b"}})
-		}},
+		}, end: func(c *crowdedCell) {
+			c.cell.ApplySync(c.now, wire.SyncArgs{Restore: []string{"b"}})
+		}, endsWithin: 100 * time.Millisecond},
 		{name: "unknown runs", explained: "should not be there", wants: 1, arrange: func(c *crowdedCell) {
 			stray := damsonwinch.Run{Task: damsonwinch.TaskID{Job: "unknown"}, Attempt: 1}
 			c.faults.strays["b"] = []damsonwinch.RunProgress{{Run: stray}}
 			c.runFor(2 * time.Second)
-		}},
+		}, end: func(c *crowdedCell) { c.faults.strays["b"] = nil }, endsWithin: 500 * time.Millisecond},
 		{name: "suspected", explained: "leave many calls unanswered", wants: 1, arrange: func(c *crowdedCell) {
 			c.faults.losses["b"] = 2
 			c.runFor(20 * time.Second)
-		}},
-		{name: "probed with a short task", explained: "are unhealthy", wants: 1, arrange: (*crowdedCell).ejectBesideShortRun},
+		}, end: func(c *crowdedCell) { c.faults.losses["b"] = 0 }, endsWithin: 2 * time.Second},
+		{name: "probed with a short task", explained: "are unhealthy", wants: 1, arrange: (*crowdedCell).ejectBesideShortRun, end: func(c *crowdedCell) {
+			c.finishOldest("b", damsonwinch.EndedDone)
+		}, endsWithin: 100 * time.Millisecond},
 		{name: "refuses starts as unhealthy", wants: 1, arrange: func(c *crowdedCell) {
 			c.faults.refusals["b"] = damsonwinch.ErrUnhealthy
-		}},
+		}, end: (*crowdedCell).acceptStarts, endsWithin: 4 * time.Second},
 		{name: "refuses starts for lack of capacity", wants: 1, arrange: func(c *crowdedCell) {
 			c.faults.refusals["b"] = damsonwinch.ErrNoCapacity
-		}},
+		}, end: (*crowdedCell).acceptStarts, endsWithin: 4 * time.Second},
 		{name: "capacity not known", explained: "how much room they have", wants: 1, arrange: func(c *crowdedCell) {
 			c.cell.SetRejectsOverload(c.now, false)
-		}},
+		}, end: func(c *crowdedCell) {
+			c.relist(func(info *damsonwinch.Endpoint) { info.SeenAt = c.now })
+		}, endsWithin: 100 * time.Millisecond},
 		{name: "task of the phase there", explained: "enough tasks of this phase", wants: 1, phase: &wire.Phase{Count: 2, Cpu: 1000, MemoryMb: 500, EstimateMs: 300, Lasting: true, MostPerBox: 1}, arrange: func(*crowdedCell) {}},
 		{name: "reserved for another task", wants: 1, phase: &wire.Phase{Count: 2, Cpu: 3000, MemoryMb: 500, EstimateMs: 300, Lasting: true}, arrange: func(c *crowdedCell) {
 			c.submit("first", "short", wire.Phase{Count: 1, Cpu: 2000, MemoryMb: 500, EstimateMs: 60_000})
@@ -120,7 +136,8 @@
 }
 
 // TestBoxIsAskedForWhereEachEndpointIsUnsuitable guards against a long-running task that waits without end
-// beside an endpoint with room for it, because the cell counts on that endpoint and asks for no box.
+// beside an endpoint with room for it, because the cell counts on that endpoint and asks for no box, and against one
+// that waits on after the endpoint has become suitable.
 func TestBoxIsAskedForWhereEachEndpointIsUnsuitable(t *testing.T) {
 	for _, test := range obstacleCases() {
 		t.Run(strings.ReplaceAll(test.name, " ", "-"), func(t *testing.T) {
@@ -139,6 +156,12 @@
 			assert.Equal(t, c.hasStarted("lasts", phase.Count-1), test.name == "none", explained)
 			assert.Assert(t, strings.Contains(explained, test.explained), explained)
 			assert.Equal(t, c.cell.Report(c.now).MissingBoxes, test.wants, explained)
+			if test.end != nil {
+				test.end(c)
+				c.runFor(test.endsWithin)
+				assert.Assert(t, c.hasStarted("lasts", 0), "%v", c.cell.Explain("lasts"))
+				assert.Equal(t, c.cell.Report(c.now).MissingBoxes, 0)
+			}
 		})
 	}
 }
--- a/pkg/cell/reservation_test.go
+++ b/pkg/cell/reservation_test.go
@@ -27,6 +27,7 @@
 	calls     int
 	listed    []damsonwinch.Endpoint
 	faults    endpointFaults
+	logged    []cell.LogLine
 }
 
 // newCrowdedCell returns a cell with endpoints of 4 cores with the given IDs, each of them attached.
@@ -73,6 +74,7 @@
 	if effects.Commit != nil {
 		c.cell.Committed(c.now, effects.Commit.Number)
 	}
+	c.logged = append(c.logged, effects.LogLines...)
 	for _, start := range effects.Starts {
 		life := start.Endpoint.Life
 		if err := c.faults.refusals[life.ID]; err != nil {
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -149,12 +149,19 @@
 	}
 }
 
+// requeueUnstarted removes a run that has certainly not begun. Its task goes on waiting.
+func (c *Cell) requeueUnstarted(r *run) {
+	readySince := r.task.readySince
+	c.requeue(r)
+	r.task.readySince = readySince
+}
+
 // sendStart sends the start request for a run whose record is committed, or removes the run if it
 // must not start any more.
 func (c *Cell) sendStart(r *run) {
 	if r.task.phase.job().ended() || r.stopping || !r.endpoint.usable() || r.endpoint.zone.mayBeCutOff() || !c.evacuationsKnown() || !c.stillFits(r) {
 		c.addExtraStarts(r.task, -1)
-		c.requeue(r)
+		c.requeueUnstarted(r)
 		c.stopGang(r.task.phase, "a member of its gang can't be started")
 		return
 	}
@@ -241,7 +248,7 @@
 	defer c.stopGang(r.task.phase, "a member of its gang was refused")
 	switch {
 	case errors.Is(err, damsonwinch.ErrOtherLife):
-		c.requeue(r)
+		c.requeueUnstarted(r)
 		c.markLost(r.endpoint, "another life answers at its address")
 		return
 	case errors.Is(err, damsonwinch.ErrNoCapacity), errors.Is(err, damsonwinch.ErrUnhealthy):
@@ -251,12 +258,12 @@
 	}
 	if errors.Is(err, damsonwinch.ErrInvalidTicket) {
 		r.task.phase.permits.Drop(r.endpoint.info.Life.ID)
-		c.requeue(r)
+		c.requeueUnstarted(r)
 		return
 	}
 	r.task.avoid = r.endpoint.info.Life
 	c.backOffTask(r.task)
-	c.requeue(r)
+	c.requeueUnstarted(r)
 }
 
 // startNotSent removes a run whose start request has certainly not reached its endpoint.
@@ -265,7 +272,7 @@
 	c.addExtraStarts(r.task, -1)
 	c.requestPoll(r.endpoint)
 	r.endpoint.backoffUntil = c.now.Add(endpointBackoff)
-	c.requeue(r)
+	c.requeueUnstarted(r)
 	c.stopGang(r.task.phase, "a member of its gang could not be started")
 }
 
--- a/pkg/cell/task_wait_test.go
+++ b/pkg/cell/task_wait_test.go
@@ -1,12 +1,14 @@
 package cell_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cell"
 	"damsonwinch/pkg/wire"
 )
 
@@ -79,3 +81,27 @@
 	c.runFor(3 * time.Second)
 	assert.Assert(t, c.hasStarted("more", 0), "%v %v", c.cell.Explain("lasts"), c.cell.Explain("more"))
 }
+
+// TestRefusedStartsDoNotEndTheWait guards against a long-running task that waits without a line in the log, because
+// each refused start began its wait anew.
+func TestRefusedStartsDoNotEndTheWait(t *testing.T) {
+	c := newCrowdedCell(t, "a")
+	c.faults.refusals["a"] = damsonwinch.ErrStaleRun
+	c.submit("first", "lasts", usualPhase())
+	c.runFor(5 * time.Second)
+	assert.Assert(t, slices.ContainsFunc(c.logged, func(line cell.LogLine) bool { return line.Message == "long-running task waits" }))
+}
+
+// TestProbedEndpointTakesLongRunningTasks guards against an endpoint that stays out of use after its ejection
+// because no short task comes that could show that it is healthy.
+func TestProbedEndpointTakesLongRunningTasks(t *testing.T) {
+	c := newCrowdedCell(t, "a", "b")
+	c.submit("first", "fills-a", wire.Phase{Count: 1, Cpu: 4000, MemoryMb: 500, EstimateMs: 300, Lasting: true})
+	c.runFor(time.Second)
+	c.ejectBesideShortRun()
+	c.finishOldest("b", damsonwinch.EndedStopped)
+	c.cell.Cancel(c.now, wire.JobArgs{Queue: "first", Id: "fails", Public: true}, 100)
+	c.submit("first", "lasts", wire.Phase{Count: 2, Cpu: 1000, MemoryMb: 500, EstimateMs: 300, Lasting: true})
+	c.runFor(time.Second)
+	assert.Assert(t, c.hasStarted("lasts", 1), "%v", c.cell.Explain("lasts"))
+}
