A cell asks for a box where the advice service permits no endpoint with capacity

What callers saw: a long-running task of a queue with advice waits without end beside endpoints with capacity on which the service doesn't permit it, and the cell asks for no box.

Cause: a decision of the service doesn't change, but the number of missing boxes counted on those endpoints.

The change: an endpoint on which the service has decided against a phase holds none of its tasks when missing boxes are counted. Another box may be refused as well; then one more is asked for, up to what the planner gives.

Evidence: TestBoxIsAskedForWhereNoPermitIsGiven failed before.

--- a/pkg/boxneed/boxneed.go
+++ b/pkg/boxneed/boxneed.go
@@ -21,6 +21,8 @@
 	Free damsonwinch.Resources
 	// Counts holds the number of tasks there by phase, for phases with a limit per box.
 	Counts map[*Phase]int
+	// Barred holds the phases whose tasks may not run there.
+	Barred map[*Phase]bool
 }
 
 // Missing returns how many boxes are needed beside the given ones. The boxes change: they take the tasks
@@ -61,7 +63,7 @@
 // can.
 func takeByAny(boxes []*Box, p *Phase) bool {
 	for _, b := range boxes {
-		if b.Free.Holds(p.Need) && (p.MaxPerBox == 0 || b.Counts[p] < p.MaxPerBox) {
+		if !b.Barred[p] && b.Free.Holds(p.Need) && (p.MaxPerBox == 0 || b.Counts[p] < p.MaxPerBox) {
 			b.take(p)
 			return true
 		}
--- a/pkg/boxneed/boxneed_test.go
+++ b/pkg/boxneed/boxneed_test.go
@@ -20,12 +20,14 @@
 		phase      boxneed.Phase
 		free       []int
 		onFirst    int
+		barred     bool
 		capacities []damsonwinch.Resources
 		want       int
 	}{
 		"scattered capacity":            {phase: boxneed.Phase{Need: cores(3), Waiting: 1}, free: []int{2, 2}, capacities: []damsonwinch.Resources{cores(4)}, want: 1},
 		"one box holds the rest":        {phase: boxneed.Phase{Need: cores(2), Waiting: 5}, free: []int{2}, capacities: []damsonwinch.Resources{cores(4)}, want: 2},
 		"limit per box":                 {phase: boxneed.Phase{Need: cores(1), Waiting: 2, MaxPerBox: 1}, free: []int{4}, onFirst: 1, capacities: []damsonwinch.Resources{cores(4)}, want: 2},
+		"may not run there":             {phase: boxneed.Phase{Need: cores(1), Waiting: 2}, free: []int{4}, barred: true, capacities: []damsonwinch.Resources{cores(4)}, want: 1},
 		"no box is large enough":        {phase: boxneed.Phase{Need: cores(9), Waiting: 2}, free: []int{4}, capacities: []damsonwinch.Resources{cores(4)}, want: 0},
 		"the smallest box is too small": {phase: boxneed.Phase{Need: cores(6), Waiting: 2}, free: []int{1}, capacities: []damsonwinch.Resources{cores(4), cores(6)}, want: 2},
 	} {
@@ -34,6 +36,7 @@
 			boxes = append(boxes, &boxneed.Box{Free: cores(free), Counts: map[*boxneed.Phase]int{}})
 		}
 		boxes[0].Counts[&test.phase] = test.onFirst
+		boxes[0].Barred = map[*boxneed.Phase]bool{&test.phase: test.barred}
 		assert.Equal(t, boxneed.Missing([]*boxneed.Phase{&test.phase}, boxes, test.capacities), test.want, name)
 	}
 }
--- a/pkg/cell/endpoint_faults_test.go
+++ b/pkg/cell/endpoint_faults_test.go
@@ -22,6 +22,8 @@
 	// many have since the last one.
 	losses map[string]int
 	lost   map[string]int
+	// denied holds endpoints for which the advice service gives no permit.
+	denied map[string]bool
 	// exited holds endpoints that have exited: another life answers at their addresses.
 	exited map[string]bool
 	// unanswered holds the polls that got lost and have not timed out yet.
@@ -36,7 +38,7 @@
 
 // newEndpointFaults returns an endpointFaults without any fault.
 func newEndpointFaults() endpointFaults {
-	return endpointFaults{refusals: map[string]error{}, strays: map[string][]damsonwinch.RunProgress{}, losses: map[string]int{}, lost: map[string]int{}, exited: map[string]bool{}}
+	return endpointFaults{refusals: map[string]error{}, strays: map[string][]damsonwinch.RunProgress{}, losses: map[string]int{}, lost: map[string]int{}, denied: map[string]bool{}, exited: map[string]bool{}}
 }
 
 // exit ends an endpoint and everything that runs there.
--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -18,7 +18,7 @@
 	for _, e := range c.sortedEndpoints {
 		capacities = append(capacities, e.info.Capacity)
 		if c.mayHostLongRunning(e) {
-			boxes = append(boxes, e.hostingBox(rows))
+			boxes = append(boxes, c.hostingBox(e, rows))
 		}
 	}
 	return boxneed.Missing(phases, boxes, capacities)
@@ -51,9 +51,14 @@
 }
 
 // hostingBox returns what the endpoint's box has for long-running tasks. It counts the tasks there of the
-// given phases.
-func (e *endpoint) hostingBox(phases map[*phase]*boxneed.Phase) *boxneed.Box {
-	b := &boxneed.Box{Free: e.info.Capacity.Minus(e.longRunningNeed()), Counts: map[*boxneed.Phase]int{}}
+// given phases, and notes which phases the advice service doesn't permit there.
+func (c *Cell) hostingBox(e *endpoint, phases map[*phase]*boxneed.Phase) *boxneed.Box {
+	b := &boxneed.Box{Free: e.info.Capacity.Minus(e.longRunningNeed()), Counts: map[*boxneed.Phase]int{}, Barred: map[*boxneed.Phase]bool{}}
+	for p, row := range phases {
+		if c.needsPermit(p) && p.permits.Refused(e.info.Life.ID) {
+			b.Barred[row] = true
+		}
+	}
 	for _, r := range e.runsByStart {
 		if p := phases[r.task.phase]; p != nil {
 			b.Counts[p]++
--- a/pkg/cell/reservation_test.go
+++ b/pkg/cell/reservation_test.go
@@ -88,7 +88,9 @@
 	for _, request := range effects.PermitRequests {
 		var permits []damsonwinch.Permit
 		for _, id := range request.Endpoints {
-			permits = append(permits, damsonwinch.Permit{EndpointID: id, Ticket: "ticket-" + id})
+			if !c.faults.denied[id] {
+				permits = append(permits, damsonwinch.Permit{EndpointID: id, Ticket: "ticket-" + id})
+			}
 		}
 		c.cell.Advised(c.now, c.now, request, permits, 2*time.Second, nil)
 	}
--- a/pkg/cell/task_wait_test.go
+++ b/pkg/cell/task_wait_test.go
@@ -46,11 +46,19 @@
 	assert.Assert(t, c.hasStarted("lasts", 0), "%v", c.cell.Explain("lasts"))
 }
 
+// useAdvice has the tasks of a queue run only where the advice service permits it.
+func (c *crowdedCell) useAdvice(queue string) {
+	c.cell.SetQueues(c.now, []damsonwinch.Queue{{
+		Name: queue, Pool: "pool", Priority: 1, MaxAttempts: 3, DeadlineFactor: 20, TargetLatency: 20 * time.Second,
+		Advice: &damsonwinch.AdviceTimes{PermitTTL: 2 * time.Second},
+	}})
+}
+
 // TestLongRunningTaskGetsAPermitBesideShortTasks guards against a long-running task that waits as long as short
 // tasks come: without a permit no endpoint is reserved for it, and without capacity there no permit was asked for.
 func TestLongRunningTaskGetsAPermitBesideShortTasks(t *testing.T) {
 	c := newCrowdedCell(t, "a")
-	c.cell.SetQueues(c.now, []damsonwinch.Queue{{Name: "second", Pool: "pool", Priority: 1, MaxAttempts: 3, DeadlineFactor: 20, TargetLatency: 20 * time.Second, Advice: &damsonwinch.AdviceTimes{PermitTTL: 2 * time.Second}}})
+	c.useAdvice("second")
 	c.submit("first", "short", wire.Phase{Count: 400, Cpu: 2000, MemoryMb: 500, EstimateMs: 300})
 	c.runFor(100 * time.Millisecond)
 	c.submit("second", "lasts", usualPhase())
@@ -105,3 +113,22 @@
 	c.runFor(time.Second)
 	assert.Assert(t, c.hasStarted("lasts", 1), "%v", c.cell.Explain("lasts"))
 }
+
+// TestBoxIsAskedForWhereNoPermitIsGiven guards against a long-running task that waits without end beside endpoints
+// with room for it on which the advice service doesn't permit it, because the cell counts on them.
+func TestBoxIsAskedForWhereNoPermitIsGiven(t *testing.T) {
+	c := newCrowdedCell(t, "a")
+	c.useAdvice("second")
+	c.faults.denied["a"] = true
+	c.submit("second", "lasts", usualPhase())
+	c.runFor(time.Second)
+	assert.Assert(t, !c.hasStarted("lasts", 0))
+	assert.Equal(t, c.cell.Report(c.now).MissingBoxes, 1)
+	box := c.listed[0]
+	box.Life.ID, box.Box = "b", "box-b"
+	c.listed = append(c.listed, box)
+	c.cell.SetEndpoints(c.now, c.listed)
+	c.runFor(time.Second)
+	assert.Assert(t, c.hasStarted("lasts", 0), "%v", c.cell.Explain("lasts"))
+	assert.Equal(t, c.cell.Report(c.now).MissingBoxes, 0)
+}
