--- a/pkg/cell/reservation_test.go
+++ b/pkg/cell/reservation_test.go
@@ -27,6 +27,7 @@
 	calls     int
 	listed    []damsonwinch.Endpoint
 	faults    endpointFaults
+	logged    []cell.LogLine
 }
 
 // newCrowdedCell returns a cell with endpoints of 4 cores with the given IDs, each of them attached.
@@ -73,6 +74,7 @@
 	if effects.Commit != nil {
 		c.cell.Committed(c.now, effects.Commit.Number)
 	}
+	c.logged = append(c.logged, effects.LogLines...)
 	for _, start := range effects.Starts {
 		life := start.Endpoint.Life
 		if err := c.faults.refusals[life.ID]; err != nil {
@@ -86,7 +88,9 @@
 	for _, request := range effects.PermitRequests {
 		var permits []damsonwinch.Permit
 		for _, id := range request.Endpoints {
-			permits = append(permits, damsonwinch.Permit{EndpointID: id, Ticket: "ticket-" + id})
+			if !c.faults.denied[id] {
+				permits = append(permits, damsonwinch.Permit{EndpointID: id, Ticket: "ticket-" + id})
+			}
 		}
 		c.cell.Advised(c.now, c.now, request, permits, 2*time.Second, nil)
 	}
@@ -95,6 +99,10 @@
 			continue
 		}
 		life := poll.Endpoint.Life
+		if c.faults.exited[life.ID] {
+			c.cell.Polled(c.now, life, poll.Number, damsonwinch.PollReply{}, damsonwinch.ErrOtherLife)
+			continue
+		}
 		for at := range c.running[life] {
 			c.running[life][at].DonePercent = int(c.now.Sub(c.startedAt[c.running[life][at].Run.Task]) / (100 * time.Millisecond))
 		}
