Boxplan: a pool's boxes that are to be powered off count as idle

What callers may see: a late job of which nothing runs although most of its pool's boxes are idle. While the platform refuses orders on boxes, those that are to be powered off stay up and withdrawn for as long.

Cause: late jobs that stand still get boxes while less than half of their pool is in use. That was measured over the boxes that the cells' owners may still use. A pool that has given up 28 of 30 boxes and fills the other two counted as busy.

Evidence: TestStalledJobsKeepBoxesThatAreBeingPoweredOff failed before, with 12 of 30 boxes in use.

Why it works: boxes that are to be powered off are needed by no other cell, and the decision can be taken back until the platform has accepted the order. With them the pool counts as idle, and each such job gets capacity for one task.

--- a/pkg/boxplan/demand.go
+++ b/pkg/boxplan/demand.go
@@ -121,11 +121,13 @@
 	}
 }
 
-// idlePools returns, by pool, whether its CPU utilization over all shards is below busyPercent.
+// idlePools returns, by pool, whether its CPU utilization over all shards is below busyPercent. Boxes that are to be
+// powered off count as well, since no other cell needs them: without them a pool that has given up most of its boxes
+// would count as busy.
 func (p *Planner) idlePools() map[string]bool {
 	used, capacity := map[string]int{}, map[string]int{}
 	for _, b := range p.boxesByName {
-		if b.report != nil && b.report.Usable {
+		if b.report != nil && (b.report.Usable || p.isBeingPoweredOff(b)) {
 			used[b.info.Pool] += b.report.UsedCpu
 			capacity[b.info.Pool] += b.info.Capacity.MilliCPU
 		}
