--- a/pkg/boxplan/long_running_state.go
+++ b/pkg/boxplan/long_running_state.go
@@ -68,7 +68,7 @@
 func (p *Planner) longRunningState(c *cell) longRunningState {
 	state := longRunningState{
 		required: c.requiredLongRunning, usable: c.usableBoxes(), missing: c.report.MissingBoxes,
-		reportAge: p.now.Sub(c.reportedAt), unservedFor: p.now.Sub(c.unservedSince),
+		reportAge: max(0, p.now.Sub(c.reportedAt)), unservedFor: p.now.Sub(c.unservedSince),
 	}
 	for _, b := range p.boxesByName {
 		if p.servedCell(b) != c.name || p.isUsed(b) {
--- a/pkg/cell/sim_long_running_test.go
+++ b/pkg/cell/sim_long_running_test.go
@@ -60,6 +60,7 @@
 	if absent < minAbsence+maxAbsence || w.mixed.calmFor() < settleTime+maxAbsence || roomFor < maxAbsence || w.rules.lossCounts[task] >= minLossesToGiveUp {
 		return
 	}
+	w.restarts.logOwnersView(task.Job)
 	w.rules.fail("LOST: long-running task %s has not run for %v, and an endpoint has had room for %v", task, absent, roomFor)
 }
 
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -177,6 +177,7 @@
 	}
 	for _, line := range effects.LogLines {
 		w.late.logged(line)
+		w.fleet.logged(o, line)
 		if line.Message == "run lost" || strings.HasPrefix(line.Message, "job failed") {
 			w.logf("%s: %s %s %s: %s", o.name, line.Message, line.Task, line.Job, line.Reason)
 		}
--- a/pkg/cell/sim_restart_rule_test.go
+++ b/pkg/cell/sim_restart_rule_test.go
@@ -26,10 +26,10 @@
 	// endpoint has had room for it.
 	lastRanAt map[damsonwinch.TaskID]time.Time
 	roomSince map[damsonwinch.TaskID]map[*simEndpoint]time.Time
-	// restarts counts how often a task ran again after it had not run, and waits how often one waited for longer
-	// than maxRestartWait in calm, with room for it or without.
+	// restarts counts how often a task ran again after it had not run, and waits how often one waited in calm for
+	// longer than maxRestartWait because there was no room for it.
 	restarts, waits int
-	// longestWait is the longest wait in calm with room for minRoomTime.
+	// longestWait is the longest wait in calm, with room for it or without.
 	longestWait time.Duration
 }
 
@@ -83,9 +83,7 @@
 	if calm < restartCalm {
 		return
 	}
-	if len(withRoom) >= minRoomEndpoints {
-		r.longestWait = max(r.longestWait, wait)
-	}
+	r.longestWait = max(r.longestWait, wait)
 	if wait <= maxRestartWait {
 		return
 	}
@@ -158,7 +156,7 @@
 	return w.now.Sub(w.disturbedAt)
 }
 
-// logOwnersView logs what the newest owner says of a job's tasks and endpoints.
+// logOwnersView logs what the newest owner says of a job's tasks and endpoints, and the planner of the cells.
 func (r *restartRule) logOwnersView(job string) {
 	w := r.world
 	if len(w.owners) == 0 {
@@ -169,4 +167,9 @@
 	for _, line := range o.cell.Explain(job) {
 		w.logf("%s: %s", o.name, line)
 	}
+	if w.fleet != nil {
+		for _, line := range w.fleet.planner.Summary() {
+			w.logf("planner: %s", line)
+		}
+	}
 }
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -99,6 +99,8 @@
 	operator *simOperator
 	// mixed injects pairs of faults that overlap in time. It is nil in all other simulations.
 	mixed *mixedFaults
+	// fleet moves boxes between pools. It is nil in simulations without a fleet planner.
+	fleet *simFleet
 	// late leaves some requests to endpoints unanswered and carries them out late. It is nil in most
 	// simulations.
 	late *lateRequests
