Boxplan: a cell doesn't give its usable boxes away for some that are still on their way

Cause: what a cell can spare, for another cell or to be powered off, was worked out from the boxes that count for it, also those that are on their way. So it gave away the one box that it used.

Why it works: only boxes that the owner can use now and that stay with the cell count as boxes to spare. Those on their way count once they have come.

--- a/pkg/boxplan/box_counts.go
+++ b/pkg/boxplan/box_counts.go
@@ -11,6 +11,8 @@
 type boxCounts struct {
 	byCell map[string]int
 	byZone map[cellZone]int
+	// inUse counts, by cell, those that the cell's owner can use now and that stay with the cell.
+	inUse map[string]int
 }
 
 // cellZone is the part of a cell that is in one availability zone.
@@ -18,26 +20,30 @@
 	cell, zone string
 }
 
-// add adds count, which may be negative, to the boxes of a cell and of its part in a zone.
-func (c *boxCounts) add(cell, zone string, count int) {
+// add adds count, which may be negative, to the boxes of a cell and of its part in a zone. inUse says that the cell's
+// owner can use them.
+func (c *boxCounts) add(cell, zone string, inUse bool, count int) {
 	c.byCell[cell] += count
 	c.byZone[cellZone{cell: cell, zone: zone}] += count
+	if inUse {
+		c.inUse[cell] += count
+	}
 }
 
 // countBoxes counts all boxes anew.
 func (p *Planner) countBoxes() {
-	p.boxCounts = boxCounts{byCell: make(map[string]int, len(p.cellNames)), byZone: map[cellZone]int{}}
+	p.boxCounts = boxCounts{byCell: make(map[string]int, len(p.cellNames)), byZone: map[cellZone]int{}, inUse: make(map[string]int, len(p.cellNames))}
 	for _, b := range p.boxesByName {
-		p.boxCounts.add(p.servedCell(b), b.info.Zone, 1)
+		p.boxCounts.add(p.servedCell(b), b.info.Zone, p.isUsed(b), 1)
 	}
 }
 
 // updateBox calls decide, which changes the planned or issued order of a box, and corrects the
 // counts: decide may change the cell that the box serves.
 func (p *Planner) updateBox(b *box, decide func()) {
-	p.boxCounts.add(p.servedCell(b), b.info.Zone, -1)
+	p.boxCounts.add(p.servedCell(b), b.info.Zone, p.isUsed(b), -1)
 	decide()
-	p.boxCounts.add(p.servedCell(b), b.info.Zone, 1)
+	p.boxCounts.add(p.servedCell(b), b.info.Zone, p.isUsed(b), 1)
 }
 
 // boxCount returns the number of boxes that serve a cell or will serve it by the decisions made so far.
@@ -45,6 +51,12 @@
 	return p.boxCounts.byCell[cellName]
 }
 
+// boxesInUse returns the number of boxes that boxCount counts for a cell and that its owner can use now. A cell gives
+// away only such boxes as it has too many of: it may have to wait for the others.
+func (p *Planner) boxesInUse(cellName string) int {
+	return p.boxCounts.inUse[cellName]
+}
+
 // zoneBoxCount returns how many of the boxes that boxCount counts for a cell are in a zone. A cell gets
 // boxes from the zones where it has fewest, so that it loses only a fair part of them with a zone.
 func (p *Planner) zoneBoxCount(cellName, zone string) int {
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -129,10 +129,10 @@
 // for its long-running tasks for longRunningWait, cells of all shards keep only the boxes for their own
 // long-running tasks and those that they need to survive the loss of a box.
 func (p *Planner) mayDonate(donor, receiver *cell) bool {
-	if p.longRunningShortage(receiver) > 0 && p.now.Sub(receiver.shortSince) >= longRunningWait && p.boxCount(donor.name) > max(donor.requiredLongRunning, donor.minBoxes()) {
+	if p.longRunningShortage(receiver) > 0 && p.now.Sub(receiver.shortSince) >= longRunningWait && p.boxesInUse(donor.name) > max(donor.requiredLongRunning, donor.minBoxes()) {
 		return true
 	}
-	return donor.shard == receiver.shard && p.boxCount(donor.name) > p.minRetained(donor, receiver)
+	return donor.shard == receiver.shard && p.boxesInUse(donor.name) > p.minRetained(donor, receiver)
 }
 
 // cutOffZoneCost puts the boxes of a zone that is cut off behind all others.
@@ -210,7 +210,7 @@
 		if c.poweredOff || !c.hasFreshReport(p.now) {
 			continue
 		}
-		for p.boxCount(name) > c.retained() && (p.options.PowerOffsPerSecond == 0 || pending < p.options.PowerOffsPerSecond) {
+		for p.boxesInUse(name) > c.retained() && (p.options.PowerOffsPerSecond == 0 || pending < p.options.PowerOffsPerSecond) {
 			b := p.easiestToEmpty(name, poweredOff)
 			if b == nil {
 				break
