Boxplan: own boxes are kept in place of boxes that the platform doesn't let a cell have yet

What callers saw: a long-running task waits for 9 s beside idle boxes of its cell.

Cause: boxes that are ordered into a cell count for it while the platform refuses the orders, for as long as there are more orders than it takes. The cell didn't count as short, so that none of its own boxes, withdrawn for another pool, was given back.

Why it works: before orders are repeated, a cell that needs the boxes of refused orders for its long-running tasks takes its own boxes back instead, one for one, and the refused orders with them.

--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -170,6 +170,7 @@
 	p.countBoxes()
 	p.updateDemands()
 	p.planWaves()
+	p.replaceDelayedMoves()
 	p.issueDueOrders()
 	p.fillCells()
 	p.powerOffSurplus()
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -80,7 +80,7 @@
 // the order; see Order.
 func (p *Planner) addBoxTo(cellName, cause string) bool {
 	pool := p.cells[cellName].pool
-	if p.keepBox(cellName) {
+	if p.keepBox(cellName, p.longRunningShortage(p.cells[cellName]) > 0) {
 		return true
 	}
 	if b := p.bestPoweredOffBox(cellName); b != nil {
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -55,22 +55,53 @@
 }
 
 // keepBox keeps one box of a cell that was to be moved away, and reports whether there was one: a box that was to be
-// powered off or, if the cell lacks boxes for its long-running tasks, one that another cell doesn't need for its own.
-// Such a box is in use at once, any other one only after a move.
-func (p *Planner) keepBox(cellName string) bool {
-	receiver := p.cells[cellName]
+// powered off or, for its long-running tasks, one that another cell doesn't need for its own. Such a box is in use at
+// once, any other one only after a move.
+func (p *Planner) keepBox(cellName string, forLongRunning bool) bool {
 	for _, b := range p.boxesByCell[cellName] {
 		if _, revocable := p.revocableMove(b); !revocable {
 			continue
 		}
-		if p.isBeingPoweredOff(b) || p.longRunningShortage(receiver) > 0 && p.canForgo(p.servedCell(b)) {
-			p.updateBox(b, func() { b.planned, b.issued, b.keptAt = nil, nil, p.now })
+		if p.isBeingPoweredOff(b) || forLongRunning && p.canForgo(p.servedCell(b)) {
+			p.takeBack(b)
 			return true
 		}
 	}
 	return false
 }
 
+// takeBack gives up the decision to move a box.
+func (p *Planner) takeBack(b *box) {
+	p.updateBox(b, func() { b.planned, b.issued, b.keptAt = nil, nil, p.now })
+}
+
+// replaceDelayedMoves has each cell that lacks boxes for its long-running tasks keep boxes of its own that were to be
+// moved away, in place of boxes that the platform doesn't let it have yet. There may be more orders than the platform
+// takes.
+func (p *Planner) replaceDelayedMoves() {
+	delayed := p.delayedMoves()
+	for _, name := range p.cellNames {
+		c := p.cells[name]
+		moves := delayed[name]
+		for len(moves) > 0 && p.longRunningShortage(c)+len(moves) > 0 && p.keepBox(name, true) {
+			p.takeBack(moves[0])
+			moves = moves[1:]
+		}
+	}
+}
+
+// delayedMoves returns, by the cell to which they are to be moved, the boxes whose orders the platform has refused.
+func (p *Planner) delayedMoves() map[string][]*box {
+	delayed := map[string][]*box{}
+	for _, b := range p.boxesByName {
+		if o := b.issued; o != nil && o.Pool != "" && o.isRefused() && b.info.State == damsonwinch.BoxUp {
+			name := p.servedCell(b)
+			delayed[name] = append(delayed[name], b)
+		}
+	}
+	return delayed
+}
+
 // canForgo reports whether a cell has enough boxes for its long-running tasks without one of those on their way to it.
 func (p *Planner) canForgo(cellName string) bool {
 	c := p.cells[cellName]
