Boxplan: cells of all shards give boxes for long-running tasks after 2 s

What callers would see: a long-running task that waits for 6.8 s while all boxes are in use for another pool's turn. Users expect it to run again within 6 s.

Cause: longRunningWait was 4 s, to which come the short tasks on the box, the move and 0.5 s. The reason given for 4 s, that a box in maintenance is back by then, doesn't hold: such a box counts for the cell all the time.

Evidence: TestLongRunningTaskGetsABoxWithinTheRestartBound failed before. With 2 s the task can start after 4.8 s.

--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -54,8 +54,9 @@
 const longRunningPriority = 1_000_000
 
 // longRunningWait is how long a cell must have lacked boxes for its long-running tasks before cells of
-// all shards give up boxes for them. A box that is being maintained is back within that time.
-const longRunningWait = 4 * time.Second
+// all shards give up boxes for them. With the move and the short tasks on the box it must be less than the 6 s within which
+// users expect such a task to run again.
+const longRunningWait = 2 * time.Second
 
 // updateShortSince updates shortSince and unservedSince of all cells.
 func (p *Planner) updateShortSince() {
