Cell: endpoints that refuse starts all at once, and short tasks that last

Now refusals aren't held against endpoints while more than a third refuse, and where endpoints have only obstacles that another box may have as well, one box is asked for at a time, as where the advice service permits none. TestLongRunningTaskStartsSoonAfterAllEndpointsRefused failed before.

An endpoint counted for a waiting task however late its short tasks end, so that no box was asked for. Now it counts with what is free at present if they end later than in 4 s. TestBoxIsAskedForBesideShortTasksThatLast failed before.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -110,6 +110,8 @@
 	// workloadDirty is set when workload has changed since it was last recorded.
 	workloadDirty      bool
 	workloadRecordedAt time.Time
+	// refusalsAreCommon is set while so many endpoints refuse starts that it isn't held against them.
+	refusalsAreCommon bool
 	// lastSync is what is known of the newest call of the fleet planner.
 	lastSync lastSync
 	effects  Effects
--- a/pkg/cell/common_refusals_test.go
+++ b/pkg/cell/common_refusals_test.go
@@ -21,7 +21,7 @@
 	}
 	c.submit("first", "lasts", wire.Phase{Count: 4, Cpu: 1000, MemoryMb: 500, EstimateMs: 300, Lasting: true, MostPerBox: 1})
 	c.runFor(5 * time.Second)
-	t.Logf("boxes missing while all 4 refuse: %d", c.cell.Report(c.now).MissingBoxes)
+	assert.Assert(t, c.cell.Report(c.now).MissingBoxes <= 1, "another box may refuse as well")
 	for _, id := range ids {
 		c.faults.refusals[id] = nil
 	}
--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -1,24 +1,45 @@
 package cell
 
 import (
+	"time"
+
 	"damsonwinch"
 	"damsonwinch/pkg/boxneed"
 )
 
 // missingBoxes returns how many boxes the cell needs beside its usable ones because none of those can
 // take some of its long-running tasks that are ready or have to leave an evacuated zone, even once their
-// short tasks have ended.
+// short tasks have ended. Where endpoints have only obstacles that a further box may have as well, as when a whole
+// pool refuses starts, it asks for one box at a time.
 func (c *Cell) missingBoxes() int {
 	phases, rows := c.waitingForBoxes()
 	if len(phases) == 0 {
 		return 0
 	}
+	certain := c.countMissing(phases, func(e *endpoint) *boxneed.Box {
+		if c.longRunningObstacle(e).lasts() {
+			return nil
+		}
+		return c.hostingBox(e, rows)
+	})
+	likely := c.countMissing(phases, func(e *endpoint) *boxneed.Box {
+		if !c.mayHostLongRunning(e) {
+			return nil
+		}
+		return c.withPermits(c.hostingBox(e, rows), e, rows)
+	})
+	return min(likely, certain+1)
+}
+
+// countMissing returns how many boxes are missing beside those that boxOf returns for the cell's endpoints. boxOf
+// returns nil for an endpoint that doesn't count.
+func (c *Cell) countMissing(phases []*boxneed.Phase, boxOf func(e *endpoint) *boxneed.Box) int {
 	var boxes []*boxneed.Box
 	var capacities []damsonwinch.Resources
 	for _, e := range c.sortedEndpoints {
 		capacities = append(capacities, e.info.Capacity)
-		if c.mayHostLongRunning(e) {
-			boxes = append(boxes, c.hostingBox(e, rows))
+		if b := boxOf(e); b != nil {
+			boxes = append(boxes, b)
 		}
 	}
 	return boxneed.Missing(phases, boxes, capacities)
@@ -50,14 +71,16 @@
 	return phases, rows
 }
 
-// hostingBox returns what the endpoint's box has for long-running tasks. It counts the tasks there of the
-// given phases, and notes which phases the advice service doesn't permit there.
+// maxShortTaskWait is how long a long-running task waits at most for the short tasks on an endpoint. With the time until
+// an endpoint is reserved it is less than the 6 s within which users expect such a task to run again.
+const maxShortTaskWait = 4 * time.Second
+
+// hostingBox returns what the endpoint's box has for long-running tasks, and how many tasks of the given phases are
+// there.
 func (c *Cell) hostingBox(e *endpoint, phases map[*phase]*boxneed.Phase) *boxneed.Box {
-	b := &boxneed.Box{Free: e.info.Capacity.Minus(e.longRunningNeed()), Counts: map[*boxneed.Phase]int{}, Barred: map[*boxneed.Phase]bool{}}
-	for p, row := range phases {
-		if c.needsPermit(p) && p.permits.Refused(e.info.Life.ID) {
-			b.Barred[row] = true
-		}
+	b := &boxneed.Box{Free: e.info.Capacity.Minus(e.longRunningNeed()), Counts: map[*boxneed.Phase]int{}}
+	if c.shortRunsEndMs(e) > int(maxShortTaskWait.Milliseconds()) {
+		b.Free = e.free()
 	}
 	for _, r := range e.runsByStart {
 		if p := phases[r.task.phase]; p != nil {
@@ -66,3 +89,14 @@
 	}
 	return b
 }
+
+// withPermits notes in an endpoint's box which phases the advice service doesn't permit there, and returns the box.
+func (c *Cell) withPermits(b *boxneed.Box, e *endpoint, phases map[*phase]*boxneed.Phase) *boxneed.Box {
+	b.Barred = map[*boxneed.Phase]bool{}
+	for p, row := range phases {
+		if c.needsPermit(p) && p.permits.Refused(e.info.Life.ID) {
+			b.Barred[row] = true
+		}
+	}
+	return b
+}
--- a/pkg/cell/obstacle.go
+++ b/pkg/cell/obstacle.go
@@ -130,7 +130,7 @@
 func (c *Cell) taskObstacle(t *task, e *endpoint) obstacle {
 	p := t.phase
 	switch {
-	case p.spec.Lasting && e.refusals.persist(c.now):
+	case p.spec.Lasting && c.refusesStarts(e):
 		return obstacleRefusing
 	case !e.hasLabel(p.spec.Label):
 		return obstacleLabel
@@ -177,7 +177,7 @@
 	switch {
 	case found != noObstacle:
 		return found
-	case e.refusals.persist(c.now):
+	case c.refusesStarts(e):
 		return obstacleRefusing
 	case e.probation != nil, e.reservedFor != nil:
 		return obstacleProbation
@@ -219,8 +219,20 @@
 	return o.until.Sub(o.since) >= maxObstruction
 }
 
-// updateObstructions notes which endpoints have an obstacle to long-running tasks.
+// updateObstructions notes which endpoints have an obstacle to long-running tasks, and whether so many refuse starts
+// that another cause than the endpoints is likely.
 func (c *Cell) updateObstructions() {
+	refusing, usable := 0, 0
+	for _, e := range c.sortedEndpoints {
+		if !e.usable() {
+			continue
+		}
+		usable++
+		if e.refusals.persist(c.now) {
+			refusing++
+		}
+	}
+	c.refusalsAreCommon = refusing > 0 && !mayBeExcluded(refusing, usable)
 	for _, e := range c.sortedEndpoints {
 		if c.longRunningObstacle(e) != noObstacle {
 			e.obstruction.observe(c.now)
@@ -228,6 +240,11 @@
 	}
 }
 
+// refusesStarts reports whether an endpoint has refused all its recent starts, while others accept them.
+func (c *Cell) refusesStarts(e *endpoint) bool {
+	return !c.refusalsAreCommon && e.refusals.persist(c.now)
+}
+
 // mayHostLongRunning reports whether an endpoint can be expected to start long-running tasks, now or soon.
 func (c *Cell) mayHostLongRunning(e *endpoint) bool {
 	found := c.longRunningObstacle(e)
--- a/pkg/cell/obstacle_test.go
+++ b/pkg/cell/obstacle_test.go
@@ -104,8 +104,8 @@
 		}, endsWithin: 100 * time.Millisecond},
 		{name: "task of the phase there", explained: "enough tasks of this phase", wants: 1, phase: &wire.Phase{Count: 2, Cpu: 1000, MemoryMb: 500, EstimateMs: 300, Lasting: true, MostPerBox: 1}, arrange: func(*crowdedCell) {}},
 		{name: "reserved for another task", wants: 1, phase: &wire.Phase{Count: 2, Cpu: 3000, MemoryMb: 500, EstimateMs: 300, Lasting: true}, arrange: func(c *crowdedCell) {
-			c.submit("first", "short", wire.Phase{Count: 1, Cpu: 2000, MemoryMb: 500, EstimateMs: 60_000})
-			c.runFor(100 * time.Millisecond)
+			c.submit("first", "short", wire.Phase{Count: 1, Cpu: 2000, MemoryMb: 500, EstimateMs: 10_000})
+			c.runFor(6500 * time.Millisecond)
 		}},
 		{name: "label", explained: "lack the label", phase: &wire.Phase{Count: 1, Cpu: 1000, MemoryMb: 500, EstimateMs: 300, Lasting: true, Label: "special"}, arrange: func(*crowdedCell) {}},
 		{name: "no box has a GPU", explained: "lack GPUs", phase: &wire.Phase{Count: 1, Cpu: 1000, MemoryMb: 500, Gpu: 1, EstimateMs: 300, Lasting: true}, arrange: func(*crowdedCell) {}},
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -198,7 +198,7 @@
 // fitsBesideLongRunning does the same as fitsWithoutShortRuns, apart from permits.
 func (c *Cell) fitsBesideLongRunning(t *task, e *endpoint) bool {
 	p := t.phase
-	if c.endpointObstacle(e) != noObstacle || p.spec.Lasting && e.refusals.persist(c.now) || !e.hasLabel(p.spec.Label) {
+	if c.endpointObstacle(e) != noObstacle || p.spec.Lasting && c.refusesStarts(e) || !e.hasLabel(p.spec.Label) {
 		return false
 	}
 	return e.info.Capacity.Minus(e.longRunningNeed()).Holds(p.need()) && (p.spec.MostPerBox == 0 || countOnEndpoint(p, e) < p.spec.MostPerBox)
