Boxplan: orders that are taken back, dropped or in flight, after a review

Each has a test that failed before: - A box that was given back and planned for a wave at once was ordered by a report from before it was given back, with tasks on it (TestBoxThatIsGivenBackIsWithdrawnAnewForAWave). Now the report must follow the new plan. - An order in flight was dropped with its life, so that a wave ordered another box (TestOrderInFlightOutlastsItsLife). - An unanswered order was dropped on a life in use, with the same effect (TestUnansweredMaintenanceCountsOnAUsedLife). One commit, since the changes meet in the same functions.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -17,6 +17,9 @@
 	// joinTimeout is how long a box that the platform lists as up, or that was to be moved and is kept, may
 	// take until it is usable in its pool.
 	joinTimeout = 3 * time.Second
+	// orderEffectDelay is how much longer than usual the platform may take to carry out an order that it has
+	// accepted. A box that then is up with the same life had been maintained before.
+	orderEffectDelay = time.Second
 )
 
 // box is what the planner knows of a box.
@@ -43,6 +46,8 @@
 	upSince time.Time
 	// keptAt is when the newest decision to move the box was taken back. Its cell uses it again soon.
 	keptAt time.Time
+	// restoredAt is when the owner of the cell was last asked to use a withdrawn endpoint on the box again.
+	restoredAt time.Time
 	// refusedPools are the pools to which the platform refuses to move the box.
 	refusedPools map[string]bool
 }
@@ -171,11 +176,10 @@
 		b.issued = nil
 		return
 	}
-	if !o.accepted && lifeExited {
-		p.settleUnacceptedOrder(b)
-		return
-	}
 	if !o.accepted {
+		if lifeExited && !o.inFlight {
+			p.settleUnacceptedOrder(b)
+		}
 		return
 	}
 	if o.Pool != "" && b.info.Pool == o.Pool || p.isOver(b, requestedAt, lifeExited) {
@@ -193,7 +197,7 @@
 		duration = p.options.MaintainTime
 	}
 	since := requestedAt.Sub(b.issued.updatedAt) - duration
-	return since >= 0 && (lifeExited || b.info.EndpointID == "") || since >= joinTimeout
+	return since >= 0 && (lifeExited || b.info.EndpointID == "") || since >= orderEffectDelay
 }
 
 // settleUnacceptedOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
@@ -266,13 +270,23 @@
 func (p *Planner) dueOrder(b *box) (pool string, due bool) {
 	switch {
 	case b.planned != nil:
-		return b.planned.pool, b.report != nil && b.report.Withdrawn
+		return b.planned.pool, p.hasWithdrawn(b)
 	case b.issued != nil:
 		return b.issued.Pool, p.mayRepeat(b)
 	}
 	return "", false
 }
 
+// hasWithdrawn reports whether the owner of a box's cell has withdrawn its endpoint for the planned order. A report that
+// doesn't follow the plan may show an earlier withdrawal that has been given up.
+func (p *Planner) hasWithdrawn(b *box) bool {
+	if b.report == nil || !b.report.Withdrawn {
+		return false
+	}
+	c := p.cells[b.cellName()]
+	return b.restoredAt.IsZero() || c != nil && !c.reportFollows.Before(b.planned.since)
+}
+
 // issueDueOrder issues or repeats the order on a box unless the platform takes no more orders now.
 func (p *Planner) issueDueOrder(b *box) {
 	switch {
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -151,6 +151,7 @@
 func (p *Planner) SetReport(now time.Time, cellName string, report wire.SyncReply) {
 	if c := p.cells[cellName]; c != nil {
 		c.report, c.reportedAt, c.reportIsNew = report, now, true
+		c.reportFollows = c.directedAt
 		c.updateReportedSince()
 	}
 }
@@ -164,13 +165,13 @@
 	p.orders, p.spareBoxes, p.boxesExamined = nil, nil, 0
 	p.orderPace.advance(now)
 	p.attachReports()
-	p.dropOrdersOnUsedLives()
+	p.dropObsoleteOrders()
 	p.findCutOffZones()
 	p.updatePlansForEvacuations()
 	p.countBoxes()
 	p.updateDemands()
 	p.planWaves()
-	p.replaceDelayedMoves()
+	p.keepBoxesForLongRunning()
 	p.issueDueOrders()
 	p.fillCells()
 	p.powerOffSurplus()
@@ -193,14 +194,16 @@
 		switch {
 		case b.planned != nil && b.planned.urgent:
 			directives.WithdrawUrgently = append(directives.WithdrawUrgently, b.life.String())
-		case b.planned != nil:
+		case b.planned != nil, p.needsWithdrawalAnew(b):
 			directives.Withdraw = append(directives.Withdraw, b.life.String())
 		case b.report != nil && b.report.Withdrawn && b.issued == nil:
 			directives.Restore = append(directives.Restore, b.life.String())
+			b.restoredAt = p.now
 		}
 	}
 	if c := p.cells[cellName]; c != nil {
 		directives.Exited = p.exitedEndpoints(c)
+		c.directedAt = p.now
 	}
 	return directives
 }
--- a/pkg/boxplan/demand.go
+++ b/pkg/boxplan/demand.go
@@ -66,6 +66,10 @@
 	// report is the newest report of the cell's owner, received at reportedAt.
 	report     wire.SyncReply
 	reportedAt time.Time
+	// directedAt is the time of the newest directives to the owner, and reportFollows that of the directives that
+	// it had followed when it made the report.
+	directedAt    time.Time
+	reportFollows time.Time
 	// reportedSince is when the endpoints of the report were first reported.
 	reportedSince map[string]time.Time
 	// reportIsNew says that the demand hasn't been computed from the report yet.
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -15,18 +15,29 @@
 	return runs && (b.report == nil || !b.report.Withdrawn)
 }
 
-// dropOrdersOnUsedLives ends the orders that the platform hasn't accepted on lives that their cells use: the owner
-// of a cell forgets that a life is withdrawn once the registry hasn't listed it for a while, and a recorded order
-// may be from before the present life under the same ID.
-func (p *Planner) dropOrdersOnUsedLives() {
+// dropObsoleteOrders ends the orders that must not be repeated: refused ones on lives that may be in use, since the owner
+// of a cell forgets that a life is withdrawn once the registry hasn't listed it for a while or has stopped reporting, and
+// those of an earlier planner on later lives than theirs. Other unanswered orders may still be carried out, so they
+// stand; see needsWithdrawalAnew.
+func (p *Planner) dropObsoleteOrders() {
 	for _, b := range p.boxesByName {
-		o := b.issued
-		if o != nil && !o.accepted && !o.inFlight && b.info.State == damsonwinch.BoxUp && b.report != nil && b.report.Usable {
+		switch o := b.issued; {
+		case o == nil:
+		case o.inherited && !o.accepted && !o.inFlight && !b.life.MayBeSame(o.Life):
+			b.issued = nil
+		case o.isRefused() && p.mayBeInUse(b):
 			p.revertOrder(b, o.Order)
 		}
 	}
 }
 
+// needsWithdrawalAnew reports whether an unanswered order on a box can't be repeated because its cell uses the life
+// for which it was issued.
+func (p *Planner) needsWithdrawalAnew(b *box) bool {
+	o := b.issued
+	return o != nil && !o.accepted && !o.isRefused() && b.report != nil && !b.report.Withdrawn && b.life.MayBeSame(o.Life)
+}
+
 // isRefused reports whether the platform has refused each call with the order, so that the order has had no effect
 // and can be taken back.
 func (o *issuedOrder) isRefused() bool {
@@ -59,7 +70,7 @@
 // once, any other one only after a move.
 func (p *Planner) keepBox(cellName string, forLongRunning bool) bool {
 	for _, b := range p.boxesByCell[cellName] {
-		if _, revocable := p.revocableMove(b); !revocable {
+		if _, revocable := p.revocableMove(b); !revocable || b.report == nil || b.report.Silent {
 			continue
 		}
 		if p.isBeingPoweredOff(b) || forLongRunning && p.canForgo(p.servedCell(b)) {
@@ -73,19 +84,22 @@
 // takeBack gives up the decision to move a box.
 func (p *Planner) takeBack(b *box) {
 	p.updateBox(b, func() { b.planned, b.issued, b.keptAt = nil, nil, p.now })
+	b.restoredAt = p.now
 }
 
-// replaceDelayedMoves has each cell that lacks boxes for its long-running tasks keep boxes of its own that were to be
-// moved away, in place of boxes that the platform doesn't let it have yet. There may be more orders than the platform
-// takes.
-func (p *Planner) replaceDelayedMoves() {
+// keepBoxesForLongRunning has each cell that lacks boxes for its long-running tasks keep boxes of its own that were to be
+// moved away, also in place of boxes that the platform doesn't let it have yet: there may be more orders than the
+// platform takes. It takes no order to keep a box.
+func (p *Planner) keepBoxesForLongRunning() {
 	delayed := p.delayedMoves()
 	for _, name := range p.cellNames {
 		c := p.cells[name]
 		moves := delayed[name]
-		for len(moves) > 0 && p.longRunningShortage(c)+len(moves) > 0 && p.keepBox(name, true) {
-			p.takeBack(moves[0])
-			moves = moves[1:]
+		for !c.poweredOff && p.longRunningShortage(c)+len(moves) > 0 && p.keepBox(name, true) {
+			if len(moves) > 0 {
+				p.takeBack(moves[0])
+				moves = moves[1:]
+			}
 		}
 	}
 }
