Boxplan: an order isn't repeated on a box that isn't up

What callers may see: the runs that a box has begun in the first 0.3 s after a restart are ended.

Cause: an order was repeated each 0.3 s while its box was down, and met the later life before a list of boxes showed that one.

Why it works: once a list shows the box up, the order is settled by the life that it shows. Orders of an earlier planner are repeated as before: their boxes may be down because of them.

--- a/pkg/boxplan/sim_test.go
+++ b/pkg/boxplan/sim_test.go
@@ -25,7 +25,12 @@
 func TestCellsGetBoxesUnderFaults(t *testing.T) {
 	first, count := environmentNumber(t, "DAMSONWINCH_FIRST_SEED", 1), environmentNumber(t, "DAMSONWINCH_SEEDS", 20)
 	var longest time.Duration
+	// With the first seed an order is repeated on a box that restarts.
+	seeds := []int{1162}
 	for seed := first; seed < first+count; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		w := simulate(uint64(seed))
 		longest = max(longest, w.rules.longestWait)
 		if w.rules.violation != "" {
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -2,10 +2,11 @@
 
 import "damsonwinch"
 
-// mayRepeat reports whether the issued order on a box is to be sent to the platform again.
+// mayRepeat reports whether the issued order on a box is to be sent to the platform again. On a box that isn't up it may
+// meet a later life before a list shows that; one of an earlier planner is repeated, since the box may be down because of it.
 func (p *Planner) mayRepeat(b *box) bool {
 	o := b.issued
-	return !o.accepted && !o.inFlight && p.now.Sub(o.sentAt) >= orderRetryDelay &&
+	return !o.accepted && !o.inFlight && p.now.Sub(o.sentAt) >= orderRetryDelay && (b.info.State == damsonwinch.BoxUp || o.inherited) &&
 		p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay && !p.mayBeInUse(b)
 }
 
