--- a/pkg/boxplan/given_back_test.go
+++ b/pkg/boxplan/given_back_test.go
@@ -19,32 +19,12 @@
 	f.add("short", 4, 0)
 	f.add("off", 1, 1)
 	name := shard.CellName("short", 0)
-	report := f.shortReport(0)
-	withdrawn := map[string]bool{}
-	plan := func(after time.Duration, missing int) (ordered []string) {
-		f.now = f.now.Add(after)
-		f.planner.SetBoxes(f.now, f.boxes)
-		report.MissingBoxes = missing
-		for i := range report.Endpoints {
-			row := &report.Endpoints[i]
-			row.Withdrawn = withdrawn[row.Endpoint]
-			row.Usable = !row.Withdrawn
-		}
-		f.planner.SetReport(f.now, name, report)
-		for _, order := range f.planner.Plan(f.now) {
-			ordered = append(ordered, order.Pool)
-			f.planner.HandleOrderResult(f.now, order, damsonwinch.ErrRefused)
-		}
-		return ordered
-	}
 	for range 4 {
-		plan(time.Second, 0)
-		for _, life := range f.planner.Directives(name).Withdraw {
-			withdrawn[life] = true
-		}
+		f.planRefused(time.Second, 0)
+		setAll(f.withdrawn, f.leaving())
 	}
 	assert.Assert(t, len(f.planner.IssuedOrders()) > 0, "boxes are to be powered off")
-	assert.Assert(t, !slices.Contains(plan(100*time.Millisecond, 1), "short"), "no box has to be moved")
+	assert.Assert(t, !slices.Contains(f.planRefused(100*time.Millisecond, 1), "short"), "no box has to be moved")
 	assert.Equal(t, len(f.planner.Directives(name).Restore), 1)
 }
 
--- a/pkg/boxplan/kept_without_pace_test.go
+++ b/pkg/boxplan/kept_without_pace_test.go
@@ -23,30 +23,21 @@
 	f.add("short", 4, 0)
 	f.add("held", 1, 0)
 	f.add("off", 2*perSecond, 1)
-	withdrawn := map[string]bool{}
 	plan := func(missing, backlog int) (restored int) {
 		f.now = f.now.Add(100 * time.Millisecond)
 		f.planner.SetBoxes(f.now, f.boxes)
-		report := f.shortReport(missing)
-		for i := range report.Endpoints {
-			row := &report.Endpoints[i]
-			row.Withdrawn = withdrawn[row.Endpoint]
-			row.Usable = !row.Withdrawn
-		}
-		f.planner.SetReport(f.now, shard.CellName("short", 0), report)
+		f.planner.SetReport(f.now, shard.CellName("short", 0), f.shortReport(missing))
 		f.planner.SetReport(f.now, shard.CellName("held", 0), wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, WaitingCpu: backlog * scriptMilliCPU, Endpoints: f.reports("held", 0)})
 		for _, order := range f.planner.Plan(f.now) {
 			f.planner.HandleOrderResult(f.now, order, damsonwinch.ErrRefused)
 		}
-		for _, life := range f.planner.Directives(shard.CellName("short", 0)).Withdraw {
-			withdrawn[life] = true
-		}
+		setAll(f.withdrawn, f.planner.Directives(shard.CellName("short", 0)).Withdraw)
 		return len(f.planner.Directives(shard.CellName("short", 0)).Restore)
 	}
 	for range 30 {
 		plan(0, 0)
 	}
-	assert.Assert(t, len(withdrawn) > 0, "boxes are to be powered off")
+	assert.Assert(t, len(f.withdrawn) > 0, "boxes are to be powered off")
 	for range 20 {
 		plan(0, 100)
 	}
--- a/pkg/boxplan/long_running_test.go
+++ b/pkg/boxplan/long_running_test.go
@@ -20,11 +20,13 @@
 	layout  shard.Layout
 	planner *boxplan.Planner
 	boxes   []damsonwinch.Box
+	// withdrawn and silent hold the endpoints of the pool "short" that its cells report so.
+	withdrawn, silent map[string]bool
 }
 
 // newShardedFleet returns a fleet with its three pools and without boxes.
 func newShardedFleet() *shardedFleet {
-	f := &shardedFleet{now: time.Unix(1_000_000, 0), layout: shard.New(fleetShards, []string{"held", "short"})}
+	f := &shardedFleet{now: time.Unix(1_000_000, 0), layout: shard.New(fleetShards, []string{"held", "short"}), withdrawn: map[string]bool{}, silent: map[string]bool{}}
 	f.planner = boxplan.New(boxplan.Options{MoveTime: 1500 * time.Millisecond, MaintainTime: 2 * time.Second, ScaleDownDelay: time.Second, TakeoverDelay: 3 * time.Second})
 	f.planner.SetPools([]damsonwinch.Pool{{Name: "off", PoweredOff: true}, {Name: "held"}, {Name: "short"}}, f.layout)
 	return f
--- a/pkg/boxplan/overtaken_order_test.go
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -1,6 +1,7 @@
 package boxplan_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -14,7 +15,35 @@
 
 // shortReport returns the report of a cell of the pool "short" that needs boxes for long-running tasks.
 func (f *shardedFleet) shortReport(missing int) wire.SyncReply {
-	return wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, MissingBoxes: missing, Endpoints: f.reports("short", 0)}
+	report := wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, MissingBoxes: missing, Endpoints: f.reports("short", 0)}
+	for i := range report.Endpoints {
+		row := &report.Endpoints[i]
+		row.Withdrawn, row.Silent = f.withdrawn[row.Endpoint], f.silent[row.Endpoint]
+		row.Usable = !row.Withdrawn && !row.Silent
+	}
+	return report
+}
+
+// planRefused is like planShort, and has the platform refuse the orders. It returns the pools that they name.
+func (f *shardedFleet) planRefused(after time.Duration, missing int) (pools []string) {
+	for _, order := range f.planShort(after, missing) {
+		pools = append(pools, order.Pool)
+		f.planner.HandleOrderResult(f.now, order, damsonwinch.ErrRefused)
+	}
+	return pools
+}
+
+// leaving returns the endpoints of a cell of the pool "short" that are to be withdrawn.
+func (f *shardedFleet) leaving() []string {
+	directives := f.planner.Directives(shard.CellName("short", 0))
+	return slices.Concat(directives.Withdraw, directives.WithdrawUrgently)
+}
+
+// setAll sets the values of keys to true.
+func setAll(values map[string]bool, keys []string) {
+	for _, key := range keys {
+		values[key] = true
+	}
 }
 
 // planShort gives the planner a list of boxes and the report of a cell of the pool "short", and returns its orders.
--- a/pkg/boxplan/restored_wave_test.go
+++ b/pkg/boxplan/restored_wave_test.go
@@ -17,29 +17,11 @@
 	f := newShardedFleet()
 	f.add("short", 4, 0)
 	name := shard.CellName("short", 0)
-	report := f.shortReport(0)
-	withdrawn := map[string]bool{}
-	plan := func(after time.Duration, missing int) {
-		f.now = f.now.Add(after)
-		f.planner.SetBoxes(f.now, f.boxes)
-		report.MissingBoxes = missing
-		for i := range report.Endpoints {
-			row := &report.Endpoints[i]
-			row.Withdrawn = withdrawn[row.Endpoint]
-			row.Usable = !row.Withdrawn
-		}
-		f.planner.SetReport(f.now, name, report)
-		for _, order := range f.planner.Plan(f.now) {
-			f.planner.HandleOrderResult(f.now, order, damsonwinch.ErrRefused)
-		}
-	}
 	for range 4 {
-		plan(time.Second, 0)
-		for _, life := range f.planner.Directives(name).Withdraw {
-			withdrawn[life] = true
-		}
+		f.planRefused(time.Second, 0)
+		setAll(f.withdrawn, f.leaving())
 	}
-	plan(100*time.Millisecond, 1)
+	f.planRefused(100*time.Millisecond, 1)
 	restored := f.planner.Directives(name).Restore
 	assert.Equal(t, len(restored), 1)
 
--- a/pkg/boxplan/unreported_order_test.go
+++ b/pkg/boxplan/unreported_order_test.go
@@ -20,19 +20,12 @@
 	f.add("held", 1, 0)
 	f.planner.SetBoxes(f.now.Add(-time.Minute), f.boxes)
 	short, held := shard.CellName("short", 0), shard.CellName("held", 0)
-	withdrawn := map[string]bool{}
 	plan := func(after time.Duration, shortReports bool, answer error) (accepted int) {
 		f.now = f.now.Add(after)
 		f.planner.SetBoxes(f.now, f.boxes)
 		f.planner.SetReport(f.now, held, wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, MissingBoxes: 1, Endpoints: f.reports("held", 1)})
 		if shortReports {
-			report := f.shortReport(0)
-			for i := range report.Endpoints {
-				row := &report.Endpoints[i]
-				row.Withdrawn = withdrawn[row.Endpoint]
-				row.Usable = !row.Withdrawn
-			}
-			f.planner.SetReport(f.now, short, report)
+			f.planner.SetReport(f.now, short, f.shortReport(0))
 		}
 		for _, order := range f.planner.Plan(f.now) {
 			f.planner.HandleOrderResult(f.now, order, answer)
@@ -44,9 +37,7 @@
 	}
 	for range 5 {
 		plan(100*time.Millisecond, true, damsonwinch.ErrRefused)
-		for _, life := range f.planner.Directives(short).WithdrawUrgently {
-			withdrawn[life] = true
-		}
+		setAll(f.withdrawn, f.planner.Directives(short).WithdrawUrgently)
 	}
 	assert.Equal(t, len(f.planner.IssuedOrders()), 1, "a box is ordered to the cell, and the order refused")
 
