Boxplan: a recorded move doesn't have a life in use withdrawn

What callers may see: a box is of no use to its cell, and a long-running task there stays on it, for as long as the planner lives.

Cause: an order that a planner records, and takes back when the platform refuses it, stays in its stream. Since a new planner has the box withdrawn anew for it. It can't be emptied while a long-running task has nowhere to go.

Why it works: a recorded move on a life that its cell uses is given up, and any unanswered order on such a life once it can't be carried out late any more. Maintenance stands until then, so that a wave's limit holds.

--- a/pkg/boxplan/overtaken_order_test.go
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -149,3 +149,18 @@
 	f.report(1, true)
 	assert.Equal(t, len(f.plan(time.Second)), 1, "it is withdrawn and ordered again")
 }
+
+// TestRecordedMoveLeavesALifeInUseAlone guards against a box that its cell can't use any more: an earlier planner recorded
+// a move of the box and took it back, a long-running task has started there since, and a new planner has the box
+// withdrawn for the move.
+func TestRecordedMoveLeavesALifeInUseAlone(t *testing.T) {
+	f := newOneBoxFleet()
+	f.planner.LoadOrder(wire.OrderRecord{Box: f.box.Name, Pool: "short", AtMs: int(f.now.UnixMilli()), Endpoint: damsonwinch.Life{ID: "at-" + f.box.Name, StartedUnixMs: 1}.String()})
+	f.list(damsonwinch.BoxUp)
+	f.plan(10 * time.Second)
+	f.report(1, false)
+	assert.Equal(t, len(f.plan(time.Second)), 0)
+	directives := f.planner.Directives("held")
+	assert.Equal(t, len(directives.Withdraw)+len(directives.WithdrawUrgently), 0)
+	assert.Equal(t, len(f.planner.IssuedOrders()), 0)
+}
--- a/pkg/boxplan/sim_test.go
+++ b/pkg/boxplan/sim_test.go
@@ -25,8 +25,8 @@
 func TestCellsGetBoxesUnderFaults(t *testing.T) {
 	first, count := environmentNumber(t, "DAMSONWINCH_FIRST_SEED", 1), environmentNumber(t, "DAMSONWINCH_SEEDS", 20)
 	var longest time.Duration
-	// With the first seed an order is repeated on a box that restarts.
-	seeds := []int{1162}
+	// With 1162 an order is repeated on a box that restarts, with 2196 one that was taken back outlasts a takeover.
+	seeds := []int{1162, 2196}
 	for seed := first; seed < first+count; seed++ {
 		seeds = append(seeds, seed)
 	}
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -1,6 +1,10 @@
 package boxplan
 
-import "damsonwinch"
+import (
+	"time"
+
+	"damsonwinch"
+)
 
 // mayRepeat reports whether the issued order on a box is to be sent to the platform again. On a box that isn't up it may
 // meet a later life before a list shows that; one of an earlier planner is repeated, since the box may be down because of it.
@@ -16,22 +20,38 @@
 	return runs && (b.report == nil || !b.report.Withdrawn)
 }
 
-// dropObsoleteOrders ends the orders that must not be repeated: refused ones on lives that may be in use, since the owner
-// of a cell forgets that a life is withdrawn once the registry hasn't listed it for a while or has stopped reporting, and
-// those of an earlier planner on later lives than theirs. Other unanswered orders may still be carried out, so they
-// stand; see needsWithdrawalAnew.
+// maxOrderDelay is how long after an unanswered call with an order the platform may still carry it out.
+const maxOrderDelay = 15 * time.Second
+
+// dropObsoleteOrders ends the orders that must not be repeated: those of an earlier planner on later lives than theirs,
+// and those on lives that may be in use and have had no effect. The owner of a cell forgets that a life is withdrawn once
+// the registry hasn't listed it for a while, and an earlier planner may have taken back what it had recorded.
 func (p *Planner) dropObsoleteOrders() {
 	for _, b := range p.boxesByName {
-		switch o := b.issued; {
-		case o == nil:
-		case o.inherited && !o.accepted && !o.inFlight && !b.life.MayBeSame(o.Life):
+		o := b.issued
+		if o == nil || o.accepted || o.inFlight {
+			continue
+		}
+		if o.inherited && !b.life.MayBeSame(o.Life) {
 			b.issued = nil
-		case o.isRefused() && p.mayBeInUse(b):
+		} else if p.mayBeInUse(b) && p.hadNoEffect(b) {
 			p.revertOrder(b, o.Order)
 		}
 	}
 }
 
+// hadNoEffect reports whether the issued order on a box that is up can be given up: the platform has refused it, it is a
+// move that an earlier planner has recorded, or it can't be carried out late any more. Maintenance that may yet begin
+// counts in its wave.
+func (p *Planner) hadNoEffect(b *box) bool {
+	o := b.issued
+	if o.isRefused() {
+		return true
+	}
+	sinceCall := min(p.now.Sub(o.sentAt), p.now.Sub(b.inheritedAt))
+	return b.report != nil && (o.inherited && o.Wave == 0 || sinceCall > maxOrderDelay)
+}
+
 // needsWithdrawalAnew reports whether an unanswered order on a box can't be repeated because its cell uses the life
 // for which it was issued.
 func (p *Planner) needsWithdrawalAnew(b *box) bool {
