Tests of boxplan: one fixture for maintenance that the platform refuses

Two tests had the same seven lines for a life that is withdrawn for its maintenance while the platform refuses the order. They are a method of the fixture now. No check is changed; go test ./pkg/boxplan -run 'Order|Life|Move' passes.

--- a/pkg/boxplan/overtaken_order_test.go
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -77,10 +77,8 @@
 	assert.Equal(t, len(f.planner.IssuedOrders()), 0)
 }
 
-// TestRefusedOrderDoesNotEndALaterLife guards against an order that ends the runs of a life not withdrawn for it: the
-// platform has taken no order for a while, and meanwhile the box has crashed and come back.
-func TestRefusedOrderDoesNotEndALaterLife(t *testing.T) {
-	f := newOneBoxFleet()
+// refuseMaintenance has the box's first life withdrawn for its maintenance, and the platform refuse the order.
+func (f *oneBoxFleet) refuseMaintenance(t *testing.T) {
 	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 10 * time.Second, Boxes: []string{f.box.Name}})
 	f.report(1, false)
 	f.plan(0)
@@ -88,6 +86,13 @@
 	orders := f.plan(100 * time.Millisecond)
 	assert.Equal(t, len(orders), 1)
 	f.planner.HandleOrderResult(f.now, orders[0], damsonwinch.ErrRefused)
+}
+
+// TestRefusedOrderDoesNotEndALaterLife guards against an order that ends the runs of a life not withdrawn for it: the
+// platform has taken no order for a while, and meanwhile the box has crashed and come back.
+func TestRefusedOrderDoesNotEndALaterLife(t *testing.T) {
+	f := newOneBoxFleet()
+	f.refuseMaintenance(t)
 	f.list(damsonwinch.BoxDown)
 	f.now = f.now.Add(time.Second)
 	f.list(damsonwinch.BoxUp)
@@ -137,13 +142,7 @@
 // its withdrawal.
 func TestOrderIsNotRepeatedOnALifeInUseAgain(t *testing.T) {
 	f := newOneBoxFleet()
-	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 10 * time.Second, Boxes: []string{f.box.Name}})
-	f.report(1, false)
-	f.plan(0)
-	f.report(1, true)
-	orders := f.plan(100 * time.Millisecond)
-	assert.Equal(t, len(orders), 1)
-	f.planner.HandleOrderResult(f.now, orders[0], damsonwinch.ErrRefused)
+	f.refuseMaintenance(t)
 	f.report(1, false)
 	assert.Equal(t, len(f.plan(time.Second)), 0)
 	f.report(1, true)
