--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -149,13 +149,6 @@
 	}
 }
 
-// requeueUnstarted removes a run that has certainly not begun. Its task goes on waiting.
-func (c *Cell) requeueUnstarted(r *run) {
-	readySince := r.task.readySince
-	c.requeue(r)
-	r.task.readySince = readySince
-}
-
 // sendStart sends the start request for a run whose record is committed, or removes the run if it
 // must not start any more.
 func (c *Cell) sendStart(r *run) {
@@ -176,110 +169,6 @@
 	}})
 }
 
-// Started handles the reply to a start request, or the error that the request failed with.
-func (c *Cell) Started(now time.Time, life damsonwinch.Life, id damsonwinch.Run, err error) {
-	c.beginEvent(now)
-	defer c.finishEvent()
-	r := c.findRun(life, id)
-	if r == nil || r.state != runRequested && !r.startOverdue {
-		return
-	}
-	switch {
-	case errors.Is(err, damsonwinch.ErrOtherLife):
-		c.addressAnswered(r.endpoint)
-	case err == nil, isStartRefusal(err):
-		c.endpointAnswered(r.endpoint)
-		c.observeAnswer(r.endpoint, now.Sub(r.startedAt))
-	}
-	if r.startOverdue {
-		r.startOverdue = false
-		c.overdueStartReturned(r, err)
-		return
-	}
-	switch {
-	case errors.Is(err, damsonwinch.ErrNotSent):
-		c.startNotSent(r, err)
-	case err == nil:
-		c.confirm(r)
-		r.task.phase.job().begun = true
-		r.task.refusals = 0
-		if r.stopping {
-			c.stop(r, "requested before it began")
-		}
-	case isStartRefusal(err):
-		c.startRefused(r, err)
-	default:
-		r.state = runUncertain
-		c.logRun("start unanswered", r, err.Error())
-		c.requestPoll(r.endpoint)
-		if spec := r.task.phase.spec; spec.Lasting && !spec.Gang && !r.stopping {
-			// A poll shows first whether the run exists. If so, the run isn't stopped.
-			r.listedAfterStep = c.step
-			return
-		}
-		c.stopUnanswered(r)
-	}
-}
-
-// confirm notes that a run exists: its endpoint has accepted or listed it.
-func (c *Cell) confirm(r *run) {
-	r.state, r.listedAfterStep, r.confirmedAt = runConfirmed, c.step, c.now
-	r.endpoint.refusals = refusals{}
-}
-
-// isStartRefusal reports whether an error means that the endpoint has refused to start the run.
-func isStartRefusal(err error) bool {
-	for _, refusal := range []error{
-		damsonwinch.ErrStaleToken, damsonwinch.ErrStaleRun, damsonwinch.ErrTooLate, damsonwinch.ErrNoCapacity, damsonwinch.ErrInvalidTicket,
-		damsonwinch.ErrOtherLife, damsonwinch.ErrUnhealthy, damsonwinch.ErrInvalid,
-	} {
-		if errors.Is(err, refusal) {
-			return true
-		}
-	}
-	return false
-}
-
-// startRefused removes a run that its endpoint has refused to start.
-func (c *Cell) startRefused(r *run, err error) {
-	c.stats.StartsRefused++
-	c.addExtraStarts(r.task, -1)
-	c.logRun("start refused", r, err.Error())
-	defer c.stopGang(r.task.phase, "a member of its gang was refused")
-	switch {
-	case errors.Is(err, damsonwinch.ErrOtherLife):
-		c.requeueUnstarted(r)
-		c.markLost(r.endpoint, "another life answers at its address")
-		return
-	case errors.Is(err, damsonwinch.ErrNoCapacity), errors.Is(err, damsonwinch.ErrUnhealthy):
-		// The endpoint's free capacity or health differs from what the cell knows of it.
-		r.endpoint.backoffUntil = c.now.Add(endpointBackoff)
-		r.endpoint.refusals.add(c.now)
-	}
-	if errors.Is(err, damsonwinch.ErrInvalidTicket) {
-		r.task.phase.permits.Drop(r.endpoint.info.Life.ID)
-		c.requeueUnstarted(r)
-		return
-	}
-	r.task.avoid = r.endpoint.info.Life
-	c.backOffTask(r.task)
-	c.requeueUnstarted(r)
-}
-
-// startNotSent removes a run whose start request has certainly not reached its endpoint.
-func (c *Cell) startNotSent(r *run, err error) {
-	c.logRun("start not sent", r, err.Error())
-	c.addExtraStarts(r.task, -1)
-	c.requestPoll(r.endpoint)
-	r.endpoint.backoffUntil = c.now.Add(endpointBackoff)
-	c.requeueUnstarted(r)
-	c.stopGang(r.task.phase, "a member of its gang could not be started")
-}
-
-// endpointBackoff is how long an endpoint that refused a task or couldn't be reached gets no
-// further start requests. Several polls are answered within that time.
-const endpointBackoff = 300 * time.Millisecond
-
 // stop has a run stopped. It sends no request if the run's start has not been requested or answered
 // yet, or if the endpoint has accepted a stop.
 func (c *Cell) stop(r *run, reason string) {
--- a/pkg/cell/unanswered.go
+++ b/pkg/cell/unanswered.go
@@ -1,10 +1,8 @@
 package cell
 
 import (
-	"errors"
 	"time"
 
-	"damsonwinch"
 	"damsonwinch/pkg/responsiveness"
 )
 
@@ -224,34 +222,6 @@
 	return len(e.polls.overdue) > 0 && c.now.Sub(e.polls.renewedAt) < repeatedRenewalInterval
 }
 
-// overdueStartReturned handles the reply to a start request that came after the usual time, or the error that the
-// request failed with. A poll may have shown meanwhile that the run exists.
-func (c *Cell) overdueStartReturned(r *run, err error) {
-	if r.state != runUncertain {
-		return
-	}
-	switch {
-	case errors.Is(err, damsonwinch.ErrNotSent):
-		c.startNotSent(r, err)
-	case err == nil:
-		c.confirm(r)
-		r.task.phase.job().begun = true
-		r.task.refusals = 0
-		switch {
-		case r.task.phase.job().ended() || r.task.done:
-			c.stop(r, "its job has ended")
-		case r.keepIfListed && !r.stopConfirmed:
-			// A stop that is on its way may still end the run. Its result then shows that.
-			r.stopping, r.keepIfListed = false, false
-		}
-	case isStartRefusal(err) && !r.stopping:
-		c.startRefused(r, err)
-	case !r.stopping && (!r.task.phase.spec.Lasting || r.task.phase.spec.Gang):
-		// Neither the start nor a poll has been answered.
-		c.stopUnanswered(r)
-	}
-}
-
 // stopUnanswered stops a run whose start was not answered, together with its gang.
 func (c *Cell) stopUnanswered(r *run) {
 	c.stop(r, "its start was not answered")
