Cell: a box is asked for also where most endpoints refuse starts

What callers saw, or would: a long-running task that waits for as long as the endpoints of a small cell refuse starts.

Cause: refusals aren't held against endpoints while more than a third of the usable ones refuse. The rule for starting needs that, so that something is tried; the rule for asking took it over. Such an endpoint had no obstacle but a backoff of 0.3 s, and counted as one that will take the task. Class: a need asked for by another rule than it is met by.

Why it works: whether to start depends on whether others refuse as well; whether to count on an endpoint doesn't. As obstacles that last, refusals have one box at a time asked for, which can't run away where a whole pool refuses.

--- a/pkg/cell/obstacle.go
+++ b/pkg/cell/obstacle.go
@@ -177,7 +177,8 @@
 	switch {
 	case found != noObstacle:
 		return found
-	case c.refusesStarts(e):
+	case e.refusals.persist(c.now):
+		// Tasks are still started there if refusals are common, but a box is asked for.
 		return obstacleRefusing
 	case e.probation != nil, e.reservedFor != nil:
 		return obstacleProbation
