Boxplan: an order with a call that is too old to be carried out can be taken back

What callers saw, or would: a long-running task that waits beside an idle box of its cell, withdrawn by the planner or by the one before it, until the platform takes orders again.

Cause: only an order of which the platform had refused each call could be taken back. One unanswered call, or a record of an earlier planner, made it irrevocable for good. For a record the time since it was made was taken, although the earlier planner may have repeated the order until the takeover. Class: a state that nothing ends.

Why it works: an unanswered call is carried out within 15 s or never. After that, counted from the newest such call or from the first plan after a takeover, refusals show that the order had no effect.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -80,6 +80,9 @@
 	// outcomeUnknown says that an earlier call with the order may have been carried out, so that the
 	// refusal of a later one doesn't show that the order had no effect.
 	outcomeUnknown bool
+	// unansweredAt is when the newest call without an answer was given up; for an inherited order, whose calls
+	// aren't known, the time of the first plan.
+	unansweredAt time.Time
 	// inherited says that an earlier planner recorded the order.
 	inherited bool
 	// inFlight says that a call to the platform is in progress; sentAt is when the newest began.
@@ -333,7 +336,7 @@
 	default:
 		// The platform may have carried out the order, or may do so later. Orders are
 		// idempotent, so issueDueOrders repeats it until the platform answers.
-		o.outcomeUnknown = true
+		o.outcomeUnknown, o.unansweredAt = true, now
 	}
 }
 
--- a/pkg/boxplan/box_counts.go
+++ b/pkg/boxplan/box_counts.go
@@ -99,7 +99,7 @@
 		return b.planned.pool
 	}
 	c := p.cells[b.cellName()]
-	joining := p.now.Sub(b.upSince) < joinTimeout || p.now.Sub(b.keptAt) < joinTimeout
+	joining := p.now.Sub(b.upSince) < joinTimeout || p.wasKept(b)
 	if joining || c == nil || (b.report != nil && b.report.Usable) || (b.report == nil && !c.hasFreshReport(p.now)) {
 		return b.info.Pool
 	}
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -81,7 +81,7 @@
 // the order; see Order.
 func (p *Planner) addBoxTo(cellName, cause string) bool {
 	pool := p.cells[cellName].pool
-	if p.keepBox(cellName, p.longRunningShortage(p.cells[cellName]) > 0) {
+	if p.keepBox(cellName, p.longRunningShortage(p.cells[cellName]) > 0) != nil {
 		return true
 	}
 	if b := p.bestPoweredOffBox(cellName); b != nil {
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -1,6 +1,7 @@
 package boxplan
 
 import (
+	"slices"
 	"time"
 
 	"damsonwinch"
@@ -23,16 +24,19 @@
 // maxOrderDelay is how long after an unanswered call with an order the platform may still carry it out.
 const maxOrderDelay = 15 * time.Second
 
-// dropObsoleteOrders ends the orders that must not be repeated: those of an earlier planner on later lives than theirs,
-// and those on lives that may be in use and have had no effect. The owner of a cell forgets that a life is withdrawn once
-// the registry hasn't listed it for a while, and an earlier planner may have taken back what it had recorded.
+// dropObsoleteOrders ends the orders that must not be repeated: those of an earlier planner on later lives than theirs, and those on lives that may be in use and have had no effect.
+// The owner of a cell forgets that a life is withdrawn once the registry hasn't listed it for a while, and an earlier
+// planner may have taken back what it had recorded.
 func (p *Planner) dropObsoleteOrders() {
 	for _, b := range p.boxesByName {
 		o := b.issued
 		if o == nil || o.accepted || o.inFlight {
 			continue
 		}
-		if o.inherited && !b.life.MayBeSame(o.Life) {
+		if o.inherited && o.unansweredAt.IsZero() {
+			o.unansweredAt = p.now
+		}
+		if o.inherited && p.isOnLaterLife(b) {
 			b.issued = nil
 		} else if p.mayBeInUse(b) && p.hadNoEffect(b) {
 			p.revertOrder(b, o.Order)
@@ -40,33 +44,35 @@
 	}
 }
 
-// hadNoEffect reports whether the issued order on a box that is up can be given up: the platform has refused it, it is a
-// move that an earlier planner has recorded, or it can't be carried out late any more. Maintenance that may yet begin
-// counts in its wave.
+// isOnLaterLife reports whether the life for which the order on a box was issued is over.
+func (p *Planner) isOnLaterLife(b *box) bool {
+	return !b.life.MayBeSame(b.issued.Life)
+}
+
+// hadNoEffect reports whether the issued order on a box that is up can be given up: the platform has refused it, or it is a
+// move that an earlier planner has recorded. Maintenance that may yet begin counts in its wave.
 func (p *Planner) hadNoEffect(b *box) bool {
 	o := b.issued
-	if o.isRefused() {
-		return true
-	}
-	sinceCall := min(p.now.Sub(o.sentAt), p.now.Sub(b.inheritedAt))
-	return b.report != nil && (o.inherited && o.Wave == 0 || sinceCall > maxOrderDelay)
+	return o.isRefused(p.now) || b.report != nil && o.inherited && o.Wave == 0
 }
 
 // needsWithdrawalAnew reports whether an unanswered order on a box can't be repeated because its cell uses the life
 // for which it was issued.
 func (p *Planner) needsWithdrawalAnew(b *box) bool {
 	o := b.issued
-	return o != nil && !o.accepted && !o.isRefused() && b.report != nil && !b.report.Withdrawn && b.life.MayBeSame(o.Life)
+	return o != nil && !o.accepted && !o.isRefused(p.now) && b.report != nil && !b.report.Withdrawn && b.life.MayBeSame(o.Life)
 }
 
-// isRefused reports whether the platform has refused each call with the order, so that the order has had no effect
-// and can be taken back.
-func (o *issuedOrder) isRefused() bool {
-	return !o.accepted && !o.inFlight && !o.outcomeUnknown && !o.inherited
+// isRefused reports whether the order has had no effect and can be taken back: the platform has refused each call with
+// it but for those that are too old to be carried out.
+func (o *issuedOrder) isRefused(now time.Time) bool {
+	mayComeLate := o.outcomeUnknown && now.Sub(o.unansweredAt) <= maxOrderDelay
+	return !o.accepted && !o.inFlight && !mayComeLate
 }
 
-// revocableMove returns the pool to which a box is to be moved if that can still be taken back, and whether it can.
-// The record of a refused order remains; a later planner doesn't repeat it while the life is in use.
+// revocableMove returns the pool to which a box is to be moved if that can still be taken
+// back, and whether it can. The record of a refused order remains; a later planner doesn't repeat it while the life is
+// in use.
 func (p *Planner) revocableMove(b *box) (pool string, revocable bool) {
 	switch {
 	case b.info.State != damsonwinch.BoxUp || p.isEvacuated(b):
@@ -74,7 +80,7 @@
 	case b.planned != nil:
 		return b.planned.pool, b.planned.wave == 0
 	case b.issued != nil:
-		return b.issued.Pool, b.issued.Wave == 0 && b.issued.isRefused()
+		return b.issued.Pool, b.issued.Wave == 0 && b.issued.isRefused(p.now)
 	}
 	return "", false
 }
@@ -86,50 +92,79 @@
 	return revocable && p.isPoweredOff(pool)
 }
 
-// keepBox keeps one box of a cell that was to be moved away, and reports whether there was one: a box that was to be
-// powered off or, for its long-running tasks, one that another cell doesn't need for its own. Such a box is in use at
-// once, any other one only after a move.
-func (p *Planner) keepBox(cellName string, forLongRunning bool) bool {
+// keepBox keeps one box of a cell that was to be moved away, and returns it, or nil if there was none: a box that was to
+// be powered off or, for its long-running tasks, one that another cell doesn't need for its own. Such a box is in use at once, any other one only after a move.
+func (p *Planner) keepBox(cellName string, forLongRunning bool) *box {
 	for _, b := range p.boxesByCell[cellName] {
 		if _, revocable := p.revocableMove(b); !revocable || b.report == nil || b.report.Silent {
 			continue
 		}
-		if p.isBeingPoweredOff(b) || forLongRunning && p.canForgo(p.servedCell(b)) {
+		served := p.servedCell(b)
+		if p.isBeingPoweredOff(b) || forLongRunning && p.canForgo(served) {
 			p.takeBack(b)
-			return true
+			return b
 		}
 	}
-	return false
+	return nil
 }
 
-// takeBack gives up the decision to move a box.
+// takeBack gives up the decision to move or maintain a box.
 func (p *Planner) takeBack(b *box) {
-	p.updateBox(b, func() { b.planned, b.issued, b.keptAt = nil, nil, p.now })
+	p.updateBox(b, func() {
+		if b.issued != nil {
+			p.revertOrder(b, b.issued.Order)
+		}
+		b.planned, b.keptAt = nil, p.now
+	})
 	b.restoredAt = p.now
 }
 
+// wasKept reports whether a decision on a box was taken back so recently that its cell may not use it again yet.
+func (p *Planner) wasKept(b *box) bool {
+	return p.now.Sub(b.keptAt) < joinTimeout
+}
+
 // keepBoxesForLongRunning has each cell that lacks boxes for its long-running tasks keep boxes of its own that were to be
 // moved away, also in place of boxes that the platform doesn't let it have yet: there may be more orders than the
-// platform takes. It takes no order to keep a box.
+// platform takes, and it may answer none. It takes no order to keep a box.
 func (p *Planner) keepBoxesForLongRunning() {
-	delayed := p.delayedMoves()
+	delayed := p.delayedBoxes()
 	for _, name := range p.cellNames {
 		c := p.cells[name]
-		moves := delayed[name]
-		for !c.poweredOff && p.longRunningShortage(c)+len(moves) > 0 && p.keepBox(name, true) {
-			if len(moves) > 0 {
-				p.takeBack(moves[0])
-				moves = moves[1:]
+		for !c.poweredOff && p.longRunningShortage(c)+len(delayed[name]) > 0 {
+			kept := p.keepBox(name, true)
+			if kept == nil {
+				break
 			}
+			delayed[name] = p.withoutOneDelayed(delayed[name], kept)
 		}
 	}
 }
 
-// delayedMoves returns, by the cell to which they are to be moved, the boxes whose orders the platform has refused.
-func (p *Planner) delayedMoves() map[string][]*box {
+// withoutOneDelayed returns the delayed boxes of a cell without one that the kept box replaces: the kept box itself, or
+// one whose order is taken back. An order that may be carried out late stays.
+func (p *Planner) withoutOneDelayed(boxes []*box, kept *box) []*box {
+	place := slices.Index(boxes, kept)
+	if place >= 0 {
+		return slices.Delete(boxes, place, place+1)
+	}
+	place = slices.IndexFunc(boxes, func(b *box) bool { return b.issued.isRefused(p.now) })
+	if place < 0 {
+		return boxes
+	}
+	p.takeBack(boxes[place])
+	return slices.Delete(boxes, place, place+1)
+}
+
+// delayedBoxes returns, by the cell that they are to serve, the boxes with orders that the platform refuses.
+func (p *Planner) delayedBoxes() map[string][]*box {
 	delayed := map[string][]*box{}
 	for _, b := range p.boxesByName {
-		if o := b.issued; o != nil && o.Pool != "" && o.isRefused() && b.info.State == damsonwinch.BoxUp {
+		o := b.issued
+		if o == nil || o.accepted || b.info.State != damsonwinch.BoxUp {
+			continue
+		}
+		if o.Pool != "" && o.isRefused(p.now) {
 			name := p.servedCell(b)
 			delayed[name] = append(delayed[name], b)
 		}
