Boxplan: a recorded order on a box that is on its way goes on counting

What callers saw, or would: after a takeover of the planner a second box is taken from another cell for the same need.

Cause: a recorded order ends once its box runs a later life. A box that is being moved or maintained has no life, so that the order ended while it was carried out, and the box counted for the pool that it had left.

Evidence: TestBoxThatIsMovingCountsAfterATakeover, found by a review, failed and passes now.

Why it works: the order ends only on a box that is up or down, where a missing life is the box's own.

--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -44,9 +44,11 @@
 	}
 }
 
-// isOnLaterLife reports whether the life for which the order on a box was issued is over.
+// isOnLaterLife reports whether the life for which the order on a box was issued is over. A box that is being moved or
+// maintained has no life, perhaps because of this order.
 func (p *Planner) isOnLaterLife(b *box) bool {
-	return !b.life.MayBeSame(b.issued.Life)
+	isOnItsWay := b.info.State == damsonwinch.BoxMoving || b.info.State == damsonwinch.BoxMaintenance
+	return !isOnItsWay && !b.life.MayBeSame(b.issued.Life)
 }
 
 // hadNoEffect reports whether the issued order on a box that is up can be given up: the platform has refused it, or it is a
