Boxplan: a recorded move of a powered-off box isn't repeated

What callers saw, or would: after a takeover of the planner boxes move to cells that don't need them any more, in place of boxes that are needed where the platform takes few orders.

Cause: an order that is taken back leaves its record, which the next planner repeats. On a box in use the report of its owner ends that; nothing did on a powered-off one.

Why it works: nothing runs on a powered-off box, so that an order on it can be forgotten without harm. An accepted one shows in the list before the takeover delay is over; for the others the present need decides.

--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -24,7 +24,8 @@
 // maxOrderDelay is how long after an unanswered call with an order the platform may still carry it out.
 const maxOrderDelay = 15 * time.Second
 
-// dropObsoleteOrders ends the orders that must not be repeated: those of an earlier planner on later lives than theirs, and those on lives that may be in use and have had no effect.
+// dropObsoleteOrders ends the orders that must not be repeated: those of an earlier planner on later lives than theirs or
+// on powered-off boxes, for which the present need decides, and those on lives that may be in use and have had no effect.
 // The owner of a cell forgets that a life is withdrawn once the registry hasn't listed it for a while, and an earlier
 // planner may have taken back what it had recorded.
 func (p *Planner) dropObsoleteOrders() {
@@ -36,7 +37,7 @@
 		if o.inherited && o.unansweredAt.IsZero() {
 			o.unansweredAt = p.now
 		}
-		if o.inherited && p.isOnLaterLife(b) {
+		if o.inherited && (p.isOnLaterLife(b) || p.mayStayPoweredOff(b)) {
 			b.issued = nil
 		} else if p.mayBeInUse(b) && p.hadNoEffect(b) {
 			p.revertOrder(b, o.Order)
@@ -51,6 +52,12 @@
 	return !isOnItsWay && !b.life.MayBeSame(b.issued.Life)
 }
 
+// mayStayPoweredOff reports whether a recorded move of a powered-off box hasn't been carried out in the time in which
+// an accepted one is.
+func (p *Planner) mayStayPoweredOff(b *box) bool {
+	return b.issued.Wave == 0 && b.info.State == damsonwinch.BoxUp && p.isPoweredOff(b.info.Pool) && p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay
+}
+
 // hadNoEffect reports whether the issued order on a box that is up can be given up: the platform has refused it, or it is a
 // move that an earlier planner has recorded. Maintenance that may yet begin counts in its wave.
 func (p *Planner) hadNoEffect(b *box) bool {
