Boxplan: a recorded move that can't be repeated doesn't count for its target

What callers saw, or would: after a takeover of the planner a long-running task waits for as long as another cell has no owner, beside a powered-off box.

Cause: a box counts for the cell to which a record moves it. While the owner of the box's present cell doesn't report, the order is neither repeated, since the life may be in use, nor ended. Class: capacity that counts for a cell and never comes.

Evidence: TestOldRecordOnABoxOfACellWithoutReportsIsNotWaitedFor, found by a review, failed (no box ordered in 8 s) and passes now.

Why it works: if the order had been accepted, the list would show it within a fraction of the 3 s for which it still counts. If it is carried out late, its target has a box more than it needs.

--- a/pkg/boxplan/box_counts.go
+++ b/pkg/boxplan/box_counts.go
@@ -72,7 +72,7 @@
 	}
 	number := b.shard
 	switch {
-	case b.issued != nil:
+	case b.issued != nil && !p.isDoubtful(b):
 		number = b.issued.Shard
 	case b.planned != nil:
 		number = b.planned.shard
@@ -87,7 +87,7 @@
 	if p.isEvacuated(b) || b.info.State == damsonwinch.BoxDown {
 		return ""
 	}
-	if b.issued != nil {
+	if b.issued != nil && !p.isDoubtful(b) {
 		if b.issued.Pool != "" {
 			return b.issued.Pool
 		}
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -79,6 +79,13 @@
 	return !o.accepted && !o.inFlight && !mayComeLate
 }
 
+// isDoubtful reports whether an unaccepted move of a box can't be repeated because the owner of the box's cell doesn't
+// report, and has had no effect for so long that the box isn't counted on where it is to go.
+func (p *Planner) isDoubtful(b *box) bool {
+	o := b.issued
+	return o.Pool != "" && !o.accepted && !o.inFlight && b.report == nil && p.mayBeInUse(b) && p.now.Sub(o.unansweredAt) >= joinTimeout
+}
+
 // revocableMove returns the pool to which a box is to be moved if that can still be taken
 // back, and whether it can. The record of a refused order remains; a later planner doesn't repeat it while the life is
 // in use.
