Boxplan: own boxes are kept also in place of boxes whose orders get no answer

What callers saw, or would: a long-running task waits for as long as the control of boxes is silent, while boxes of its cell are emptied for another cell's backlog.

Cause: a cell kept its own boxes in place of those whose orders are refused. An unanswered order counted in full.

Evidence: TestOwnBoxIsKeptWhileOrdersGetNoAnswer, found by a review, failed (none of 5 boxes kept in 6 s) and passes now.

--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -172,7 +172,8 @@
 	return slices.Delete(boxes, place, place+1)
 }
 
-// delayedBoxes returns, by the cell that they are to serve, the boxes with orders that the platform refuses.
+// delayedBoxes returns, by the cell that they are to serve, the boxes with orders that the platform refuses or has left
+// unanswered for orderEffectDelay.
 func (p *Planner) delayedBoxes() map[string][]*box {
 	delayed := map[string][]*box{}
 	for _, b := range p.boxesByName {
@@ -180,7 +181,8 @@
 		if o == nil || o.accepted || b.info.State != damsonwinch.BoxUp {
 			continue
 		}
-		if o.Pool != "" && o.isRefused(p.now) {
+		isUnanswered := p.now.Sub(o.updatedAt) >= orderEffectDelay
+		if o.Pool != "" && (o.isRefused(p.now) || isUnanswered) {
 			name := p.servedCell(b)
 			delayed[name] = append(delayed[name], b)
 		}
