Boxplan: a box whose maintenance is refused is given back to long-running tasks

What callers saw, or would: a long-running task waits beside a box of its cell that is withdrawn for a wave, for as long as the platform refuses the maintenance.

Cause: a box with an order for maintenance counts for its cell as one that is back soon, from the order on. Only moves could be taken back, so that the cell neither kept the box nor got another one.

Evidence: TestBoxWhoseMaintenanceIsRefusedIsNotWaitedFor, found by a review, failed (neither in 8 s) and passes now.

Why it works: refused maintenance has done nothing, so that it can be taken back like a refused move; the box is due again.

--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -86,7 +86,7 @@
 	return o.Pool != "" && !o.accepted && !o.inFlight && b.report == nil && p.mayBeInUse(b) && p.now.Sub(o.unansweredAt) >= joinTimeout
 }
 
-// revocableMove returns the pool to which a box is to be moved if that can still be taken
+// revocableMove returns the pool to which a box is to be moved, empty for its maintenance, if that can still be taken
 // back, and whether it can. The record of a refused order remains; a later planner doesn't repeat it while the life is
 // in use.
 func (p *Planner) revocableMove(b *box) (pool string, revocable bool) {
@@ -96,7 +96,7 @@
 	case b.planned != nil:
 		return b.planned.pool, b.planned.wave == 0
 	case b.issued != nil:
-		return b.issued.Pool, b.issued.Wave == 0 && b.issued.isRefused(p.now)
+		return b.issued.Pool, b.issued.isRefused(p.now)
 	}
 	return "", false
 }
@@ -109,14 +109,15 @@
 }
 
 // keepBox keeps one box of a cell that was to be moved away, and returns it, or nil if there was none: a box that was to
-// be powered off or, for its long-running tasks, one that another cell doesn't need for its own. Such a box is in use at once, any other one only after a move.
+// be powered off or, for its long-running tasks, one that another cell doesn't need for its own, or whose maintenance the
+// platform refuses. Such a box is in use at once, any other one only after a move.
 func (p *Planner) keepBox(cellName string, forLongRunning bool) *box {
 	for _, b := range p.boxesByCell[cellName] {
 		if _, revocable := p.revocableMove(b); !revocable || b.report == nil || b.report.Silent {
 			continue
 		}
 		served := p.servedCell(b)
-		if p.isBeingPoweredOff(b) || forLongRunning && p.canForgo(served) {
+		if p.isBeingPoweredOff(b) || forLongRunning && (served == cellName || p.canForgo(served)) {
 			p.takeBack(b)
 			return b
 		}
@@ -181,8 +182,8 @@
 		if o == nil || o.accepted || b.info.State != damsonwinch.BoxUp {
 			continue
 		}
-		isUnanswered := p.now.Sub(o.updatedAt) >= orderEffectDelay
-		if o.Pool != "" && (o.isRefused(p.now) || isUnanswered) {
+		isUnanswered := o.Pool != "" && p.now.Sub(o.updatedAt) >= orderEffectDelay
+		if o.isRefused(p.now) || isUnanswered {
 			name := p.servedCell(b)
 			delayed[name] = append(delayed[name], b)
 		}
