Boxplan: a powered-off box takes the place of one that is slow to empty

What callers saw, or would: a long-running task waits for the short tasks on a box of another pool, however long they last, beside a box that has been powered off meanwhile.

Cause: a planned move counts for its target from the plan on, and nothing replaced it.

Why it works: after 2 s a move to a cell that needs all its boxes for long-running tasks is given up for a powered-off box if that one is in use sooner. Without such a box nothing changes: all others may be as slow.

--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -173,6 +173,7 @@
 	p.planWaves()
 	p.keepBoxesForLongRunning()
 	p.issueDueOrders()
+	p.replaceSlowMoves()
 	p.fillCells()
 	p.powerOffSurplus()
 	p.powerOffEvacuatedZones()
