Boxplan: no box is chosen that its cell can't withdraw

What callers saw, or would: a long-running task waits for as long as another cell has no owner, beside boxes that other cells could empty.

Cause: boxes that are being powered off are offered to cells that lack one, whether or not their own cell reports. Without a report a box seems to be empty at once, so that it is preferred; it can't be withdrawn, and counts for the target.

Why it works: only boxes with a report of their owner are offered, as with boxes in use.

--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -110,7 +110,8 @@
 		}
 	}
 	for _, b := range p.boxesBeingPoweredOff() {
-		if b.info.Pool != receiver.pool && p.isBeingPoweredOff(b) {
+		// Without a report the box can't be withdrawn, and nothing tells when it is empty.
+		if b.info.Pool != receiver.pool && p.isBeingPoweredOff(b) && b.report != nil {
 			offer(b)
 		}
 	}
