Boxplan: one reply of an owner that doesn't know its cell doesn't replace its report

What callers saw, or would: a long-running task waits anew for a box that has been emptied for its cell, where the platform takes few orders.

Cause: a refused order on a life that may be in use is ended as soon as the life has no report, and one reply without a report (a cell that is handed over) was enough. The next report shows the life as withdrawn without an order, so that it is restored.

--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -147,13 +147,15 @@
 }
 
 // SetReport stores the report of a cell's owner, received at now. A report of a cell that doesn't
-// exist is ignored.
+// exist is ignored, and so is that of an owner which doesn't know its cell yet while there is a fresh one.
 func (p *Planner) SetReport(now time.Time, cellName string, report wire.SyncReply) {
-	if c := p.cells[cellName]; c != nil {
-		c.report, c.reportedAt, c.reportIsNew = report, now, true
-		c.reportFollows = c.directedAt
-		c.updateReportedSince()
+	c := p.cells[cellName]
+	if c == nil || !report.Known && c.hasFreshReport(now) {
+		return
 	}
+	c.report, c.reportedAt, c.reportIsNew = report, now, true
+	c.reportFollows = c.directedAt
+	c.updateReportedSince()
 }
 
 // Plan makes the decisions that are due at now and returns the orders to send to the platform: new
