Cell: the owner reports which boxes its waiting long-running tasks need

What callers saw: a long-running task waits for a box because the one that its run has just left is given to another cell's backlog. The planner couldn't know that the cell needs it: the report had sums of CPU and memory and the spread of one phase, and said what fits together only once a box was missing.

Change: the owner marks endpoints that its tasks need (needed_by_lasting in the rows of its report), by the packing that counts missing boxes. Tasks are packed first onto endpoints that are reserved for such tasks or run some, then onto those that are free soonest. Besides ready tasks, this counts tasks with a label and tasks whose endpoints are silent or to be withdrawn; no further box is asked for because of these. The order of endpoints also holds for the count of missing boxes, so that each task for which none is missing has a place on a marked endpoint.

With a number of boxes in the report, the planner gives away the needed box and keeps other idle ones: the number doesn't say which can take the task.

--- a/pkg/boxneed/boxneed.go
+++ b/pkg/boxneed/boxneed.go
@@ -23,6 +23,8 @@
 	Counts map[*Phase]int
 	// Barred holds the phases whose tasks may not run there.
 	Barred map[*Phase]bool
+	// Needed is set once the box has taken a waiting task.
+	Needed bool
 }
 
 // Missing returns how many boxes are needed beside the given ones. The boxes change: they take the tasks
@@ -48,6 +50,17 @@
 	return missing
 }
 
+// Take has the boxes take the waiting tasks that fit. Unlike Missing it adds no boxes.
+func Take(phases []*Phase, boxes []*Box) {
+	for _, p := range phases {
+		for range p.Waiting {
+			if !takeByAny(boxes, p) {
+				break
+			}
+		}
+	}
+}
+
 // capacityFor returns the first of the capacities that can hold a task of a phase, and whether there is
 // one.
 func capacityFor(p *Phase, capacities []damsonwinch.Resources) (damsonwinch.Resources, bool) {
@@ -75,4 +88,5 @@
 func (b *Box) take(p *Phase) {
 	b.Free = b.Free.Minus(p.Need)
 	b.Counts[p]++
+	b.Needed = true
 }
--- a/pkg/boxneed/boxneed_test.go
+++ b/pkg/boxneed/boxneed_test.go
@@ -13,6 +13,38 @@
 	return damsonwinch.Resources{MilliCPU: 1000 * count}
 }
 
+// TestTasksNeedTheFirstBoxesThatHoldThem guards against boxes that are kept although tasks fit on fewer, and against a
+// box that a task needs not being kept.
+func TestTasksNeedTheFirstBoxesThatHoldThem(t *testing.T) {
+	for name, test := range map[string]struct {
+		phase  boxneed.Phase
+		barred bool
+		want   []bool
+	}{
+		"all fit on one":      {phase: boxneed.Phase{Need: cores(1), Waiting: 3}, want: []bool{true, false, false}},
+		"one is not enough":   {phase: boxneed.Phase{Need: cores(1), Waiting: 5}, want: []bool{true, true, false}},
+		"limit per box":       {phase: boxneed.Phase{Need: cores(1), Waiting: 2, MaxPerBox: 1}, want: []bool{true, true, false}},
+		"may not run there":   {phase: boxneed.Phase{Need: cores(1), Waiting: 1}, barred: true, want: []bool{false, true, false}},
+		"more than all hold":  {phase: boxneed.Phase{Need: cores(4), Waiting: 9}, want: []bool{true, true, true}},
+		"no box holds a task": {phase: boxneed.Phase{Need: cores(5), Waiting: 1}, want: []bool{false, false, false}},
+	} {
+		for kind, place := range map[string]func(phases []*boxneed.Phase, boxes []*boxneed.Box){
+			"Take":    boxneed.Take,
+			"Missing": func(phases []*boxneed.Phase, boxes []*boxneed.Box) { boxneed.Missing(phases, boxes, nil) },
+		} {
+			var boxes []*boxneed.Box
+			for range test.want {
+				boxes = append(boxes, &boxneed.Box{Free: cores(4), Counts: map[*boxneed.Phase]int{}})
+			}
+			boxes[0].Barred = map[*boxneed.Phase]bool{&test.phase: test.barred}
+			place([]*boxneed.Phase{&test.phase}, boxes)
+			for at, b := range boxes {
+				assert.Equal(t, b.Needed, test.want[at], "%s: %s, box %d", kind, name, at)
+			}
+		}
+	}
+}
+
 // TestMissing guards against long-running tasks that wait forever although the boxes have enough capacity
 // in total, and against orders for boxes that would not help.
 func TestMissing(t *testing.T) {
--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -1,102 +1,98 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"damsonwinch"
 	"damsonwinch/pkg/boxneed"
 )
 
-// missingBoxes returns how many boxes the cell needs beside its usable ones because none of those can
-// take some of its long-running tasks that are ready or have to leave an evacuated zone, even once their
-// short tasks have ended. Where endpoints have only obstacles that a further box may have as well, as when a whole
-// pool refuses starts, it asks for one box at a time.
-func (c *Cell) missingBoxes() int {
-	phases, rows := c.waitingForBoxes()
-	if len(phases) == 0 {
-		return 0
+// longRunningBoxes returns how many boxes the cell's long-running tasks need beside its usable ones, and which
+// of its endpoints they need beside those where they run.
+//
+// Boxes are missing for tasks that are ready or have to leave an evacuated zone and that no usable box can take,
+// even once its short tasks have ended. Where endpoints have only obstacles that a further box may have as well, as
+// when a whole pool refuses starts, the cell asks for one box at a time. While no box is missing, each of these tasks
+// that fits on a box has a place on one of the needed endpoints.
+func (c *Cell) longRunningBoxes() (missing int, needed map[*endpoint]bool) {
+	waiting := c.waitingForBoxes()
+	if len(waiting.rows) == 0 {
+		return 0, nil
 	}
-	certain := c.countMissing(phases, func(e *endpoint) *boxneed.Box {
-		if c.longRunningObstacle(e).lasts() {
-			return nil
-		}
-		return c.hostingBox(e, rows)
-	})
-	likely := c.countMissing(phases, func(e *endpoint) *boxneed.Box {
-		if !c.mayHostLongRunning(e) {
-			return nil
-		}
-		return c.withPermits(c.hostingBox(e, rows), e, rows)
-	})
-	return min(likely, certain+1)
-}
-
-// countMissing returns how many boxes are missing beside those that boxOf returns for the cell's endpoints. boxOf
-// returns nil for an endpoint that doesn't count.
-func (c *Cell) countMissing(phases []*boxneed.Phase, boxOf func(e *endpoint) *boxneed.Box) int {
-	var boxes []*boxneed.Box
+	var certain []*boxneed.Box
 	var capacities []damsonwinch.Resources
 	for _, e := range c.sortedEndpoints {
 		capacities = append(capacities, e.info.Capacity)
-		if b := boxOf(e); b != nil {
-			boxes = append(boxes, b)
+		if !c.longRunningObstacle(e).lasts() {
+			certain = append(certain, c.hostingBox(e, waiting))
 		}
 	}
-	return boxneed.Missing(phases, boxes, capacities)
+	hosts, likely := c.likelyHosts(waiting)
+	missing = min(boxneed.Missing(waiting.rows, likely, capacities), boxneed.Missing(waiting.rows, certain, capacities)+1)
+	for _, row := range waiting.rows {
+		row.Waiting = waiting.staying[row]
+	}
+	boxneed.Take(waiting.rows, likely)
+	needed = map[*endpoint]bool{}
+	for at, e := range hosts {
+		needed[e] = likely[at].Needed
+	}
+	return missing, needed
 }
 
-// waitingForBoxes returns the phases with long-running tasks that a box with enough capacity could take, in
-// order and by phase. Tasks that need a label are left out, since another box need not have it.
-func (c *Cell) waitingForBoxes() (phases []*boxneed.Phase, rows map[*phase]*boxneed.Phase) {
-	rows = map[*phase]*boxneed.Phase{}
-	add := func(p *phase, count int) {
-		if p.spec.Label != "" || count == 0 {
-			return
-		}
-		if rows[p] == nil {
-			rows[p] = &boxneed.Phase{Need: p.need(), MaxPerBox: p.spec.MostPerBox}
-			phases = append(phases, rows[p])
+// likelyHosts returns the endpoints that can be expected to start long-running tasks, and their boxes with what
+// they have left for tasks of some phases. Those that are needed in any case come first, so that waiting tasks
+// need as few others as possible, and then those that can start a task soonest.
+func (c *Cell) likelyHosts(waiting *waitingPhases) ([]*endpoint, []*boxneed.Box) {
+	var hosts []*endpoint
+	costs := map[*endpoint]int{}
+	for _, e := range c.sortedEndpoints {
+		if !c.mayHostLongRunning(e) {
+			continue
 		}
-		rows[p].Waiting += count
-	}
-	for _, p := range c.openPhases {
-		if p.spec.Lasting && !c.waitsForAllowance(p) {
-			add(p, len(p.ready))
+		hosts = append(hosts, e)
+		if len(e.reservedTasks) == 0 && e.longRunningNeed() == (damsonwinch.Resources{}) {
+			costs[e] = 1 + c.shortRunsEndMs(e)
 		}
 	}
-	for _, t := range c.longRunningInEvacuatedZones() {
-		// Without a box that can take it, the task would stay in the zone however long it lasts.
-		add(t.phase, 1)
+	slices.SortStableFunc(hosts, func(a, b *endpoint) int { return costs[a] - costs[b] })
+	boxes := make([]*boxneed.Box, 0, len(hosts))
+	for _, e := range hosts {
+		b := c.hostingBox(e, waiting)
+		b.Barred = c.barredPhases(e, waiting)
+		boxes = append(boxes, b)
 	}
-	return phases, rows
+	return hosts, boxes
 }
 
 // maxShortTaskWait is how long a long-running task waits at most for the short tasks on an endpoint. With the time until
 // an endpoint is reserved it is less than the 6 s within which users expect such a task to run again.
 const maxShortTaskWait = 4 * time.Second
 
-// hostingBox returns what the endpoint's box has for long-running tasks, and how many tasks of the given phases are
+// hostingBox returns what the endpoint's box has for long-running tasks, and how many tasks of the waiting phases are
 // there.
-func (c *Cell) hostingBox(e *endpoint, phases map[*phase]*boxneed.Phase) *boxneed.Box {
+func (c *Cell) hostingBox(e *endpoint, waiting *waitingPhases) *boxneed.Box {
 	b := &boxneed.Box{Free: e.info.Capacity.Minus(e.longRunningNeed()), Counts: map[*boxneed.Phase]int{}}
 	if c.shortRunsEndMs(e) > int(maxShortTaskWait.Milliseconds()) {
 		b.Free = e.free()
 	}
 	for _, r := range e.runsByStart {
-		if p := phases[r.task.phase]; p != nil {
-			b.Counts[p]++
+		if row := waiting.byPhase[r.task.phase]; row != nil {
+			b.Counts[row]++
 		}
 	}
 	return b
 }
 
-// withPermits notes in an endpoint's box which phases the advice service doesn't permit there, and returns the box.
-func (c *Cell) withPermits(b *boxneed.Box, e *endpoint, phases map[*phase]*boxneed.Phase) *boxneed.Box {
-	b.Barred = map[*boxneed.Phase]bool{}
-	for p, row := range phases {
-		if c.needsPermit(p) && p.permits.Refused(e.info.Life.ID) {
-			b.Barred[row] = true
+// barredPhases returns the phases whose tasks may not run on an endpoint because it lacks their label, or because
+// the advice service doesn't permit it.
+func (c *Cell) barredPhases(e *endpoint, waiting *waitingPhases) map[*boxneed.Phase]bool {
+	barred := map[*boxneed.Phase]bool{}
+	for p, row := range waiting.byPhase {
+		if !e.hasLabel(p.spec.Label) || c.needsPermit(p) && p.permits.Refused(e.info.Life.ID) {
+			barred[row] = true
 		}
 	}
-	return b
+	return barred
 }
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -16,6 +16,8 @@
 	c.now = now
 	report.SteadyCpu, report.OfferedCpu = c.workload.OfferedCPU(now, c.options.BoxLeadTime)
 	memoryMB, boxMemoryMB := 0, 0
+	missingBoxes, neededEndpoints := c.longRunningBoxes()
+	report.MissingBoxes = missingBoxes
 	for _, e := range c.sortedEndpoints {
 		if c.superseded(e) {
 			// The planner tracks one life per box.
@@ -25,6 +27,7 @@
 		row := wire.EndpointReport{
 			Endpoint: e.info.Life.String(), Box: e.info.Box, Usable: e.usable() && !e.zone.isCutOff(now), Withdrawn: e.withdrawn && e.withdrawal.recorded,
 			Silent: e.silent || e.zone.isCutOff(now), Runs: len(e.runs), UsedCpu: e.used.MilliCPU,
+			NeededByLasting: neededEndpoints[e],
 		}
 		if len(e.runs) == 0 {
 			row.IdleMs = int(now.Sub(e.lastBusy).Milliseconds())
@@ -56,7 +59,6 @@
 		report.MemoryShare = memoryMB * boxneed.MilliPerBox / boxMemoryMB
 	}
 	report.Spread = c.spreadBoxes()
-	report.MissingBoxes = c.missingBoxes()
 	c.reportDedicatedBoxes(&report)
 	c.reportCustomers(&report)
 	report.Arrivals = c.shares.Report(now)
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -439,6 +439,10 @@
 	// Number of attempts of long-running tasks that may be running there.
 	Lasting int `json:"lasting,omitempty,omitzero"`
 
+	// Whether long-running tasks that run on no usable endpoint need this one. Its
+	// box should not be given away even while no long-running task runs there.
+	NeededByLasting bool `json:"needed_by_lasting,omitempty,omitzero"`
+
 	// Number of attempts that may be running there.
 	Runs int `json:"runs,omitempty,omitzero"`
 
