Boxplan: a box that long-running tasks need stays with its cell

What callers saw: a long-running task waits for a box, because the one that its run has just left is withdrawn for another cell's backlog.

Cause: a donor kept as many boxes as its long-running tasks need by sums of CPU and by the spread of one phase. Two jobs whose tasks need a box each for their memory need more.

Change: a box that the owner has marked as needed is neither given to another cell nor powered off, like one on which a long-running task runs. A wave leaves it in use until the wave is late. Boxes without a mark are given away as before, so that a cell whose tasks have ended or fit on fewer boxes keeps none for them.

The owner in the planner's simulation reports marks as well.

--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -140,9 +140,9 @@
 const cutOffZoneCost = 1_000_000
 
 // canEmptySoon reports whether a box is in use and can soon be empty because it has no long-running
-// tasks. A box in an evacuated zone isn't in use.
+// tasks, and none of its cell needs it. A box in an evacuated zone isn't in use.
 func (p *Planner) canEmptySoon(b *box) bool {
-	return p.isAvailable(b) && !p.isEvacuated(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0
+	return p.isAvailable(b) && !p.isEvacuated(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && !b.report.NeededByLasting
 }
 
 // minRetained returns how many boxes a cell keeps when another one needs boxes. If the receiver lacks
--- a/pkg/boxplan/script_test.go
+++ b/pkg/boxplan/script_test.go
@@ -39,9 +39,9 @@
 	running   map[string]int
 	withdrawn map[string]bool
 	ordered   []boxplan.Order
-	// evacuated holds the evacuated zones.
-	evacuated []string
-	now       time.Time
+	// evacuated holds the evacuated zones, and needed the boxes that long-running tasks need.
+	evacuated, needed []string
+	now               time.Time
 }
 
 // TestScripts runs the data files of testdata and compares the output of their plan commands. Commands:
@@ -52,6 +52,7 @@
 //	  spread=N lasting-boxes=N missing=N in boxes, whole=N whole-late=N in thousandths of a box
 //	busy pool=P boxes=N ms=MS: the first N boxes of a pool are empty after MS milliseconds
 //	lasting box=B tasks=N: a box has N long-running tasks
+//	needed boxes=(B, ...): long-running tasks that don't run need these boxes and no others
 //	wave number=N down=N s=S pools=(P, ...): a wave for all boxes of some pools, of which at most N may
 //	  be down at the same time, to be completed within S seconds
 //	evacuate zones=(Z, ...): the operator evacuates these zones and no others
@@ -81,6 +82,11 @@
 		var box string
 		d.ScanArgs(t, "box", &box)
 		s.longRunning[box] = number(t, d, "tasks")
+	case "needed":
+		s.needed = nil
+		for _, arg := range d.CmdArgs {
+			s.needed = append(s.needed, arg.Vals...)
+		}
 	case "wave":
 		s.wave(d)
 	case "evacuate":
@@ -164,7 +170,7 @@
 	shardNumber := number(s.t, d, "shard")
 	for _, b := range s.boxes {
 		if b.Pool == pool && s.layout.BoxShard(b.Name) == shardNumber {
-			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: !slices.Contains(s.evacuated, b.Zone) && !s.withdrawn[b.Name], EmptyMs: s.emptyMs[b.Name], Lasting: s.longRunning[b.Name], Runs: s.running[b.Name], Withdrawn: s.withdrawn[b.Name]})
+			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: !slices.Contains(s.evacuated, b.Zone) && !s.withdrawn[b.Name], EmptyMs: s.emptyMs[b.Name], Lasting: s.longRunning[b.Name], Runs: s.running[b.Name], Withdrawn: s.withdrawn[b.Name], NeededByLasting: slices.Contains(s.needed, b.Name)})
 		}
 	}
 	s.planner.SetReport(s.now, shard.CellName(pool, shardNumber), reply)
--- a/pkg/boxplan/sim_cell_test.go
+++ b/pkg/boxplan/sim_cell_test.go
@@ -196,6 +196,10 @@
 	}
 	for _, e := range c.endpoints {
 		row := wire.EndpointReport{Endpoint: e.life.String(), Box: e.box, Usable: e.usable(now), Withdrawn: e.withdrawn && e.recorded, Silent: e.silent(now)}
+		if waiting > 0 && e.mayHost(now) {
+			waiting--
+			row.NeededByLasting = true
+		}
 		if e.lasting {
 			row.Lasting, row.Runs, row.UsedCpu = 1, 1, scriptMilliCPU/4
 		} else if left := e.busyUntil.Sub(now); left > 0 {
--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -227,19 +227,20 @@
 		}
 	}
 	for _, b := range candidates {
-		if count > 0 && b.planned == nil && !p.mustKeepLongRunning(w, b) {
+		if count > 0 && b.planned == nil && !p.mustKeepForLongRunning(w, b) {
 			p.startWaveWithdrawal(w, b, len(due))
 			count--
 		}
 	}
 }
 
-// mustKeepLongRunning reports whether a box with long-running tasks should stay in use because others of
-// its cell wait for a box: a withdrawn box takes none of them, and can't be emptied while its own tasks
-// have nowhere to go. A wave that is late takes such boxes all the same.
-func (p *Planner) mustKeepLongRunning(w *wave, b *box) bool {
+// mustKeepForLongRunning reports whether a box should stay in use because long-running tasks of its cell need it, or
+// because it has some while others of its cell wait for a box: a withdrawn box takes none of them, and can't be
+// emptied while its own tasks have nowhere to go. A wave that is late takes such boxes all the same.
+func (p *Planner) mustKeepForLongRunning(w *wave, b *box) bool {
 	c := p.cells[b.cellName()]
-	return b.report.Lasting > 0 && c != nil && c.report.MissingBoxes > 0 && !w.isLate(p.now)
+	othersWait := b.report.Lasting > 0 && c != nil && c.report.MissingBoxes > 0
+	return (othersWait || b.report.NeededByLasting) && !w.isLate(p.now)
 }
 
 // isLate reports whether urgentPercent of the wave's duration has passed.
