--- a/pkg/cell/sim_fleet_test.go
+++ b/pkg/cell/sim_fleet_test.go
@@ -22,6 +22,8 @@
 	fleetCallTimeout  = 800 * time.Millisecond
 	fleetPlanInterval = 100 * time.Millisecond
 	fleetListInterval = 400 * time.Millisecond
+	// fleetRecordTime is how long the store takes to append the record of an order.
+	fleetRecordTime = 10 * time.Millisecond
 	// Demand rises and falls by turns: for turnTime of each turnPeriod it is turnFactor times the mean, and in
 	// between the mean divided by turnDivisor.
 	turnPeriod  = 20 * time.Second
@@ -52,7 +54,12 @@
 type simFleet struct {
 	world   *world
 	planner *boxplan.Planner
-	boxes   []*simBox
+	options boxplan.Options
+	// succeeded says that the planner has taken over from an earlier one, and records are the orders that planners
+	// have recorded, by box.
+	succeeded bool
+	records   map[string]wire.OrderRecord
+	boxes     []*simBox
 	// pace is how many orders the platform takes in a second, 0 for any number, and taken when it took the last ones.
 	pace  int
 	taken []time.Time
@@ -63,6 +70,8 @@
 	moves  int
 	// stalledUntil is until when the platform takes no orders.
 	stalledUntil time.Time
+	// end is the end of a day; nil in simulations without one.
+	end *dayEnd
 }
 
 // simBox is a box of the fleet.
@@ -100,7 +109,7 @@
 
 // setUpFleet adds the planner and the boxes of the other pools.
 func (w *world) setUpFleet(rate orderRate) {
-	f := &simFleet{world: w, offset: w.randomDuration(0, turnPeriod)}
+	f := &simFleet{world: w, offset: w.randomDuration(0, turnPeriod), records: map[string]wire.OrderRecord{}}
 	options := boxplan.Options{MoveTime: fleetMoveTime, MaintainTime: 2 * time.Second, ScaleDownDelay: time.Second, TakeoverDelay: 3 * time.Second}
 	switch {
 	case rate == rateUnknown:
@@ -109,8 +118,8 @@
 		f.pace = 1 + w.random.IntN(3)
 		options.OrdersPerSecond, options.PowerOffsPerSecond = f.pace, f.pace
 	}
-	f.planner = boxplan.New(options)
-	f.planner.SetPools([]damsonwinch.Pool{{Name: "off", PoweredOff: true}, {Name: "pool"}, {Name: "other"}}, shard.New(1, []string{"other", "pool"}))
+	f.options = options
+	f.planner = f.newPlanner()
 	add := func(pool string, count int) {
 		for range count {
 			f.boxes = append(f.boxes, &simBox{name: fmt.Sprintf("box-%d", len(f.boxes)), pool: pool, lives: 1})
@@ -124,6 +133,13 @@
 	w.after(0, f.plan)
 }
 
+// newPlanner returns a planner without a list of boxes.
+func (f *simFleet) newPlanner() *boxplan.Planner {
+	planner := boxplan.New(f.options)
+	planner.SetPools([]damsonwinch.Pool{{Name: "off", PoweredOff: true}, {Name: "pool"}, {Name: "other"}}, shard.New(1, []string{"other", "pool"}))
+	return planner
+}
+
 // endpointOn returns the life on a box of the simulated cell, or nil.
 func (f *simFleet) endpointOn(box string) *simEndpoint {
 	for _, e := range slices.Backward(f.world.endpoints) {
@@ -167,12 +183,14 @@
 	w := f.world
 	w.after(fleetPlanInterval, f.plan)
 	f.readList()
-	if !f.listed {
+	if !f.listed && !f.succeeded {
 		return
 	}
 	f.reportOther()
-	for _, order := range f.planner.Plan(w.now) {
-		w.after(w.randomDuration(20*time.Millisecond, 60*time.Millisecond), func() { f.carryOut(order) })
+	if f.listed {
+		for _, order := range f.planner.Plan(w.now) {
+			f.sendOrder(order)
+		}
 	}
 	f.syncOther()
 	if !f.syncing {
@@ -180,6 +198,24 @@
 	}
 }
 
+// sendOrder records an order and then sends it to the platform. The record of a planner from which another one has
+// taken over is refused.
+func (f *simFleet) sendOrder(order boxplan.Order) {
+	w, planner := f.world, f.planner
+	delay := w.randomDuration(20*time.Millisecond, 60*time.Millisecond)
+	decidedAt := w.now
+	w.after(fleetRecordTime, func() {
+		if planner != f.planner {
+			return
+		}
+		f.records[order.Box] = wire.OrderRecord{
+			Box: order.Box, Pool: order.Pool, Wave: order.Wave, AtMs: int(decidedAt.UnixMilli()), Endpoint: order.Life.String(), Cause: order.Cause,
+			Placement: &wire.PlacementRecord{Shard: order.Shard, Before: order.PreviousShard},
+		}
+		w.after(delay-fleetRecordTime, func() { f.receiveOrder(planner, order) })
+	})
+}
+
 // readList reads the list of boxes, fleetListInterval after the one before.
 func (f *simFleet) readList() {
 	w := f.world
@@ -187,27 +223,36 @@
 		return
 	}
 	f.listing = true
-	requestedAt := w.now
+	requestedAt, planner := w.now, f.planner
 	w.after(w.randomDuration(5*time.Millisecond, 50*time.Millisecond), func() {
+		if f.end.controlAway() {
+			return
+		}
 		boxes := f.list()
-		w.after(w.randomDuration(5*time.Millisecond, 50*time.Millisecond), func() { f.planner.SetBoxes(requestedAt, boxes); f.listed = true })
+		w.after(w.randomDuration(5*time.Millisecond, 50*time.Millisecond), func() {
+			if planner == f.planner {
+				planner.SetBoxes(requestedAt, boxes)
+				f.listed = true
+			}
+		})
 	})
 	w.after(fleetListInterval, func() { f.listing = false })
 }
 
 // sync calls the newest owner of the simulated cell with the planner's directives. Its reply is a report.
 func (f *simFleet) sync() {
-	w, o := f.world, f.world.owners[len(f.world.owners)-1]
-	directives := f.planner.Directives("pool")
+	w, o, planner := f.world, f.world.owners[len(f.world.owners)-1], f.planner
+	directives := planner.Directives("pool")
 	args := wire.SyncArgs{
 		Withdraw: directives.Withdraw, Hurry: directives.WithdrawUrgently, Restore: directives.Restore, Gone: directives.Exited, Due: directives.DueForMaintenance,
 	}
 	f.syncing = true
 	ended := false
 	end := func() {
-		if !ended {
-			ended, f.syncing = true, false
+		if !ended && planner == f.planner {
+			f.syncing = false
 		}
+		ended = true
 	}
 	w.after(fleetCallTimeout, end)
 	if !o.ready || w.chance(0.02) {
@@ -222,7 +267,7 @@
 			}
 			w.after(w.randomDuration(time.Millisecond, 20*time.Millisecond), func() {
 				if !ended {
-					f.planner.SetReport(w.now, "pool", report)
+					planner.SetReport(w.now, "pool", report)
 				}
 				end()
 			})
@@ -257,18 +302,31 @@
 	}
 }
 
-// carryOut has the platform carry out an order to move a box, or refuse it.
-func (f *simFleet) carryOut(order boxplan.Order) {
+// receiveOrder has the platform receive an order of a planner.
+func (f *simFleet) receiveOrder(planner *boxplan.Planner, order boxplan.Order) {
+	if f.end.controlAway() {
+		f.end.receiveOrder(planner, order)
+		return
+	}
+	f.carryOut(order, func(err error) { planner.HandleOrderResult(f.world.now, order, err) })
+}
+
+// carryOut has the platform carry out an order to move a box, or refuse it. It calls answer with the outcome.
+func (f *simFleet) carryOut(order boxplan.Order, answer func(err error)) {
 	w := f.world
 	b := f.boxes[slices.IndexFunc(f.boxes, func(b *simBox) bool { return b.name == order.Box })]
 	e := f.endpointOn(b.name)
 	f.taken = slices.DeleteFunc(f.taken, func(at time.Time) bool { return w.now.Sub(at) >= time.Second })
 	switch {
+	case !b.moving && b.pool == order.Pool:
+		// It has been done before.
+		answer(nil)
+		return
 	case b.moving, b.pool == "pool" && e == nil:
-		f.planner.HandleOrderResult(w.now, order, damsonwinch.ErrBoxNotUp)
+		answer(damsonwinch.ErrBoxNotUp)
 		return
 	case w.now.Before(f.stalledUntil), f.pace > 0 && len(f.taken) >= f.pace:
-		f.planner.HandleOrderResult(w.now, order, damsonwinch.ErrRefused)
+		answer(damsonwinch.ErrRefused)
 		return
 	}
 	f.taken = append(f.taken, w.now)
@@ -288,7 +346,7 @@
 			w.addEndpoint(b.name)
 		}
 	})
-	w.after(w.randomDuration(time.Millisecond, 20*time.Millisecond), func() { f.planner.HandleOrderResult(w.now, order, nil) })
+	w.after(w.randomDuration(time.Millisecond, 20*time.Millisecond), func() { answer(nil) })
 }
 
 // addSpreadJob adds a client with a long-running job whose tasks run on different boxes, and fail again and again.
