--- a/pkg/cell/sim_fleet_end_test.go
+++ b/pkg/cell/sim_fleet_end_test.go
@@ -30,9 +30,10 @@
 type dayEnd struct {
 	fleet         *simFleet
 	trafficEndsAt time.Time
-	// controlEndsAt is since when control is away. refuses says that orders are refused.
-	controlEndsAt time.Time
-	refuses       bool
+	// controlEndsAt is since when control is away, and controlReturnsAt until when; zero if it stays away. refuses says
+	// that orders are refused.
+	controlEndsAt, controlReturnsAt time.Time
+	refuses                         bool
 	// idleSince holds, by job, since when it could have run and nothing of it has; longest is the longest such time.
 	idleSince map[string]time.Time
 	longest   time.Duration
@@ -54,16 +55,38 @@
 	w.mixed.addLongRunningJobs()
 	f.end.addLastJobs()
 	if takeover {
-		w.at(f.end.controlEndsAt.Add(w.randomDuration(0, 4*time.Second)), f.takeOver)
+		f.end.scheduleTakeover()
+	}
+	if w.random.Float64() < 0.5 {
+		f.end.controlReturnsAt = f.end.controlEndsAt.Add(w.randomDuration(5*time.Second, 25*time.Second))
 	}
 	w.at(f.end.trafficEndsAt.Add(restDelay-maxIdleStandstill), f.end.check)
 	w.run(f.end.trafficEndsAt.Add(dayEndTime))
 	return w
 }
 
+// scheduleTakeover has another planner take over while control is away, in half of the simulations at the moment at
+// which that begins: the endpoints that are withdrawn then have no orders yet.
+func (d *dayEnd) scheduleTakeover() {
+	w := d.fleet.world
+	at := d.controlEndsAt.Add(w.randomDuration(0, 4*time.Second))
+	if w.random.Float64() < 0.5 {
+		d.controlEndsAt = at
+	}
+	w.at(at, d.fleet.takeOver)
+}
+
+// isOver reports whether the traffic has ended and the other pool's work of the day is done.
+func (d *dayEnd) isOver() bool {
+	return d != nil && !d.fleet.world.now.Before(d.trafficEndsAt.Add(turnTime))
+}
+
 // controlAway reports whether control of boxes is away.
 func (d *dayEnd) controlAway() bool {
-	return d != nil && !d.fleet.world.now.Before(d.controlEndsAt)
+	if d == nil || d.fleet.world.now.Before(d.controlEndsAt) {
+		return false
+	}
+	return d.controlReturnsAt.IsZero() || d.fleet.world.now.Before(d.controlReturnsAt)
 }
 
 // receiveOrder has the platform refuse an order, or leave it unanswered. Some of these are carried out late.
--- a/pkg/cell/sim_fleet_test.go
+++ b/pkg/cell/sim_fleet_test.go
@@ -278,7 +278,7 @@
 // reportOther gives the planner a report of the pool "other".
 func (f *simFleet) reportOther() {
 	reply := wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, WaitingCpu: otherMeanMilliCPU / turnDivisor}
-	if f.inTurn(0) {
+	if f.inTurn(0) && !f.end.isOver() {
 		reply.WaitingCpu = otherMeanMilliCPU * turnFactor
 	}
 	for _, b := range f.boxes {
