Planner without a list of boxes restores withdrawn endpoints

A planner that takes over then has no list of boxes. It calls the owners with empty directives, and what an earlier planner has had withdrawn stays so until the first list, which can be tens of seconds away.

Without a list the planner now restores each endpoint that an owner reports as withdrawn, unless an earlier planner has recorded an order on that life. Orders are recorded before they are sent, and a takeover reads the records after it has shut out the earlier planner, so that no order on any other life can be carried out. A planner with a list restores the same endpoints. It issues no order on such an endpoint before a report that follows the new withdrawal, since an older one may show the withdrawal that has been given up.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -284,7 +284,7 @@
 		return false
 	}
 	c := p.cells[b.cellName()]
-	return b.restoredAt.IsZero() || c != nil && !c.reportFollows.Before(b.planned.since)
+	return b.restoredAt.IsZero() && !p.restoredUnlisted[b.life.ID] || c != nil && !c.reportFollows.Before(b.planned.since)
 }
 
 // issueDueOrder issues or repeats the order on a box unless the platform takes no more orders now.
@@ -367,7 +367,9 @@
 	}
 	b.placement = PlacementFromRecord(record)
 	p.updateShard(b)
-	order := Order{Box: record.Box, Pool: record.Pool, Wave: record.Wave, Life: damsonwinch.ParseLife(record.Endpoint), Cause: record.Cause, Shard: b.shard, PreviousShard: b.shard}
+	life := damsonwinch.ParseLife(record.Endpoint)
+	p.recordedLives[life.ID] = append(p.recordedLives[life.ID], life)
+	order := Order{Box: record.Box, Pool: record.Pool, Wave: record.Wave, Life: life, Cause: record.Cause, Shard: b.shard, PreviousShard: b.shard}
 	if b.placement != nil {
 		order.Shard, order.PreviousShard = b.placement.Shard, b.placement.PreviousShard
 	}
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -97,6 +97,10 @@
 	waves map[int]*wave
 	// boxesRequestedAt is when the newest list of boxes was requested.
 	boxesRequestedAt time.Time
+	// recordedLives holds the lives of the orders that an earlier planner has recorded, by their IDs.
+	recordedLives map[string][]damsonwinch.Life
+	// restoredUnlisted holds the IDs of the endpoints that owners were asked to use again before the first list.
+	restoredUnlisted map[string]bool
 	// orders are the orders issued by the call of Plan in progress, and spareBoxes the boxes that it can
 	// give to any cell; nil before it has looked for them.
 	orders     []Order
@@ -110,7 +114,10 @@
 
 // New returns a Planner without pools, boxes and waves.
 func New(options Options) *Planner {
-	return &Planner{options: options, cells: map[string]*cell{}, boxes: map[string]*box{}, waves: map[int]*wave{}, shortages: map[string]string{}, orderPace: orderPace{perSecond: options.OrdersPerSecond}}
+	return &Planner{
+		options: options, cells: map[string]*cell{}, boxes: map[string]*box{}, waves: map[int]*wave{}, shortages: map[string]string{},
+		orderPace: orderPace{perSecond: options.OrdersPerSecond}, recordedLives: map[string][]damsonwinch.Life{}, restoredUnlisted: map[string]bool{},
+	}
 }
 
 // SetPools sets the pools of the configuration in force and the layout of their cells. Cells
@@ -203,6 +210,9 @@
 	}
 	if c := p.cells[cellName]; c != nil {
 		directives.Exited = p.exitedEndpoints(c)
+		if !p.hasList() {
+			directives.Restore = p.restoreUnlisted(c)
+		}
 		c.directedAt = p.now
 	}
 	return directives
--- a/pkg/boxplan/unlisted_boxes_test.go
+++ b/pkg/boxplan/unlisted_boxes_test.go
@@ -52,3 +52,38 @@
 	}
 	assert.Assert(t, len(f.planner.Directives(short).Restore) >= withdrawn-1, "the other cell needs one box at most")
 }
+
+// TestPlannerWithoutAListLeavesOrderedEndpointsAlone guards against an order of an earlier planner that is carried out
+// on an endpoint which a planner without a list has restored.
+func TestPlannerWithoutAListLeavesOrderedEndpointsAlone(t *testing.T) {
+	for text, restored := range map[string]int{"at-box@1": 0, "at-box": 0, "at-box@2": 1, "at-other@1": 1} {
+		t.Run(text, func(t *testing.T) {
+			f := newShardedFleet()
+			name := shard.CellName("held", 0)
+			f.planner.LoadOrder(wire.OrderRecord{Box: "box", Pool: "short", AtMs: int(f.now.UnixMilli()), Endpoint: text})
+			f.planner.SetReport(f.now, name, wire.SyncReply{Known: true, Endpoints: []wire.EndpointReport{{Endpoint: "at-box@1", Box: "box", Withdrawn: true}}})
+			assert.Equal(t, len(f.planner.Directives(name).Restore), restored)
+		})
+	}
+}
+
+// TestNoOrderOnAnEndpointRestoredWithoutAList guards against an order on a life that is in use again: a planner without a
+// list has had it restored, and the report that it has is older than that.
+func TestNoOrderOnAnEndpointRestoredWithoutAList(t *testing.T) {
+	f := newShardedFleet()
+	f.add("held", 1, 0)
+	name := shard.CellName("held", 0)
+	reply := wire.SyncReply{Known: true, Endpoints: f.reports("held", 0)}
+	reply.Endpoints[0].Usable, reply.Endpoints[0].Withdrawn = false, true
+	f.planner.SetReport(f.now, name, reply)
+	assert.Equal(t, len(f.planner.Directives(name).Restore), 1)
+	f.planner.SetBoxes(f.now, f.boxes)
+	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 10 * time.Second, Boxes: []string{f.boxes[0].Name}})
+	for range 3 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		assert.Equal(t, len(f.planner.Plan(f.now)), 0, "the report doesn't follow the withdrawal")
+	}
+	assert.Equal(t, len(f.planner.Directives(name).Withdraw), 1)
+	f.planner.SetReport(f.now, name, reply)
+	assert.Equal(t, len(f.planner.Plan(f.now.Add(100*time.Millisecond))), 1)
+}
