Planner: a wave is recorded anew once an order of it has been taken back

What callers saw, or would: a box of a wave is never maintained, and the wave is reported as completed.

Cause: the record of a wave is written with each order on one of its boxes, and says that the box was ordered. If the order is taken back, later orders of the wave correct the record; if there is none and the planner changes, the box counts as maintained for good.

Evidence: argued by a review. TestMaintenanceThatIsTakenBackIsDueAfterATakeover fails if the change isn't recorded, and passes now; the package's tests on waves and maintenance pass.

Why it works: the record is queued behind the orders of the same plan, so that the newest one holds what is true.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -343,8 +343,9 @@
 // revertOrder forgets an order that had no effect. A box that is due for maintenance is due again.
 func (p *Planner) revertOrder(b *box, order Order) {
 	b.issued = nil
-	if w := p.waves[order.Wave]; w != nil {
+	if w := p.waves[order.Wave]; w != nil && w.ordered[order.Box] {
 		delete(w.ordered, order.Box)
+		w.revised = true
 	}
 }
 
--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -32,6 +32,8 @@
 	members map[string]bool
 	// ordered holds the names of the boxes whose maintenance has been ordered.
 	ordered map[string]bool
+	// revised says that an order has been taken back since the wave was last recorded.
+	revised bool
 	// reported says that the operator has been told the present state of the wave: that it has
 	// started or, if completed is set, that it is completed.
 	reported bool
@@ -88,6 +90,19 @@
 	}
 }
 
+// RevisedWaves returns the progress of the waves of which an order has been taken back since the last call. The
+// record that went with the order says that the box was ordered.
+func (p *Planner) RevisedWaves() []wire.WaveRecord {
+	var records []wire.WaveRecord
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
+		if w := p.waves[number]; w.revised {
+			w.revised = false
+			records = append(records, p.WaveRecord(number))
+		}
+	}
+	return records
+}
+
 // PendingWaveReports returns the progress of the waves that have started or been completed without
 // that having been reported to the operator. See WaveReported.
 func (p *Planner) PendingWaveReports() []wire.WaveRecord {
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -317,6 +317,9 @@
 		for _, order := range p.boxPlan.Plan(now) {
 			p.queueOrder(order, now)
 		}
+		for _, wave := range p.boxPlan.RevisedWaves() {
+			p.queueWave(wave)
+		}
 		p.flush()
 		p.reportWaves()
 		p.logPools(now)
--- a/pkg/planner/records.go
+++ b/pkg/planner/records.go
@@ -55,11 +55,16 @@
 		Placement: &wire.PlacementRecord{Shard: order.Shard, Before: order.PreviousShard},
 	})
 	if order.Wave > 0 {
-		p.queueRecord(wavePrefix+strconv.Itoa(order.Wave), p.boxPlan.WaveRecord(order.Wave))
+		p.queueWave(p.boxPlan.WaveRecord(order.Wave))
 	}
 	p.pendingOrders = append(p.pendingOrders, order)
 }
 
+// queueWave queues the record of a wave's progress for the next append.
+func (p *Planner) queueWave(wave wire.WaveRecord) {
+	p.queueRecord(wavePrefix+strconv.Itoa(wave.Wave), wave)
+}
+
 // queueRecord queues a record, whose value is encoded as JSON, for the next append.
 func (p *Planner) queueRecord(key string, value any) {
 	encoded, err := json.Marshal(value)
