Late jobs keep a box that its next cell can spare

Callers see late jobs of which nothing runs beside an idle endpoint of their pool. Its box is to move to another cell, the platform refuses the order, and the other cell has no work for the box any more. For short tasks the planner kept only boxes that were to be powered off, and ordered other boxes for the cell in place of its own.

A cell that lacks boxes now also keeps a box whose order has been refused, if the cell to which it is to move has more boxes than it needs without it. A refused order has had no effect, so that the endpoint can be used again at once.

--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -87,14 +87,14 @@
 }
 
 // keepBox keeps one box of a cell that was to be moved away, and reports whether there was one: a box that was to be
-// powered off or, for its long-running tasks, one that another cell doesn't need for its own. Such a box is in use at
-// once, any other one only after a move.
+// powered off, one whose order has been refused and that another cell can spare or, for its long-running tasks, one that
+// another cell doesn't need for its own. Such a box is in use at once, any other one only after a move.
 func (p *Planner) keepBox(cellName string, forLongRunning bool) bool {
 	for _, b := range p.boxesByCell[cellName] {
 		if _, revocable := p.revocableMove(b); !revocable || b.report == nil || b.report.Silent {
 			continue
 		}
-		if p.isBeingPoweredOff(b) || forLongRunning && p.canForgo(p.servedCell(b)) {
+		if p.isBeingPoweredOff(b) || forLongRunning && p.canForgo(p.servedCell(b)) || b.issued != nil && p.canSpare(p.servedCell(b)) {
 			p.takeBack(b)
 			return true
 		}
@@ -142,3 +142,9 @@
 	c := p.cells[cellName]
 	return c == nil || p.longRunningShortage(c) < 0
 }
+
+// canSpare reports whether a cell has enough boxes for its work without one of those on their way to it.
+func (p *Planner) canSpare(cellName string) bool {
+	c := p.cells[cellName]
+	return c == nil || p.boxCount(cellName) > c.required
+}
