Give boxes back while control of boxes is away

The planner has withdrawn endpoints for another pool, control of boxes is silent or refuses everything, and the planner goes on: it repeats the orders, keeps the endpoints withdrawn and withdraws more, up to most of the pool.

Control now counts as away once for a second there has been no list and no accepted order while an order has failed. Then moves that are planned or refused are taken back, and no box is withdrawn for a new one. An unanswered move can still be carried out late. It isn't repeated, and is taken back after maxOrderDelay without a call, when nothing can carry it out any more. A newer list or an accepted order ends this, and what is still needed is decided anew.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -85,6 +85,8 @@
 	// inFlight says that a call to the platform is in progress; sentAt is when the newest began.
 	inFlight bool
 	sentAt   time.Time
+	// unansweredAt is when the newest call without an answer ended.
+	unansweredAt time.Time
 	// lifeExited says that a list has shown the box not up, so that the life which the order ends
 	// is over. A later life may have the same ID.
 	lifeExited bool
@@ -317,6 +319,7 @@
 	switch {
 	case err == nil:
 		o.accepted, o.updatedAt = true, now
+		p.orderAcceptedAt, p.orderFailedAt = now, time.Time{}
 		p.markOrdered(order)
 	case o.outcomeUnknown && errors.Is(err, damsonwinch.ErrBoxNotUp):
 		// The box may be down because of this order. The next list that shows it up tells more.
@@ -330,10 +333,12 @@
 		p.revertOrder(b, order)
 	case errors.Is(err, damsonwinch.ErrRefused), errors.Is(err, damsonwinch.ErrStaleToken):
 		// The platform has done nothing; issueDueOrders repeats the order.
+		p.orderFailedAt = now
 	default:
 		// The platform may have carried out the order, or may do so later. Orders are
 		// idempotent, so issueDueOrders repeats it until the platform answers.
-		o.outcomeUnknown = true
+		o.outcomeUnknown, o.unansweredAt = true, now
+		p.orderFailedAt = now
 	}
 }
 
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -97,6 +97,9 @@
 	waves map[int]*wave
 	// boxesRequestedAt is when the newest list of boxes was requested.
 	boxesRequestedAt time.Time
+	// orderAcceptedAt is when the platform last accepted an order. orderFailedAt is when an order was last refused or left
+	// unanswered, zero if one has been accepted since.
+	orderAcceptedAt, orderFailedAt time.Time
 	// recordedLives holds the lives of the orders that an earlier planner has recorded, by their IDs.
 	recordedLives map[string][]damsonwinch.Life
 	// restoredUnlisted holds the IDs of the endpoints that owners were asked to use again before the first list.
@@ -177,6 +180,7 @@
 	p.updatePlansForEvacuations()
 	p.countBoxes()
 	p.updateDemands()
+	p.takeBackMovesInOutage()
 	p.planWaves()
 	p.keepBoxesForLongRunning()
 	p.issueDueOrders()
--- a/pkg/boxplan/evacuated_zones.go
+++ b/pkg/boxplan/evacuated_zones.go
@@ -52,7 +52,7 @@
 // like others, of which each cell gets as many as it needs.
 func (p *Planner) powerOffEvacuatedZones() {
 	poweredOff, exists := p.poweredOffPool()
-	if !exists || p.options.EvacuationPowerOffDelay == 0 || len(p.evacuatedZones) == 0 {
+	if !exists || p.controlIsAway() || p.options.EvacuationPowerOffDelay == 0 || len(p.evacuatedZones) == 0 {
 		return
 	}
 	for _, b := range p.boxesByName {
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -97,11 +97,14 @@
 
 // bestSpareBox returns the best box for a cell among those of other pools: boxes that cells of the
 // same shard can spare (for exceptions see mayDonate), and boxes of any shard that are being
-// withdrawn to be powered off. It returns nil if there is none. Cells of other shards don't donate
+// withdrawn to be powered off. It returns nil if there is none or control of boxes is away. Cells of other shards don't donate
 // because the number of boxes that a donor keeps is computed for it and one receiver alone. When
 // cells of all shards took boxes from one donor, each left it only its fair share beside that cell.
 func (p *Planner) bestSpareBox(cellName string) *box {
 	var choice cheapest
+	if p.controlIsAway() {
+		return nil
+	}
 	receiver := p.cells[cellName]
 	offer := func(b *box) {
 		p.boxesExamined++
@@ -202,7 +205,7 @@
 // may need it meanwhile.
 func (p *Planner) powerOffSurplus() {
 	poweredOff, exists := p.poweredOffPool()
-	if !exists {
+	if !exists || p.controlIsAway() {
 		return
 	}
 	pending := p.pendingPowerOffs()
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -11,7 +11,7 @@
 func (p *Planner) mayRepeat(b *box) bool {
 	o := b.issued
 	return !o.accepted && !o.inFlight && p.now.Sub(o.sentAt) >= orderRetryDelay && (b.info.State == damsonwinch.BoxUp || o.inherited) &&
-		p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay && !p.mayBeInUse(b)
+		p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay && !p.mayBeInUse(b) && !p.isHeldInOutage(b)
 }
 
 // mayBeInUse reports whether a life may run on a box that its cell's owner hasn't reported as withdrawn.
