--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -12,7 +12,7 @@
 func (p *Planner) mayRepeat(b *box) bool {
 	o := b.issued
 	return !o.accepted && !o.inFlight && p.now.Sub(o.sentAt) >= orderRetryDelay && (b.info.State == damsonwinch.BoxUp || o.inherited) &&
-		p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay && !p.mayBeInUse(b)
+		p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay && !p.mayBeInUse(b) && !p.isHeldInOutage(b)
 }
 
 // mayBeInUse reports whether a life may run on a box that its cell's owner hasn't reported as withdrawn.
@@ -108,16 +108,14 @@
 	return revocable && p.isPoweredOff(pool)
 }
 
-// keepBox keeps one box of a cell that was to be moved away, and returns it, or nil if there was none: a box that was to
-// be powered off or, for its long-running tasks, one that another cell doesn't need for its own, or whose maintenance the
-// platform refuses. Such a box is in use at once, any other one only after a move.
+// keepBox keeps one box of a cell that was to be moved away, and returns it, or nil if there was none. Such a box is in use
+// at once, any other one only after a move.
 func (p *Planner) keepBox(cellName string, forLongRunning bool) *box {
 	for _, b := range p.boxesByCell[cellName] {
 		if _, revocable := p.revocableMove(b); !revocable || b.report == nil || b.report.Silent {
 			continue
 		}
-		served := p.servedCell(b)
-		if p.isBeingPoweredOff(b) || forLongRunning && (served == cellName || p.canForgo(served)) {
+		if p.mayKeep(b, cellName, forLongRunning) {
 			p.takeBack(b)
 			return b
 		}
@@ -125,6 +123,22 @@
 	return nil
 }
 
+// mayKeep reports whether a cell may keep one of its boxes in place of what is decided for it: a box that is to be powered
+// off, one whose order has been refused and that another cell can spare or, for the cell's long-running tasks, one that
+// another cell doesn't need for its own or whose maintenance has been refused.
+func (p *Planner) mayKeep(b *box, cellName string, forLongRunning bool) bool {
+	served := p.servedCell(b)
+	switch {
+	case p.isBeingPoweredOff(b):
+		return true
+	case served == cellName:
+		return forLongRunning
+	case forLongRunning && p.canForgo(served):
+		return true
+	}
+	return b.issued != nil && p.canSpare(served)
+}
+
 // takeBack gives up the decision to move or maintain a box.
 func (p *Planner) takeBack(b *box) {
 	p.updateBox(b, func() {
@@ -196,3 +210,9 @@
 	c := p.cells[cellName]
 	return c == nil || p.longRunningShortage(c) < 0
 }
+
+// canSpare reports whether a cell has enough boxes for its work without one of those on their way to it.
+func (p *Planner) canSpare(cellName string) bool {
+	c := p.cells[cellName]
+	return c == nil || p.boxCount(cellName) > c.required
+}
