Boxplan: the line on pools says that control of boxes is away

Operators saw only that lists were not read and orders not carried out, not that the planner has drawn a consequence: it gives boxes back. The test checks the line.

--- a/pkg/boxplan/control_outage_test.go
+++ b/pkg/boxplan/control_outage_test.go
@@ -1,6 +1,7 @@
 package boxplan_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -78,6 +79,7 @@
 		f.plan(100 * time.Millisecond)
 		assert.Equal(t, len(f.planner.Directives(f.short).WithdrawUrgently), 0)
 	}
+	assert.Assert(t, strings.Contains(f.planner.Summary()[0], "control of boxes has not answered"), "operators are told")
 	f.planner.SetBoxes(f.now.Add(time.Millisecond), f.boxes)
 	f.plan(100 * time.Millisecond)
 	assert.Assert(t, len(f.planner.Directives(f.short).WithdrawUrgently) > 0, "control is back")
--- a/pkg/boxplan/summary.go
+++ b/pkg/boxplan/summary.go
@@ -8,11 +8,14 @@
 	"damsonwinch"
 )
 
-// Summary returns lines of text on the boxes and demand of each cell and on the progress of each
-// wave, for the log and for operators.
+// Summary returns lines of text on the control of boxes if it is away, on the boxes and demand of each cell
+// and on the progress of each wave, for the log and for operators.
 func (p *Planner) Summary() []string {
 	lines := make([]string, 0, len(p.cellNames))
 	counts := p.countActivities()
+	if p.controlIsAway() {
+		lines = append(lines, fmt.Sprintf("control of boxes has not answered for %d ms: boxes are given back to their cells", p.now.Sub(p.boxesRequestedAt).Milliseconds()))
+	}
 	for _, name := range p.cellNames {
 		c := p.cells[name]
 		if shortage := p.shortages[name]; shortage != "" {
