Boxplan: a wave doesn't begin with a box that waiting tasks need

What callers saw, or would: a waiting long-running task loses its place, because a wave withdraws the box that it needs.

Cause: of the boxes with long-running tasks a wave takes one in each pool first, and only the others were checked for being needed. Needed boxes mostly have such tasks.

Evidence: TestWaveLeavesANeededBoxWithLongRunningTasks, found by a second review, failed and passes now.

Why it works: the mark ends once the task runs, within a fraction of a second; a wave that is late takes the box all the same.

--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -235,7 +235,8 @@
 	withdrawing := p.longRunningWithdrawals(w)
 	sortBoxes(candidates, p.estimateEmptyMs)
 	for _, b := range candidates {
-		if count > 0 && b.report.Lasting > 0 && !withdrawing[b.info.Pool] {
+		isNeeded := b.report.NeededByLasting && !w.isLate(p.now)
+		if count > 0 && b.report.Lasting > 0 && !isNeeded && !withdrawing[b.info.Pool] {
 			withdrawing[b.info.Pool] = true
 			p.startWaveWithdrawal(w, b, len(due))
 			count--
