Boxplan: a box whose cell has stopped reporting isn't counted on

What callers saw, or would: a long-running task waits for as long as another cell has no owner, beside a powered-off box: a box of that cell had been chosen for the task's cell before.

Cause: a planned move counts for its target from the plan on. It is issued once the owner has withdrawn the endpoint, which nobody does.

--- a/pkg/boxplan/box_counts.go
+++ b/pkg/boxplan/box_counts.go
@@ -74,7 +74,7 @@
 	switch {
 	case b.issued != nil && !p.isDoubtful(b):
 		number = b.issued.Shard
-	case b.planned != nil:
+	case b.planned != nil && !p.isUnreachable(b):
 		number = b.planned.shard
 	}
 	return shard.CellName(pool, number)
@@ -93,7 +93,7 @@
 		}
 		return b.info.Pool
 	}
-	if b.planned != nil {
+	if b.planned != nil && !p.isUnreachable(b) {
 		// The pool is empty for maintenance: a box that is withdrawn for maintenance takes no
 		// work until it is back.
 		return b.planned.pool
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -112,6 +112,13 @@
 // at once, any other one only after a move.
 func (p *Planner) keepBox(cellName string, forLongRunning bool) *box {
 	for _, b := range p.boxesByCell[cellName] {
+// isUnreachable reports whether the owner of a box's cell hasn't reported for so long that a planned order on the box
+// isn't counted on: it is issued only once the owner has withdrawn the endpoint.
+func (p *Planner) isUnreachable(b *box) bool {
+	c := p.cells[b.cellName()]
+	return b.report == nil && c != nil && p.now.Sub(c.reportedAt) >= reportLifetime+joinTimeout
+}
+
 		if _, revocable := p.revocableMove(b); !revocable || b.report == nil || b.report.Silent {
 			continue
 		}
