Boxplan: a box that restarts before its recorded maintenance is due again

What callers saw, or would: a wave is reported as completed although a box of it was never maintained.

Cause: a recorded order of an earlier planner counts as carried out once the life of that time is over, also if the box crashed while the new planner looked on.

Why it works: if the owner has reported the life after the takeover, and no list has shown the box in maintenance since, it restarted by itself. If a list was missed, the platform says that the maintenance is done already.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -93,6 +93,8 @@
 	lifeExited bool
 }
 
+	// lifeSeen says that the owner has reported that life, and maintenanceSeen that a list has shown the box in maintenance.
+	lifeSeen, maintenanceSeen bool
 // SetBoxes sets the boxes to those of a list of the platform. The list was requested at requestedAt
 // and shows the boxes at some moment after that.
 func (p *Planner) SetBoxes(requestedAt time.Time, listed []damsonwinch.Box) {
@@ -122,6 +124,7 @@
 			b.issued.lifeExited = true
 		}
 		p.updateShard(b)
+			b.issued.maintenanceSeen = b.issued.maintenanceSeen || info.State == damsonwinch.BoxMaintenance
 		p.clearCompletedOrder(b, requestedAt)
 	}
 	p.boxesByName = slices.DeleteFunc(p.boxesByName, func(b *box) bool {
@@ -176,7 +179,7 @@
 	}
 	lifeExited := o.lifeExited || !b.life.MayBeSame(o.Life)
 	if o.inherited && (lifeExited || b.info.Pool == o.Pool) {
-		b.issued = nil
+		p.settleInheritedOrder(b)
 		return
 	}
 	if !o.accepted {
@@ -203,18 +206,6 @@
 	return since >= 0 && (lifeExited || b.info.EndpointID == "") || since >= orderEffectDelay
 }
 
-// settleUnacceptedOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
-// later life than the one that the order was to end. That life may have tasks, so the order must not be
-// repeated. Whether the order has been carried out, or the earlier life has exited by itself, shows only
-// for moves; a box whose maintenance is uncertain is due again.
-func (p *Planner) settleUnacceptedOrder(b *box) {
-	if b.issued.Pool != "" && b.info.Pool == b.issued.Pool {
-		b.issued = nil
-		return
-	}
-	p.revertOrder(b, b.issued.Order)
-}
-
 // isAvailable reports whether the planner may plan or issue a new order on a box.
 func (p *Planner) isAvailable(b *box) bool {
 	return b.info.State == damsonwinch.BoxUp && b.issued == nil && b.planned == nil &&
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -37,14 +37,40 @@
 		if o.inherited && o.unansweredAt.IsZero() {
 			o.unansweredAt = p.now
 		}
-		if o.inherited && (p.isOnLaterLife(b) || p.mayStayPoweredOff(b)) {
+		o.lifeSeen = o.lifeSeen || b.report != nil && b.life.MayBeSame(o.Life)
+		switch {
+		case o.inherited && p.isOnLaterLife(b):
+			p.settleInheritedOrder(b)
+		case o.inherited && p.mayStayPoweredOff(b):
 			b.issued = nil
-		} else if p.mayBeInUse(b) && p.hadNoEffect(b) {
+		case p.mayBeInUse(b) && p.hadNoEffect(b):
 			p.revertOrder(b, o.Order)
 		}
 	}
 }
 
+// settleUnacceptedOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
+// later life than the one that the order was to end. That life may have tasks, so the order must not be
+// repeated. Whether the order has been carried out, or the earlier life has exited by itself, shows only
+// for moves; a box whose maintenance is uncertain is due again.
+func (p *Planner) settleUnacceptedOrder(b *box) {
+	if b.issued.Pool != "" && b.info.Pool == b.issued.Pool {
+		b.issued = nil
+		return
+	}
+	p.revertOrder(b, b.issued.Order)
+}
+
+// settleInheritedOrder ends an order of an earlier planner on a box whose life at that time is over. If the life that its
+// maintenance was to end has been reported and no maintenance seen since, the box has restarted by itself and is due again.
+func (p *Planner) settleInheritedOrder(b *box) {
+	if o := b.issued; o.Pool == "" && o.lifeSeen && !o.maintenanceSeen {
+		p.revertOrder(b, o.Order)
+		return
+	}
+	b.issued = nil
+}
+
 // isOnLaterLife reports whether the life for which the order on a box was issued is over. A box that is being moved or
 // maintained has no life, perhaps because of this order.
 func (p *Planner) isOnLaterLife(b *box) bool {
