Boxplan: slow lists are no outage of control of boxes, and waves wait for its end

What callers saw, or would: boxes are given back and withdrawn anew, each some nine times in 20 s, where lists take 1.2 s and the platform refuses an order now and then; and endpoints stay withdrawn, idle, for a wave whose maintenance nothing takes.

Cause: the age of the newest list was taken from its request, so that with slow lists it was always over a second. Refusals of what an order asks for (a box that isn't up, a pool that can't be) counted as failures of control. Waves went on withdrawing boxes in an outage, and what was withdrawn for them stayed so.

Why it works: the time without a list counts from its arrival, and must be twice what the last one took. The withdrawals of a wave are moves of the same kind: without an order they only take boxes out of use.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -310,8 +310,8 @@
 	o.inFlight = false
 	switch {
 	case err == nil:
+	p.noteAnswer(now, err)
 		o.accepted, o.updatedAt = true, now
-		p.orderAcceptedAt, p.orderFailedAt = now, time.Time{}
 		p.markOrdered(order)
 	case o.outcomeUnknown && errors.Is(err, damsonwinch.ErrBoxNotUp):
 		// The box may be down because of this order. The next list that shows it up tells more.
@@ -325,12 +325,10 @@
 		p.revertOrder(b, order)
 	case errors.Is(err, damsonwinch.ErrRefused), errors.Is(err, damsonwinch.ErrStaleToken):
 		// The platform has done nothing; issueDueOrders repeats the order.
-		p.orderFailedAt = now
 	default:
 		// The platform may have carried out the order, or may do so later. Orders are
 		// idempotent, so issueDueOrders repeats it until the platform answers.
 		o.outcomeUnknown, o.unansweredAt = true, now
-		p.orderFailedAt = now
 	}
 }
 
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -97,6 +97,8 @@
 	waves map[int]*wave
 	// boxesRequestedAt is when the newest list of boxes was requested.
 	boxesRequestedAt time.Time
+	// notedList is the request time of the newest list that Plan has seen, and listedAt when it did.
+	notedList, listedAt time.Time
 	// orderAcceptedAt is when the platform last accepted an order. orderFailedAt is when an order was last refused or left
 	// unanswered, zero if one has been accepted since.
 	orderAcceptedAt, orderFailedAt time.Time
@@ -176,6 +178,7 @@
 	p.now = now
 	p.orders, p.spareBoxes, p.boxesExamined = nil, nil, 0
 	p.orderPace.advance(now)
+	p.noteList()
 	p.attachReports()
 	p.dropObsoleteOrders()
 	p.findCutOffZones()
--- a/pkg/boxplan/summary.go
+++ b/pkg/boxplan/summary.go
@@ -14,7 +14,7 @@
 	lines := make([]string, 0, len(p.cellNames))
 	counts := p.countActivities()
 	if p.controlIsAway() {
-		lines = append(lines, fmt.Sprintf("control of boxes has not answered for %d ms: boxes are given back to their cells", p.now.Sub(p.boxesRequestedAt).Milliseconds()))
+		lines = append(lines, fmt.Sprintf("control of boxes has not answered for %d ms: boxes are given back to their cells", p.now.Sub(p.listedAt).Milliseconds()))
 	}
 	for _, name := range p.cellNames {
 		c := p.cells[name]
--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -145,7 +145,9 @@
 	budget := w.MaxDown - down - emptying
 	atOnce := p.targetConcurrency(w, len(due)+emptying+down) - down - emptying
 	budget -= p.maintainPoweredOff(w, due, min(budget, max(atOnce, p.availablePoweredOff()-poweredOffReserve)))
-	p.withdrawForWave(w, due, min(budget, atOnce))
+	if !p.controlIsAway() {
+		p.withdrawForWave(w, due, min(budget, atOnce))
+	}
 	p.makeUrgent(w)
 }
 
