Boxplan: maintenance that is refused once is repeated, not given up

What callers saw, or would: a wave that hardly progresses where the platform refuses orders now and then, and long-running tasks that move off a box again and again (8 times in 25 s) while it refuses all.

Cause: gave a box whose maintenance was refused back at the first refusal, and withdrew it anew after 3 s.

Why it works: a box is given back after 2 s of refusals, and then stays in use for 10 s, or until the platform accepts any order.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -46,6 +46,8 @@
 	upSince time.Time
 	// keptAt is when the newest decision to move the box was taken back. Its cell uses it again soon.
 	keptAt time.Time
+	// maintenanceRefusedAt is when the box was last kept because the platform refused its maintenance.
+	maintenanceRefusedAt time.Time
 	// restoredAt is when the owner of the cell was last asked to use a withdrawn endpoint on the box again.
 	restoredAt time.Time
 	// refusedPools are the pools to which the platform refuses to move the box.
@@ -91,10 +93,10 @@
 	// lifeExited says that a list has shown the box not up, so that the life which the order ends
 	// is over. A later life may have the same ID.
 	lifeExited bool
-}
-
 	// lifeSeen says that the owner has reported that life, and maintenanceSeen that a list has shown the box in maintenance.
 	lifeSeen, maintenanceSeen bool
+}
+
 // SetBoxes sets the boxes to those of a list of the platform. The list was requested at requestedAt
 // and shows the boxes at some moment after that.
 func (p *Planner) SetBoxes(requestedAt time.Time, listed []damsonwinch.Box) {
@@ -122,9 +124,9 @@
 		}
 		if b.issued != nil && info.State != damsonwinch.BoxUp {
 			b.issued.lifeExited = true
+			b.issued.maintenanceSeen = b.issued.maintenanceSeen || info.State == damsonwinch.BoxMaintenance
 		}
 		p.updateShard(b)
-			b.issued.maintenanceSeen = b.issued.maintenanceSeen || info.State == damsonwinch.BoxMaintenance
 		p.clearCompletedOrder(b, requestedAt)
 	}
 	p.boxesByName = slices.DeleteFunc(p.boxesByName, func(b *box) bool {
@@ -308,9 +310,9 @@
 	}
 	o := b.issued
 	o.inFlight = false
+	p.noteAnswer(now, err)
 	switch {
 	case err == nil:
-	p.noteAnswer(now, err)
 		o.accepted, o.updatedAt = true, now
 		p.markOrdered(order)
 	case o.outcomeUnknown && errors.Is(err, damsonwinch.ErrBoxNotUp):
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -112,6 +112,13 @@
 	return o.Pool != "" && !o.accepted && !o.inFlight && b.report == nil && p.mayBeInUse(b) && p.now.Sub(o.unansweredAt) >= joinTimeout
 }
 
+// isUnreachable reports whether the owner of a box's cell hasn't reported for so long that a planned order on the box
+// isn't counted on: it is issued only once the owner has withdrawn the endpoint.
+func (p *Planner) isUnreachable(b *box) bool {
+	c := p.cells[b.cellName()]
+	return b.report == nil && c != nil && p.now.Sub(c.reportedAt) >= reportLifetime+joinTimeout
+}
+
 // revocableMove returns the pool to which a box is to be moved, empty for its maintenance, if that can still be taken
 // back, and whether it can. The record of a refused order remains; a later planner doesn't repeat it while the life is
 // in use.
@@ -122,11 +129,16 @@
 	case b.planned != nil:
 		return b.planned.pool, b.planned.wave == 0
 	case b.issued != nil:
-		return b.issued.Pool, b.issued.isRefused(p.now)
+		return b.issued.Pool, b.issued.isRefused(p.now) && (b.issued.Wave == 0 || p.isRefusedForLong(b.issued))
 	}
 	return "", false
 }
 
+// isRefusedForLong reports whether the platform has refused an order for longer than a passing lack of pace lasts.
+func (p *Planner) isRefusedForLong(o *issuedOrder) bool {
+	return o.isRefused(p.now) && p.now.Sub(o.updatedAt) >= longRunningWait
+}
+
 // isBeingPoweredOff reports whether a box is up and is to be powered off, which can be taken back. In an evacuated
 // zone such a box is of no use to another cell.
 func (p *Planner) isBeingPoweredOff(b *box) bool {
@@ -138,13 +150,6 @@
 // at once, any other one only after a move.
 func (p *Planner) keepBox(cellName string, forLongRunning bool) *box {
 	for _, b := range p.boxesByCell[cellName] {
-// isUnreachable reports whether the owner of a box's cell hasn't reported for so long that a planned order on the box
-// isn't counted on: it is issued only once the owner has withdrawn the endpoint.
-func (p *Planner) isUnreachable(b *box) bool {
-	c := p.cells[b.cellName()]
-	return b.report == nil && c != nil && p.now.Sub(c.reportedAt) >= reportLifetime+joinTimeout
-}
-
 		if _, revocable := p.revocableMove(b); !revocable || b.report == nil || b.report.Silent {
 			continue
 		}
@@ -176,6 +181,9 @@
 func (p *Planner) takeBack(b *box) {
 	p.updateBox(b, func() {
 		if b.issued != nil {
+			if b.issued.Wave != 0 {
+				b.maintenanceRefusedAt = p.now
+			}
 			p.revertOrder(b, b.issued.Order)
 		}
 		b.planned, b.keptAt = nil, p.now
@@ -188,6 +196,16 @@
 	return p.now.Sub(b.keptAt) < joinTimeout
 }
 
+// maintenanceRetryDelay is how long a box whose maintenance was refused stays in use while the platform accepts no order
+// at all: each new try empties the box.
+const maintenanceRetryDelay = 10 * time.Second
+
+// mayWithdrawAgain reports whether a box that was given back may be withdrawn for a wave.
+func (p *Planner) mayWithdrawAgain(b *box) bool {
+	isRefusing := p.now.Sub(b.maintenanceRefusedAt) < maintenanceRetryDelay && !p.orderAcceptedAt.After(b.maintenanceRefusedAt)
+	return !p.wasKept(b) && !isRefusing
+}
+
 // keepBoxesForLongRunning has each cell that lacks boxes for its long-running tasks keep boxes of its own that were to be
 // moved away, also in place of boxes that the platform doesn't let it have yet: there may be more orders than the
 // platform takes, and it may answer none. It takes no order to keep a box.
@@ -220,8 +238,8 @@
 	return slices.Delete(boxes, place, place+1)
 }
 
-// delayedBoxes returns, by the cell that they are to serve, the boxes with orders that the platform refuses or has left
-// unanswered for orderEffectDelay.
+// delayedBoxes returns, by the cell that they are to serve, the boxes with moves that the platform refuses or has left
+// unanswered for orderEffectDelay, and those whose maintenance it has refused for long.
 func (p *Planner) delayedBoxes() map[string][]*box {
 	delayed := map[string][]*box{}
 	for _, b := range p.boxesByName {
@@ -229,8 +247,8 @@
 		if o == nil || o.accepted || b.info.State != damsonwinch.BoxUp {
 			continue
 		}
-		isUnanswered := o.Pool != "" && p.now.Sub(o.updatedAt) >= orderEffectDelay
-		if o.isRefused(p.now) || isUnanswered {
+		isDelayed := o.isRefused(p.now) || p.now.Sub(o.updatedAt) >= orderEffectDelay
+		if o.Pool != "" && isDelayed || p.isRefusedForLong(o) {
 			name := p.servedCell(b)
 			delayed[name] = append(delayed[name], b)
 		}
--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -230,7 +230,7 @@
 func (p *Planner) withdrawForWave(w *wave, due []*box, count int) {
 	var candidates []*box
 	for _, b := range due {
-		if !p.isPoweredOff(b.info.Pool) && p.isAvailable(b) && !p.wasKept(b) && b.report != nil && !b.report.Silent {
+		if !p.isPoweredOff(b.info.Pool) && p.isAvailable(b) && p.mayWithdrawAgain(b) && b.report != nil && !b.report.Silent {
 			candidates = append(candidates, b)
 		}
 	}
