Planner: boxes aren't given back at each takeover

What callers saw, or would: at each takeover of the planner the boxes that are being emptied, for a wave or another cell, are put back into use and emptied anew.

Cause: without a list the planner restores withdrawn endpoints, and its first calls to owners come before its first list.

Change: it waits for the list for a second. No test of its own: the package has none, and the rule of pkg/boxplan is unchanged.

--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -82,6 +82,8 @@
 	writer      *stream.Writer
 	pools       []damsonwinch.Pool
 	layout      shard.Layout
+	// takenOverAt is when this planner took over.
+	takenOverAt time.Time
 	// syncInFlight holds the cells whose owners are being called; syncedAt is when each was called last.
 	syncInFlight     map[string]bool
 	syncedAt         map[string]time.Time
@@ -248,6 +250,7 @@
 			return err
 		}
 	}
+	p.takenOverAt = p.deps.Clock.Now()
 	p.deps.Logger.WithFields(logrus.Fields{"token": p.options.Token, "records": len(records)}).Info("planning taken over")
 	return nil
 }
--- a/pkg/planner/sync.go
+++ b/pkg/planner/sync.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"time"
 
 	"damsonwinch/pkg/wire"
 )
 
+// listGrace is how long a planner that has taken over waits for its first list of boxes before it gives boxes back.
+const listGrace = time.Second
+
 // syncUnlessInFlight calls the owner of a cell, unless a call to it is in progress.
 func (p *Planner) syncUnlessInFlight(cell string) {
 	if !p.syncInFlight[cell] {
@@ -18,6 +22,10 @@
 // confirmed. The reply is a report on the cell.
 func (p *Planner) sync(cell string) {
 	directives := p.boxPlan.Directives(cell)
+	if !p.boxListReceived && p.deps.Clock.Since(p.takenOverAt) < listGrace {
+		// The planner goes on with most of what an earlier one has had withdrawn.
+		directives.Restore = nil
+	}
 	update := p.allocator.NextUpdate(cell)
 	args := wire.SyncArgs{
 		Cell: cell, Token: p.options.Token, Withdraw: directives.Withdraw, Hurry: directives.WithdrawUrgently, Restore: directives.Restore, Gone: directives.Exited, Due: directives.DueForMaintenance,
