--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -287,7 +287,7 @@
 		return false
 	}
 	c := p.cells[b.cellName()]
-	return b.restoredAt.IsZero() || c != nil && !c.reportFollows.Before(b.planned.since)
+	return b.restoredAt.IsZero() && !p.restoredUnlisted[b.life.ID] || c != nil && !c.reportFollows.Before(b.planned.since)
 }
 
 // issueDueOrder issues or repeats the order on a box unless the platform takes no more orders now.
@@ -320,6 +320,7 @@
 	switch {
 	case err == nil:
 		o.accepted, o.updatedAt = true, now
+		p.orderAcceptedAt, p.orderFailedAt = now, time.Time{}
 		p.markOrdered(order)
 	case o.outcomeUnknown && errors.Is(err, damsonwinch.ErrBoxNotUp):
 		// The box may be down because of this order. The next list that shows it up tells more.
@@ -333,18 +334,21 @@
 		p.revertOrder(b, order)
 	case errors.Is(err, damsonwinch.ErrRefused), errors.Is(err, damsonwinch.ErrStaleToken):
 		// The platform has done nothing; issueDueOrders repeats the order.
+		p.orderFailedAt = now
 	default:
 		// The platform may have carried out the order, or may do so later. Orders are
 		// idempotent, so issueDueOrders repeats it until the platform answers.
 		o.outcomeUnknown, o.unansweredAt = true, now
+		p.orderFailedAt = now
 	}
 }
 
 // revertOrder forgets an order that had no effect. A box that is due for maintenance is due again.
 func (p *Planner) revertOrder(b *box, order Order) {
 	b.issued = nil
-	if w := p.waves[order.Wave]; w != nil {
+	if w := p.waves[order.Wave]; w != nil && w.ordered[order.Box] {
 		delete(w.ordered, order.Box)
+		w.revised = true
 	}
 }
 
@@ -370,7 +374,9 @@
 	}
 	b.placement = PlacementFromRecord(record)
 	p.updateShard(b)
-	order := Order{Box: record.Box, Pool: record.Pool, Wave: record.Wave, Life: damsonwinch.ParseLife(record.Endpoint), Cause: record.Cause, Shard: b.shard, PreviousShard: b.shard}
+	life := damsonwinch.ParseLife(record.Endpoint)
+	p.recordedLives[life.ID] = append(p.recordedLives[life.ID], life)
+	order := Order{Box: record.Box, Pool: record.Pool, Wave: record.Wave, Life: life, Cause: record.Cause, Shard: b.shard, PreviousShard: b.shard}
 	if b.placement != nil {
 		order.Shard, order.PreviousShard = b.placement.Shard, b.placement.PreviousShard
 	}
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -97,6 +97,13 @@
 	waves map[int]*wave
 	// boxesRequestedAt is when the newest list of boxes was requested.
 	boxesRequestedAt time.Time
+	// orderAcceptedAt is when the platform last accepted an order. orderFailedAt is when an order was last refused or left
+	// unanswered, zero if one has been accepted since.
+	orderAcceptedAt, orderFailedAt time.Time
+	// recordedLives holds the lives of the orders that an earlier planner has recorded, by their IDs.
+	recordedLives map[string][]damsonwinch.Life
+	// restoredUnlisted holds the IDs of the endpoints that owners were asked to use again before the first list.
+	restoredUnlisted map[string]bool
 	// orders are the orders issued by the call of Plan in progress, and spareBoxes the boxes that it can
 	// give to any cell; nil before it has looked for them.
 	orders     []Order
@@ -110,7 +117,10 @@
 
 // New returns a Planner without pools, boxes and waves.
 func New(options Options) *Planner {
-	return &Planner{options: options, cells: map[string]*cell{}, boxes: map[string]*box{}, waves: map[int]*wave{}, shortages: map[string]string{}, orderPace: orderPace{perSecond: options.OrdersPerSecond}}
+	return &Planner{
+		options: options, cells: map[string]*cell{}, boxes: map[string]*box{}, waves: map[int]*wave{}, shortages: map[string]string{},
+		orderPace: orderPace{perSecond: options.OrdersPerSecond}, recordedLives: map[string][]damsonwinch.Life{}, restoredUnlisted: map[string]bool{},
+	}
 }
 
 // SetPools sets the pools of the configuration in force and the layout of their cells. Cells
@@ -147,13 +157,15 @@
 }
 
 // SetReport stores the report of a cell's owner, received at now. A report of a cell that doesn't
-// exist is ignored.
+// exist is ignored, and so is that of an owner which doesn't know its cell yet while there is a fresh one.
 func (p *Planner) SetReport(now time.Time, cellName string, report wire.SyncReply) {
-	if c := p.cells[cellName]; c != nil {
-		c.report, c.reportedAt, c.reportIsNew = report, now, true
-		c.reportFollows = c.directedAt
-		c.updateReportedSince()
+	c := p.cells[cellName]
+	if c == nil || !report.Known && c.hasFreshReport(now) {
+		return
 	}
+	c.report, c.reportedAt, c.reportIsNew = report, now, true
+	c.reportFollows = c.directedAt
+	c.updateReportedSince()
 }
 
 // Plan makes the decisions that are due at now and returns the orders to send to the platform: new
@@ -170,6 +182,7 @@
 	p.updatePlansForEvacuations()
 	p.countBoxes()
 	p.updateDemands()
+	p.takeBackMovesInOutage()
 	p.planWaves()
 	p.keepBoxesForLongRunning()
 	p.issueDueOrders()
@@ -204,6 +217,9 @@
 	}
 	if c := p.cells[cellName]; c != nil {
 		directives.Exited = p.exitedEndpoints(c)
+		if !p.hasList() {
+			directives.Restore = p.restoreUnlisted(c)
+		}
 		c.directedAt = p.now
 	}
 	return directives
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -97,11 +97,14 @@
 
 // bestSpareBox returns the best box for a cell among those of other pools: boxes that cells of the
 // same shard can spare (for exceptions see mayDonate), and boxes of any shard that are being
-// withdrawn to be powered off. It returns nil if there is none. Cells of other shards don't donate
+// withdrawn to be powered off. It returns nil if there is none or control of boxes is away. Cells of other shards don't donate
 // because the number of boxes that a donor keeps is computed for it and one receiver alone. When
 // cells of all shards took boxes from one donor, each left it only its fair share beside that cell.
 func (p *Planner) bestSpareBox(cellName string) *box {
 	var choice cheapest
+	if p.controlIsAway() {
+		return nil
+	}
 	receiver := p.cells[cellName]
 	offer := func(b *box) {
 		p.boxesExamined++
@@ -110,7 +113,8 @@
 		}
 	}
 	for _, b := range p.boxesBeingPoweredOff() {
-		if b.info.Pool != receiver.pool && p.isBeingPoweredOff(b) {
+		// Without a report the box can't be withdrawn, and nothing tells when it is empty.
+		if b.info.Pool != receiver.pool && p.isBeingPoweredOff(b) && b.report != nil {
 			offer(b)
 		}
 	}
@@ -140,9 +144,9 @@
 const cutOffZoneCost = 1_000_000
 
 // canEmptySoon reports whether a box is in use and can soon be empty because it has no long-running
-// tasks. A box in an evacuated zone isn't in use.
+// tasks, and none of its cell needs it. A box in an evacuated zone isn't in use.
 func (p *Planner) canEmptySoon(b *box) bool {
-	return p.isAvailable(b) && !p.isEvacuated(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0
+	return p.isAvailable(b) && !p.isEvacuated(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && !b.report.NeededByLasting
 }
 
 // minRetained returns how many boxes a cell keeps when another one needs boxes. If the receiver lacks
@@ -202,7 +206,7 @@
 // may need it meanwhile.
 func (p *Planner) powerOffSurplus() {
 	poweredOff, exists := p.poweredOffPool()
-	if !exists {
+	if !exists || p.controlIsAway() {
 		return
 	}
 	pending := p.pendingPowerOffs()
--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -32,6 +32,8 @@
 	members map[string]bool
 	// ordered holds the names of the boxes whose maintenance has been ordered.
 	ordered map[string]bool
+	// revised says that an order has been taken back since the wave was last recorded.
+	revised bool
 	// reported says that the operator has been told the present state of the wave: that it has
 	// started or, if completed is set, that it is completed.
 	reported bool
@@ -88,6 +90,19 @@
 	}
 }
 
+// RevisedWaves returns the progress of the waves of which an order has been taken back since the last call. The
+// record that went with the order says that the box was ordered.
+func (p *Planner) RevisedWaves() []wire.WaveRecord {
+	var records []wire.WaveRecord
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
+		if w := p.waves[number]; w.revised {
+			w.revised = false
+			records = append(records, p.WaveRecord(number))
+		}
+	}
+	return records
+}
+
 // PendingWaveReports returns the progress of the waves that have started or been completed without
 // that having been reported to the operator. See WaveReported.
 func (p *Planner) PendingWaveReports() []wire.WaveRecord {
@@ -227,19 +242,20 @@
 		}
 	}
 	for _, b := range candidates {
-		if count > 0 && b.planned == nil && !p.mustKeepLongRunning(w, b) {
+		if count > 0 && b.planned == nil && !p.mustKeepForLongRunning(w, b) {
 			p.startWaveWithdrawal(w, b, len(due))
 			count--
 		}
 	}
 }
 
-// mustKeepLongRunning reports whether a box with long-running tasks should stay in use because others of
-// its cell wait for a box: a withdrawn box takes none of them, and can't be emptied while its own tasks
-// have nowhere to go. A wave that is late takes such boxes all the same.
-func (p *Planner) mustKeepLongRunning(w *wave, b *box) bool {
+// mustKeepForLongRunning reports whether a box should stay in use because long-running tasks of its cell need it, or
+// because it has some while others of its cell wait for a box: a withdrawn box takes none of them, and can't be
+// emptied while its own tasks have nowhere to go. A wave that is late takes such boxes all the same.
+func (p *Planner) mustKeepForLongRunning(w *wave, b *box) bool {
 	c := p.cells[b.cellName()]
-	return b.report.Lasting > 0 && c != nil && c.report.MissingBoxes > 0 && !w.isLate(p.now)
+	othersWait := b.report.Lasting > 0 && c != nil && c.report.MissingBoxes > 0
+	return (othersWait || b.report.NeededByLasting) && !w.isLate(p.now)
 }
 
 // isLate reports whether urgentPercent of the wave's duration has passed.
