--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -46,6 +46,8 @@
 	upSince time.Time
 	// keptAt is when the newest decision to move the box was taken back. Its cell uses it again soon.
 	keptAt time.Time
+	// maintenanceRefusedAt is when the box was last kept because the platform refused its maintenance.
+	maintenanceRefusedAt time.Time
 	// restoredAt is when the owner of the cell was last asked to use a withdrawn endpoint on the box again.
 	restoredAt time.Time
 	// refusedPools are the pools to which the platform refuses to move the box.
@@ -91,6 +93,8 @@
 	// lifeExited says that a list has shown the box not up, so that the life which the order ends
 	// is over. A later life may have the same ID.
 	lifeExited bool
+	// lifeSeen says that the owner has reported that life, and maintenanceSeen that a list has shown the box in maintenance.
+	lifeSeen, maintenanceSeen bool
 }
 
 // SetBoxes sets the boxes to those of a list of the platform. The list was requested at requestedAt
@@ -120,6 +124,7 @@
 		}
 		if b.issued != nil && info.State != damsonwinch.BoxUp {
 			b.issued.lifeExited = true
+			b.issued.maintenanceSeen = b.issued.maintenanceSeen || info.State == damsonwinch.BoxMaintenance
 		}
 		p.updateShard(b)
 		p.clearCompletedOrder(b, requestedAt)
@@ -176,7 +181,7 @@
 	}
 	lifeExited := o.lifeExited || !b.life.MayBeSame(o.Life)
 	if o.inherited && (lifeExited || b.info.Pool == o.Pool) {
-		b.issued = nil
+		p.settleInheritedOrder(b)
 		return
 	}
 	if !o.accepted {
@@ -203,18 +208,6 @@
 	return since >= 0 && (lifeExited || b.info.EndpointID == "") || since >= orderEffectDelay
 }
 
-// settleUnacceptedOrder ends an issued order that the platform hasn't accepted, on a box that is up with a
-// later life than the one that the order was to end. That life may have tasks, so the order must not be
-// repeated. Whether the order has been carried out, or the earlier life has exited by itself, shows only
-// for moves; a box whose maintenance is uncertain is due again.
-func (p *Planner) settleUnacceptedOrder(b *box) {
-	if b.issued.Pool != "" && b.info.Pool == b.issued.Pool {
-		b.issued = nil
-		return
-	}
-	p.revertOrder(b, b.issued.Order)
-}
-
 // isAvailable reports whether the planner may plan or issue a new order on a box.
 func (p *Planner) isAvailable(b *box) bool {
 	return b.info.State == damsonwinch.BoxUp && b.issued == nil && b.planned == nil &&
@@ -317,10 +310,10 @@
 	}
 	o := b.issued
 	o.inFlight = false
+	p.noteAnswer(now, err)
 	switch {
 	case err == nil:
 		o.accepted, o.updatedAt = true, now
-		p.orderAcceptedAt, p.orderFailedAt = now, time.Time{}
 		p.markOrdered(order)
 	case o.outcomeUnknown && errors.Is(err, damsonwinch.ErrBoxNotUp):
 		// The box may be down because of this order. The next list that shows it up tells more.
@@ -334,12 +327,10 @@
 		p.revertOrder(b, order)
 	case errors.Is(err, damsonwinch.ErrRefused), errors.Is(err, damsonwinch.ErrStaleToken):
 		// The platform has done nothing; issueDueOrders repeats the order.
-		p.orderFailedAt = now
 	default:
 		// The platform may have carried out the order, or may do so later. Orders are
 		// idempotent, so issueDueOrders repeats it until the platform answers.
 		o.outcomeUnknown, o.unansweredAt = true, now
-		p.orderFailedAt = now
 	}
 }
 
--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -145,7 +145,9 @@
 	budget := w.MaxDown - down - emptying
 	atOnce := p.targetConcurrency(w, len(due)+emptying+down) - down - emptying
 	budget -= p.maintainPoweredOff(w, due, min(budget, max(atOnce, p.availablePoweredOff()-poweredOffReserve)))
-	p.withdrawForWave(w, due, min(budget, atOnce))
+	if !p.controlIsAway() {
+		p.withdrawForWave(w, due, min(budget, atOnce))
+	}
 	p.makeUrgent(w)
 }
 
@@ -228,14 +230,15 @@
 func (p *Planner) withdrawForWave(w *wave, due []*box, count int) {
 	var candidates []*box
 	for _, b := range due {
-		if !p.isPoweredOff(b.info.Pool) && p.isAvailable(b) && !p.wasKept(b) && b.report != nil && !b.report.Silent {
+		if !p.isPoweredOff(b.info.Pool) && p.isAvailable(b) && p.mayWithdrawAgain(b) && b.report != nil && !b.report.Silent {
 			candidates = append(candidates, b)
 		}
 	}
 	withdrawing := p.longRunningWithdrawals(w)
 	sortBoxes(candidates, p.estimateEmptyMs)
 	for _, b := range candidates {
-		if count > 0 && b.report.Lasting > 0 && !withdrawing[b.info.Pool] {
+		isNeeded := b.report.NeededByLasting && !w.isLate(p.now)
+		if count > 0 && b.report.Lasting > 0 && !isNeeded && !withdrawing[b.info.Pool] {
 			withdrawing[b.info.Pool] = true
 			p.startWaveWithdrawal(w, b, len(due))
 			count--
