Boxplan: a box that its own cell keeps is no longer delayed for another one

What callers saw, or would: the node that plans crashes while the platform refuses orders, each time that two cells keep boxes in one plan, the one of them boxes that were ordered to the other.

Cause: the list of boxes with delayed orders is made once a plan. A box that its own cell had kept stayed in the list of the cell to which it had been ordered, without an order.

Evidence: TestCellKeepsBoxesThatWereOrderedAwayForAnother crashed and passes now, as do the package's other tests but for the known failure.

Why it works: boxes without an order are dropped when the cell's turn comes. Within its turn a cell keeps only boxes of its own, which are dropped one by one.

--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -213,12 +213,14 @@
 	delayed := p.delayedBoxes()
 	for _, name := range p.cellNames {
 		c := p.cells[name]
-		for !c.poweredOff && p.longRunningShortage(c)+len(delayed[name]) > 0 {
+		// Another cell may have kept some of them by now.
+		boxes := slices.DeleteFunc(delayed[name], func(b *box) bool { return b.issued == nil })
+		for !c.poweredOff && p.longRunningShortage(c)+len(boxes) > 0 {
 			kept := p.keepBox(name, true)
 			if kept == nil {
 				break
 			}
-			delayed[name] = p.withoutOneDelayed(delayed[name], kept)
+			boxes = p.withoutOneDelayed(boxes, kept)
 		}
 	}
 }
