Boxplan: recorded maintenance of long ago doesn't count after a takeover

What callers saw, or would: after a takeover of the planner a wave counts a box as in maintenance for 15 s that is in use.

Cause: counts the time in which a recorded order may still be carried out from the takeover. That is right for an order that is to be taken back on a withdrawn life; on one in use the earlier planner can't have repeated it.

--- a/pkg/boxplan/sim_test.go
+++ b/pkg/boxplan/sim_test.go
@@ -25,8 +25,9 @@
 func TestCellsGetBoxesUnderFaults(t *testing.T) {
 	first, count := environmentNumber(t, "DAMSONWINCH_FIRST_SEED", 1), environmentNumber(t, "DAMSONWINCH_SEEDS", 20)
 	var longest time.Duration
-	// With 1162 an order is repeated on a box that restarts, with 2196 one that was taken back outlasts a takeover.
-	seeds := []int{1162, 2196}
+	// With 1162 an order is repeated on a box that restarts, with 2196 one that was taken back outlasts a takeover, and with
+	// 5191 maintenance that was done long ago counts after one.
+	seeds := []int{1162, 2196, 5191}
 	for seed := first; seed < first+count; seed++ {
 		seeds = append(seeds, seed)
 	}
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -84,11 +84,13 @@
 	return b.issued.Wave == 0 && b.info.State == damsonwinch.BoxUp && p.isPoweredOff(b.info.Pool) && p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay
 }
 
-// hadNoEffect reports whether the issued order on a box that is up can be given up: the platform has refused it, or it is a
-// move that an earlier planner has recorded. Maintenance that may yet begin counts in its wave.
+// hadNoEffect reports whether the issued order on a box that is up can be given up: the platform has refused it, or the
+// owner has reported the life and it is a recorded move or can't be carried out late any more. An earlier planner, too,
+// has repeated an order only on a withdrawn life. Maintenance that may yet begin counts in its wave.
 func (p *Planner) hadNoEffect(b *box) bool {
 	o := b.issued
-	return o.isRefused(p.now) || b.report != nil && o.inherited && o.Wave == 0
+	sinceCall := min(p.now.Sub(o.sentAt), p.now.Sub(b.inheritedAt))
+	return o.isRefused(p.now) || b.report != nil && (o.inherited && o.Wave == 0 || sinceCall > maxOrderDelay)
 }
 
 // needsWithdrawalAnew reports whether an unanswered order on a box can't be repeated because its cell uses the life
