Boxplan: recorded orders lapse also while there is no list of boxes

Cause: a planner without a list left endpoints withdrawn on which the one before had recorded an order, however old.

Why it works: 15 s after the first report to this planner no order of the one before can be carried out any more, as with a list. The record is forgotten with it, so that it isn't repeated on the life once there is a list.

--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -104,6 +104,8 @@
 	orderAcceptedAt, orderFailedAt time.Time
 	// recordedLives holds the lives of the orders that an earlier planner has recorded, by their IDs.
 	recordedLives map[string][]damsonwinch.Life
+	// firstReportAt is when the first report of an owner arrived.
+	firstReportAt time.Time
 	// restoredUnlisted holds the IDs of the endpoints that owners were asked to use again before the first list.
 	restoredUnlisted map[string]bool
 	// orders are the orders issued by the call of Plan in progress, and spareBoxes the boxes that it can
@@ -166,6 +168,9 @@
 		return
 	}
 	c.report, c.reportedAt, c.reportIsNew = report, now, true
+	if p.firstReportAt.IsZero() {
+		p.firstReportAt = now
+	}
 	c.reportFollows = c.directedAt
 	c.updateReportedSince()
 }
--- a/pkg/boxplan/unlisted_boxes_test.go
+++ b/pkg/boxplan/unlisted_boxes_test.go
@@ -87,3 +87,30 @@
 	f.planner.SetReport(f.now, name, reply)
 	assert.Equal(t, len(f.planner.Plan(f.now.Add(100*time.Millisecond))), 1)
 }
+
+// TestPlannerWithoutAListRestoresOrderedEndpointsOnceOrdersLapse guards against endpoints that stay withdrawn for as long as
+// control of boxes is away, because an earlier planner has recorded orders on them, and against such an order being
+// repeated on a life in use once there is a list.
+func TestPlannerWithoutAListRestoresOrderedEndpointsOnceOrdersLapse(t *testing.T) {
+	f := newShardedFleet()
+	f.add("held", 1, 0)
+	name := shard.CellName("held", 0)
+	f.planner.LoadOrder(wire.OrderRecord{Box: f.boxes[0].Name, Pool: "short", AtMs: int(f.now.UnixMilli()), Endpoint: f.boxes[0].EndpointID})
+	reply := wire.SyncReply{Known: true, Endpoints: f.reports("held", 0)}
+	reply.Endpoints[0].Usable, reply.Endpoints[0].Withdrawn = false, true
+	for range 15 {
+		f.planner.SetReport(f.now, name, reply)
+		assert.Equal(t, len(f.planner.Directives(name).Restore), 0, "the order may be on its way")
+		f.now = f.now.Add(time.Second)
+	}
+	f.now = f.now.Add(time.Second)
+	f.planner.SetReport(f.now, name, reply)
+	assert.Equal(t, len(f.planner.Directives(name).Restore), 1)
+	for range 5 {
+		f.now = f.now.Add(time.Second)
+		f.planner.SetBoxes(f.now, f.boxes)
+		f.planner.SetReport(f.now, name, reply)
+		assert.Equal(t, len(f.planner.Plan(f.now)), 0, "the life is in use again")
+		f.planner.Directives(name)
+	}
+}
