--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Plays a case: run-case.sh CASE FOLDER. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't
+# run. review/build.sh and the build of the deploy file come first.
+set -u
+folder=$(cd "$2" && pwd)
+cd "$(dirname "$0")/.."
+exec timeout --signal=TERM --kill-after=5 118 target/review/runner "$1" "$PWD" "$folder"
