--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -234,6 +236,7 @@
 		return err
 	}
 	forward := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: f.storeAt})
+	forward.ErrorLog = log.New(io.Discard, "", 0)
 	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		if !refuse(rw, r) {
 			forward.ServeHTTP(rw, r)
--- a/review/runner/long_schedule.go
+++ b/review/runner/long_schedule.go
@@ -12,12 +12,13 @@
 	"damsonwinch/review/fleet"
 )
 
-// What the clients send in longSchedule. recordBytes is platform.record_bytes of the settings.
+// What the clients send in longSchedule. recordBytes and callBytes are
+// platform.record_bytes and platform.call_bytes of the settings.
 const (
 	recordBytes     = 262144
+	callBytes       = 2097152
 	scheduleEvery   = 120 * time.Millisecond
 	scheduleTimes   = 640
-	fewTimes        = 160
 	scheduleWidth   = 32
 	scheduledTask   = 100 * time.Millisecond
 	smallJobEvery   = 2 * time.Second
@@ -27,21 +28,21 @@
 )
 
 // longSchedule has a job accepted whose steps run many times, and meanwhile small jobs of two steps. The store
-// takes no record of more than recordBytes.
+// takes no record of more than recordBytes or, without trouble, of more than callBytes.
 func longSchedule(f *fleet.Fleet, trouble bool) ([]string, error) {
 	queue := queueOf("pump-desk")
-	if err := f.Proxy(func(rw http.ResponseWriter, r *http.Request) bool { return refuseLongRecords(f, rw, r) }); err != nil {
+	limit := recordBytes
+	if !trouble {
+		limit = callBytes
+	}
+	if err := f.Proxy(func(rw http.ResponseWriter, r *http.Request) bool { return refuseLongRecords(f, limit, rw, r) }); err != nil {
 		return nil, err
 	}
 	if err := begin(f, queue); err != nil {
 		return nil, err
 	}
-	times := scheduleTimes
-	if !trouble {
-		times = fewTimes
-	}
 	const scheduled = "5c0e7a21d94b0001"
-	schedule := fleet.Schedule{StartAt: clock.Now().Add(time.Second), Interval: scheduleEvery, Times: times}
+	schedule := fleet.Schedule{StartAt: clock.Now().Add(time.Second), Interval: scheduleEvery, Times: scheduleTimes}
 	phase := standin.Phase{Count: scheduleWidth, MilliCPU: 100, MemoryMB: 64, EstimatedMs: int(scheduledTask.Milliseconds())}
 	if answer := f.SubmitRepeated(f.Nodes[0], queue, scheduled, scheduledTask, schedule, phase); answer.Status != http.StatusOK {
 		return nil, fmt.Errorf("the scheduled job isn't accepted: %d", answer.Status)
@@ -70,13 +71,13 @@
 	if starts := f.Record.Starts(scheduled); state != "completed" {
 		last := starts[len(starts)-1]
 		broken = append(broken, fmt.Sprintf("LOST: job %s is shown as %q; %d of its %d tasks were started, the last one at %.3f s; its last time was due %.3f s before now",
-			scheduled, state, len(starts), times*scheduleWidth, last.At.Seconds(), clock.Since(schedule.StartAt.Add(scheduleEvery*time.Duration(times))).Seconds()))
+			scheduled, state, len(starts), scheduleTimes*scheduleWidth, last.At.Seconds(), clock.Since(schedule.StartAt.Add(scheduleEvery*scheduleTimes)).Seconds()))
 	}
 	return broken, nil
 }
 
-// refuseLongRecords answers an append that holds a record of more than recordBytes. Nothing of it is appended.
-func refuseLongRecords(f *fleet.Fleet, rw http.ResponseWriter, r *http.Request) bool {
+// refuseLongRecords answers an append that holds a record of more than limit bytes. Nothing of it is appended.
+func refuseLongRecords(f *fleet.Fleet, limit int, rw http.ResponseWriter, r *http.Request) bool {
 	if r.URL.Path != "/log-append" {
 		return false
 	}
@@ -88,7 +89,7 @@
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	for rest := body; len(rest) >= 4; {
 		length := int(binary.BigEndian.Uint32(rest))
-		if length > recordBytes {
+		if length > limit {
 			f.Record.Note("store   an append to %s is refused with 413: a record of %d bytes", r.URL.Query().Get("topic"), length)
 			rw.WriteHeader(http.StatusRequestEntityTooLarge)
 			return true
