--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -3,7 +3,9 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -65,10 +68,16 @@
 	machines  *http.Server
 	machineAt string
 	storeAt   string
+	// entriesAt is the address of the store without a proxy, for the workers.
+	entriesAt string
 	adviceAt  string
 	ctx       context.Context
 	cancel    context.CancelFunc
-	needMutex sync.Mutex
+	// machineMutex guards Workers, upkeeps and the fields of machines after the start.
+	machineMutex sync.Mutex
+	upkeeps      map[string]*upkeep
+	lives        atomic.Int64
+	needMutex    sync.Mutex
 	// needs holds, by job and step, what a task asks for.
 	needs map[string]standin.Phase
 }
@@ -76,7 +85,7 @@
 // New starts the stand-ins. The nodes are started by StartNodes, after the first configuration.
 func New(options Options) (*Fleet, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{Record: options.Record, options: options, clock: options.Clock, ctx: ctx, cancel: cancel, needs: map[string]standin.Phase{}}
+	f := &Fleet{Record: options.Record, options: options, clock: options.Clock, ctx: ctx, cancel: cancel, needs: map[string]standin.Phase{}, upkeeps: map[string]*upkeep{}}
 	var pools []standin.Pool
 	for _, service := range options.Services {
 		pools = append(pools, standin.Pool{Name: service.Name})
@@ -87,6 +96,7 @@
 		return nil, err
 	}
 	f.storeAt, _, f.adviceAt = f.platform.Addresses()
+	f.entriesAt = f.storeAt
 	if err := f.serveMachines(); err != nil {
 		return nil, err
 	}
@@ -110,7 +120,7 @@
 		node.Kill()
 	}
 	f.cancel()
-	for _, worker := range f.Workers {
+	for _, worker := range f.currentWorkers() {
 		worker.close()
 	}
 	_ = f.machines.Close()
@@ -170,7 +180,7 @@
 func (f *Fleet) sendHeartbeats() error {
 	client := &http.Client{Timeout: time.Second}
 	for seq := 1; f.ctx.Err() == nil; seq++ {
-		for _, w := range f.Workers {
+		for _, w := range f.currentWorkers() {
 			f.register(client, w, seq)
 		}
 		timer := f.clock.NewTimer(heartbeat)
@@ -190,42 +200,24 @@
 		"service": w.Service, "address": w.Address, "zone": zoneName(0), "version": "1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": seq,
 		"machine": w.Machine, "capacity": map[string]int{"cpu": w.cpu, "mem_mb": w.memory, "gpu": 0}, "labels": []string{"a", "r1-1"},
 	})
-	if err != nil {
-		return
-	}
-	body := append([]byte{byte(len(w.ID))}, w.ID...)
-	body = append(body, entry...)
-	length := []byte{byte(len(body) >> 24), byte(len(body) >> 16), byte(len(body) >> 8), byte(len(body))}
-	response, err := client.Post("http://"+f.storeAt+"/log-append?topic=keyed.servers&part=0", "application/octet-stream", strings.NewReader(string(length)+string(body)))
 	if err == nil {
-		_ = response.Body.Close()
+		f.putEntry(client, w.ID, entry)
 	}
 }
 
-// serveMachines serves the list of machines. An order on a machine is recorded and refused as busy.
-func (f *Fleet) serveMachines() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
+// forget removes a worker's entry.
+func (f *Fleet) forget(w *Worker) {
+	f.putEntry(&http.Client{Timeout: time.Second}, w.ID, nil)
+}
+
+func (f *Fleet) putEntry(client *http.Client, id string, entry []byte) {
+	body := append([]byte{byte(len(id))}, id...)
+	body = append(body, entry...)
+	body = append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+	response, err := client.Post("http://"+f.entriesAt+"/log-append?topic=keyed.servers&part=0", "application/octet-stream", bytes.NewReader(body))
+	if err == nil {
+		_ = response.Body.Close()
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /machines", func(rw http.ResponseWriter, _ *http.Request) {
-		rows := []map[string]any{}
-		for _, w := range f.Workers {
-			rows = append(rows, map[string]any{
-				"machine": w.Machine, "pool": w.Service, "state": "up", "zone": zoneName(0), "labels": []string{"a", "r1-1"}, "id": w.ID,
-				"capacity": map[string]int{"cpu": w.cpu, "mem_mb": w.memory, "gpu": 0},
-			})
-		}
-		reply(rw, http.StatusOK, map[string]any{"machines": rows, "next_token": ""})
-	})
-	mux.HandleFunc("POST /", func(rw http.ResponseWriter, r *http.Request) {
-		f.Record.Note("order   %s refused: busy", r.URL.Path)
-		reply(rw, http.StatusConflict, map[string]any{"reason": "busy"})
-	})
-	f.machineAt, f.machines = listener.Addr().String(), &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	f.group.Go(func() error { return ignoreClosed(f.machines.Serve(listener)) })
-	return nil
 }
 
 // Proxy serves a proxy of the store at a loopback address and has the nodes started from now on use it. refuse is
--- a/review/runner/main.go
+++ b/review/runner/main.go
@@ -33,11 +33,12 @@
 }
 
 var plays = map[string]play{
-	"many-ends":     {services: []fleet.Service{{Name: "pump-desk", Workers: 6}}, run: manyEnds},
-	"redirected":    {services: []fleet.Service{{Name: "pump-desk", Workers: 2}, {Name: "valve-desk", Workers: 2}}, run: redirected},
-	"late-submit":   {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: lateSubmit},
-	"stale-cancel":  {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: staleCancel},
-	"long-schedule": {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: longSchedule},
+	"many-ends":      {services: []fleet.Service{{Name: "pump-desk", Workers: 6}}, run: manyEnds},
+	"redirected":     {services: []fleet.Service{{Name: "pump-desk", Workers: 2}, {Name: "valve-desk", Workers: 2}}, run: redirected},
+	"late-submit":    {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: lateSubmit},
+	"stale-cancel":   {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: staleCancel},
+	"forgotten-wave": {services: []fleet.Service{{Name: "pump-desk", Workers: 6}, {Name: "valve-desk", Workers: 6}}, run: forgottenWave},
+	"long-schedule":  {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: longSchedule},
 }
 
 // clock is the real one: the cases run in real time.
