--- a/review/fleet/fleet.go
+++ b/review/fleet/fleet.go
@@ -8,12 +8,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
-	"io"
-	"log"
-	"net"
 	"net/http"
-	"net/http/httputil"
-	"net/url"
 	"os"
 	"path/filepath"
 	"strings"
@@ -220,29 +215,6 @@
 	}
 }
 
-// Proxy serves a proxy of the store at a loopback address and has the nodes started from now on use it. refuse is
-// called with each request and may answer it.
-func (f *Fleet) Proxy(refuse func(rw http.ResponseWriter, r *http.Request) bool) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	forward := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: f.storeAt})
-	forward.ErrorLog = log.New(io.Discard, "", 0)
-	server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if !refuse(rw, r) {
-			forward.ServeHTTP(rw, r)
-		}
-	})}
-	f.storeAt = listener.Addr().String()
-	f.group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
-	f.group.Go(func() error {
-		<-f.ctx.Done()
-		return server.Close()
-	})
-	return nil
-}
-
 func zoneName(number int) string {
 	return "zone-" + string(rune('a'+number))
 }
--- a/review/fleet/node.go
+++ b/review/fleet/node.go
@@ -171,6 +171,22 @@
 	return n.command.Process.Signal(syscall.SIGCONT)
 }
 
+// MemoryMB returns how much memory the process has resident, in megabytes, or 0 if that isn't known.
+func (n *Node) MemoryMB() int {
+	if n.command == nil {
+		return 0
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
 // Figure returns one of the figures that the node shows at its debug address, or 0. It only serves to choose
 // which node to disturb.
 func (n *Node) Figure(name string) float64 {
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -4,4 +4,9 @@
 set -u
 folder=$(cd "$2" && pwd)
 cd "$(dirname "$0")/.."
-exec timeout --signal=TERM --kill-after=5 118 target/review/runner "$1" "$PWD" "$folder"
+timeout --signal=TERM --kill-after=4 114 target/review/runner "$1" "$PWD" "$folder"
+result=$?
+case $result in
+  0 | 1) exit $result ;;
+  *) exit 2 ;;
+esac
--- a/review/runner/main.go
+++ b/review/runner/main.go
@@ -38,9 +38,21 @@
 	"late-submit":    {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: lateSubmit},
 	"stale-cancel":   {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: staleCancel},
 	"forgotten-wave": {services: []fleet.Service{{Name: "pump-desk", Workers: 6}, {Name: "valve-desk", Workers: 6}}, run: forgottenWave},
+	"stuck-claim":    {services: fourServices(), run: stuckClaim},
 	"long-schedule":  {services: []fleet.Service{{Name: "pump-desk", Workers: 2}}, run: longSchedule},
 }
 
+// serviceNames are the services of stuck-claim.
+var serviceNames = []string{"flange-desk", "valve-desk", "hydrant-desk", "pump-desk"}
+
+func fourServices() []fleet.Service {
+	var services []fleet.Service
+	for _, name := range serviceNames {
+		services = append(services, fleet.Service{Name: name, Workers: 2})
+	}
+	return services
+}
+
 // clock is the real one: the cases run in real time.
 var clock = clockwork.NewRealClock()
 
@@ -100,12 +112,14 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	unregister := context.AfterFunc(ctx, func() { _ = f.Close() })
+	unregister := context.AfterFunc(ctx, func() {
+		_ = f.Close()
+		os.Exit(exitNotRun)
+	})
 	broken, err := chosen.run(f, os.Getenv("TROUBLE") != "0")
-	if unregister() {
-		err = errors.Join(err, f.Close())
-	}
-	return broken, errors.Join(err, ctx.Err())
+	unregister()
+	err = errors.Join(err, f.Close())
+	return broken, err
 }
 
 func fail(err error) int {
