Ownership: a late answer doesn't set the known end of the claims back

After a restart of all nodes while the store is slow to answer appends, cells are never claimed again: accepted jobs there stand still, and clients get 503 for good.

Cause: the end of the stream of claims, as a node knows it, was set to "own append + 1" when the append was answered, also if the feed had read further meanwhile. The next append conflicts, and the node waits for a record that it has read already.

TestNodeClaimsCellsAfterALateAnswer, in which another node's record is read before the answer, failed ("not within 20s: the other cell is owned").

Why it works: the end is now only raised, in one place for reads and appends (advanceClaimsEnd), so a conflict at an end that has passed can't repeat: either the feed has read the record, and the known end is behind it, or it will read it.

--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -48,8 +48,7 @@
 			o.applyClaim(record, m.snapshot)
 		}
 	}
-	// A read that was answered before this node's last append ends before claimsEnd.
-	s.claimsEnd = max(s.claimsEnd, m.end)
+	o.advanceClaimsEnd(m.end)
 	s.haveClaims, s.confirmedAt = true, m.sentAt
 	if m.snapshot || len(m.records) > 0 {
 		o.invalidateRanking()
@@ -58,6 +57,12 @@
 	o.publishView()
 }
 
+// advanceClaimsEnd notes that the stream of claims is known up to an offset: it has been read that far, or this
+// node has appended there. Answers to reads and appends overtake each other, so the offset may be behind claimsEnd.
+func (o *Ownership) advanceClaimsEnd(end int) {
+	o.state.claimsEnd = max(o.state.claimsEnd, end)
+}
+
 // applyClaim applies the record of a claim, unless a newer claim of the cell is known. fromSnapshot reports
 // whether the record came with a snapshot.
 func (o *Ownership) applyClaim(record damsonwinch.Record, fromSnapshot bool) {
@@ -178,7 +183,8 @@
 	s := &o.state
 	switch {
 	case err == nil:
-		s.claimsEnd, s.conflicts = end+1, 0
+		o.advanceClaimsEnd(end + 1)
+		s.conflicts = 0
 		return true
 	case errors.Is(err, damsonwinch.ErrConflict):
 		// Another node has appended a record that this node hasn't read.
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -20,8 +20,8 @@
 	// claimedAt is when this node last read a new claim of a cell, by cell. A claim that came with a
 	// snapshot may be old and sets no time.
 	claimedAt map[string]time.Time
-	// claimsEnd is the end offset of the stream of claims as far as it has been read, and haveClaims
-	// reports whether it has been read at all.
+	// claimsEnd is the end offset of the stream of claims as far as this node knows the records, see advanceClaimsEnd.
+	// haveClaims reports whether the stream has been read at all.
 	claimsEnd  int
 	haveClaims bool
 	// confirmedAt is when the newest answered read of the claims was sent.
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -36,6 +36,8 @@
 	// unknown outcome.
 	appends  int
 	failures int
+	// delayAnswer is called, if it is set, between the next append that succeeds and the answer to it.
+	delayAnswer func()
 	// appendTime is how long an append takes. Appends are carried out in turns, one after the other.
 	appendTime time.Duration
 	appendTurn sync.Mutex
@@ -110,6 +112,12 @@
 	for _, record := range records {
 		s.appendRecord(record)
 	}
+	if delay := s.delayAnswer; delay != nil {
+		s.delayAnswer = nil
+		s.mutex.Unlock()
+		delay()
+		s.mutex.Lock()
+	}
 	return nil
 }
 
