Ownership: a late answer doesn't replace a newer claim

What callers saw, or would: a node runs a cell that another node has claimed meanwhile, until the store refuses its appends: calls there fail for that time.

Cause: the answer to an append of a claim replaced the known claim of the cell without comparing tokens. A newer one that had been read before the answer was lost for good.

Why it works: adoptClaim compares tokens in one place, for reads, answers and the claims of other nodes, which each had a comparison of their own or none.

--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -63,16 +63,24 @@
 	o.state.claimsEnd = max(o.state.claimsEnd, end)
 }
 
+// adoptClaim adopts a claim of a cell if it is newer than the known one, and reports whether it is. Claims reach this
+// node by reads of the stream, by the answers to its own appends and from other nodes, in any order.
+func (o *Ownership) adoptClaim(cell string, claim cellclaim.Claim) bool {
+	if claim.Token <= o.state.claims[cell].Token {
+		return false
+	}
+	o.state.claims[cell] = claim
+	return true
+}
+
 // applyClaim applies the record of a claim, unless a newer claim of the cell is known. fromSnapshot reports
 // whether the record came with a snapshot.
 func (o *Ownership) applyClaim(record damsonwinch.Record, fromSnapshot bool) {
 	s := &o.state
-	known := s.claims[record.Key]
-	if known.Token > record.Offset+1 {
-		return
-	}
 	if len(record.Value) == 0 {
-		delete(s.claims, record.Key)
+		if s.claims[record.Key].Token <= record.Offset {
+			delete(s.claims, record.Key)
+		}
 		return
 	}
 	claim, err := cellclaim.Decode(record)
@@ -80,10 +88,9 @@
 		o.deps.Logger.WithError(err).WithField("cell", record.Key).Error("claim cannot be decoded")
 		return
 	}
-	if !fromSnapshot && known.Token != claim.Token {
+	if o.adoptClaim(record.Key, claim) && !fromSnapshot {
 		s.claimedAt[record.Key] = o.deps.Clock.Now()
 	}
-	s.claims[record.Key] = claim
 	// Claims carry the number of topics that the group needs to list all members, so that a
 	// restarted node doesn't have to find it out again.
 	s.topicCount = min(max(s.topicCount, claim.Topics), membership.MaxTopics)
@@ -205,7 +212,7 @@
 		return
 	}
 	// All earlier records have been read, so the claim holds without being read back.
-	o.state.claims[m.claim.Cell] = cellclaim.Claim{CellClaim: m.claim, Token: m.end + 1}
+	o.adoptClaim(m.claim.Cell, cellclaim.Claim{CellClaim: m.claim, Token: m.end + 1})
 	o.invalidateRanking()
 	o.publishView()
 }
--- a/pkg/ownership/late_append_answer_test.go
+++ b/pkg/ownership/late_append_answer_test.go
@@ -1,6 +1,10 @@
 package ownership
 
-import "testing"
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
 
 // startWithLateAnswer starts the node a, which claims the cell one, then others. Before its first append is answered, the
 // node b claims a cell, and a reads that claim.
@@ -34,3 +38,11 @@
 	n := startWithLateAnswer(t, "three", "two")
 	waitUntil(t, "the other cell is owned", func() bool { return n.isOwner("two", "a") })
 }
+
+// TestLateAnswerDoesNotReplaceANewerClaim guards against two owners of a cell: a node whose claim was answered after it had
+// read another node's newer claim of the cell took its own for the newest one.
+func TestLateAnswerDoesNotReplaceANewerClaim(t *testing.T) {
+	n := startWithLateAnswer(t, "one", "two")
+	waitUntil(t, "the other cell is owned", func() bool { return n.isOwner("two", "a") })
+	assert.Assert(t, n.isOwner("one", "b"))
+}
--- a/pkg/ownership/peer_claims.go
+++ b/pkg/ownership/peer_claims.go
@@ -78,10 +78,7 @@
 	}
 	changed := o.adoptPeerLayout(m.reply.Layout)
 	for _, received := range m.reply.Claims {
-		if known := s.claims[received.Claim.Cell]; received.Token > known.Token {
-			s.claims[received.Claim.Cell] = cellclaim.Claim{CellClaim: received.Claim, Token: received.Token}
-			changed = true
-		}
+		changed = o.adoptClaim(received.Claim.Cell, cellclaim.Claim{CellClaim: received.Claim, Token: received.Token}) || changed
 	}
 	if changed {
 		o.invalidateRanking()
