Ownership: a read for a conflicting claim gets more time each time

What callers saw, or would: while the store takes more than 250 ms for an answer, cells whose claims conflict have no owner: calls for them are refused.

Cause: after a conflict the read of the claims is given up and sent anew every 250 ms, since its connection may be dead. A store that answers later than that never gets to answer.

Why it works: the wait doubles, up to callTimeout (600 ms), so that an answer of that time gets through; a dead connection is still noticed after 250 ms.

A start whose idle connections are all dead may take longer than before: not measured.

--- a/pkg/ownership/claims.go
+++ b/pkg/ownership/claims.go
@@ -217,19 +217,20 @@
 	o.publishView()
 }
 
-// conflictReadTimeout is how long this node waits to read the record that caused a conflict. A read
-// that waits for new records is answered at once when there is one, unless its connection is dead.
+// conflictReadTimeout is how long this node first waits to read the record that caused a conflict. A read that waits
+// for new records is answered at once when there is one, unless its connection is dead or the store is slow: the wait
+// doubles each time, up to callTimeout.
 const conflictReadTimeout = 250 * time.Millisecond
 
 // awaitConflictingRecord is called as long as the record that caused a conflict hasn't been read. It
-// has the feed read the claims on another connection each time conflictReadTimeout has passed.
+// has the feed read the claims on another connection each time conflictReadWait has passed.
 func (o *Ownership) awaitConflictingRecord(now time.Time) {
 	s := &o.state
 	if s.conflictSince.IsZero() {
-		s.conflictSince = now
+		s.conflictSince, s.conflictReadWait = now, conflictReadTimeout
 	}
-	if now.Sub(s.conflictSince) >= conflictReadTimeout {
-		s.conflictSince = now
+	if now.Sub(s.conflictSince) >= s.conflictReadWait {
+		s.conflictSince, s.conflictReadWait = now, min(2*s.conflictReadWait, callTimeout)
 		o.feed.Refresh()
 	}
 }
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -98,8 +98,10 @@
 	// until which nothing is appended after a conflict.
 	conflicts       int
 	appendNotBefore time.Time
-	// conflictSince is the time from which the conflicting record has been awaited, or zero.
-	conflictSince time.Time
+	// conflictSince is the time from which the newest read for the conflicting record has been awaited, or zero.
+	// conflictReadWait is how long it is awaited.
+	conflictSince    time.Time
+	conflictReadWait time.Duration
 	// appendFailedAt is when an append to the stream of claims last failed.
 	appendFailedAt time.Time
 	// reservedPartitions is the number of partitions that count as reserved, which are those with the
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -36,6 +36,8 @@
 	// unknown outcome.
 	appends  int
 	failures int
+	// overtaking is a record, or nil, that another node appends just before the next append.
+	overtaking *damsonwinch.Record
 	// delayAnswer is called, if it is set, between the next append that succeeds and the answer to it.
 	delayAnswer func()
 	// appendTime is how long an append takes. Appends are carried out in turns, one after the other.
@@ -43,6 +45,8 @@
 	appendTurn sync.Mutex
 	// claimReads counts the reads of the claims.
 	claimReads int
+	// readTime is how long the store takes to answer a read of the claims that finds a record.
+	readTime time.Duration
 	// hangNextRead makes the next read of the claims hang until it is cancelled.
 	hangNextRead bool
 	// generation is that of the group, and listing what the group listed when it began. assignmentReads
@@ -106,6 +110,10 @@
 		s.failures--
 		return errNoResponse
 	}
+	if s.overtaking != nil {
+		s.appendRecord(*s.overtaking)
+		s.overtaking = nil
+	}
 	if at != len(s.claims) {
 		return damsonwinch.ErrConflict
 	}
@@ -136,7 +144,7 @@
 			return damsonwinch.Page{}, ctx.Err()
 		}
 		if len(page.Records) > 0 {
-			return page, nil
+			return page, s.waitToAnswer(ctx)
 		}
 		select {
 		case <-appended:
@@ -146,6 +154,18 @@
 	}
 }
 
+// waitToAnswer waits for readTime, or returns the error of ctx if that ends first.
+func (s *memoryStore) waitToAnswer(ctx context.Context) error {
+	timer := clockwork.NewRealClock().NewTimer(s.readTime)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // page returns the records of the stream of claims from an offset on.
 func (s *memoryStore) page(from int) damsonwinch.Page {
 	return damsonwinch.Page{Records: slices.Clone(s.claims[min(from, len(s.claims)):]), End: len(s.claims)}
