Boxplan: a wave without the operator's request is not planned

An operator is told that a wave is completed while 6 to 16 of its boxes haven't begun their maintenance; some of them never do.

Cause: a planner that takes over has the progress of waves from its stream, and the operator's request with the list of boxes from another one. While the latter couldn't be read, the wave had no boxes, so the first plan marked it as completed.

The script wave-not-read-yet failed: no box was maintained.

Why it works: a wave is planned, completed and reported only once its request is known. Its progress waits for that.

--- a/pkg/boxplan/script_test.go
+++ b/pkg/boxplan/script_test.go
@@ -55,6 +55,9 @@
 //	needed boxes=(B, ...): long-running tasks that don't run need these boxes and no others
 //	wave number=N down=N s=S pools=(P, ...): a wave for all boxes of some pools, of which at most N may
 //	  be down at the same time, to be completed within S seconds
+//	recorded-wave number=N done=(B, ...): an earlier planner has recorded that it has ordered the maintenance
+//	  of these boxes
+//	reports: prints what is to be reported to the operator on the waves, and counts it as reported
 //	evacuate zones=(Z, ...): the operator evacuates these zones and no others
 //	run box=B tasks=N: a box has N runs
 //	withdraw: the cells record the withdrawals that the last plan asked for
@@ -89,6 +92,10 @@
 		}
 	case "wave":
 		s.wave(d)
+	case "recorded-wave":
+		s.planner.LoadWave(s.now, wire.WaveRecord{Wave: number(t, d, "number"), Done: list(d, "done")})
+	case "reports":
+		return s.reports()
 	case "evacuate":
 		s.evacuate(d)
 	case "run":
@@ -122,6 +129,16 @@
 	return value
 }
 
+// list returns the values of an argument of a command, none if it is missing.
+func list(d *datadriven.TestData, key string) []string {
+	for _, arg := range d.CmdArgs {
+		if arg.Key == key {
+			return arg.Vals
+		}
+	}
+	return nil
+}
+
 // fleet creates the pools and boxes that the lines of the input give, and the planner.
 func (s *script) fleet(shards int, input string) {
 	s.layout = shard.New(shards, nil)
@@ -189,6 +206,20 @@
 	s.planner.SetWave(s.now, wave)
 }
 
+// reports returns the reports on waves that are pending, one per line, and counts them as reported.
+func (s *script) reports() string {
+	var lines []string
+	for _, report := range s.planner.PendingWaveReports() {
+		state := "started"
+		if report.Completed {
+			state = "completed"
+		}
+		lines = append(lines, fmt.Sprintf("wave %d is %s, %d boxes ordered", report.Wave, state, len(report.Done)))
+		s.planner.WaveReported(report.Wave, report.Completed)
+	}
+	return strings.Join(lines, "\n")
+}
+
 // evacuate gives the planner the evacuated zones. The endpoints there are not usable from then on.
 func (s *script) evacuate(d *datadriven.TestData) {
 	s.evacuated = nil
--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -24,7 +24,8 @@
 	typicalEmptyTime = 2500 * time.Millisecond
 )
 
-// wave is an operator's request for maintenance and its progress.
+// wave is an operator's request for maintenance and its progress. The progress may be known before the
+// request: see isRequested.
 type wave struct {
 	damsonwinch.Wave
 	startedAt time.Time
@@ -61,6 +62,12 @@
 	}
 }
 
+// isRequested reports whether the operator's request is known. Without it nothing can be said of what is left
+// to do: a planner that has taken over may have the progress of a wave from an earlier planner only.
+func (w *wave) isRequested() bool {
+	return len(w.Boxes) > 0
+}
+
 // LoadWave takes over the progress of a wave from the record of an earlier planner. If the record has
 // no start time, a wave that was not known starts at now.
 func (p *Planner) LoadWave(now time.Time, record wire.WaveRecord) {
@@ -108,7 +115,7 @@
 func (p *Planner) PendingWaveReports() []wire.WaveRecord {
 	var reports []wire.WaveRecord
 	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
-		if w := p.waves[number]; len(w.Boxes) > 0 && (!w.reported || w.completed) && !(w.reported && w.completed) {
+		if w := p.waves[number]; w.isRequested() && (!w.reported || w.completed) && !(w.reported && w.completed) {
 			reports = append(reports, p.WaveRecord(number))
 		}
 	}
@@ -123,10 +130,10 @@
 	}
 }
 
-// planWaves makes the decisions that are due for all waves in progress.
+// planWaves makes the decisions that are due for all requested waves in progress.
 func (p *Planner) planWaves() {
 	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
-		if w := p.waves[number]; !w.completed {
+		if w := p.waves[number]; w.isRequested() && !w.completed {
 			p.planWave(w)
 		}
 	}
