Boxplan: a completed wave goes on if its request is extended

An operator adds boxes to a wave that is completed; it stays completed, and the boxes are never maintained.

Cause: a wave was completed for good, whatever its newest request names.

Why it works: a request with other boxes, of which some haven't been ordered, takes back that the wave is completed. The same request read again changes nothing, so that nothing is reported twice.

--- a/pkg/boxplan/script_test.go
+++ b/pkg/boxplan/script_test.go
@@ -53,8 +53,8 @@
 //	busy pool=P boxes=N ms=MS: the first N boxes of a pool are empty after MS milliseconds
 //	lasting box=B tasks=N: a box has N long-running tasks
 //	needed boxes=(B, ...): long-running tasks that don't run need these boxes and no others
-//	wave number=N down=N s=S pools=(P, ...): a wave for all boxes of some pools, of which at most N may
-//	  be down at the same time, to be completed within S seconds
+//	wave number=N down=N s=S pools=(P, ...) boxes=(B, ...): a wave for all boxes of some pools and for other boxes, of
+//	  which at most N may be down at the same time, to be completed within S seconds
 //	recorded-wave number=N done=(B, ...): an earlier planner has recorded that it has ordered the maintenance
 //	  of these boxes
 //	reports: prints what is to be reported to the operator on the waves, and counts it as reported
@@ -195,7 +195,7 @@
 
 // wave gives the planner a wave.
 func (s *script) wave(d *datadriven.TestData) {
-	wave := damsonwinch.Wave{Number: number(s.t, d, "number"), MaxDown: number(s.t, d, "down"), Duration: time.Duration(number(s.t, d, "s")) * time.Second}
+	wave := damsonwinch.Wave{Number: number(s.t, d, "number"), MaxDown: number(s.t, d, "down"), Duration: time.Duration(number(s.t, d, "s")) * time.Second, Boxes: list(d, "boxes")}
 	for _, arg := range d.CmdArgs {
 		for _, b := range s.boxes {
 			if arg.Key == "pools" && slices.Contains(arg.Vals, b.Pool) {
--- a/pkg/boxplan/waves.go
+++ b/pkg/boxplan/waves.go
@@ -42,7 +42,8 @@
 	completed bool
 }
 
-// SetWave adds or changes a wave. A wave that exists keeps its progress.
+// SetWave adds or changes a wave. A wave that exists keeps its progress, but is no longer completed if the
+// request names other boxes of which some haven't been ordered.
 func (p *Planner) SetWave(now time.Time, request damsonwinch.Wave) {
 	if existing := p.waves[request.Number]; existing != nil {
 		existing.set(request)
@@ -55,6 +56,9 @@
 
 // set replaces the operator's request.
 func (w *wave) set(request damsonwinch.Wave) {
+	if w.completed && !slices.Equal(w.Boxes, request.Boxes) && !w.hasOrdered(request.Boxes) {
+		w.completed, w.reported = false, false
+	}
 	w.Wave = request
 	w.members = make(map[string]bool, len(request.Boxes))
 	for _, name := range request.Boxes {
@@ -68,6 +72,11 @@
 	return len(w.Boxes) > 0
 }
 
+// hasOrdered reports whether the maintenance of all given boxes has been ordered.
+func (w *wave) hasOrdered(boxes []string) bool {
+	return !slices.ContainsFunc(boxes, func(name string) bool { return !w.ordered[name] })
+}
+
 // LoadWave takes over the progress of a wave from the record of an earlier planner. If the record has
 // no start time, a wave that was not known starts at now.
 func (p *Planner) LoadWave(now time.Time, record wire.WaveRecord) {
