Cell: nothing is concluded from what a truncated reply doesn't list

Where more than 500 results wait at an endpoint, e.g. after a cut of some seconds, tasks that have ended done are started again, 700 of 1,200.

Cause: an endpoint lists 500 results at once. A run that such a reply lists neither as running nor as ended counted as lost; its result came with the next reply.

Why it works: the reply says that it is truncated, and the three places that conclude something from what it lacks don't do so then: missing runs and stalled endpoints, lapsed attempts (as before), and runs of an earlier life under the same ID. The results that are listed are acknowledged once recorded, so the next reply holds others.

--- a/endpoint.go
+++ b/endpoint.go
@@ -180,6 +180,9 @@
 	ClockMs  int
 	Running  []RunProgress
 	Finished []RunResult
+	// Truncated reports whether the endpoint may hold more results: a reply lists only the first ones. A run
+	// that a truncated reply doesn't list may have ended.
+	Truncated bool
 }
 
 // Errors with which an endpoint refuses a request. After each of them it has done nothing.
--- a/pkg/cell/lives.go
+++ b/pkg/cell/lives.go
@@ -85,8 +85,8 @@
 }
 
 // mayHaveMoved reports whether r, which was requested of another life with the same ID, may run on
-// the life that has answered a poll. Either the reply lists it, or its start request may still have
-// been on its way when the poll was sent, at sentStep.
+// the life that has answered a poll. Either the reply lists it, or is truncated and might list it, or its start
+// request may still have been on its way when the poll was sent, at sentStep.
 func (c *Cell) mayHaveMoved(r *run, reply damsonwinch.PollReply, sentStep int) bool {
 	switch r.state {
 	case runPending:
@@ -98,7 +98,8 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(reply.Running, func(progress damsonwinch.RunProgress) bool { return progress.Run == r.id() }) ||
+	return reply.Truncated ||
+		slices.ContainsFunc(reply.Running, func(progress damsonwinch.RunProgress) bool { return progress.Run == r.id() }) ||
 		slices.ContainsFunc(reply.Finished, func(result damsonwinch.RunResult) bool { return result.Run == r.id() })
 }
 
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -37,10 +37,6 @@
 	overdue bool
 }
 
-// maxResults is the highest number of results in one reply to a poll. If a reply has that many,
-// more may follow.
-const maxResults = 500
-
 // sendDuePolls sends the polls that are due. It checks the endpoints for which schedulePoll was
 // called, or all endpoints if pollAll is set.
 func (c *Cell) sendDuePolls() {
@@ -195,11 +191,12 @@
 	e.leases.SampleClock(c.now, reply.ClockMs)
 	c.endProbation(e, sent.sentAt)
 	c.applyResults(e, reply.Finished)
-	if len(reply.Finished) < maxResults {
+	c.updateListedRuns(e, reply.Running)
+	if !reply.Truncated {
 		c.forgetLapsed(e)
+		c.removeUnlistedRuns(e, sent.step)
+		c.checkProgress(e)
 	}
-	c.reconcileRuns(e, reply.Running, sent.step)
-	c.checkProgress(e)
 	c.adjustFillerSpeeds(e)
 	if !e.attached {
 		e.attached, e.attachedAt = true, c.now
@@ -245,10 +242,9 @@
 	}
 }
 
-// reconcileRuns compares the runs that an endpoint has listed with those that the cell expects
-// there. It stops listed runs that are not expected, and removes expected runs that don't exist.
-// sentStep is the step at which the poll was sent.
-func (c *Cell) reconcileRuns(e *endpoint, listed []damsonwinch.RunProgress, sentStep int) {
+// updateListedRuns updates the runs that an endpoint has listed. It stops those that the cell doesn't expect
+// there.
+func (c *Cell) updateListedRuns(e *endpoint, listed []damsonwinch.RunProgress) {
 	e.strayRuns = 0
 	for _, progress := range listed {
 		r := e.runs[progress.Run]
@@ -266,6 +262,11 @@
 	case e.strayRunsSince.IsZero():
 		e.strayRunsSince = c.now
 	}
+}
+
+// removeUnlistedRuns removes the expected runs that an endpoint doesn't have: its reply lists them neither as
+// running nor as ended. A truncated reply doesn't show that. sentStep is the step at which the poll was sent.
+func (c *Cell) removeUnlistedRuns(e *endpoint, sentStep int) {
 	for _, r := range e.sortedRuns() {
 		switch {
 		case r.lastListedStep == c.step:
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -316,7 +316,7 @@
 
 // answerPoll answers the poll of an endpoint. The argument running lists runs as run:percent:load,
 // of which percent and load may be left out, and the argument ended lists results as
-// sequence:run:ending. The endpoint's clock is 5 s ahead of the time since the scenario began.
+// sequence:run:ending. With the argument truncated there may be more of them. The endpoint's clock is 5 s ahead of the time since the scenario began.
 func (s *script) answerPoll(d *datadriven.TestData) string {
 	at := arg(s.t, d, "at")
 	sent, exists := s.polls[at]
@@ -324,7 +324,7 @@
 		return "no look is on its way to " + at + "\n"
 	}
 	delete(s.polls, at)
-	reply := damsonwinch.PollReply{StartedUnixMs: intArg(s.t, d, "born", sent.Endpoint.Life.StartedUnixMs), ClockMs: s.clockMs()}
+	reply := damsonwinch.PollReply{StartedUnixMs: intArg(s.t, d, "born", sent.Endpoint.Life.StartedUnixMs), ClockMs: s.clockMs(), Truncated: d.HasArg("truncated")}
 	for _, text := range listArg(s.t, d, "running") {
 		parts := strings.Split(text+":0:0", ":")
 		percent, _ := strconv.Atoi(parts[1])
--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -228,6 +228,9 @@
 		e.renewLease(request.LeaseUntilMs + e.lateMs)
 	}
 	reply := damsonwinch.PollReply{StartedUnixMs: e.reportedStartMs(), ClockMs: e.clockMs(), Finished: append([]damsonwinch.RunResult{}, e.finished...)}
+	if limit := e.world.maxListedResults; limit > 0 && len(reply.Finished) >= limit {
+		reply.Finished, reply.Truncated = reply.Finished[:limit], true
+	}
 	for _, r := range e.sortedRuns() {
 		percent := 100
 		if r.ending == damsonwinch.EndedDone && !e.world.behaviourOf(r.request.Task).longRunning {
--- a/pkg/cell/sim_faults_test.go
+++ b/pkg/cell/sim_faults_test.go
@@ -238,6 +238,20 @@
 	t.Logf("%d seeds, %d starts", len(seeds), starts)
 }
 
+// TestRulesHoldWhileRepliesAreTruncated guards against tasks that run twice because an endpoint has more results than it
+// lists at once. Here it lists one.
+func TestRulesHoldWhileRepliesAreTruncated(t *testing.T) {
+	for _, seed := range testSeeds(200) {
+		w := newWorld(seed, mutation{})
+		w.maxListedResults = 1
+		w.setUp(defaultJobs)
+		w.runToEnd()
+		if w.rules.violation != "" {
+			t.Fatalf("seed %d: %s\n%s", seed, w.rules.violation, strings.Join(w.log, "\n"))
+		}
+	}
+}
+
 // TestRulesDetectDisabledMechanisms disables one mechanism after another. With some seed that must
 // violate a rule.
 func TestRulesDetectDisabledMechanisms(t *testing.T) {
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -90,6 +90,8 @@
 	// promptPolls makes a waiting poll return as soon as a run ends. Otherwise it always waits for
 	// MaxWait and returns what was true when it began to wait.
 	promptPolls bool
+	// maxListedResults is how many results an endpoint lists in one reply; 0 for all.
+	maxListedResults int
 	// registry is set in simulations in which the capacity of boxes changes and endpoints start
 	// whatever they are told to. It is nil in all others.
 	registry *simRegistry
