--- a/pkg/boxplan/control_outage_test.go
+++ b/pkg/boxplan/control_outage_test.go
@@ -9,7 +9,6 @@
 
 	"damsonwinch/pkg/boxplan"
 	"damsonwinch/pkg/shard"
-	"damsonwinch/pkg/wire"
 )
 
 // outageFleet is a fleet whose control of boxes is away since its boxes were listed. A cell of the pool "short" gives
@@ -33,7 +32,7 @@
 func (f *outageFleet) plan(after time.Duration) []boxplan.Order {
 	f.now = f.now.Add(after)
 	f.planner.SetReport(f.now, f.short, f.shortReport(0))
-	f.planner.SetReport(f.now, f.held, wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, WaitingCpu: 100 * scriptMilliCPU, Endpoints: f.reports("held", 0)})
+	f.planner.SetReport(f.now, f.held, f.backlog("held", 100))
 	return f.planner.Plan(f.now)
 }
 
@@ -42,9 +41,7 @@
 	setAll(f.withdrawn, f.planner.Directives(f.short).WithdrawUrgently)
 	orders := f.plan(100 * time.Millisecond)
 	f.now = f.now.Add(800 * time.Millisecond)
-	for _, order := range orders {
-		f.planner.HandleOrderResult(f.now, order, errNoAnswer)
-	}
+	f.handleAll(orders, errNoAnswer)
 	return orders
 }
 
--- a/pkg/boxplan/flapping_outage_test.go
+++ b/pkg/boxplan/flapping_outage_test.go
@@ -27,7 +27,7 @@
 			f.planner.SetBoxes(requestedAt, f.boxes)
 			requestedAt = f.now
 		}
-		handleAll(f.shardedFleet, f.plan(step), damsonwinch.ErrRefused)
+		f.handleAll(f.plan(step), damsonwinch.ErrRefused)
 		directives := f.planner.Directives(f.short)
 		for _, life := range directives.Restore {
 			f.withdrawn[life] = false
--- a/pkg/boxplan/lives_test.go
+++ b/pkg/boxplan/lives_test.go
@@ -50,6 +50,13 @@
 	return f.planner.Plan(f.now)
 }
 
+// inheritMaintenance gives the planner a wave for the box, and an earlier planner's order to maintain it for the wave.
+func (f *oneBoxFleet) inheritMaintenance() {
+	f.planner.LoadWave(f.now, wire.WaveRecord{Wave: 1, BegunMs: int(f.now.UnixMilli()), Done: []string{f.box.Name}})
+	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 60 * time.Second, Boxes: []string{f.box.Name}})
+	f.planner.LoadOrder(wire.OrderRecord{Box: f.box.Name, Wave: 1, AtMs: int(f.now.UnixMilli()), Endpoint: damsonwinch.Life{ID: "at-" + f.box.Name, StartedUnixMs: 1}.String()})
+}
+
 // maintain adds a wave for the box, plans until the maintenance is ordered, accepts the order as the
 // platform does, and returns it. The life that the order ends started at startedUnixMs.
 func (f *oneBoxFleet) maintain(t *testing.T, wave, startedUnixMs int) boxplan.Order {
--- a/pkg/boxplan/long_running_memory_test.go
+++ b/pkg/boxplan/long_running_memory_test.go
@@ -28,8 +28,7 @@
 	f.now = owner.now
 	f.planner.SetBoxes(f.now, f.boxes)
 	f.planner.SetReport(f.now, shard.CellName("held", 2), owner.cell.Report(f.now))
-	backlog := wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, WaitingCpu: 300 * scriptMilliCPU}
-	backlog.Endpoints = f.reports("short", 0)
+	backlog := f.backlog("short", 300)
 	f.planner.SetReport(f.now, shard.CellName("short", 0), backlog)
 	var movedTo []string
 	for _, order := range f.planner.Plan(f.now) {
--- a/pkg/boxplan/missed_report_test.go
+++ b/pkg/boxplan/missed_report_test.go
@@ -24,7 +24,7 @@
 		report.RunningCpu = 4 * scriptMilliCPU
 		f.planner.SetReport(f.now, held, wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, MissingBoxes: 1, Endpoints: f.reports("held", 1)})
 		f.planner.SetReport(f.now, short, report)
-		handleAll(f, f.planner.Plan(f.now), damsonwinch.ErrRefused)
+		f.handleAll(f.planner.Plan(f.now), damsonwinch.ErrRefused)
 	}
 	for range 3 {
 		plan(f.shortReport(0))
--- a/pkg/boxplan/overtaken_order_test.go
+++ b/pkg/boxplan/overtaken_order_test.go
@@ -1,59 +1,15 @@
 package boxplan_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
-	"damsonwinch/pkg/boxplan"
-	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
 
-// shortReport returns the report of a cell of the pool "short" that needs boxes for long-running tasks.
-func (f *shardedFleet) shortReport(missing int) wire.SyncReply {
-	report := wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, MissingBoxes: missing, Endpoints: f.reports("short", 0)}
-	for i := range report.Endpoints {
-		row := &report.Endpoints[i]
-		row.Withdrawn, row.Silent = f.withdrawn[row.Endpoint], f.silent[row.Endpoint]
-		row.Usable = !row.Withdrawn && !row.Silent
-	}
-	return report
-}
-
-// planRefused is like planShort, and has the platform refuse the orders. It returns the pools that they name.
-func (f *shardedFleet) planRefused(after time.Duration, missing int) (pools []string) {
-	for _, order := range f.planShort(after, missing) {
-		pools = append(pools, order.Pool)
-		f.planner.HandleOrderResult(f.now, order, damsonwinch.ErrRefused)
-	}
-	return pools
-}
-
-// leaving returns the endpoints of a cell of the pool "short" that are to be withdrawn.
-func (f *shardedFleet) leaving() []string {
-	directives := f.planner.Directives(shard.CellName("short", 0))
-	return slices.Concat(directives.Withdraw, directives.WithdrawUrgently)
-}
-
-// setAll sets the values of keys to true.
-func setAll(values map[string]bool, keys []string) {
-	for _, key := range keys {
-		values[key] = true
-	}
-}
-
-// planShort gives the planner a list of boxes and the report of a cell of the pool "short", and returns its orders.
-func (f *shardedFleet) planShort(after time.Duration, missing int) []boxplan.Order {
-	f.now = f.now.Add(after)
-	f.planner.SetBoxes(f.now, f.boxes)
-	f.planner.SetReport(f.now, shard.CellName("short", 0), f.shortReport(missing))
-	return f.planner.Plan(f.now)
-}
-
 // TestMoveOvertakenByAnEarlierOneIsOver guards against a cell that counts a box for good which never comes: the
 // platform has moved it to the cell's pool, and then to another one by a late copy of an earlier order.
 func TestMoveOvertakenByAnEarlierOneIsOver(t *testing.T) {
@@ -61,9 +17,7 @@
 	f.add("off", 2, 1)
 	orders := f.planShort(0, 1)
 	assert.Assert(t, len(orders) > 0)
-	for _, order := range orders {
-		f.planner.HandleOrderResult(f.now, order, nil)
-	}
+	f.handleAll(orders, nil)
 	for i := range f.boxes {
 		f.boxes[i].State = damsonwinch.BoxMoving
 	}
--- a/pkg/boxplan/restart_bound_test.go
+++ b/pkg/boxplan/restart_bound_test.go
@@ -56,9 +56,7 @@
 		if at := slices.IndexFunc(orders, func(o boxplan.Order) bool { return o.Pool == "held" && o.Shard == 0 }); at >= 0 {
 			moved = &orders[at]
 		}
-		for _, order := range orders {
-			f.planner.HandleOrderResult(f.now, order, nil)
-		}
+		f.handleAll(orders, nil)
 		for _, life := range f.planner.Directives(turn).WithdrawUrgently {
 			if _, leaving := emptyAt[life]; !leaving {
 				emptyAt[life] = f.now.Add(shortTask)
--- a/pkg/boxplan/shortage_test.go
+++ b/pkg/boxplan/shortage_test.go
@@ -1,14 +1,11 @@
 package boxplan_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
-	"damsonwinch"
-	"damsonwinch/pkg/boxplan"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
@@ -27,46 +24,24 @@
 // the day, beside 18 powered-off boxes of other shards, and 7 jobs never ran. A box that changes its
 // pool starts a new life there, so that it may go to any shard.
 func TestShortCellGetsPoweredOffBoxesOfOtherShards(t *testing.T) {
-	now := time.Unix(1_000_000, 0)
-	layout := shard.New(fleetShards, []string{"held", "short"})
-	planner := boxplan.New(boxplan.Options{MoveTime: 1500 * time.Millisecond, MaintainTime: 2 * time.Second, ScaleDownDelay: time.Second, TakeoverDelay: 3 * time.Second})
-	planner.SetPools([]damsonwinch.Pool{{Name: "off", PoweredOff: true}, {Name: "held"}, {Name: "short"}}, layout)
-	var boxes []damsonwinch.Box
-	add := func(pool string, count int, fits func(name string) bool) {
-		for number := 0; count > 0; number++ {
-			name := fmt.Sprintf("%s-%03d", pool, number)
-			if !fits(name) {
-				continue
-			}
-			count--
-			boxes = append(boxes, damsonwinch.Box{
-				Name: name, Pool: pool, State: damsonwinch.BoxUp, Zone: "zone", Capacity: damsonwinch.Resources{MilliCPU: scriptMilliCPU, MemoryMB: scriptMemoryMB},
-			})
-			if pool != "off" {
-				boxes[len(boxes)-1].EndpointID = "at-" + name
-			}
-		}
-	}
 	const shortShard = 2
-	add("off", poweredOffBoxes, func(name string) bool { return layout.BoxShard(name) != shortShard })
-	add("held", longRunningTasks, func(name string) bool { return layout.BoxShard(name) == shortShard })
-	planner.SetBoxes(now.Add(-time.Minute), boxes)
-	held := wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, LastingCpu: 100_000, Spread: longRunningTasks}
-	for _, b := range boxes {
-		if b.Pool == "held" {
-			held.Endpoints = append(held.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: true, Lasting: 1})
-		}
+	f := newShardedFleet()
+	for number, count := range []int{14, 13, 0, 13} {
+		f.add("off", count, number)
 	}
-	planner.SetReport(now, shard.CellName("held", shortShard), held)
+	f.add("held", longRunningTasks, shortShard)
+	f.planner.SetBoxes(f.now.Add(-time.Minute), f.boxes)
+	held := wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, LastingCpu: 100_000, Spread: longRunningTasks, Endpoints: f.reports("held", 1)}
+	f.planner.SetReport(f.now, shard.CellName("held", shortShard), held)
 	// Work for 25 boxes in one cell.
-	planner.SetReport(now, shard.CellName("short", shortShard), wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, WaitingCpu: 25 * scriptMilliCPU})
+	f.planner.SetReport(f.now, shard.CellName("short", shortShard), f.backlog("short", 25))
 
 	received := 0
-	for _, order := range planner.Plan(now) {
+	for _, order := range f.planner.Plan(f.now) {
 		if order.Pool == "short" {
 			received++
 		}
 	}
 	assert.Assert(t, received >= 25, "%d of %d powered-off boxes go to the cell that is short", received, poweredOffBoxes)
-	assert.Equal(t, len(planner.Directives(shard.CellName("held", shortShard)).WithdrawUrgently), 0, "no box is taken from long-running tasks")
+	assert.Equal(t, len(f.planner.Directives(shard.CellName("held", shortShard)).WithdrawUrgently), 0, "no box is taken from long-running tasks")
 }
--- a/pkg/boxplan/unlisted_boxes_test.go
+++ b/pkg/boxplan/unlisted_boxes_test.go
@@ -32,12 +32,10 @@
 		f.planner.SetBoxes(f.now, f.boxes)
 		f.planner.SetReport(f.now, short, shortReport)
 		f.planner.SetReport(f.now, held, heldReport)
-		for _, order := range f.planner.Plan(f.now) {
-			f.planner.HandleOrderResult(f.now, order, damsonwinch.ErrRefused)
-		}
+		f.handleAll(f.planner.Plan(f.now), damsonwinch.ErrRefused)
 	}
 	idle := wire.SyncReply{Known: true, Endpoints: f.reports("held", 0)}
-	backlog := wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, WaitingCpu: 100 * scriptMilliCPU, Endpoints: f.reports("held", 0)}
+	backlog := f.backlog("held", 100)
 	plan(time.Minute, f.shortReport(0), backlog)
 	setAll(f.withdrawn, f.planner.Directives(short).WithdrawUrgently)
 	withdrawn := len(f.withdrawn)
