Relay: the newest records of a peer that is behind are refused

In a fleet of 64 nodes or more a node may take an evacuated zone for usable until its next read.

Cause: a follower refuses the next records of a peer that is behind it, but took the newest record of each key from one. An evacuation that these lack counts as deleted.

Evidence: TestFollowerRejectsNewestRecordsOfAPeerThatIsBehind failed: no error for a reply that ends at 1 after one that ended at 2.

Why it works: the request names the offset up to which the node has read for both kinds, so the one check for both (errBehind) refuses the reply; another node is asked, then the store.

Measured after: the tests of pkg/relay and pkg/node pass. The path is used from 64 nodes on.

--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -112,7 +112,8 @@
 }
 
 // Newest implements damsonwinch.Store. It reads the relay's stream from the upstream node, if this node
-// has one.
+// has one. A reply that ends before what this node has read is an error: what such a reply lacks may have been
+// added since, and must not count as deleted.
 func (r *Relay) Newest(ctx context.Context, stream damsonwinch.Stream, after string) (damsonwinch.KeyPage, error) {
 	if stream != r.stream {
 		return r.deps.Store.Newest(ctx, stream, after)
@@ -125,7 +126,7 @@
 		}
 		return page, err
 	}
-	reply, records, err := r.follow(ctx, address, wire.FollowArgs{Newest: true})
+	reply, records, err := r.follow(ctx, address, wire.FollowArgs{Newest: true, Next: r.tail.next()})
 	if err != nil {
 		return damsonwinch.KeyPage{}, err
 	}
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -328,6 +328,22 @@
 	assert.Equal(t, newest.End, 7)
 }
 
+// TestFollowerRejectsNewestRecordsOfAPeerThatIsBehind guards against an evacuation that ends by itself: a follower that had read it
+// took the newest records of an upstream node that hadn't, and what they lacked counted as deleted.
+func TestFollowerRejectsNewestRecordsOfAPeerThatIsBehind(t *testing.T) {
+	f := newFleet(t.Context(), clockwork.NewFakeClock(), newFakeStore("one", "two"), 100)
+	r, _ := f.follower(t)
+	end := 2
+	f.follow = func(context.Context, string, wire.FollowArgs) (wire.FollowReply, error) {
+		return wire.FollowReply{Known: true, End: end}, nil
+	}
+	_, err := r.Newest(t.Context(), operatorStream, "")
+	assert.NilError(t, err)
+	end = 1
+	_, err = r.Newest(t.Context(), operatorStream, "")
+	assert.ErrorIs(t, err, errBehind)
+}
+
 // TestTailIsOnlyAsNewAsItsLastConfirmation checks that a read which doesn't reach the end of the stream
 // leaves the time of the last confirmation as it is.
 func TestTailIsOnlyAsNewAsItsLastConfirmation(t *testing.T) {
--- a/pkg/relay/tail.go
+++ b/pkg/relay/tail.go
@@ -87,6 +87,13 @@
 	t.setEnd(end, confirmedAt)
 }
 
+// next returns the offset of the next record to read.
+func (t *tail) next() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.end
+}
+
 // setEnd sets the end of the tail and wakes the callers of waitFor if it has changed.
 func (t *tail) setEnd(end int, confirmedAt time.Time) {
 	if end != t.end || t.confirmedAt.IsZero() {
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -507,7 +507,7 @@
 	Newest bool `json:"newest,omitempty,omitzero"`
 
 	// Offset of the first requested record. At the end of the stream the reply waits
-	// for this record.
+	// for this record. With newest: the offset up to which the asking node has read.
 	Next int `json:"next,omitempty,omitzero"`
 
 	// How long the reply may wait for a record, in milliseconds.
