--- a/pkg/cell/sim_capacity_test.go
+++ b/pkg/cell/sim_capacity_test.go
@@ -1,7 +1,6 @@
 package cell_test
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -116,26 +115,11 @@
 // is being stopped counts until it has ended. The registry also fails, and then the last known
 // capacity of an endpoint says nothing about its present one.
 func TestShrinkingBoxesAreNotOverloaded(t *testing.T) {
-	seeds := testSeeds(200)
-	starts := 0
-	for _, seed := range seeds {
-		w := simulateShrinkingBoxes(seed, mutation{})
-		if w.rules.violation != "" {
-			t.Fatalf("seed %d: %s\n%s", seed, w.rules.violation, strings.Join(w.log, "\n"))
-		}
-		starts += w.rules.startCount
-	}
-	t.Logf("%d seeds, %d starts", len(seeds), starts)
+	checkSeeds(t, testSeeds(200), simulateShrinkingBoxes)
 }
 
 // TestRulesDetectStaleCapacity checks that some seed violates a rule if the age of a reported
 // capacity is not limited.
 func TestRulesDetectStaleCapacity(t *testing.T) {
-	for _, seed := range testSeeds(100) {
-		if violation := simulateShrinkingBoxes(seed, mutation{staleCapacity: true}).rules.violation; violation != "" {
-			t.Logf("seed %d: %s", seed, violation)
-			return
-		}
-	}
-	t.Fatal("no seed violated a rule without the mechanism")
+	expectViolation(t, "", testSeeds(100), mutation{staleCapacity: true}, simulateShrinkingBoxes)
 }
--- a/pkg/cell/sim_evacuation_test.go
+++ b/pkg/cell/sim_evacuation_test.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -119,15 +118,7 @@
 // evacuation on, while owners are killed, paused, cut off and replaced and learn of evacuations
 // late. In the end all work must be done.
 func TestNothingStartsInEvacuatedZones(t *testing.T) {
-	starts := 0
-	for _, seed := range testSeeds(120) {
-		w := simulateEvacuations(seed, mutation{})
-		if w.rules.violation != "" {
-			t.Fatalf("seed %d: %s\n%s", seed, w.rules.violation, strings.Join(w.log, "\n"))
-		}
-		starts += w.rules.startCount
-	}
-	t.Logf("%d starts", starts)
+	checkSeeds(t, testSeeds(120), simulateEvacuations)
 }
 
 // TestRulesDetectIgnoredEvacuations checks that some seed violates the rule if owners don't know the
@@ -137,14 +128,6 @@
 		"evacuations are hidden":      {hideEvacuations: true},
 		"old evacuations are trusted": {staleEvacuations: true},
 	} {
-		t.Run(name, func(t *testing.T) {
-			for _, seed := range testSeeds(2000) {
-				if violation := simulateEvacuations(seed, m).rules.violation; strings.HasPrefix(violation, "EVAC") {
-					t.Logf("seed %d: %s", seed, violation)
-					return
-				}
-			}
-			t.Fatal("no seed violated the rule without the mechanism")
-		})
+		t.Run(name, func(t *testing.T) { expectViolation(t, "EVAC", testSeeds(2000), m, simulateEvacuations) })
 	}
 }
--- a/pkg/cell/sim_faults_test.go
+++ b/pkg/cell/sim_faults_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -204,52 +201,24 @@
 //     row ended 0.2 s before the end of the recovery time.
 var failedSeeds = []uint64{10946, 14538, 128421}
 
-// testSeeds returns the seeds of a test: from 1, or from DAMSONWINCH_FIRST_SEED if that is set, as
-// many as defaultCount, or as DAMSONWINCH_SEEDS if that is set.
-func testSeeds(defaultCount uint64) []uint64 {
-	first, count := uint64(1), defaultCount
-	if text := os.Getenv("DAMSONWINCH_SEEDS"); text != "" {
-		count, _ = strconv.ParseUint(text, 10, 64)
-	}
-	if text := os.Getenv("DAMSONWINCH_FIRST_SEED"); text != "" {
-		first, _ = strconv.ParseUint(text, 10, 64)
-	}
-	var seeds []uint64
-	for seed := first; seed < first+count; seed++ {
-		seeds = append(seeds, seed)
-	}
-	return seeds
-}
-
 // TestRulesHoldUnderRandomFaults simulates owners that are killed, paused, cut off and replaced,
 // calls that get lost, are done without a reply or are done late, and endpoints that crash or are
 // cut off. DAMSONWINCH_SEEDS sets how many seeds are simulated beside failedSeeds, and
 // DAMSONWINCH_FIRST_SEED the first of them.
 func TestRulesHoldUnderRandomFaults(t *testing.T) {
-	seeds := append(slices.Clone(failedSeeds), testSeeds(600)...)
-	starts := 0
-	for _, seed := range seeds {
-		w := simulateFaults(seed, mutation{})
-		starts += w.rules.startCount
-		if w.rules.violation != "" {
-			t.Fatalf("seed %d: %s\n%s", seed, w.rules.violation, strings.Join(w.log, "\n"))
-		}
-	}
-	t.Logf("%d seeds, %d starts", len(seeds), starts)
+	checkSeeds(t, append(slices.Clone(failedSeeds), testSeeds(600)...), simulateFaults)
 }
 
 // TestRulesHoldWhileRepliesAreTruncated guards against tasks that run twice because an endpoint has more results than it
 // lists at once. Here it lists one.
 func TestRulesHoldWhileRepliesAreTruncated(t *testing.T) {
-	for _, seed := range testSeeds(200) {
-		w := newWorld(seed, mutation{})
+	checkSeeds(t, testSeeds(200), func(seed uint64, m mutation) *world {
+		w := newWorld(seed, m)
 		w.maxListedResults = 1
 		w.setUp(defaultJobs)
 		w.runToEnd()
-		if w.rules.violation != "" {
-			t.Fatalf("seed %d: %s\n%s", seed, w.rules.violation, strings.Join(w.log, "\n"))
-		}
-	}
+		return w
+	})
 }
 
 // TestRulesDetectDisabledMechanisms disables one mechanism after another. With some seed that must
@@ -263,14 +232,6 @@
 		"leases expire early":          {expireLeasesEarly: true},
 		"commits after a snapshot":     {commitAfterMove: true},
 	} {
-		t.Run(name, func(t *testing.T) {
-			for seed := uint64(1); seed < 2000; seed++ {
-				if violation := simulateFaults(seed, m).rules.violation; violation != "" {
-					t.Logf("seed %d: %s", seed, violation)
-					return
-				}
-			}
-			t.Fatal("no seed violated a rule without the mechanism")
-		})
+		t.Run(name, func(t *testing.T) { expectViolation(t, "", firstSeeds(1999), m, simulateFaults) })
 	}
 }
--- a/pkg/cell/sim_late_requests_test.go
+++ b/pkg/cell/sim_late_requests_test.go
@@ -240,13 +240,7 @@
 // TestLateRequestRulesDetectDisabledMechanisms makes sure that a task which runs twice because of late requests is
 // found.
 func TestLateRequestRulesDetectDisabledMechanisms(t *testing.T) {
-	for seed := uint64(1); seed < 500; seed++ {
-		if violation := simulateLateRequests(seed, mutation{expireLeasesEarly: true}).rules.violation; strings.HasPrefix(violation, "TWICE") {
-			t.Logf("seed %d: %s", seed, violation)
-			return
-		}
-	}
-	t.Fatal("no seed violated the rule although leases expire early")
+	expectViolation(t, "TWICE", firstSeeds(499), mutation{expireLeasesEarly: true}, simulateLateRequests)
 }
 
 // TestAnsweredCallsCostNothing guards against calls that are followed up although endpoints answer, however many there
--- a/pkg/cell/sim_mixed_faults_test.go
+++ b/pkg/cell/sim_mixed_faults_test.go
@@ -78,6 +78,11 @@
 	return w
 }
 
+// simulateMixedFaultsOnTime is simulateMixedFaults without leases that count from the arrival of late requests.
+func simulateMixedFaultsOnTime(seed uint64, m mutation) *world {
+	return simulateMixedFaults(seed, m, false)
+}
+
 // newMixedWorld returns a simulation with mixed faults that has no boxes yet.
 func newMixedWorld(seed uint64, m mutation) *world {
 	w := newWorld(seed, m)
--- a/pkg/cell/sim_mixed_run_test.go
+++ b/pkg/cell/sim_mixed_run_test.go
@@ -58,13 +58,7 @@
 		"lists of boxes as if requested on arrival": {mutation{requestListsLate: true}, "TWICE"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := uint64(1); seed < 2000; seed++ {
-				if violation := simulateMixedFaults(seed, c.mutation, false).rules.violation; strings.HasPrefix(violation, c.rule) {
-					t.Logf("seed %d: %s", seed, violation)
-					return
-				}
-			}
-			t.Fatal("no seed violated the rule without the mechanism")
+			expectViolation(t, c.rule, firstSeeds(1999), c.mutation, simulateMixedFaultsOnTime)
 		})
 	}
 }
--- a/pkg/cell/sim_quota_test.go
+++ b/pkg/cell/sim_quota_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -218,25 +217,11 @@
 // together, while owners, endpoints and requests of one cell fail in all the ways that are
 // simulated. In the end all work must be done.
 func TestCellsStayWithinCustomerCap(t *testing.T) {
-	starts := 0
-	for _, seed := range append(failedQuotaSeeds, testSeeds(300)...) {
-		w := simulateCappedCustomer(seed, mutation{})
-		if w.rules.violation != "" {
-			t.Fatalf("seed %d: %s\n%s", seed, w.rules.violation, strings.Join(w.log, "\n"))
-		}
-		starts += w.rules.startCount
-	}
-	t.Logf("%d starts", starts)
+	checkSeeds(t, append(failedQuotaSeeds, testSeeds(300)...), simulateCappedCustomer)
 }
 
 // TestRulesDetectMissingQuota checks that some seed violates the cap if jobs do not count against
 // it.
 func TestRulesDetectMissingQuota(t *testing.T) {
-	for _, seed := range testSeeds(100) {
-		if violation := simulateCappedCustomer(seed, mutation{uncapped: true}).rules.violation; strings.HasPrefix(violation, "QUOTA") {
-			t.Logf("seed %d: %s", seed, violation)
-			return
-		}
-	}
-	t.Fatal("no seed violated a rule without the mechanism")
+	expectViolation(t, "QUOTA", testSeeds(100), mutation{uncapped: true}, simulateCappedCustomer)
 }
--- a/pkg/cell/sim_restart_run_test.go
+++ b/pkg/cell/sim_restart_run_test.go
@@ -11,14 +11,7 @@
 // TestRestartRuleDetectsKeptRuns guards against a rule on restarts that can't fail: owners never take the leases of
 // unreachable endpoints for expired, so that the tasks there never run again beside idle endpoints.
 func TestRestartRuleDetectsKeptRuns(t *testing.T) {
-	for _, seed := range testSeeds(2000) {
-		violation := simulateMixedFaults(seed, mutation{keepLostRuns: true}, false).rules.violation
-		if strings.HasPrefix(violation, "RESTART") {
-			t.Logf("seed %d: %s", seed, violation)
-			return
-		}
-	}
-	t.Fatal("no seed violated the rule without the mechanism")
+	expectViolation(t, "RESTART", testSeeds(2000), mutation{keepLostRuns: true}, simulateMixedFaultsOnTime)
 }
 
 // checkFleet simulates seeds with a fleet planner: those that once violated a rule, and those of testSeeds.
--- a/pkg/cell/sim_shared_ids_test.go
+++ b/pkg/cell/sim_shared_ids_test.go
@@ -1,7 +1,6 @@
 package cell_test
 
 import (
-	"strings"
 	"testing"
 	"time"
 
@@ -63,25 +62,11 @@
 // that are meant for an earlier life are handled by a later one, registrations are older than the
 // life that answers, and lives start and exit between two polls.
 func TestRulesHoldWhenLivesShareAnID(t *testing.T) {
-	starts := 0
-	for _, seed := range append(failedSharedIDSeeds, testSeeds(600)...) {
-		w := simulateSharedIDs(seed, mutation{})
-		starts += w.rules.startCount
-		if w.rules.violation != "" {
-			t.Fatalf("seed %d: %s\n%s", seed, w.rules.violation, strings.Join(w.log, "\n"))
-		}
-	}
-	t.Logf("%d starts", starts)
+	checkSeeds(t, append(failedSharedIDSeeds, testSeeds(600)...), simulateSharedIDs)
 }
 
 // TestRulesDetectMissingStartTimes checks that some seed violates a rule if lives are distinguished
 // by their IDs alone.
 func TestRulesDetectMissingStartTimes(t *testing.T) {
-	for seed := uint64(1); seed < 2000; seed++ {
-		if violation := simulateSharedIDs(seed, mutation{hideStartTimes: true}).rules.violation; violation != "" {
-			t.Logf("seed %d: %s", seed, violation)
-			return
-		}
-	}
-	t.Fatal("no seed violated a rule without the mechanism")
+	expectViolation(t, "", firstSeeds(1999), mutation{hideStartTimes: true}, simulateSharedIDs)
 }
--- a/pkg/cell/sim_suspension_test.go
+++ b/pkg/cell/sim_suspension_test.go
@@ -1,11 +1,8 @@
 package cell_test
 
 import (
-	"strings"
 	"testing"
 	"time"
-
-	"gotest.tools/v3/assert"
 )
 
 const (
@@ -60,24 +57,11 @@
 // not go on as if no time had passed: the next owner relies on it to have stopped renewing leases,
 // and may have restarted tasks whose endpoints it could not reach.
 func TestRulesHoldWhenOwnersAreSuspended(t *testing.T) {
-	seeds := testSeeds(400)
-	starts := 0
-	for _, seed := range seeds {
-		w := simulateSuspensions(seed, mutation{})
-		assert.Equal(t, w.rules.violation, "", "seed %d:\n%s", seed, strings.Join(w.log, "\n"))
-		starts += w.rules.startCount
-	}
-	t.Logf("%d seeds, %d starts", len(seeds), starts)
+	checkSeeds(t, testSeeds(400), simulateSuspensions)
 }
 
 // TestRulesDetectHiddenSuspensions checks that some seed violates a rule if owners are not told of
 // suspensions.
 func TestRulesDetectHiddenSuspensions(t *testing.T) {
-	for _, seed := range testSeeds(400) {
-		if violation := simulateSuspensions(seed, mutation{hideSuspensions: true}).rules.violation; violation != "" {
-			t.Logf("seed %d: %s", seed, violation)
-			return
-		}
-	}
-	t.Fatal("no seed violated a rule without the mechanism")
+	expectViolation(t, "", testSeeds(400), mutation{hideSuspensions: true}, simulateSuspensions)
 }
--- a/pkg/cell/sim_zone_clear_test.go
+++ b/pkg/cell/sim_zone_clear_test.go
@@ -152,11 +152,7 @@
 // counted. The simulation doesn't detect the absence of the bound, which the scripts of pkg/evacuation cover: an
 // earlier owner that can still confirm an evacuation mostly notices that it has been replaced.
 func TestRulesDetectUncountedRuns(t *testing.T) {
-	for _, seed := range testSeeds(2000) {
-		if violation := simulateAccount(seed, mutation{hideUnseenRuns: true}).world.rules.violation; strings.HasPrefix(violation, "CLEAR") {
-			t.Logf("seed %d: %s", seed, violation)
-			return
-		}
-	}
-	t.Fatal("no seed violated the rule without the mechanism")
+	expectViolation(t, "CLEAR", testSeeds(2000), mutation{hideUnseenRuns: true}, func(seed uint64, m mutation) *world {
+		return simulateAccount(seed, m).world
+	})
 }
