Logs: who says that a job doesn't exist, and by what

Callers saw jobs run after a DELETE that was answered 410 (UNASKED). Nothing in the logs told whether the 410 came from a former owner, from another cell than the job's, or before a late submission: neither a 410 nor a 404 had a line, nor a process that had been stopped for seconds.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -287,6 +287,20 @@
 	return c.jobs[id] != nil
 }
 
+// Query answers a client's call that asks for the state of a job. The reply with the given call ID becomes an
+// effect at once.
+func (c *Cell) Query(now time.Time, args wire.JobArgs, callID int) {
+	c.beginEvent(now)
+	defer c.finishEvent()
+	state, found := c.Show(args)
+	if !found {
+		c.noteAbsent("query", args)
+		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob})
+		return
+	}
+	c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeFound, State: state})
+}
+
 // Show returns the recorded state of a job. A job that is recorded as queued is shown as running
 // once an endpoint has been chosen for one of its tasks. Show returns false if there is no such
 // job, it is not recorded yet, or it is not visible to the client.
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -86,6 +86,8 @@
 	JobsCompleted int
 	JobsFailed    int
 	JobsCancelled int
+	// JobsAbsent counts calls that asked for a job that the cell didn't have or didn't show to the client.
+	JobsAbsent int
 	// JobsRefused counts jobs that could not be recorded in time because the store did not answer.
 	JobsRefused int
 	Starts      int
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -41,8 +41,8 @@
 	c.activeJobs = append(c.activeJobs, j)
 	c.stats.JobsAccepted++
 	c.markDirty(j)
-	c.logJob("job accepted", j, fmt.Sprintf("queue %s by configuration %d, %d phases, %d ms of work in a row expected, to be done within %d ms",
-		j.queue, args.ConfigVersion, len(j.spec.Phases), slices.Max(j.criticalPathMs), j.deadlineMs-j.acceptedMs))
+	c.logJob("job accepted", j, fmt.Sprintf("queue %s by configuration %d, received %d ms ago, %d phases, %d ms of work in a row expected, to be done within %d ms",
+		j.queue, args.ConfigVersion, int(now.UnixMilli())-args.ReceivedMs, len(j.spec.Phases), slices.Max(j.criticalPathMs), j.deadlineMs-j.acceptedMs))
 	c.startDueRounds()
 	c.replyOnceRecorded(j, callID, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
 }
@@ -91,6 +91,7 @@
 	defer c.finishEvent()
 	j, exists := c.jobs[args.Id]
 	if !exists || !j.visibleTo(args) {
+		c.noteAbsent("cancel", args)
 		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob})
 		return
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -292,8 +292,9 @@
 // run is the main goroutine. It handles messages, and updates the runners, the readiness and a gauge every second.
 func (n *Node) run() error {
 	defer close(n.done)
-	ticker := n.deps.Clock.NewTicker(time.Second)
+	ticker := n.deps.Clock.NewTicker(tickInterval)
 	defer ticker.Stop()
+	n.state.tickedAt = n.deps.Clock.Now()
 	n.updateReadiness()
 	for {
 		select {
@@ -302,6 +303,7 @@
 		case m := <-n.inbox:
 			n.handle(m)
 		case <-ticker.Chan():
+			n.noteStall(n.deps.Clock.Now())
 			n.proposeLayout()
 			n.updateRunners()
 			n.updateReadiness()
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -31,6 +31,8 @@
 	// No runner is started again for that claim.
 	stoppedTokens map[string]int
 	stopping      bool
+	// tickedAt is when the main goroutine last handled a tick.
+	tickedAt time.Time
 	// readiness tracks what the node waits for before it serves clients.
 	readiness readiness.Tracker
 }
--- a/pkg/owner/counters.go
+++ b/pkg/owner/counters.go
@@ -15,6 +15,7 @@
 	{"jobs_failed", func(s cell.Stats) int { return s.JobsFailed }},
 	{"jobs_given_up", func(s cell.Stats) int { return s.TasksGivenUp }},
 	{"jobs_cancelled", func(s cell.Stats) int { return s.JobsCancelled }},
+	{"jobs_absent", func(s cell.Stats) int { return s.JobsAbsent }},
 	{"customers_held", func(s cell.Stats) int { return s.QuotaWaits }},
 	{"jobs_over_share", func(s cell.Stats) int { return s.JobsOverShare }},
 	{"jobs_not_admitted", func(s cell.Stats) int { return s.JobsNotAdmitted }},
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -145,13 +145,19 @@
 		m.reply <- o.refuseOverloaded(now, m)
 		return
 	}
-	o.lastCallID++
-	o.pendingCalls[o.lastCallID] = m.reply
+	callID := o.registerCall(m.reply)
 	if m.cancel {
-		o.cell.Cancel(now, m.args, o.lastCallID)
+		o.cell.Cancel(now, m.args, callID)
 		return
 	}
-	o.cell.Submit(now, m.args, o.lastCallID)
+	o.cell.Submit(now, m.args, callID)
+}
+
+// registerCall stores the channel for the reply to a client's call and returns the ID of the call.
+func (o *Owner) registerCall(reply chan<- wire.JobReply) int {
+	o.lastCallID++
+	o.pendingCalls[o.lastCallID] = reply
+	return o.lastCallID
 }
 
 // syncCall is a call of the fleet planner.
@@ -202,16 +208,11 @@
 	reply chan<- wire.JobReply
 }
 
-// apply replies at once.
-func (m jobQuery) apply(o *Owner, _ time.Time) {
+// apply counts the pending jobs of a queue, or passes the call to the cell, which replies by the call's ID.
+func (m jobQuery) apply(o *Owner, now time.Time) {
 	if m.args.Id == "" {
 		m.reply <- wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: o.cell.Pending(m.args.Queue)}
 		return
 	}
-	state, found := o.cell.Show(m.args)
-	if !found {
-		m.reply <- wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob}
-		return
-	}
-	m.reply <- wire.JobReply{Outcome: wire.JobOutcomeFound, State: state}
+	o.cell.Query(now, m.args, o.registerCall(m.reply))
 }
