--- a/pkg/process/client_configuration_test.go
+++ b/pkg/process/client_configuration_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/jonboulle/clockwork"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
@@ -33,7 +34,8 @@
 	var configuration clientConfiguration
 	configuration.put(older, customers)
 	configuration.put(newer, customers)
-	handler := platform.NewClientHandler(runningJobs{}, clockwork.NewRealClock(), metrics.New(), platform.ClientHandlerOptions{})
+	logger, _ := logrustest.NewNullLogger()
+	handler := platform.NewClientHandler(runningJobs{}, clockwork.NewRealClock(), metrics.New(), platform.ClientHandlerOptions{Logger: logger})
 	configuration.attach(handler)
 	assert.Equal(t, statusOf(handler, "newer.example"), http.StatusOK)
 	assert.Equal(t, statusOf(handler, "older.example"), http.StatusNotFound)
