Intake: a job is denied only after all pools were asked

Callers saw 410 from every node for a running job once its queue led to another service: a GET lost the job, and a DELETE left it running.

The router called the cell of the pool to which the queue leads now. That cell has never had a job that was accepted before, and its owner truly says so; the router took this for "no such job". The same happened between two nodes with different versions of the configuration.

Nothing changes for a job in its present pool.

The other way is to ask by Show and to cancel where the job is found. It leaves fewer records, but a submission that arrives late at a node with an older or a newer configuration is then accepted by a cell that was only asked, and runs after its cancel.

Cells of pools that the configuration has dropped keep an owner. Otherwise the exit of the last one would turn each 410 into a 503 for good.

--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -46,14 +46,27 @@
 	return r.find(ctx, cancelMethod, args)
 }
 
-// find calls the owner of the cell that has a job. The arguments don't say whether the job is long-running.
-// The call therefore goes to the cell that is determined by the job's ID, and then, if that cell doesn't
-// have the job, to the pool's cell for long-running jobs.
+// find calls the owner of the cell that has a job. The job is in the pool to which its queue leads, unless the queue's
+// pool has changed. There is no such job only if no pool has it.
 func (r *Router) find(ctx context.Context, m method, args wire.JobArgs) wire.JobReply {
-	layout := r.deps.Cells.View().Layout
-	if !layout.Decided() {
+	view, startedAt := r.deps.Cells.View(), r.deps.Clock.Now()
+	if !view.Layout.Decided() {
 		return r.refuseUndecided(m, args)
 	}
+	reply := r.findInPool(ctx, m, args, view.Layout)
+	if reply.Outcome == wire.JobOutcomeNoSuchJob {
+		reply = r.findInOtherPools(ctx, m, args, view)
+	}
+	if reply.Outcome == wire.JobOutcomeNoSuchJob {
+		r.noteAbsent(m, args, view, startedAt)
+	}
+	return reply
+}
+
+// findInPool calls the owner of the cell that has a job of the pool that args names. The arguments don't say whether
+// the job is long-running. The call therefore goes to the cell that is determined by the job's ID, and then, if that
+// cell doesn't have the job, to the pool's cell for long-running jobs.
+func (r *Router) findInPool(ctx context.Context, m method, args wire.JobArgs, layout shard.Layout) wire.JobReply {
 	number, longRunning := layout.JobShard(args.Id), layout.LongRunningJobShard(args.Pool)
 	reply := r.route(ctx, m, argsForCell(args, number))
 	if reply.Outcome == wire.JobOutcomeNoSuchJob && longRunning != number {
--- a/pkg/intake/jobs_test.go
+++ b/pkg/intake/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,10 +18,16 @@
 	"damsonwinch/pkg/wire"
 )
 
-// fakeOwner is an owner of a cell that only stores which jobs were submitted and not cancelled.
+// fakeOwner is an owner of a cell that only stores which jobs were submitted and not cancelled. It counts the calls that
+// ask for jobs or cancel them.
 type fakeOwner struct {
 	jobs    map[string]bool
 	pending wire.JobReply
+	// failure is the reply to each call that asks for a job or cancels one, unless it is the zero value.
+	failure wire.JobReply
+	lookups atomic.Int64
+	// lastArgs holds the arguments of the last of these calls.
+	lastArgs atomic.Pointer[wire.JobArgs]
 }
 
 func (o *fakeOwner) Submit(_ context.Context, args wire.JobArgs) wire.JobReply {
@@ -29,6 +36,11 @@
 }
 
 func (o *fakeOwner) Show(_ context.Context, args wire.JobArgs) wire.JobReply {
+	o.lookups.Add(1)
+	o.lastArgs.Store(&args)
+	if o.failure.Outcome != "" {
+		return o.failure
+	}
 	if !o.jobs[args.Id] {
 		return wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob}
 	}
@@ -36,6 +48,11 @@
 }
 
 func (o *fakeOwner) Cancel(_ context.Context, args wire.JobArgs) wire.JobReply {
+	o.lookups.Add(1)
+	o.lastArgs.Store(&args)
+	if o.failure.Outcome != "" {
+		return o.failure
+	}
 	if !o.jobs[args.Id] {
 		return wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob}
 	}
@@ -73,11 +90,14 @@
 	return wire.JobReply{}, true
 }
 
-// newFakeCells returns the cells of one pool. The cell of shard n has n+1 pending jobs.
-func newFakeCells(shards int) *fakeCells {
-	c := &fakeCells{layout: shard.New(shards, []string{"pool"}), owners: map[string]*fakeOwner{}}
-	for number, cell := range c.layout.CellNames("pool") {
-		c.owners[cell] = &fakeOwner{jobs: map[string]bool{}, pending: wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: 1 + number}}
+// newFakeCells returns the cells of the pool "pool" and of others. The cell of shard n has n+1 pending jobs.
+func newFakeCells(shards int, otherPools ...string) *fakeCells {
+	pools := append([]string{"pool"}, otherPools...)
+	c := &fakeCells{layout: shard.New(shards, pools), owners: map[string]*fakeOwner{}}
+	for _, pool := range pools {
+		for number, cell := range c.layout.CellNames(pool) {
+			c.owners[cell] = &fakeOwner{jobs: map[string]bool{}, pending: wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: 1 + number}}
+		}
 	}
 	return c
 }
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -132,7 +132,6 @@
 		reply, mayHaveEffect := r.attempt(ctx, m, args)
 		outcomeUnknown = outcomeUnknown || mayHaveEffect
 		if !isFailure(reply) {
-			r.noteAbsent(m, args, reply, startedAt)
 			return reply
 		}
 		if ctx.Err() != nil || isFinalRefusal(reply) || r.deps.Clock.Now().Sub(startedAt) > maxRetryTime(outcomeUnknown) {
@@ -145,20 +144,6 @@
 	}
 }
 
-// noteAbsent logs that the owner of a cell has replied that it has no such job, with the claim and the configuration by
-// which this node has called it.
-func (r *Router) noteAbsent(m method, args wire.JobArgs, reply wire.JobReply, startedAt time.Time) {
-	if reply.Outcome != wire.JobOutcomeNoSuchJob {
-		return
-	}
-	claim, _ := r.deps.Cells.View().Owner(args.Cell)
-	r.deps.Metrics.Add("calls_absent", 1)
-	r.deps.Logger.WithFields(logrus.Fields{
-		"call": m.name, "queue": args.Queue, "job": args.Id, "cell": args.Cell, "owner": claim.Node, "epoch": claim.Token, "version": args.ConfigVersion,
-		"waited_ms": r.deps.Clock.Now().Sub(startedAt).Milliseconds(),
-	}).Info("owner has no such job")
-}
-
 // remainingMs returns the time until a call's deadline in milliseconds, at least 1, or 0 if it has none.
 func remainingMs(ctx context.Context, now time.Time) int {
 	deadline, bounded := ctx.Deadline()
--- a/pkg/node/layout.go
+++ b/pkg/node/layout.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/sirupsen/logrus"
 
 	"damsonwinch"
@@ -25,6 +28,22 @@
 	return cells
 }
 
+// ownedCells returns the cells that this node claims if they are without an owner: the required ones, and all cells of
+// pools that the configuration no longer has. Jobs that such a cell has accepted can still be asked for and cancelled.
+func ownedCells(configuration damsonwinch.Configuration, view ownership.View, layout shard.Layout) []string {
+	cells := requiredCells(configuration, layout)
+	required := map[string]bool{}
+	for _, cell := range cells {
+		required[cell] = true
+	}
+	for _, cell := range slices.Sorted(maps.Keys(view.Claims)) {
+		if !required[cell] {
+			cells = append(cells, cell)
+		}
+	}
+	return cells
+}
+
 // poweredOnPools returns the names of the pools whose boxes are powered on.
 func poweredOnPools(configuration damsonwinch.Configuration) []string {
 	var names []string
@@ -90,7 +109,7 @@
 		return
 	}
 	n.state.layout = layout
-	n.ownership.SetCells(requiredCells(n.state.configuration, layout))
+	n.ownership.SetCells(ownedCells(n.state.configuration, n.View(), layout))
 	if fleetPlanner, isLocal := (*n.runners.Load())[fleetCell].(*planner.Planner); isLocal {
 		fleetPlanner.Configure(n.state.configuration, layout)
 	}
--- a/pkg/node/operator.go
+++ b/pkg/node/operator.go
@@ -74,7 +74,7 @@
 		n.deps.Logger.WithFields(logrus.Fields{"version": configuration.Version, "why": problem}).Error("part of the configuration not in force")
 	}
 	n.deps.OnConfiguration(configuration, customers)
-	n.ownership.SetCells(requiredCells(configuration, n.state.layout))
+	n.ownership.SetCells(ownedCells(configuration, n.View(), n.state.layout))
 	n.proposeLayout()
 	for cell, runner := range *n.runners.Load() {
 		switch runner := runner.(type) {
--- /dev/null
+++ b/pkg/process/redirected_test.go
@@ -0,0 +1,49 @@
+package process
+
+import (
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"damsonwinch/platform/standin"
+)
+
+// redirect writes a configuration that leads the queue payslips to the pool "quotes" in place of "runs", and waits until
+// it is in force on all nodes.
+func (c *testCluster) redirect(version int) {
+	c.t.Helper()
+	redirected := payslips
+	redirected.Pool = "quotes"
+	assert.NilError(c.t, c.platform.PutConfiguration(version, redirected, notices))
+	c.waitUntil("the configuration is in force on all nodes", func() bool {
+		for number := range c.nodes {
+			if status, _ := c.callNode(number, c.client, http.MethodGet, notices.PathPrefix); status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestJobsAreFoundAfterTheirQueueHasAnotherPool changes the pool of a queue while jobs run. It guards against "no
+// such job" for jobs that the former pool has accepted and runs.
+func TestJobsAreFoundAfterTheirQueueHasAnotherPool(t *testing.T) {
+	c := newCluster(t, 3)
+	long := standin.Phase{Count: 1, MilliCPU: 1000, LongRunning: true}
+	for number := range 2 {
+		c.submit(jobID(number), standin.Work{}, long)
+		c.waitUntil("the job runs", func() bool { return len(c.platform.CountRuns(jobID(number))) == 1 })
+	}
+	c.redirect(2)
+	for number := range c.nodes {
+		status, body := c.callNode(number, c.client, http.MethodGet, testPrefix+jobID(0))
+		assert.Equal(t, status, http.StatusOK, body)
+	}
+	status, body := c.callNode(1, c.client, http.MethodDelete, testPrefix+jobID(1))
+	assert.Equal(t, status, http.StatusOK, body)
+	c.waitUntil("no task of the cancelled job runs", func() bool { return len(c.platform.CountRuns(jobID(1))) == 0 })
+	assert.Equal(t, len(c.platform.CountRuns(jobID(0))), 1, "the other job runs on")
+	status, body = c.callNode(2, c.client, http.MethodGet, testPrefix+jobID(9))
+	assert.Equal(t, status, http.StatusGone, body)
+}
--- a/pkg/shard/layout.go
+++ b/pkg/shard/layout.go
@@ -98,6 +98,12 @@
 	return pool + separator + strconv.Itoa(number)
 }
 
+// IsPoolCell reports whether a name is that of a pool's cell. The names of other cells, such as the one that stands for
+// the planner, begin with the separator.
+func IsPoolCell(cell string) bool {
+	return !strings.HasPrefix(cell, separator)
+}
+
 // ParseCellName returns the pool and the number of the shard of a cell, given its name. A name that
 // doesn't end with a shard's number is taken for a pool's own name, which is its cell in shard 0.
 func ParseCellName(cell string) (pool string, number int) {
