Owners: no job for a pool to which its queue no longer leads

Callers had a job accepted in the former pool of its queue, by way of a node with an older configuration, while nodes with the new one accepted the same job in the present pool. It ran twice.

The owner's node checked by its own configuration only who may call, not whether the queue leads to the called cell's pool.

It now refuses a submission (503, Retry-After) if its configuration is at least as new as the caller's and leads the queue to another pool. A job that the cell has accepted before is still answered as accepted. The check is made for calls from other nodes and from the owner's own node.

GET and DELETE are carried out: they must find the jobs of a former pool. A call for another pool than the queue's names both, the cell in `cell` and the queue's pool in `pool`. A job that the cell has is shown in any case; "no such job" is a refusal while the configuration is missing.

Open: the cell's owner changes after the lookup to a node with an older configuration; a submission that was checked before the new configuration and reaches the owner after the lookup; a queue that is led away and back within the versions that the owner's node lacks.

--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -33,7 +33,7 @@
 	if args.Spec != nil && job.IsLongRunning(*args.Spec) {
 		number = layout.LongRunningJobShard(args.Pool)
 	}
-	return r.route(ctx, submitMethod, argsForCell(args, number))
+	return r.route(ctx, submitMethod, argsForCell(args, args.Pool, number))
 }
 
 // Show implements damsonwinch.JobService. It calls the owner of the cell that has the job.
@@ -68,9 +68,9 @@
 // cell doesn't have the job, to the pool's cell for long-running jobs.
 func (r *Router) findInPool(ctx context.Context, m method, args wire.JobArgs, layout shard.Layout) wire.JobReply {
 	number, longRunning := layout.JobShard(args.Id), layout.LongRunningJobShard(args.Pool)
-	reply := r.route(ctx, m, argsForCell(args, number))
+	reply := r.route(ctx, m, argsForCell(args, args.Pool, number))
 	if reply.Outcome == wire.JobOutcomeNoSuchJob && longRunning != number {
-		return r.route(ctx, m, argsForCell(args, longRunning))
+		return r.route(ctx, m, argsForCell(args, args.Pool, longRunning))
 	}
 	return reply
 }
@@ -86,7 +86,7 @@
 	var group errgroup.Group
 	for number := range replies {
 		group.Go(func() error {
-			replies[number] = r.route(ctx, pendingMethod, argsForCell(args, number))
+			replies[number] = r.route(ctx, pendingMethod, argsForCell(args, args.Pool, number))
 			return nil
 		})
 	}
@@ -103,9 +103,9 @@
 	return sum
 }
 
-// argsForCell returns args with the name of a cell in place of its pool: the cell is the pool's shard of the
-// given number.
-func argsForCell(args wire.JobArgs, number int) wire.JobArgs {
-	args.Cell, args.Pool = shard.CellName(args.Pool, number), ""
+// argsForCell returns args with the name of a cell: a pool's shard of the given number. The pool in args remains the one
+// to which the queue leads.
+func argsForCell(args wire.JobArgs, pool string, number int) wire.JobArgs {
+	args.Cell = shard.CellName(pool, number)
 	return args
 }
--- a/pkg/intake/jobs_test.go
+++ b/pkg/intake/jobs_test.go
@@ -69,6 +69,8 @@
 	layout     shard.Layout
 	owners     map[string]*fakeOwner
 	waitReason string
+	// misdirected is the refusal of a call whose queue leads elsewhere, if it is not the zero value.
+	misdirected wire.JobReply
 }
 
 func (c *fakeCells) LocalOwner(cell string) (CellOwner, bool) {
@@ -90,6 +92,10 @@
 	return wire.JobReply{}, true
 }
 
+func (c *fakeCells) CheckPool(context.Context, wire.JobArgs) (wire.JobReply, bool) {
+	return c.misdirected, c.misdirected.Outcome == ""
+}
+
 // newFakeCells returns the cells of the pool "pool" and of others. The cell of shard n has n+1 pending jobs.
 func newFakeCells(shards int, otherPools ...string) *fakeCells {
 	pools := append([]string{"pool"}, otherPools...)
--- a/pkg/intake/other_pools.go
+++ b/pkg/intake/other_pools.go
@@ -58,17 +58,16 @@
 // otherPoolCalls returns the arguments of the calls on a job to the cells of all pools but its queue's. They don't show
 // jobs of customers to a call without a key: that the queue needs none says nothing about the queues of other pools.
 func otherPoolCalls(args wire.JobArgs, view ownership.View) []wire.JobArgs {
+	args.Public = false
 	var calls []wire.JobArgs
 	for _, pool := range knownPools(view) {
 		if pool == args.Pool {
 			continue
 		}
-		other := args
-		other.Pool, other.Public = pool, false
 		number, longRunning := view.Layout.JobShard(args.Id), view.Layout.LongRunningJobShard(pool)
-		calls = append(calls, argsForCell(other, number))
+		calls = append(calls, argsForCell(args, pool, number))
 		if longRunning != number {
-			calls = append(calls, argsForCell(other, longRunning))
+			calls = append(calls, argsForCell(args, pool, longRunning))
 		}
 	}
 	return calls
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -47,6 +47,10 @@
 	// Admit reports whether a call that another node has forwarded is permitted by this node's
 	// configuration of customers and their keys. If not, it returns the reply to the call.
 	Admit(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool)
+	// CheckPool reports whether a call may be made on the owner of the cell that it names, which is on this
+	// node, by the pool to which this node's configuration leads the call's queue. If not, it returns a refusal
+	// that stands in for the acceptance of a job and for the reply that there is no such job.
+	CheckPool(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool)
 	// MemberReply returns the reply to another node's request for the members of the group of nodes.
 	MemberReply(args wire.MembersArgs) wire.MembersReply
 	// DirectoryReply returns the reply to another node's request for the endpoints of some cells.
@@ -191,7 +195,7 @@
 // may have been carried out, or may still be.
 func (r *Router) attempt(ctx context.Context, m method, args wire.JobArgs) (wire.JobReply, bool) {
 	if owner, isLocal := r.deps.Cells.LocalOwner(args.Cell); isLocal {
-		reply := m.invoke(owner, ctx, args)
+		reply := callOwner(ctx, r.deps.Cells, owner, m, args)
 		return reply, reply.Outcome == wire.JobOutcomeUnknown
 	}
 	claim, owned := r.deps.Cells.View().Owner(args.Cell)
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -107,6 +107,31 @@
 		*reply = refusal
 		return nil
 	}
-	*reply = m.invoke(owner, ctx, args)
+	*reply = callOwner(ctx, s.cells, owner, m, args)
 	return nil
 }
+
+// callOwner makes a call on an owner on this node, which is that of the cell that args names. If the queue leads to
+// another pool, the owner accepts no job of it. If this node can't tell yet, the owner still shows and cancels the jobs
+// that it has, but it denies none.
+func callOwner(ctx context.Context, cells Cells, owner CellOwner, m method, args wire.JobArgs) wire.JobReply {
+	refusal, permitted := cells.CheckPool(ctx, args)
+	if !permitted && args.Spec != nil {
+		return confirmSubmission(ctx, owner, args, refusal)
+	}
+	reply := m.invoke(owner, ctx, args)
+	if !permitted && reply.Outcome == wire.JobOutcomeNoSuchJob {
+		return refusal
+	}
+	return reply
+}
+
+// confirmSubmission replies to a submission that an owner may not accept. A job that the owner has accepted before
+// remains accepted: its client has not received the reply.
+func confirmSubmission(ctx context.Context, owner CellOwner, args wire.JobArgs, refusal wire.JobReply) wire.JobReply {
+	args.Spec = nil
+	if owner.Show(ctx, args).Outcome == wire.JobOutcomeFound {
+		return wire.JobReply{Outcome: wire.JobOutcomeAccepted}
+	}
+	return refusal
+}
--- a/pkg/process/redirected_test.go
+++ b/pkg/process/redirected_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"damsonwinch/pkg/wire"
 	"damsonwinch/platform/standin"
 )
 
@@ -47,3 +48,24 @@
 	status, body = c.callNode(2, c.client, http.MethodGet, testPrefix+jobID(9))
 	assert.Equal(t, status, http.StatusGone, body)
 }
+
+// TestNodeWithAnOlderConfigurationSubmitsNothingToAFormerPool submits jobs as nodes do that still have the configuration
+// before the queue's pool changed. It guards against a job that the former pool accepts while the present one accepts it
+// too, whether the owner of the former pool's cell is on the submitting node or another one.
+func TestNodeWithAnOlderConfigurationSubmitsNothingToAFormerPool(t *testing.T) {
+	c := newCluster(t, 3)
+	c.submit(jobID(0), standin.Work{}, standin.Phase{Count: 1, MilliCPU: 1000, LongRunning: true})
+	c.redirect(2)
+	for number, node := range c.nodes {
+		args := wire.JobArgs{
+			Queue: payslips.Name, Pool: "runs", Id: jobID(1 + number), ConfigVersion: 1,
+			Spec: &wire.JobSpec{Text: "{}", Phases: []wire.Phase{{Count: 1, Cpu: 1000, EstimateMs: 50}}},
+		}
+		reply := node.node.JobService().Submit(t.Context(), args)
+		assert.Equal(t, reply.Outcome, wire.JobOutcomeRefused, reply.Reason)
+		assert.Assert(t, reply.RetryAfterMs > 0)
+		args.Id, args.Spec = jobID(0), nil
+		reply = node.node.JobService().Show(t.Context(), args)
+		assert.Equal(t, reply.State, wire.JobStateRunning, "a job of the former pool is shown")
+	}
+}
