Intake: a job sent again is sought in its queue's former pools

Callers who sent a job again after its queue had got another service had it accepted a second time. It ran in the new pool beside the first run.

A submission went to the cell of the present pool only, which has never had the job.

A node now remembers, for each queue, the pools to which it led by configurations that were in force on this node and ended less than the retention of ended jobs ago. A submission asks these first, each in the cell that would have accepted the job. Found there, it is accepted; only if all of them have no such job, the present pool gets it. A pool that can't answer makes its failure the reply. Outside that time a submission makes no further call.

The owner of a former pool's cell answers such a lookup only once its node has the newer configuration, and from then on refuses submissions by the older one, so that no copy can be accepted there after the answer.

Open: a node that was started since the change, and one that got no record of the configuration in between, don't know the former pool. The stream of configurations keeps only the newest, so the version alone would have to make a started node ask all pools for each submission for as long as ended jobs are kept, an append in each: after a restart of the fleet that is a multiple of its load. Two owners whose cells change hands to nodes with older configurations between the two calls are open too.

--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -6,7 +6,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"damsonwinch/pkg/job"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
@@ -23,17 +22,17 @@
 }
 
 // Submit implements damsonwinch.JobService. It sends a long-running job to the pool's cell for long-running
-// jobs, and any other job to the cell that is determined by the job's ID.
+// jobs, and any other job to the cell that is determined by the job's ID. A job that a former pool of the queue has
+// accepted isn't submitted again.
 func (r *Router) Submit(ctx context.Context, args wire.JobArgs) wire.JobReply {
 	layout := r.deps.Cells.View().Layout
 	if !layout.Decided() {
 		return r.refuseUndecided(submitMethod, args)
 	}
-	number := layout.JobShard(args.Id)
-	if args.Spec != nil && job.IsLongRunning(*args.Spec) {
-		number = layout.LongRunningJobShard(args.Pool)
+	if reply, settled := r.confirmInFormerPools(ctx, args, layout); settled {
+		return reply
 	}
-	return r.route(ctx, submitMethod, argsForCell(args, args.Pool, number))
+	return r.route(ctx, submitMethod, argsForCell(args, args.Pool, submissionShard(args, args.Pool, layout)))
 }
 
 // Show implements damsonwinch.JobService. It calls the owner of the cell that has the job.
--- a/pkg/intake/jobs_test.go
+++ b/pkg/intake/jobs_test.go
@@ -71,6 +71,8 @@
 	waitReason string
 	// misdirected is the refusal of a call whose queue leads elsewhere, if it is not the zero value.
 	misdirected wire.JobReply
+	// formerPools are the pools to which the queue led before.
+	formerPools []string
 }
 
 func (c *fakeCells) LocalOwner(cell string) (CellOwner, bool) {
@@ -92,6 +94,8 @@
 	return wire.JobReply{}, true
 }
 
+func (c *fakeCells) FormerPools(string) []string { return c.formerPools }
+
 func (c *fakeCells) CheckPool(context.Context, wire.JobArgs) (wire.JobReply, bool) {
 	return c.misdirected, c.misdirected.Outcome == ""
 }
--- a/pkg/intake/other_pools.go
+++ b/pkg/intake/other_pools.go
@@ -25,18 +25,23 @@
 // A cancellation goes to the cells of all pools, too. Each owner that replies that it has no such job refuses later
 // submissions of it, so that a submission that arrives late at a node with any configuration is refused.
 func (r *Router) findInOtherPools(ctx context.Context, m method, args wire.JobArgs, view ownership.View) wire.JobReply {
-	calls := otherPoolCalls(args, view)
-	replies := r.routeAll(ctx, m, calls)
-	found := wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob}
+	reply := mergeReplies(r.routeAll(ctx, m, otherPoolCalls(args, view)))
+	if precedence(reply) == precedenceFound {
+		r.deps.Metrics.Add("jobs_found_in_other_pools", 1)
+	}
+	return reply
+}
+
+// mergeReplies returns the reply to a client from those of several cells to a call on one job: the reply with the
+// highest precedence, or that there is no such job if there are none.
+func mergeReplies(replies []wire.JobReply) wire.JobReply {
+	merged := wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob}
 	for _, reply := range replies {
-		if precedence(reply) > precedence(found) {
-			found = reply
+		if precedence(reply) > precedence(merged) {
+			merged = reply
 		}
 	}
-	if precedence(found) == precedenceFound {
-		r.deps.Metrics.Add("jobs_found_in_other_pools", 1)
-	}
-	return found
+	return merged
 }
 
 // routeAll makes calls to several cells at the same time and returns the replies in the order of the calls.
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -51,6 +51,9 @@
 	// node, by the pool to which this node's configuration leads the call's queue. If not, it returns a refusal
 	// that stands in for the acceptance of a job and for the reply that there is no such job.
 	CheckPool(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool)
+	// FormerPools returns the pools to which a queue led by earlier configurations of this node, as far as
+	// clients may still send jobs again that these pools have accepted. The present pool isn't among them.
+	FormerPools(queue string) []string
 	// MemberReply returns the reply to another node's request for the members of the group of nodes.
 	MemberReply(args wire.MembersArgs) wire.MembersReply
 	// DirectoryReply returns the reply to another node's request for the endpoints of some cells.
--- a/pkg/node/access.go
+++ b/pkg/node/access.go
@@ -23,6 +23,8 @@
 	publicQueues map[string]bool
 	// pools holds the name of the pool to which each queue leads, by queue.
 	pools map[string]string
+	// formerPools holds the pools to which queues led by earlier configurations, by queue.
+	formerPools map[string][]formerPool
 	// replaced is closed once the rules of a newer version are in force.
 	replaced chan struct{}
 }
--- a/pkg/node/operator.go
+++ b/pkg/node/operator.go
@@ -65,9 +65,7 @@
 func (n *Node) configure(configuration damsonwinch.Configuration) {
 	n.state.configuration = configuration
 	customers, problems := customer.New(configuration.Customers)
-	if replaced := n.accessRules.Swap(newAccessRules(configuration, customers)); replaced != nil {
-		close(replaced.replaced)
-	}
+	n.replaceAccessRules(newAccessRules(configuration, customers))
 	n.deps.Metrics.SetGauge("configuration_version", configuration.Version)
 	n.deps.Logger.WithFields(logrus.Fields{"version": configuration.Version, "queues": len(configuration.Queues), "customers": customers.Len()}).Info("configuration in force")
 	for _, problem := range slices.Concat(configuration.Problems, problems) {
@@ -86,6 +84,18 @@
 	}
 }
 
+// replaceAccessRules puts rules in force and wakes the calls that wait for them.
+func (n *Node) replaceAccessRules(rules *accessRules) {
+	previous := n.accessRules.Load()
+	if previous == nil {
+		n.accessRules.Store(rules)
+		return
+	}
+	rules.formerPools = rememberFormerPools(previous, rules, n.deps.Clock.Now(), n.options.CellOptions.EndedJobRetention)
+	n.accessRules.Store(rules)
+	close(previous.replaced)
+}
+
 // rejectsOverload reports whether the endpoints of a cell reject tasks that exceed their free capacity. It returns
 // false for a pool that isn't in the configuration.
 func (n *Node) rejectsOverload(cell string) bool {
--- a/pkg/process/redirected_test.go
+++ b/pkg/process/redirected_test.go
@@ -69,3 +69,26 @@
 		assert.Equal(t, reply.State, wire.JobStateRunning, "a job of the former pool is shown")
 	}
 }
+
+// TestJobSentAgainAfterItsQueueChangedRunsOnce sends a job again after the pool of its queue has changed. It guards
+// against a second copy of the job that runs in the new pool beside the first one.
+func TestJobSentAgainAfterItsQueueChangedRunsOnce(t *testing.T) {
+	c := newCluster(t, 3)
+	long := standin.Phase{Count: 1, MilliCPU: 1000, LongRunning: true}
+	short := standin.Phase{Count: 1, MilliCPU: 1000, EstimatedMs: 50}
+	c.submit(jobID(0), standin.Work{}, long)
+	c.submit(jobID(1), standin.Work{Ms: 50}, short)
+	c.waitUntil("the first job runs", func() bool { return len(c.platform.CountRuns(jobID(0))) == 1 })
+	c.waitUntil("the second job is completed", func() bool { return c.jobState(jobID(1)) == "completed" })
+	c.redirect(2)
+	for number := range c.nodes {
+		assert.Equal(t, c.submitOnce(number, c.client, jobID(0), long), http.StatusOK)
+		assert.Equal(t, c.submitOnce(number, c.client, jobID(1), short), http.StatusOK)
+	}
+	c.submit(jobID(2), standin.Work{Ms: 50}, short)
+	c.submit(jobID(3), standin.Work{}, long)
+	c.waitUntil("a new job is completed in the new pool", func() bool { return c.jobState(jobID(2)) == "completed" })
+	c.waitUntil("a new long-running job runs in the new pool", func() bool { return len(c.platform.CountRuns(jobID(3))) == 1 })
+	assert.DeepEqual(t, c.platform.CountStarts(jobID(0)), map[string]int{jobID(0) + ".0.0.0": 1})
+	assert.DeepEqual(t, c.platform.CountStarts(jobID(1)), map[string]int{jobID(1) + ".0.0.0": 1})
+}
