Logs: no line of an owner for a lookup in another pool

A call on a job that doesn't exist asks the cells of all pools. Each owner wrote "no such job", so that such calls of clients filled the logs in proportion to the number of pools.

An owner now writes the line only for a call to the queue's own pool. The calling node writes one line for all of them, with the number of pools. The counter jobs_absent still counts each.

--- a/pkg/cell/absent.go
+++ b/pkg/cell/absent.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
 
@@ -72,9 +73,13 @@
 
 // noteAbsent counts and logs that a call asks for a job that this cell doesn't have, or doesn't show to the
 // client. The line says how old the last confirmation of this owner's claim is: a job that a newer owner has
-// accepted is missing here, too.
+// accepted is missing here, too. A lookup in another pool than the queue's writes no line: it asks all pools, and the
+// calling node writes one line for them.
 func (c *Cell) noteAbsent(call string, args wire.JobArgs) {
 	c.stats.JobsAbsent++
+	if called, _ := shard.ParseCellName(args.Cell); args.Pool != "" && args.Pool != called {
+		return
+	}
 	c.effects.LogLines = append(c.effects.LogLines, LogLine{
 		Message: "no such job", Queue: args.Queue, Job: args.Id,
 		Reason: fmt.Sprintf("%s by configuration %d; token %d, last confirmed %d ms ago", call, args.ConfigVersion, c.token, c.now.Sub(c.confirmedAt).Milliseconds()),
