Tests: a cancelled job is refused in all pools

Guards the choice to cancel an unknown job in the cells of all pools. With a lookup by Show in their place, the cell of another pool accepts the job from a node with another configuration after its cancel was answered 410: TestLateSubmissionToAnotherPoolIsRefusedAfterItsCancel then fails with "accepted != refused".

--- a/pkg/process/redirected_test.go
+++ b/pkg/process/redirected_test.go
@@ -92,3 +92,21 @@
 	assert.DeepEqual(t, c.platform.CountStarts(jobID(0)), map[string]int{jobID(0) + ".0.0.0": 1})
 	assert.DeepEqual(t, c.platform.CountStarts(jobID(1)), map[string]int{jobID(1) + ".0.0.0": 1})
 }
+
+// TestLateSubmissionToAnotherPoolIsRefusedAfterItsCancel cancels a job that no cell has, and then submits it as a node
+// does whose configuration leads the queue to another pool. It guards against a job that runs after its cancel because
+// only the cells of the cancelling node's pool were told.
+func TestLateSubmissionToAnotherPoolIsRefusedAfterItsCancel(t *testing.T) {
+	c := newCluster(t, 3)
+	c.submit(jobID(0), standin.Work{Ms: 50}, standin.Phase{Count: 1, MilliCPU: 1000, EstimatedMs: 50})
+	for number, longRunning := range []bool{false, true} {
+		args := wire.JobArgs{
+			Queue: payslips.Name, Pool: "quotes", Id: jobID(1 + number), ConfigVersion: 2,
+			Spec: &wire.JobSpec{Text: "{}", Phases: []wire.Phase{{Count: 1, Cpu: 1000, EstimateMs: 50, Lasting: longRunning}}},
+		}
+		status, body := c.callNode(0, c.client, http.MethodDelete, testPrefix+args.Id)
+		assert.Equal(t, status, http.StatusGone, body)
+		reply := c.nodes[1].node.JobService().Submit(t.Context(), args)
+		assert.Equal(t, reply.Outcome, wire.JobOutcomeRefused, reply.Reason)
+	}
+}
