--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -6,7 +6,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"damsonwinch/pkg/job"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
@@ -23,17 +22,17 @@
 }
 
 // Submit implements damsonwinch.JobService. It sends a long-running job to the pool's cell for long-running
-// jobs, and any other job to the cell that is determined by the job's ID.
+// jobs, and any other job to the cell that is determined by the job's ID. A job that a former pool of the queue has
+// accepted isn't submitted again.
 func (r *Router) Submit(ctx context.Context, args wire.JobArgs) wire.JobReply {
 	layout := r.deps.Cells.View().Layout
 	if !layout.Decided() {
 		return r.refuseUndecided(submitMethod, args)
 	}
-	number := layout.JobShard(args.Id)
-	if args.Spec != nil && job.IsLongRunning(*args.Spec) {
-		number = layout.LongRunningJobShard(args.Pool)
+	if reply, settled := r.confirmInFormerPools(ctx, args, layout); settled {
+		return reply
 	}
-	return r.route(ctx, submitMethod, argsForCell(args, number))
+	return r.route(ctx, submitMethod, argsForCell(args, args.Pool, submissionShard(args, args.Pool, layout)))
 }
 
 // Show implements damsonwinch.JobService. It calls the owner of the cell that has the job.
@@ -46,18 +45,31 @@
 	return r.find(ctx, cancelMethod, args)
 }
 
-// find calls the owner of the cell that has a job. The arguments don't say whether the job is long-running.
-// The call therefore goes to the cell that is determined by the job's ID, and then, if that cell doesn't
-// have the job, to the pool's cell for long-running jobs.
+// find calls the owner of the cell that has a job. The job is in the pool to which its queue leads, unless the queue's
+// pool has changed. There is no such job only if no pool has it.
 func (r *Router) find(ctx context.Context, m method, args wire.JobArgs) wire.JobReply {
-	layout := r.deps.Cells.View().Layout
-	if !layout.Decided() {
+	view, startedAt := r.deps.Cells.View(), r.deps.Clock.Now()
+	if !view.Layout.Decided() {
 		return r.refuseUndecided(m, args)
 	}
+	reply := r.findInPool(ctx, m, args, view.Layout)
+	if reply.Outcome == wire.JobOutcomeNoSuchJob {
+		reply = r.findInOtherPools(ctx, m, args, view)
+	}
+	if reply.Outcome == wire.JobOutcomeNoSuchJob {
+		r.noteAbsent(m, args, view, startedAt)
+	}
+	return reply
+}
+
+// findInPool calls the owner of the cell that has a job of the pool that args names. The arguments don't say whether
+// the job is long-running. The call therefore goes to the cell that is determined by the job's ID, and then, if that
+// cell doesn't have the job, to the pool's cell for long-running jobs.
+func (r *Router) findInPool(ctx context.Context, m method, args wire.JobArgs, layout shard.Layout) wire.JobReply {
 	number, longRunning := layout.JobShard(args.Id), layout.LongRunningJobShard(args.Pool)
-	reply := r.route(ctx, m, argsForCell(args, number))
+	reply := r.route(ctx, m, argsForCell(args, args.Pool, number))
 	if reply.Outcome == wire.JobOutcomeNoSuchJob && longRunning != number {
-		return r.route(ctx, m, argsForCell(args, longRunning))
+		return r.route(ctx, m, argsForCell(args, args.Pool, longRunning))
 	}
 	return reply
 }
@@ -73,7 +85,7 @@
 	var group errgroup.Group
 	for number := range replies {
 		group.Go(func() error {
-			replies[number] = r.route(ctx, pendingMethod, argsForCell(args, number))
+			replies[number] = r.route(ctx, pendingMethod, argsForCell(args, args.Pool, number))
 			return nil
 		})
 	}
@@ -90,9 +102,9 @@
 	return sum
 }
 
-// argsForCell returns args with the name of a cell in place of its pool: the cell is the pool's shard of the
-// given number.
-func argsForCell(args wire.JobArgs, number int) wire.JobArgs {
-	args.Cell, args.Pool = shard.CellName(args.Pool, number), ""
+// argsForCell returns args with the name of a cell: a pool's shard of the given number. The pool in args remains the one
+// to which the queue leads.
+func argsForCell(args wire.JobArgs, pool string, number int) wire.JobArgs {
+	args.Cell = shard.CellName(pool, number)
 	return args
 }
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -47,6 +47,13 @@
 	// Admit reports whether a call that another node has forwarded is permitted by this node's
 	// configuration of customers and their keys. If not, it returns the reply to the call.
 	Admit(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool)
+	// CheckPool reports whether a call may be made on the owner of the cell that it names, which is on this
+	// node, by the pool to which this node's configuration leads the call's queue. If not, it returns a refusal
+	// that stands in for the acceptance of a job and for the reply that there is no such job.
+	CheckPool(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool)
+	// FormerPools returns the pools to which a queue led by earlier configurations of this node, as far as
+	// clients may still send jobs again that these pools have accepted. The present pool isn't among them.
+	FormerPools(queue string) []string
 	// MemberReply returns the reply to another node's request for the members of the group of nodes.
 	MemberReply(args wire.MembersArgs) wire.MembersReply
 	// DirectoryReply returns the reply to another node's request for the endpoints of some cells.
@@ -132,7 +139,6 @@
 		reply, mayHaveEffect := r.attempt(ctx, m, args)
 		outcomeUnknown = outcomeUnknown || mayHaveEffect
 		if !isFailure(reply) {
-			r.noteAbsent(m, args, reply, startedAt)
 			return reply
 		}
 		if ctx.Err() != nil || isFinalRefusal(reply) || r.deps.Clock.Now().Sub(startedAt) > maxRetryTime(outcomeUnknown) {
@@ -145,20 +151,6 @@
 	}
 }
 
-// noteAbsent logs that the owner of a cell has replied that it has no such job, with the claim and the configuration by
-// which this node has called it.
-func (r *Router) noteAbsent(m method, args wire.JobArgs, reply wire.JobReply, startedAt time.Time) {
-	if reply.Outcome != wire.JobOutcomeNoSuchJob {
-		return
-	}
-	claim, _ := r.deps.Cells.View().Owner(args.Cell)
-	r.deps.Metrics.Add("calls_absent", 1)
-	r.deps.Logger.WithFields(logrus.Fields{
-		"call": m.name, "queue": args.Queue, "job": args.Id, "cell": args.Cell, "owner": claim.Node, "epoch": claim.Token, "version": args.ConfigVersion,
-		"waited_ms": r.deps.Clock.Now().Sub(startedAt).Milliseconds(),
-	}).Info("owner has no such job")
-}
-
 // remainingMs returns the time until a call's deadline in milliseconds, at least 1, or 0 if it has none.
 func remainingMs(ctx context.Context, now time.Time) int {
 	deadline, bounded := ctx.Deadline()
@@ -206,7 +198,7 @@
 // may have been carried out, or may still be.
 func (r *Router) attempt(ctx context.Context, m method, args wire.JobArgs) (wire.JobReply, bool) {
 	if owner, isLocal := r.deps.Cells.LocalOwner(args.Cell); isLocal {
-		reply := m.invoke(owner, ctx, args)
+		reply := callOwner(ctx, r.deps.Cells, owner, m, args)
 		return reply, reply.Outcome == wire.JobOutcomeUnknown
 	}
 	claim, owned := r.deps.Cells.View().Owner(args.Cell)
