Gangs: start all members with the same checkpoint

What callers saw: the members of a gang that was started again brought checkpoints of their own, although the platform's protocol asks for the same one from all (that of any member is good for the gang).

Cause: a checkpoint was kept with the task for which an endpoint had listed it, and a start brought that of its task. Members save at different moments: one that is stopped saves once more, one that ends because of that doesn't, and one whose endpoint is silent is not known to have saved anything.

The simulated endpoints list checkpoints now that name the task and the attempt, and a rule checks that a start brings none or one that was listed for that very task or its gang (UNASKED), and the same for all members (GANG). TestRulesDetectMixedUpCheckpoints makes sure that it finds a checkpoint of another task.

Why it works: each member takes over the newest checkpoint that is known of any member, also when a record is loaded, and all starts of an attempt are sent in one event.

--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -37,6 +37,21 @@
 	}
 }
 
+// saveCheckpoint notes the newest checkpoint of a task, unless it is empty. The checkpoint of any member of a gang is
+// good for the gang, and all members must be started with the same one, so each member takes it over.
+func (t *task) saveCheckpoint(checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	t.checkpoint = checkpoint
+	if !t.phase.spec.Gang {
+		return
+	}
+	for _, member := range t.phase.tasks {
+		member.checkpoint = checkpoint
+	}
+}
+
 // stopGang stops all runs of a gang of which one member can't run, since the others would wait for
 // that one. It does nothing for other phases.
 func (c *Cell) stopGang(p *phase, reason string) {
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -304,9 +304,7 @@
 	r.progress.Update(c.now, progress.DonePercent)
 	c.sampleProgress(r)
 	r.percent, r.load, r.pendingLoss = progress.DonePercent, progress.Load, nil
-	if progress.Checkpoint != "" {
-		r.task.checkpoint = progress.Checkpoint
-	}
+	r.task.saveCheckpoint(progress.Checkpoint)
 	if r.state == runPending || r.state == runConfirmed {
 		return
 	}
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -108,7 +108,8 @@
 	}
 	j.placed = true
 	j.begun = j.begun || saved.Done || saved.FailedAttempts > 0
-	t.lastAttempt, t.failedAttempts, t.checkpoint = saved.LastAttempt, saved.FailedAttempts, saved.Checkpoint
+	t.lastAttempt, t.failedAttempts = saved.LastAttempt, saved.FailedAttempts
+	t.saveCheckpoint(saved.Checkpoint)
 	for _, attempt := range saved.Runs {
 		c.addRun(&run{task: t, attempt: attempt.Number, endpoint: c.ensureEndpoint(attempt.Life), state: runUnverified, startedAt: c.now, inherited: true, speedPercent: fillerspeed.MinPercent})
 	}
--- a/pkg/cell/results.go
+++ b/pkg/cell/results.go
@@ -20,9 +20,7 @@
 		c.applyLateResult(e, t, result)
 		return
 	}
-	if result.Checkpoint != "" {
-		t.checkpoint = result.Checkpoint
-	}
+	t.saveCheckpoint(result.Checkpoint)
 	c.removeRun(r)
 	c.updateHealth(r, result.Ending)
 	switch {
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -316,7 +316,8 @@
 
 // answerPoll answers the poll of an endpoint. The argument running lists runs as run:percent:load,
 // of which percent and load may be left out, and the argument ended lists results as
-// sequence:run:ending. With the argument truncated there may be more of them. The endpoint's clock is 5 s ahead of the time since the scenario began.
+// sequence:run:ending:checkpoint, of which the checkpoint may be left out. With the argument truncated there may be more
+// of them. The endpoint's clock is 5 s ahead of the time since the scenario began.
 func (s *script) answerPoll(d *datadriven.TestData) string {
 	at := arg(s.t, d, "at")
 	sent, exists := s.polls[at]
@@ -332,9 +333,9 @@
 		reply.Running = append(reply.Running, damsonwinch.RunProgress{Run: parseRun(parts[0]), DonePercent: percent, Load: load})
 	}
 	for _, text := range listArg(s.t, d, "ended") {
-		parts := strings.Split(text, ":")
+		parts := strings.Split(text+":", ":")
 		sequence, _ := strconv.Atoi(parts[0])
-		reply.Finished = append(reply.Finished, damsonwinch.RunResult{Sequence: sequence, Run: parseRun(parts[1]), Ending: damsonwinch.Ending(parts[2])})
+		reply.Finished = append(reply.Finished, damsonwinch.RunResult{Sequence: sequence, Run: parseRun(parts[1]), Ending: damsonwinch.Ending(parts[2]), Checkpoint: parts[3]})
 	}
 	s.cell.Polled(s.now, sent.Endpoint.Life, sent.Number, reply, errorArg(d, s.t))
 	return s.effectLines()
@@ -419,6 +420,9 @@
 		if start.Request.Ticket != "" {
 			text += " with " + start.Request.Ticket
 		}
+		if start.Request.Checkpoint != "" {
+			text += " from " + start.Request.Checkpoint
+		}
 		lines = append(lines, text)
 	}
 	for _, stop := range effects.Stops {
--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -52,6 +52,9 @@
 	endsAt    time.Time
 	ending    damsonwinch.Ending
 	stopping  bool
+	// workingSince is when the run began to work: at once, or, for a member of a gang, when all members
+	// were there.
+	workingSince time.Time
 }
 
 // clockMs returns the time on the endpoint's monotonic clock in milliseconds.
@@ -112,6 +115,7 @@
 		return damsonwinch.ErrNoCapacity
 	}
 	e.world.rules.checkStart(e, request)
+	e.world.checkpoints.checkStart(request)
 	e.world.rules.checkEvacuation(e, request)
 	r := &simRun{request: request, need: need, startedAt: e.world.now, ending: damsonwinch.EndedDone}
 	if e.world.random.Float64() < behaviour.failureRate {
@@ -132,6 +136,7 @@
 		e.world.startGangMember(e, r, behaviour.duration)
 		return nil
 	}
+	r.workingSince = e.world.now
 	e.world.at(r.endsAt, func() { e.endRun(r, r.ending) })
 	if behaviour.crashes && request.Task.Phase == 0 && request.Task.Index == behaviour.crashIndex {
 		e.world.after(behaviour.crashAfter, func() { e.crashUnder(request.Run) })
@@ -147,7 +152,7 @@
 	delete(e.runs, r.request.Run)
 	e.lastAttempts[r.request.Task] = max(e.lastAttempts[r.request.Task], r.request.Attempt)
 	e.lastSequence++
-	e.finished = append(e.finished, damsonwinch.RunResult{Run: r.request.Run, Sequence: e.lastSequence, Ending: ending})
+	e.finished = append(e.finished, damsonwinch.RunResult{Run: r.request.Run, Sequence: e.lastSequence, Ending: ending, Checkpoint: e.finalCheckpoint(r, ending)})
 	e.world.rules.runEnded(e, r, ending)
 	e.world.late.runEnded(r.request.Run)
 	if ending != damsonwinch.EndedDone && e.world.isGang(r.request.Task) {
@@ -236,7 +241,7 @@
 		if r.ending == damsonwinch.EndedDone && !e.world.behaviourOf(r.request.Task).longRunning {
 			percent = int(100 * e.world.now.Sub(r.startedAt) / r.endsAt.Sub(r.startedAt))
 		}
-		reply.Running = append(reply.Running, damsonwinch.RunProgress{Run: r.request.Run, DonePercent: percent})
+		reply.Running = append(reply.Running, damsonwinch.RunProgress{Run: r.request.Run, DonePercent: percent, Checkpoint: e.listedCheckpoint(r)})
 	}
 	return reply, nil
 }
--- a/pkg/cell/sim_gang_test.go
+++ b/pkg/cell/sim_gang_test.go
@@ -39,7 +39,10 @@
 func (w *world) startGangMember(e *simEndpoint, r *simRun, duration time.Duration) {
 	task := r.request.Task
 	r.endsAt = w.now.Add(gangWait + duration)
-	if len(w.gangMembers(task)) == w.gangSize(task) {
+	if members := w.gangMembers(task); len(members) == w.gangSize(task) {
+		for _, m := range members {
+			m.run.workingSince = w.now
+		}
 		w.after(duration, func() { w.completeGang(e, r) })
 		return
 	}
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -225,6 +225,9 @@
 	if w.mutation.dropCrashes {
 		commit.Records = editJobRecords(commit.Records, func(job *wire.JobRecord) { job.Crashed = nil })
 	}
+	if w.mutation.mixUpCheckpoints {
+		commit.Records = mixUpCheckpoints(commit.Records)
+	}
 	if w.mutation.startBeforeRecord || w.mutation.replyBeforeRecord {
 		// The owner goes on as if the records were in the stream. They arrive there much later.
 		o.whenRunningSoon(func() { o.cell.Committed(o.now(), commit.Number) })
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -52,6 +52,7 @@
 	hideUnseenRuns    bool // Reports don't count what runs in an evacuated zone while some endpoints don't answer.
 	keepLostRuns      bool // Owners never take the leases of unreachable endpoints for expired, and get no lists of boxes.
 	requestListsLate  bool // Lists of boxes count as requested when they arrive.
+	mixUpCheckpoints  bool // Records assign each checkpoint to the next task of its job.
 }
 
 // world is a simulation of owners, a store, endpoints and clients on a fake clock and a fake
@@ -115,6 +116,8 @@
 	disturbedAt time.Time
 	// restarts checks that long-running tasks run again.
 	restarts *restartRule
+	// checkpoints checks the checkpoints with which runs are started.
+	checkpoints *checkpointRule
 	// faultsOn is set while faults may occur.
 	faultsOn bool
 	// boxMilliCPU is the CPU of each box. In some simulations there is little.
@@ -147,6 +150,7 @@
 		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond,
 	}
 	w.rules, w.restarts, w.startedAt = newRules(w), newRestartRule(w), w.now
+	w.checkpoints = newCheckpointRule(w)
 	w.boxMilliCPU = 5000 + 1000*w.random.IntN(5)
 	return w
 }
