--- a/pkg/process/keys_test.go
+++ b/pkg/process/keys_test.go
@@ -42,7 +42,7 @@
 	c.configureCustomers(2, []string{bakeryKey}, []string{millKey})
 	c.waitUntil("all nodes have the configuration", func() bool {
 		for number := range c.nodes {
-			if status := c.submitOnce(number, c.client.WithKey(millKey), "probe", oneTask); status == http.StatusUnauthorized || status == 0 {
+			if status := c.submitOnce(number, c.client.WithKey(millKey), jobID(9999), oneTask); status == http.StatusUnauthorized || status == 0 {
 				return false
 			}
 		}
