Keep a job that is submitted again just after it was forgotten

What callers saw: a job that was accepted could be unknown to the next owner of its cell. It had the ID of a job that had ended a status time ago and was forgotten while an append was in flight.

Cause: the next append then held the records of the new job and, after them, the deletion of the old job's record, which has the same key.

Evidence: the script submitted-after-forgotten failed before: "stream: j1/spec j1 -j1" with the reply "accepted", and after a takeover the job was unknown.

Why the fix works: deletions come before the records of jobs in an append.

--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -134,6 +134,10 @@
 	if w.allowancesDirty {
 		records = append(records, c.allowancesRecord(sent))
 	}
+	// A job that has been submitted again since it was forgotten is recorded after the deletion.
+	for _, key := range w.deletedKeys {
+		records = append(records, damsonwinch.Record{Key: key})
+	}
 	for _, id := range slices.Sorted(maps.Keys(w.dirtyJobs)) {
 		j := c.jobs[id]
 		if j == nil {
@@ -142,9 +146,6 @@
 		sent.states[j] = j.state
 		records = append(records, c.jobRecords(j)...)
 	}
-	for _, key := range w.deletedKeys {
-		records = append(records, damsonwinch.Record{Key: key})
-	}
 	return records
 }
 
