Simulations: give each job a text of its own

The rule on starts compared the text of each start with that of the job, and all jobs had the same one, so it couldn't find a start with the text of another job.

--- a/pkg/cell/sim_client_test.go
+++ b/pkg/cell/sim_client_test.go
@@ -29,6 +29,7 @@
 // addClient adds a client that submits a job at once.
 func (w *world) addClient(id string, spec wire.JobSpec, behaviour taskBehaviour) *simClient {
 	c := &simClient{world: w, id: id, spec: spec, queue: simQueues[0].Name}
+	c.spec.Text += " of " + id
 	w.behaviours[id] = behaviour
 	w.clients = append(w.clients, c)
 	c.submit(0)
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -225,6 +225,9 @@
 	if w.mutation.dropCrashes {
 		commit.Records = editJobRecords(commit.Records, func(job *wire.JobRecord) { job.Crashed = nil })
 	}
+	if w.mutation.mixUpSpecs {
+		commit.Records = w.mixUpSpecs(commit.Records)
+	}
 	if w.mutation.mixUpCheckpoints {
 		commit.Records = mixUpCheckpoints(commit.Records)
 	}
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -52,6 +52,7 @@
 	hideUnseenRuns    bool // Reports don't count what runs in an evacuated zone while some endpoints don't answer.
 	keepLostRuns      bool // Owners never take the leases of unreachable endpoints for expired, and get no lists of boxes.
 	requestListsLate  bool // Lists of boxes count as requested when they arrive.
+	mixUpSpecs        bool // Records hold the text of the first job for each job.
 	mixUpCheckpoints  bool // Records assign each checkpoint to the next task of its job.
 }
 
