Simulation: commits that are stored in parts

The simulated store took each commit in one append, so no owner was killed or replaced between two parts of a commit.

--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -189,8 +189,7 @@
 		}
 	}
 	if effects.Commit != nil {
-		o.lastSequence++
-		o.appendCommit(*effects.Commit, o.lastSequence)
+		o.appendParts(*effects.Commit, w.splitCommit(effects.Commit.Records))
 	}
 	for _, start := range effects.Starts {
 		o.sendStart(start)
@@ -212,8 +211,23 @@
 	}
 }
 
-// appendCommit sends an append to the store until it is answered.
-func (o *simOwner) appendCommit(commit cell.Commit, sequence int) {
+// appendParts appends the parts of a commit one after the other. Once all of them are stored, it tells the cell.
+func (o *simOwner) appendParts(commit cell.Commit, parts [][]damsonwinch.Record) {
+	commit.Records = parts[0]
+	o.lastSequence++
+	o.appendCommit(commit, o.lastSequence, func() {
+		if len(parts) > 1 {
+			o.appendParts(commit, parts[1:])
+			return
+		}
+		if !o.moving || o.world.mutation.commitAfterMove {
+			o.cell.Committed(o.now(), commit.Number)
+		}
+	})
+}
+
+// appendCommit sends an append to the store until it is answered, and then calls stored.
+func (o *simOwner) appendCommit(commit cell.Commit, sequence int, stored func()) {
 	w := o.world
 	if w.mutation.dropRuns {
 		commit.Records = editJobRecords(commit.Records, func(job *wire.JobRecord) {
@@ -262,11 +276,7 @@
 				o.exit("append: " + err.Error())
 				return
 			}
-			o.whenRunning(func() {
-				if !o.moving || w.mutation.commitAfterMove {
-					o.cell.Committed(o.now(), commit.Number)
-				}
-			})
+			o.whenRunning(stored)
 		})
 	}
 	send()
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -92,6 +92,10 @@
 	// promptPolls makes a waiting poll return as soon as a run ends. Otherwise it always waits for
 	// MaxWait and returns what was true when it began to wait.
 	promptPolls bool
+	// maxAppendBytes is the size of the largest append, beyond which a commit is split. 0 means any size.
+	maxAppendBytes int
+	// splitCommits counts the commits that were split.
+	splitCommits int
 	// maxListedResults is how many results an endpoint lists in one reply; 0 for all.
 	maxListedResults int
 	// registry is set in simulations in which the capacity of boxes changes and endpoints start
