Delete the specification of a job that ended during a failed move of its cell

What callers saw: nothing; the stream of a cell grew. When a cell tried to move to another partition and the move failed, the specifications of jobs that had ended meanwhile, 4 KB each at most, stayed in its stream for good, and each takeover read them.

The next append to the present stream therefore didn't delete it, and when the job was forgotten only its other record was deleted.

Evidence: TestSpecificationIsDeletedAfterAFailedMove failed before, with the key "ended/spec" left in the stream. Found by reading.

Why the fix works: what the present stream holds is noted again after the copy. If the move succeeds, this owner appends nothing more.

--- a/pkg/cell/snapshot.go
+++ b/pkg/cell/snapshot.go
@@ -37,14 +37,22 @@
 	records = append(records, c.workloadRecords()...)
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		if j := c.jobs[id]; c.mayBeStored(j) {
-			// The new stream does not hold the specification yet.
-			j.specRecorded = false
-			records = append(records, c.jobRecords(j)...)
+			records = append(records, c.copyJob(j)...)
 		}
 	}
 	return records
 }
 
+// copyJob returns the records that hold the present state of a job, for a stream that does not hold its specification yet.
+// What the present stream holds remains noted, in case the move fails.
+func (c *Cell) copyJob(j *job) []damsonwinch.Record {
+	recorded := j.specRecorded
+	j.specRecorded = false
+	records := c.jobRecords(j)
+	j.specRecorded = recorded
+	return records
+}
+
 // mayBeStored reports whether the store may hold the job: an append with its record is in the
 // stream or in flight.
 func (c *Cell) mayBeStored(j *job) bool {
