--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -138,6 +138,10 @@
 	if w.allowancesDirty {
 		records = append(records, c.allowancesRecord(sent))
 	}
+	// A job that has been submitted again since it was forgotten is recorded after the deletion.
+	for _, key := range w.deletedKeys {
+		records = append(records, damsonwinch.Record{Key: key})
+	}
 	for _, id := range slices.Sorted(maps.Keys(w.dirtyJobs)) {
 		j := c.jobs[id]
 		if j == nil {
@@ -146,9 +150,6 @@
 		sent.states[j] = j.state
 		records = append(records, c.jobRecords(j)...)
 	}
-	for _, key := range w.deletedKeys {
-		records = append(records, damsonwinch.Record{Key: key})
-	}
 	if len(sent.queries) > 0 && len(records) == 0 {
 		records = append(records, cellrecord.Confirmation())
 	}
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -52,6 +52,8 @@
 	hideUnseenRuns    bool // Reports don't count what runs in an evacuated zone while some endpoints don't answer.
 	keepLostRuns      bool // Owners never take the leases of unreachable endpoints for expired, and get no lists of boxes.
 	requestListsLate  bool // Lists of boxes count as requested when they arrive.
+	mixUpSpecs        bool // Records hold the text of the first job for each job.
+	mixUpCheckpoints  bool // Records assign each checkpoint to the next task of its job.
 }
 
 // world is a simulation of owners, a store, endpoints and clients on a fake clock and a fake
@@ -90,6 +92,10 @@
 	// promptPolls makes a waiting poll return as soon as a run ends. Otherwise it always waits for
 	// MaxWait and returns what was true when it began to wait.
 	promptPolls bool
+	// maxAppendBytes is the size of the largest append, beyond which a commit is split. 0 means any size.
+	maxAppendBytes int
+	// splitCommits counts the commits that were split.
+	splitCommits int
 	// maxListedResults is how many results an endpoint lists in one reply; 0 for all.
 	maxListedResults int
 	// registry is set in simulations in which the capacity of boxes changes and endpoints start
@@ -115,6 +121,8 @@
 	disturbedAt time.Time
 	// restarts checks that long-running tasks run again.
 	restarts *restartRule
+	// checkpoints checks the checkpoints with which runs are started.
+	checkpoints *checkpointRule
 	// faultsOn is set while faults may occur.
 	faultsOn bool
 	// boxMilliCPU is the CPU of each box. In some simulations there is little.
@@ -147,6 +155,7 @@
 		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond,
 	}
 	w.rules, w.restarts, w.startedAt = newRules(w), newRestartRule(w), w.now
+	w.checkpoints = newCheckpointRule(w)
 	w.boxMilliCPU = 5000 + 1000*w.random.IntN(5)
 	return w
 }
