Feed: a scan doesn't request one page for ever

Callers would see nodes that read the registrations run out of memory and end, or never become ready: one entry of another writer suffices, if its key is "" or isn't UTF-8, other keys follow it, and its value fills a page of the newest records (1 MB) by itself. Not seen in a fleet of ours; shown with a store in memory.

Cause: a scan goes on after the key of its last record. After "" the client requests the first page again. A key that isn't UTF-8 arrives in JSON with U+FFFD in place of the invalid bytes; "i-\xff" arrives as a key below itself, and the page after that key is the same page. Each copy was kept.

Change: if the last key isn't above the one before, the scan goes on after "\x00", or after the key with the highest byte in place of U+FFFD. If that isn't above it either, the page is an error and its records aren't kept.

--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -64,6 +65,43 @@
 	return []damsonwinch.Record{{Key: "key", Value: []byte(text)}}
 }
 
+// TestScanEndsWhateverKeysPagesEndWith guards against a scan that requests one page for ever and keeps all its copies,
+// until the process is out of memory: when a page ended with the key "", or with a key that isn't UTF-8.
+func TestScanEndsWhateverKeysPagesEndWith(t *testing.T) {
+	for _, keys := range [][]string{{"", "a", "b"}, {"a", "a\xff", "a\xff\xff", "b"}, {"\xfe", "\xff"}} {
+		requests := 0
+		store := &fakeStore{newest: func(after string) (damsonwinch.KeyPage, error) {
+			requests++
+			assert.Assert(t, requests <= 2*len(keys), "request after %q, keys %q", after, keys)
+			next := slices.IndexFunc(keys, func(key string) bool { return after == "" || key > after })
+			if next < 0 {
+				return damsonwinch.KeyPage{}, nil
+			}
+			// JSON has U+FFFD in place of invalid bytes, and so has the conversion to runes.
+			return damsonwinch.KeyPage{Records: []damsonwinch.Record{{Key: string([]rune(keys[next]))}}, More: next < len(keys)-1}, nil
+		}}
+		scan := NewScan(store, clockwork.NewRealClock(), damsonwinch.Stream{Topic: "keyed.test"})
+		assert.NilError(t, scan.Run(t.Context()))
+		records, _, _ := scan.Records()
+		for _, key := range keys {
+			assert.Assert(t, slices.ContainsFunc(records, func(record damsonwinch.Record) bool { return record.Key == string([]rune(key)) }), "key %q", key)
+		}
+	}
+}
+
+// A store that returns the same page again and again must not fill the memory.
+func TestScanFailsOnPageThatDoesNotAdvance(t *testing.T) {
+	store := &fakeStore{newest: func(string) (damsonwinch.KeyPage, error) {
+		return damsonwinch.KeyPage{Records: keyRecord("again"), More: true}, nil
+	}}
+	scan := NewScan(store, clockwork.NewRealClock(), damsonwinch.Stream{Topic: "keyed.test"})
+	for range 3 {
+		assert.ErrorContains(t, scan.Run(t.Context()), `ends with key "key"`)
+	}
+	records, _, _ := scan.Records()
+	assert.Equal(t, len(records), 1)
+}
+
 // TestScanResumesAtTheFailedPage guards against a scan that starts again after each error: where one
 // page in ten is lost, it would never reach the end of a stream of many pages.
 func TestScanResumesAtTheFailedPage(t *testing.T) {
--- a/pkg/feed/scan.go
+++ b/pkg/feed/scan.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"damsonwinch"
 	"damsonwinch/pkg/idle"
@@ -21,7 +24,9 @@
 	storeAnsweredSince func(since time.Time) bool
 
 	records []damsonwinch.Record
-	done    bool
+	// after is the key after which the next page begins, or "" for the first page.
+	after string
+	done  bool
 	// requestedAt is when the first page was requested, and end is the end of the stream that the store
 	// returned with that page. Later pages may have records from after end. A feed reads these again,
 	// which does no harm.
@@ -54,20 +59,40 @@
 func (s *Scan) readPage(ctx context.Context) error {
 	limited, cancel := idle.WithTimeout(ctx, s.clock, s.retryPolicy.responseTimeout, defaultResponseTimeout)
 	defer cancel(nil)
-	after := ""
-	if last := len(s.records) - 1; last >= 0 {
-		after = s.records[last].Key
-	}
 	requestedAt := s.clock.Now()
-	page, err := s.store.Newest(limited, s.stream, after)
+	page, err := s.store.Newest(limited, s.stream, s.after)
 	if err != nil {
 		s.retryPolicy.recordFailure(limited, err, s.storeAnsweredSince != nil && s.storeAnsweredSince(requestedAt))
 		return err
 	}
+	done := !page.More || len(page.Records) == 0
+	if !done {
+		if s.after, err = s.nextAfter(page.Records[len(page.Records)-1].Key); err != nil {
+			return err
+		}
+	}
 	if s.requestedAt.IsZero() {
 		s.requestedAt, s.end = requestedAt, page.End
 	}
 	s.records = append(s.records, page.Records...)
-	s.done = !page.More || len(page.Records) == 0
+	s.done = done
 	return nil
 }
+
+// nextAfter returns the key after which to read on from a page that ends with the key last. This is last itself,
+// unless that would request the same page for ever: "" also requests the first page, and a key that isn't UTF-8
+// arrives in JSON with U+FFFD in place of each invalid byte, which may sort before the key. The result then skips at
+// most keys that aren't ASCII either.
+func (s *Scan) nextAfter(last string) (string, error) {
+	if last > s.after {
+		return last, nil
+	}
+	next := strings.ReplaceAll(last, string(utf8.RuneError), "\xff")
+	if last == "" {
+		next = "\x00"
+	}
+	if next <= s.after {
+		return s.after, fmt.Errorf("scan %s after key %q: a page ends with key %q, which is not above it", s.stream, s.after, last)
+	}
+	return next, nil
+}
