Records: a key that is too long no longer makes a cell's stream unreadable

Callers would see a cell that no node can take over any more: each owner ends with "cell not taken over: load cell: read record endpoin: invalid character '/'", and its jobs stay LOST. One valid registration under an ID of more than 232 bytes suffices, once its endpoint is withdrawn for a move or a wave. Not seen in a fleet of ours.

Cause: the length of a record's key is sent in one byte. The key of a withdrawal is "endpoint/", the ID and the start time; a length of 263 was sent as 7, so that the store kept the record under another key, with a value that isn't JSON. The keys of a queue's statistics and of a customer's allocation contain names of any length, too.

Appends with a longer key than 255 bytes are an error, which ends the owner instead of being tried again.

--- a/pkg/cellrecord/encode.go
+++ b/pkg/cellrecord/encode.go
@@ -31,7 +31,7 @@
 
 // EncodeWorkload returns the record of a queue's statistics.
 func EncodeWorkload(queue string, statistics wire.QueueRecord) damsonwinch.Record {
-	return damsonwinch.Record{Key: workloadPrefix + queue, Value: encode(statistics)}
+	return damsonwinch.Record{Key: workloadKey(queue), Value: encode(statistics)}
 }
 
 // Decode decodes the value of a record into the struct that value points to.
--- a/pkg/cellrecord/keys.go
+++ b/pkg/cellrecord/keys.go
@@ -3,8 +3,11 @@
 package cellrecord
 
 import (
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"damsonwinch"
 )
 
@@ -32,7 +35,7 @@
 )
 
 // ParseKey returns the kind of the record with the given key, and what it is about: the ID of a job,
-// the life of an endpoint or the name of a queue.
+// the life of an endpoint, or the name of a queue or its hash.
 func ParseKey(key string) (Kind, string) {
 	if id, isSpec := strings.CutSuffix(key, specSuffix); isSpec {
 		return Spec, id
@@ -49,6 +52,19 @@
 	return Job, key
 }
 
+// maxQueueNameBytes is the length of the longest queue name that a key contains. The store's keys have at most
+// 255 bytes.
+const maxQueueNameBytes = 200
+
+// workloadKey returns the key of the record of a queue's statistics. It contains a hash of a very long name; the
+// record holds the name.
+func workloadKey(queue string) string {
+	if len(queue) > maxQueueNameBytes {
+		queue = strconv.FormatUint(xxhash.Sum64String(queue), 16)
+	}
+	return workloadPrefix + queue
+}
+
 // DeleteSpec returns the record that deletes the specification of a job.
 func DeleteSpec(jobID string) damsonwinch.Record {
 	return damsonwinch.Record{Key: jobID + specSuffix}
--- a/pkg/cellrecord/tasks_test.go
+++ b/pkg/cellrecord/tasks_test.go
@@ -1,6 +1,7 @@
 package cellrecord_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -35,3 +36,12 @@
 	assert.DeepEqual(t, restoredLapsed, lapsed)
 	assert.Equal(t, len(record.Endpoints), 2, "each endpoint is listed once")
 }
+
+// A key has at most 255 bytes, whatever the operator calls the queue.
+func TestWorkloadKeyOfLongQueueNameFits(t *testing.T) {
+	for _, length := range []int{200, 201, 1000} {
+		record := cellrecord.EncodeWorkload(strings.Repeat("q", length), wire.QueueRecord{})
+		kind, _ := cellrecord.ParseKey(record.Key)
+		assert.Assert(t, len(record.Key) <= 255 && kind == cellrecord.Workload, "%q", record.Key)
+	}
+}
--- a/pkg/stream/writer.go
+++ b/pkg/stream/writer.go
@@ -146,6 +146,9 @@
 		return true, nil
 	case errors.Is(err, damsonwinch.ErrFenced), errors.Is(err, damsonwinch.ErrOutOfSequence):
 		return true, fmt.Errorf("%w: %w", ErrOwnershipLost, err)
+	case errors.Is(err, damsonwinch.ErrInvalid):
+		// The records can't be encoded, and no further try would change that.
+		return true, err
 	case ctx.Err() != nil:
 		return true, ctx.Err()
 	}
