Boxes: an odd row doesn't fail the list of boxes

Callers would see a fleet that is not planned any more ("list of boxes not read" at each try: no moves, no waves, no evacuations), and owners that never learn from the list that an endpoint has exited, for as long as one row has a value of a wrong type, a number beyond 64 bits or a fraction, or is nested more than 10,000 levels deep.

Cause: a page was decoded as a whole. An error of one row failed its page, and a page the list.

A row whose box has no name that can be used still says that its endpoint is alive: endpoints that the list lacks count as exited.

--- a/fleet.go
+++ b/fleet.go
@@ -18,6 +18,7 @@
 
 // Box is a machine that runs tasks, as the platform lists it.
 type Box struct {
+	// Name is empty if the list doesn't show it. Then only EndpointID and State count.
 	Name  string
 	Pool  string
 	State BoxState
@@ -29,6 +30,8 @@
 	// EndpointID is the ID of the life that runs on the box, or empty if none does. The list
 	// doesn't include the start time of the life.
 	EndpointID string
+	// Problem says what of the box's row in the list is invalid and has been left empty, or is empty.
+	Problem string
 }
 
 // Issuer identifies the node that gives an order on a box, and its fencing token.
--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -104,10 +104,13 @@
 	present := map[string]bool{}
 	p.upEndpoints = make(map[string]bool, len(listed))
 	for _, info := range listed {
-		present[info.Name] = true
 		if info.State == damsonwinch.BoxUp && info.EndpointID != "" {
 			p.upEndpoints[info.EndpointID] = true
 		}
+		if info.Name == "" {
+			continue // The row doesn't say which box it is about.
+		}
+		present[info.Name] = true
 		b := p.boxes[info.Name]
 		if b == nil {
 			b = p.addBox(info.Name)
--- a/pkg/boxplan/exited_test.go
+++ b/pkg/boxplan/exited_test.go
@@ -1,6 +1,7 @@
 package boxplan_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -35,3 +36,15 @@
 	f.planner.Plan(f.now.Add(4 * time.Millisecond))
 	assert.Equal(t, len(f.planner.Directives("held").Exited), 3)
 }
+
+// An endpoint whose row in the list doesn't say on which box it runs is alive, and its row is no box to plan with.
+func TestEndpointOnBoxWithoutNameHasNotExited(t *testing.T) {
+	f := newOneBoxFleet()
+	f.planner.SetReport(f.now, "held", wire.SyncReply{Known: true, Endpoints: []wire.EndpointReport{{Endpoint: "at-" + f.box.Name, Box: f.box.Name}}})
+	nameless := f.box
+	nameless.Name, nameless.EndpointID = "", "at-"+f.box.Name
+	f.planner.SetBoxes(f.now.Add(time.Millisecond), []damsonwinch.Box{nameless})
+	f.planner.Plan(f.now.Add(2 * time.Millisecond))
+	assert.Equal(t, len(f.planner.Directives("held").Exited), 0)
+	assert.Assert(t, !strings.Contains(strings.Join(f.planner.Summary(), ";"), "1 boxes"), "%q", f.planner.Summary())
+}
--- a/pkg/planner/orders.go
+++ b/pkg/planner/orders.go
@@ -23,6 +23,22 @@
 	})
 }
 
+// logRowProblems logs which rows of the list of boxes are invalid: each one once for as long as it stays.
+func (p *Planner) logRowProblems(boxes []damsonwinch.Box) {
+	found := map[string]string{}
+	for _, box := range boxes {
+		if box.Problem == "" {
+			continue
+		}
+		row := box.Name + " " + box.EndpointID
+		found[row] = box.Problem
+		if p.rowProblems[row] != box.Problem {
+			p.deps.Logger.WithFields(logrus.Fields{"box": box.Name, "endpoint": box.EndpointID, "why": box.Problem}).Error("box known only in part: its row in the list is invalid")
+		}
+	}
+	p.rowProblems = found
+}
+
 // sendOrder sends the platform an order that has been recorded.
 func (p *Planner) sendOrder(order boxplan.Order) {
 	p.deps.Logger.WithFields(logrus.Fields{"box": order.Box, "pool": order.Pool, "wave": order.Wave, "why": order.Cause}).Info("order on box")
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -91,6 +91,8 @@
 	boxesRequestedAt time.Time // The newest request for the list of boxes.
 	boxListInFlight  bool
 	boxListReceived  bool // At least one has been received.
+	// rowProblems holds the problems of invalid rows in the newest list, by box and endpoint.
+	rowProblems map[string]string
 	// pendingRecords are the records for the next append. After that append pendingOrders are sent to
 	// the platform, and the raised allowances of pendingCustomers to the cells.
 	pendingRecords   []damsonwinch.Record
@@ -292,6 +294,7 @@
 			p.boxListReceived = true
 			p.deps.OnFirstBoxList(len(m.boxes))
 		}
+		p.logRowProblems(m.boxes)
 		p.boxPlan.SetBoxes(m.requestedAt, m.boxes)
 	case appended:
 		return p.handleAppended(m)
