Store: a malformed record doesn't stop a stream

Callers would see nodes that stop following the registrations, the operator or the claims ("stream still lost: truncated or malformed data" every 5 s), for as long as the store keeps one record of a keyed topic without room for its key: no bytes at all, or a key that is longer than the record.

Cause: an error of one record failed the page, and each further read began with the same record.

A feed logs it once, with its offset, and counts it as records_without_key.

--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -168,6 +168,7 @@
 		f.retryPolicy.recordFailure(limited, err, f.storeAnsweredSince(requestedAt))
 		return err
 	}
+	f.reportWithoutKey(page.Records)
 	f.next += len(page.Records)
 	f.options.OnRecords(page.Records, page.End, requestedAt)
 	if f.options.NewestOnly && page.End-f.next >= f.maxLag() {
@@ -176,6 +177,16 @@
 	return nil
 }
 
+// reportWithoutKey logs and counts the records that have neither key nor value: the store holds malformed ones.
+func (f *Feed) reportWithoutKey(records []damsonwinch.Record) {
+	for _, record := range records {
+		if record.Key == "" && len(record.Value) == 0 {
+			f.Metrics.Add("records_without_key", 1)
+			f.logger().WithField("offset", record.Offset).Error("record skipped: it has no key")
+		}
+	}
+}
+
 // maxLag returns the number of records that a feed with NewestOnly must be behind to read a snapshot.
 func (f *Feed) maxLag() int {
 	if f.keyCount <= maxFewKeys {
