Node: an invalid registration is reported once while it stays

Measured: TestInvalidRegistrationIsReportedOnce failed before with 5 reports in place of 1. Tests of pkg/node pass.

--- a/pkg/node/registry.go
+++ b/pkg/node/registry.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -14,8 +15,9 @@
 	decode func(damsonwinch.Record) (damsonwinch.Endpoint, error)
 	// endpoints holds the endpoints with a valid registration, by ID.
 	endpoints map[string]damsonwinch.Endpoint
-	// invalid holds the IDs whose registration is invalid.
-	invalid map[string]bool
+	// invalid holds the IDs whose registration is invalid, and reported those of them whose error has been
+	// returned. Unlike invalid it remains while no registrations are read, and until the next snapshot.
+	invalid, reported map[string]bool
 	// lifeShards holds the shard of each registered life.
 	lifeShards map[damsonwinch.Life]lifeShard
 	// complete is set once all registrations have been read. nextOffset is the offset of the first one that has
@@ -42,7 +44,7 @@
 }
 
 func newRegistry(decode func(damsonwinch.Record) (damsonwinch.Endpoint, error)) registry {
-	return registry{decode: decode, endpoints: map[string]damsonwinch.Endpoint{}, invalid: map[string]bool{}, lifeShards: map[damsonwinch.Life]lifeShard{}}
+	return registry{decode: decode, endpoints: map[string]damsonwinch.Endpoint{}, invalid: map[string]bool{}, reported: map[string]bool{}, lifeShards: map[damsonwinch.Life]lifeShard{}}
 }
 
 // reset drops all registrations and all shards of lives.
@@ -79,10 +81,10 @@
 		}
 		switch {
 		case err != nil:
-			if !r.invalid[record.Key] {
+			if !r.reported[record.Key] {
 				refused = append(refused, err)
 			}
-			r.invalid[record.Key] = true
+			r.invalid[record.Key], r.reported[record.Key] = true, true
 			continue
 		case after.Pool != "":
 			after.SeenAt = m.requestedAt
@@ -93,6 +95,10 @@
 			changed = changed || !existed || before.Differs(after)
 		}
 		delete(r.invalid, record.Key)
+		delete(r.reported, record.Key)
+	}
+	if m.snapshot {
+		r.reported = maps.Clone(r.invalid)
 	}
 	return changed, refused
 }
--- a/pkg/node/registry_test.go
+++ b/pkg/node/registry_test.go
@@ -60,6 +60,23 @@
 	assert.DeepEqual(t, lifeNames(r.cellEndpoints("p", layout)), []string{"a", "c"})
 }
 
+// Each snapshot holds the invalid registrations again. The log must not have a line for each of them each time.
+func TestInvalidRegistrationIsReportedOnce(t *testing.T) {
+	r := newRegistry(decodeRegistration)
+	invalid := []damsonwinch.Record{registration("a", "?"), registration("b", "p")}
+	reported := 0
+	for range 5 {
+		_, refused := r.apply(endpointRecords{snapshot: true, records: invalid})
+		reported += len(refused)
+		r.reset() // The node reads nothing for a while.
+	}
+	assert.Equal(t, reported, 1)
+
+	_, _ = r.apply(endpointRecords{snapshot: true, records: []damsonwinch.Record{registration("b", "p")}})
+	_, refused := r.apply(endpointRecords{records: invalid})
+	assert.Equal(t, len(refused), 1, "it is invalid again")
+}
+
 // SeenAt of an endpoint is the time of the latest read that returned its registration, even if the registration
 // has not changed.
 func TestRegistrationIsAsOldAsItsLatestRead(t *testing.T) {
