Node: an operator's record that can't be decoded is reported once, and counted

Change: the line comes once for each version of a record and names its key; operator_records_refused counts it.

Measured: TestInvalidOperatorRecordIsReportedOnce failed before with 5 lines in place of 2. Tests of pkg/node pass.

--- a/pkg/node/operator.go
+++ b/pkg/node/operator.go
@@ -40,7 +40,7 @@
 	for _, record := range m.records {
 		decoded, err := n.deps.Platform.DecodeOperator(record)
 		if err != nil {
-			n.deps.Logger.WithError(err).Error("operator's record not understood")
+			n.reportInvalidRecord(record, err)
 			continue
 		}
 		switch {
@@ -60,6 +60,19 @@
 	n.sendEvacuations()
 }
 
+// reportInvalidRecord logs and counts a record of the operator that can't be decoded, unless it was reported before.
+func (n *Node) reportInvalidRecord(record damsonwinch.Record, err error) {
+	if offset, reported := n.state.invalidOperatorRecords[record.Key]; reported && offset == record.Offset {
+		return
+	}
+	if n.state.invalidOperatorRecords == nil {
+		n.state.invalidOperatorRecords = map[string]int{}
+	}
+	n.state.invalidOperatorRecords[record.Key] = record.Offset
+	n.deps.Metrics.Add("operator_records_refused", 1)
+	n.deps.Logger.WithError(err).WithField("key", record.Key).Error("operator's record not understood")
+}
+
 // configure puts a configuration in force on this node, and passes it to the owners and the planner that run
 // here.
 func (n *Node) configure(configuration damsonwinch.Configuration) {
--- a/pkg/node/state.go
+++ b/pkg/node/state.go
@@ -22,7 +22,9 @@
 	// followsPlacements is set once the feed of placements has been started.
 	followsPlacements bool
 	waves             map[int]damsonwinch.Wave
-	evacuations       evacuations
+	// invalidOperatorRecords holds, by key, the offset of the newest operator's record that was reported as invalid.
+	invalidOperatorRecords map[string]int
+	evacuations            evacuations
 	// layout is the division of each pool into cells. boxCount is the number of boxes of the fleet, or
 	// 0 while it isn't known.
 	layout   shard.Layout
