Node: the lists of a fleet with one shard hold its endpoints

Callers saw jobs that wait for good, "the cell has no endpoints", beside idle endpoints of their pool (LOST) in a trial of 20 nodes and 20 pools of one shard beside odd entries. Any fleet with more than 16 pools that aren't divided is concerned, odd entries or not: they only changed when the lists were first published.

Cause: from 17 cells on, three nodes read the registrations and publish the lists of all cells' endpoints for the others. A life without an assigned shard was left out of these lists, and without shards none is ever assigned. Owners took the empty lists for the truth.

Change: without shards every life belongs to shard 0 of its pool, as where an owner reads by itself.

Measured: TestListsOfOneShardHoldTheEndpoints failed before. Tests of pkg/node pass.

--- a/pkg/node/registry.go
+++ b/pkg/node/registry.go
@@ -165,11 +165,15 @@
 		byCell[cell] = nil
 	}
 	for _, endpoint := range r.endpoints {
-		assignment := r.lifeShards[endpoint.Life]
-		if !assignment.known {
-			continue
+		number := 0
+		if layout.Sharded() {
+			assignment := r.lifeShards[endpoint.Life]
+			if !assignment.known {
+				continue
+			}
+			number = assignment.shard
 		}
-		cell := shard.CellName(endpoint.Pool, assignment.shard)
+		cell := shard.CellName(endpoint.Pool, number)
 		if listed, needed := byCell[cell]; needed {
 			byCell[cell] = append(listed, endpoint)
 		}
--- a/pkg/node/registry_test.go
+++ b/pkg/node/registry_test.go
@@ -176,3 +176,23 @@
 	assert.Assert(t, !waiting && r.readyForOwners(layout, &placed))
 	assert.DeepEqual(t, lifeNames(r.cellEndpoints("p", layout)), []string{"a"})
 }
+
+// Nodes of a fleet with many pools of one shard learn their endpoints from other nodes, too. The lists that these
+// published were empty: no life is assigned to a shard there, and owners took their endpoints to be gone.
+func TestListsOfOneShardHoldTheEndpoints(t *testing.T) {
+	for _, shards := range []int{1, 4} {
+		r, placed := newRegistry(decodeRegistration), newPlacements()
+		layout := shard.New(shards, []string{"p", "q"})
+		_, _ = r.apply(endpointRecords{snapshot: true, records: []damsonwinch.Record{registration("a", "p"), registration("b", "q")}, receivedAt: time.UnixMilli(1_700_000_000_000)})
+		_ = placed.apply(placementRecords{snapshot: true, requestedAt: time.UnixMilli(1_700_000_000_001)})
+		_, _ = r.assignShards(layout, map[string]bool{"p": true, "q": true}, &placed)
+		for _, pool := range []string{"p", "q"} {
+			lists, listed := r.allEndpoints(layout.CellNames(pool), layout), []string{}
+			for cell, endpoints := range lists {
+				assert.DeepEqual(t, lifeNames(endpoints), lifeNames(r.cellEndpoints(cell, layout)))
+				listed = append(listed, lifeNames(endpoints)...)
+			}
+			assert.Equal(t, len(listed), 1, "%d shards, pool %s: %v", shards, pool, lists)
+		}
+	}
+}
