Node: lists of endpoints are published as soon as a node serves them

Operators would see "endpoints are asked from another node: the node doesn't know the present endpoints" and nodes that read all registrations from the store for 5 s at a time, until some registration changes for an owner.

Cause: a node that already read the registrations when it was chosen to publish them published nothing before the next change: without one it only confirmed lists that it had not published.

Change: it publishes them with its next read.

Measured: TestListsArePublishedThoughNothingHasChanged failed before. Tests of pkg/node and pkg/directory pass.

--- a/pkg/directory/lists.go
+++ b/pkg/directory/lists.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// Known reports whether lists have been published and not withdrawn since.
+func (l *Lists) Known() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.confirmedAt.IsZero()
+}
+
 // Withdraw makes the lists unknown to other nodes until the next publication.
 func (l *Lists) Withdraw() {
 	l.mutex.Lock()
--- a/pkg/node/directory.go
+++ b/pkg/node/directory.go
@@ -160,12 +160,13 @@
 }
 
 // publishLists makes the lists of all cells' endpoints known to the other nodes, if this node reads the
-// registrations for them. changed reports whether the lists may differ from those published before.
+// registrations for them. changed reports whether the lists may differ from those published before. They are published
+// all the same if this node has just begun to serve them.
 func (n *Node) publishLists(changed bool) {
 	registry := &n.state.registry
 	switch {
 	case !n.endpointAccess.Load().serves || !n.registryReady():
-	case changed:
+	case changed, !n.lists.Known():
 		n.lists.Publish(registry.allEndpoints(requiredCells(n.state.configuration, n.state.layout), n.state.layout), registry.assignedOffset, registry.requestedAt)
 	default:
 		n.lists.Confirm(registry.assignedOffset, registry.requestedAt)
--- a/pkg/node/directory_test.go
+++ b/pkg/node/directory_test.go
@@ -9,9 +9,11 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/cellclaim"
+	"damsonwinch/pkg/directory"
 	"damsonwinch/pkg/membership"
 	"damsonwinch/pkg/owner"
 	"damsonwinch/pkg/ownership"
+	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
 
@@ -52,3 +54,23 @@
 	// An owner must know how old a report of an endpoint's capacity is if the endpoint accepts any task.
 	assert.Equal(t, readers(t, 20, false), 20)
 }
+
+// A node that starts to read the registrations for others must tell them what it knows already. Until a registration
+// changed, they got no lists from it, and read all registrations from the store.
+func TestListsArePublishedThoughNothingHasChanged(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := &Node{deps: Deps{Clock: clock}, lists: directory.NewLists(clock, 1)}
+	n.state.layout, n.state.registry, n.state.placements = shard.New(1, []string{"p"}), newRegistry(decodeRegistration), newPlacements()
+	n.state.configuration.Pools = []damsonwinch.Pool{{Name: "p"}}
+	_, _ = n.state.registry.apply(endpointRecords{snapshot: true, records: []damsonwinch.Record{registration("a", "p")}, requestedAt: clock.Now()})
+	for serves, endpoints := range map[bool]int{false: 0, true: 1} {
+		n.lists.Withdraw()
+		n.endpointAccess.Store(&endpointAccess{fromStore: true, serves: serves})
+		n.publishLists(false)
+		listed := 0
+		for _, changes := range n.lists.Reply(wire.DirectoryArgs{Cells: []wire.KnownCell{{Cell: "p"}}}).Cells {
+			listed += len(changes.Endpoints)
+		}
+		assert.Equal(t, listed, endpoints, "serves %v", serves)
+	}
+}
