--- a/pkg/soak/cluster_test.go
+++ b/pkg/soak/cluster_test.go
@@ -14,8 +14,7 @@
 	"damsonwinch/platform/standin"
 )
 
-// nodeCount is the number of nodes. The lead of a cell changes hands among the two others while one
-// of them is frozen.
+// nodeCount is the number of nodes. While one is frozen, its cells can pass on between the two others.
 const nodeCount = 3
 
 // cluster is a stand-in platform and the nodes that run against it.
--- a/pkg/soak/faults_test.go
+++ b/pkg/soak/faults_test.go
@@ -30,8 +30,8 @@
 	faults        []fault
 }
 
-// nodeFaultSeries is the number of series of faults of nodes, so that up to as many nodes are frozen
-// or away at once.
+// nodeFaultSeries is the number of series of faults of nodes, and thus the number of nodes that may be
+// frozen or away at once.
 const nodeFaultSeries = 2
 
 // maxFaultGap bounds the time between two faults of a series.
@@ -127,16 +127,16 @@
 
 // playPlatformFault plays a fault of the store or of an endpoint, or changes the configuration.
 func (p *faultPlayer) playPlatformFault(random *rand.Rand) error {
-	kind, box := random.IntN(3), random.IntN(len(p.cluster.platform.Boxes()))
+	kind, box := random.IntN(5), random.IntN(len(p.cluster.platform.Boxes()))
 	storeFault := storeFaults[random.IntN(len(storeFaults))]
 	from := p.cluster.clock.Now()
-	switch kind {
-	case 0:
+	switch {
+	case kind < 2:
 		p.cluster.platform.SetStoreFault(storeFault)
 		p.cluster.clock.Sleep(storeFaultTime)
 		p.cluster.platform.SetStoreFault(standin.FaultNone)
 		p.note(from, false, fmt.Sprintf("fault %d of the store", storeFault))
-	case 1:
+	case kind < 4:
 		name := p.cluster.platform.Boxes()[box]
 		p.cluster.platform.CrashEndpoint(name, crashTime)
 		p.cluster.clock.Sleep(crashTime)
--- a/pkg/soak/node_test.go
+++ b/pkg/soak/node_test.go
@@ -105,7 +105,12 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	log, err := os.OpenFile(filepath.Join(n.folder, n.config.Node+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	// The first process replaces the log of an earlier test, and the others add to it.
+	mode := os.O_APPEND
+	if firstStart {
+		mode = os.O_TRUNC
+	}
+	log, err := os.OpenFile(filepath.Join(n.folder, n.config.Node+".log"), os.O_CREATE|os.O_WRONLY|mode, 0o600)
 	if err != nil {
 		return err
 	}
