Ownership: the health of a node's lives is kept apart

Cause: a node kept what it knows of owners by the node's name. Claims of two lives of one node replaced each other's entry, so that each pass checked both at once, whatever the interval, each reply caused the next pass, and the reply that shows that the earlier life has been replaced was dropped.

Evidence: TestLivesOfOneNodeAreCheckedApart failed before: 979,870 checks in 22 s, "not within 20s: the cell of the earlier life is owned".

Change: what is known is kept by node and incarnation, and forgotten once the life has no claim and isn't a member.

--- a/pkg/ownership/health.go
+++ b/pkg/ownership/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,11 +32,15 @@
 	maxStoreAge = joinInterval + callTimeout
 )
 
-// ownerHealth is what this node knows of an incarnation of an owner from health checks and from the
-// owner's streams.
-type ownerHealth struct {
+// nodeLife is an incarnation of a node. Several lives of one node may have claims at the same time.
+type nodeLife struct {
+	node        string
 	incarnation int
-	evidence    liveness.Evidence
+}
+
+// ownerHealth is what this node knows of a life of an owner from health checks and from the owner's streams.
+type ownerHealth struct {
+	evidence liveness.Evidence
 	// streamReadPending reports whether a read of the owner's streams is under way.
 	streamReadPending bool
 	// cutOffFromStore reports whether the owner was cut off from the store at its newest reply, and
@@ -50,11 +55,20 @@
 
 // healthOf returns what is known of an incarnation of a node.
 func (o *Ownership) healthOf(node string, incarnation int) ownerHealth {
-	health := o.state.health[node]
-	if health.incarnation != incarnation {
-		return ownerHealth{incarnation: incarnation}
+	return o.state.health[nodeLife{node, incarnation}]
+}
+
+// forgetHealth drops what is known of lives that have no claims any more and aren't listed as members. A lost member
+// without claims must not count as a successor.
+func (o *Ownership) forgetHealth() {
+	s := &o.state
+	claiming := map[nodeLife]bool{}
+	for _, claim := range s.claims {
+		claiming[nodeLife{claim.Node, claim.Incarnation}] = true
 	}
-	return health
+	maps.DeleteFunc(s.health, func(life nodeLife, _ ownerHealth) bool {
+		return !claiming[life] && !s.memberList.Has(life.node, life.incarnation)
+	})
 }
 
 // isLost reports whether an incarnation of a node has stopped replying to health checks and has shown
@@ -88,10 +102,12 @@
 	healthMayChange := len(s.health) > 0 || len(s.refusals) > 0
 	if s.watchedStale || healthMayChange && now.Sub(s.watchedAt) >= rewatchInterval {
 		s.watchedCells, s.watchedStale, s.watchedAt = o.successorCells(), false, now
+		o.forgetHealth()
 	}
 	for _, cell := range s.watchedCells {
 		claim := s.claims[cell]
-		health := o.healthOf(claim.Node, claim.Incarnation)
+		life := nodeLife{claim.Node, claim.Incarnation}
+		health := s.health[life]
 		if now.Sub(health.evidence.LastRequestAt()) >= checkInterval {
 			health.evidence = health.evidence.WithRequest(now)
 			o.checkOwner(claim, now)
@@ -100,7 +116,7 @@
 			health.streamReadPending = true
 			o.readStreamEnds(claim, now)
 		}
-		s.health[claim.Node] = health
+		s.health[life] = health
 	}
 }
 
@@ -150,15 +166,16 @@
 
 // handleStreamEnds handles the result of reading the streams of an owner that doesn't reply.
 func (o *Ownership) handleStreamEnds(m streamEndsRead, now time.Time) {
-	health := o.state.health[m.node]
-	if health.incarnation != m.incarnation {
+	life := nodeLife{m.node, m.incarnation}
+	health, watched := o.state.health[life]
+	if !watched {
 		return
 	}
 	health.streamReadPending = false
 	if m.err != nil {
 		// A node that can't read the store draws no conclusion: it couldn't take over a cell anyway.
 		o.deps.Metrics.Add("work_not_read", 1)
-		o.state.health[m.node] = health
+		o.state.health[life] = health
 		return
 	}
 	before := health.evidence
@@ -168,14 +185,15 @@
 		o.deps.Metrics.Add("owners_slow", 1)
 		o.deps.Logger.WithFields(logrus.Fields{"peer": m.node, "incarnation": m.incarnation, "ends": m.ends}).Info("owner of a cell doesn't answer but works")
 	}
-	o.state.health[m.node] = health
+	o.state.health[life] = health
 }
 
 // handleHealthReply handles the result of a health check.
 func (o *Ownership) handleHealthReply(m healthReply, now time.Time) {
 	s := &o.state
-	health := s.health[m.node]
-	if health.incarnation != m.incarnation {
+	life := nodeLife{m.node, m.incarnation}
+	health, watched := s.health[life]
+	if !watched {
 		return
 	}
 	switch {
@@ -188,7 +206,7 @@
 		health.silenceReported, health.slownessReported = false, false
 		health.evidence = health.evidence.WithReply(m.sentAt)
 	}
-	s.health[m.node] = health
+	s.health[life] = health
 }
 
 // recordFailedCheck records a health check without a reply in health, and logs the first one since the
--- a/pkg/ownership/health_test.go
+++ b/pkg/ownership/health_test.go
@@ -73,6 +73,26 @@
 	})
 }
 
+// TestLivesOfOneNodeAreCheckedApart guards against two lives of a node that replace each other in what is known of their
+// health: each pass checked both again at once, and each reply caused the next pass.
+func TestLivesOfOneNodeAreCheckedApart(t *testing.T) {
+	store := newMemoryStore()
+	earlier, later := member("z", 1), member("z", 2)
+	store.appendRecord(claimRecord(t, "one", earlier))
+	store.appendRecord(claimRecord(t, "two", later))
+	store.replying[later.Address] = later
+	clock := clockwork.NewRealClock()
+	startedAt := clock.Now()
+	n := startNode(t, store, "a", "one", "two")
+
+	waitUntil(t, "the cell of the earlier life is owned", func() bool { return n.owns("one") })
+
+	clock.Sleep(time.Second)
+	assert.Assert(t, !n.owns("two"), "the cell was taken from a life that replies")
+	checks, intervals := store.healthChecks.Load(), int64(clock.Since(startedAt)/checkInterval)
+	assert.Assert(t, checks <= 2*(intervals+1), "%d health checks of two lives in %d intervals", checks, intervals)
+}
+
 // TestWeakNodeHandsCellOverToStrongNode lets a weak node claim a cell while a far stronger node is
 // gone. The weak node would make no progress with the cell.
 func TestWeakNodeHandsCellOverToStrongNode(t *testing.T) {
--- a/pkg/ownership/ownership.go
+++ b/pkg/ownership/ownership.go
@@ -174,7 +174,7 @@
 	o := &Ownership{
 		deps: deps, options: options, inbox: make(chan any, 64), group: group, ctx: ctx, cancel: cancel,
 		members: membership.NewGroup(deps.Store, options.Self, options.MembershipTTL), writer: cellclaim.NewWriter(deps.Store),
-		state: state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]liveness.Refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[string]ownerHealth{}},
+		state: state{claims: map[string]cellclaim.Claim{}, claimedAt: map[string]time.Time{}, startedAt: deps.Clock.Now(), refusals: map[string]liveness.Refusal{}, topicCount: 1, listGeneration: noGeneration, conflictEnd: noConflict, pendingReleases: map[string]int{}, pendingMoves: map[string]moveRequested{}, health: map[nodeLife]ownerHealth{}},
 	}
 	o.feed = o.newFeed()
 	group.Go(o.run)
--- a/pkg/ownership/ranking_test.go
+++ b/pkg/ownership/ranking_test.go
@@ -28,7 +28,7 @@
 		members, names = append(members, m), append(names, m.Name())
 	}
 	self := members[1]
-	o := &Ownership{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: self}, state: state{claims: map[string]cellclaim.Claim{}, refusals: map[string]liveness.Refusal{}, health: map[string]ownerHealth{}}}
+	o := &Ownership{deps: Deps{Clock: clockwork.NewFakeClock()}, options: Options{Self: self}, state: state{claims: map[string]cellclaim.Claim{}, refusals: map[string]liveness.Refusal{}, health: map[nodeLife]ownerHealth{}}}
 	o.state.memberList = membership.NewList(names, 1, false, self)
 	for number := 0; number < size; number += 10 {
 		cell := fmt.Sprintf("cell-%04d", number)
--- a/pkg/ownership/state.go
+++ b/pkg/ownership/state.go
@@ -60,9 +60,9 @@
 	topicCount int
 	// suspended is the machine's total suspended time at the last check.
 	suspended time.Duration
-	// health holds the health of owners, by node. watchedCells are the cells whose owners this node
+	// health holds the health of owners, by their lives. watchedCells are the cells whose owners this node
 	// checks, and watchedStale is set when they have to be determined again.
-	health       map[string]ownerHealth
+	health       map[nodeLife]ownerHealth
 	watchedCells []string
 	watchedStale bool
 	// watchedAt is when watchedCells were last determined.
--- a/pkg/ownership/store_test.go
+++ b/pkg/ownership/store_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -19,9 +20,11 @@
 
 // memoryStore is a store that holds the stream of claims and the group in memory.
 type memoryStore struct {
-	mutex   sync.Mutex
-	claims  []damsonwinch.Record
-	members []string
+	// healthChecks counts the requests for the claims of nodes, which serve as health checks.
+	healthChecks atomic.Int64
+	mutex        sync.Mutex
+	claims       []damsonwinch.Record
+	members      []string
 	// listFull leaves no spare partition, as if the group had a member for each partition.
 	listFull bool
 	// partitionsPerTopic is the number of partitions of each of the group's topics, or 0 for enough, and
@@ -286,6 +289,7 @@
 
 // claimsReply returns the reply of the node at an address, or an error if it doesn't reply.
 func (s *memoryStore) claimsReply(address string) (wire.ClaimsReply, error) {
+	s.healthChecks.Add(1)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	member, replies := s.replying[address]
--- a/pkg/ownership/suspension.go
+++ b/pkg/ownership/suspension.go
@@ -20,9 +20,9 @@
 	o.deps.Metrics.Add("suspensions", 1)
 	o.deps.Metrics.Add("suspended_ms", int(suspended.Milliseconds()))
 	o.deps.Logger.WithField("slept_ms", suspended.Milliseconds()).Warn("the machine was suspended")
-	for node, health := range s.health {
+	for life, health := range s.health {
 		health.evidence = liveness.Evidence{}
-		s.health[node] = health
+		s.health[life] = health
 	}
 	s.confirmedAt = time.Time{}
 	o.feed.Refresh()
