Cell: an invalid job is rejected also after its cancel

Clients got 503 with a long Retry-After in place of 400 for an invalid job whose ID had been cancelled before: the cancellation was looked at first.

--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -14,25 +14,19 @@
 func (c *Cell) Submit(now time.Time, args wire.JobArgs, callID int) {
 	c.beginEvent(now)
 	defer c.finishEvent()
-	if existing, exists := c.jobs[args.Id]; exists {
-		if !existing.visibleTo(args) {
-			c.logJob("job refused", existing, "another customer has a job of this ID")
-			c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "not taken", RetryAfterMs: int(retryAfter.Milliseconds())})
-			return
-		}
-		if existing.unsubmitted {
-			c.refuseCancelled(existing, callID)
-			return
-		}
-		// The client has not received the reply to an earlier call.
-		existing.extendClientWait(now, args.WaitMs)
-		c.replyOnceRecorded(existing, callID, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
+	existing, exists := c.jobs[args.Id]
+	if exists && !existing.unsubmitted {
+		c.submitAgain(existing, args, callID)
 		return
 	}
 	if err := jobs.Check(*args.Spec); err != nil {
 		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeInvalid, Reason: err.Error()})
 		return
 	}
+	if exists {
+		c.refuseCancelled(existing, callID)
+		return
+	}
 	j := c.newJob(args)
 	j.extendClientWait(now, args.WaitMs)
 	c.classify(j)
@@ -51,6 +45,18 @@
 	c.replyOnceRecorded(j, callID, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
 }
 
+// submitAgain handles the submission of a job that the cell has: the client has not received the reply to an earlier
+// call, or another customer has taken the ID.
+func (c *Cell) submitAgain(j *job, args wire.JobArgs, callID int) {
+	if !j.visibleTo(args) {
+		c.logJob("job refused", j, "another customer has a job of this ID")
+		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "not taken", RetryAfterMs: int(retryAfter.Milliseconds())})
+		return
+	}
+	j.extendClientWait(c.now, args.WaitMs)
+	c.replyOnceRecorded(j, callID, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
+}
+
 // countArrival counts a job in the statistics of its queue. A refused job counts once, at its first
 // submission: if it did not count, the planner would give no boxes for what a full cell refuses.
 func (c *Cell) countArrival(j *job) {
