Intake: a long-running job is reached while the cell of its ID fails

Callers saw 503 for the DELETE of a long-running job that runs, and 503 or 504 for its GET, while the cell that is determined by the job's ID couldn't answer, although that cell never has such a job. Since cancellations of unknown jobs are recorded, that cell also refuses while it holds 10,000 of them: one client that cancels unknown jobs blocked the cancels of all clients' long-running jobs in that shard for as long as ended jobs are kept.

Cause: the router took the failure of the first cell for the reply and didn't call the cell for long-running jobs.

Change: it calls that cell too, and the reply is the one with the highest precedence. If neither has the job, the failure stays the reply.

Evidence: TestLongRunningJobIsReachedWhileTheCellOfItsIDFails failed before with "" in place of running.

--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -64,14 +64,14 @@
 
 // findInPool calls the owner of the cell that has a job of the pool that args names. The arguments don't say whether
 // the job is long-running. The call therefore goes to the cell that is determined by the job's ID, and then, if that
-// cell doesn't have the job, to the pool's cell for long-running jobs.
+// cell doesn't have the job or fails to reply, to the pool's cell for long-running jobs.
 func (r *Router) findInPool(ctx context.Context, m method, args wire.JobArgs, layout shard.Layout) wire.JobReply {
 	number, longRunning := layout.JobShard(args.Id), layout.LongRunningJobShard(args.Pool)
 	reply := r.route(ctx, m, argsForCell(args, args.Pool, number))
-	if reply.Outcome == wire.JobOutcomeNoSuchJob && longRunning != number {
-		return r.route(ctx, m, argsForCell(args, args.Pool, longRunning))
+	if longRunning == number || reply.Outcome != wire.JobOutcomeNoSuchJob && !isFailure(reply) {
+		return reply
 	}
-	return reply
+	return mergeReplies([]wire.JobReply{reply, r.route(ctx, m, argsForCell(args, args.Pool, longRunning))})
 }
 
 // Pending implements damsonwinch.JobService. It returns the sum over all cells of the pool, or the failure
