Intake: the pending jobs of a queue include those in its former pools

Callers saw {"pending":0} from every node for a queue with waiting jobs once its route led to another service (MIXED).

Cause: a node summed over the cells of the queue's present pool only, where such jobs never were.

Change: it sums over the cells of the former pools that it remembers, too.

Open: as for submissions, a node that was started since the change doesn't know the former pool, and a node forgets it after the retention of ended jobs, though jobs may wait there for longer.

--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
@@ -74,30 +73,26 @@
 	return mergeReplies([]wire.JobReply{reply, r.route(ctx, m, argsForCell(args, args.Pool, longRunning))})
 }
 
-// Pending implements damsonwinch.JobService. It returns the sum over all cells of the pool, or the failure
-// of one cell if any has failed: a part of the sum would be taken for the whole.
+// Pending implements damsonwinch.JobService. It returns the sum over all cells of the pool and of the pools to which the
+// queue led before, where jobs may still wait, or the failure of one cell if any has failed: a part of the sum would be
+// taken for the whole.
 func (r *Router) Pending(ctx context.Context, args wire.JobArgs) wire.JobReply {
 	layout := r.deps.Cells.View().Layout
 	if !layout.Decided() {
 		return r.refuseUndecided(pendingMethod, args)
 	}
-	replies := make([]wire.JobReply, layout.Shards)
-	var group errgroup.Group
-	for number := range replies {
-		group.Go(func() error {
-			replies[number] = r.route(ctx, pendingMethod, argsForCell(args, args.Pool, number))
-			return nil
-		})
+	var calls []wire.JobArgs
+	for _, pool := range append([]string{args.Pool}, r.deps.Cells.FormerPools(args.Queue)...) {
+		for number := range layout.Shards {
+			calls = append(calls, argsForCell(args, pool, number))
+		}
 	}
-	// The functions always return nil. Failures are in the replies.
-	_ = group.Wait()
-	sum := replies[0]
-	for _, reply := range replies[1:] {
-		if sum.Outcome != wire.JobOutcomeFound {
-			break
+	sum := wire.JobReply{Outcome: wire.JobOutcomeFound}
+	for _, reply := range r.routeAll(ctx, pendingMethod, calls) {
+		if reply.Outcome != wire.JobOutcomeFound {
+			return reply
 		}
-		reply.Pending += sum.Pending
-		sum = reply
+		sum.Pending += reply.Pending
 	}
 	return sum
 }
--- a/pkg/process/redirected_test.go
+++ b/pkg/process/redirected_test.go
@@ -110,3 +110,21 @@
 		assert.Equal(t, reply.Outcome, wire.JobOutcomeRefused, reply.Reason)
 	}
 }
+
+// TestPendingIncludesTheJobsOfTheFormerPool changes the pool of a queue while jobs wait. It guards against a number of
+// pending jobs that leaves them out.
+func TestPendingIncludesTheJobsOfTheFormerPool(t *testing.T) {
+	c := newCluster(t, 3)
+	for number := range 3 {
+		c.submit(jobID(number), standin.Work{}, standin.Phase{Count: 1, MilliCPU: 10_000_000, LongRunning: true})
+	}
+	pending := func(number int) string {
+		_, body := c.callNode(number, c.client, http.MethodGet, testPrefix)
+		return body
+	}
+	c.waitUntil("the jobs are pending", func() bool { return pending(0) == `{"pending":3}` })
+	c.redirect(2)
+	for number := range c.nodes {
+		assert.Equal(t, pending(number), `{"pending":3}`)
+	}
+}
