Boxes: a row that can't be read doesn't show that its endpoint has exited

A task of an endpoint that is only out of reach is started a second time (TWICE) if the endpoint's row in the list of boxes has an odd state or an odd ID.

Cause: since an odd row no longer fails the list, a row whose state isn't a text, or has a name that isn't known, counted as that of a box that isn't up, and a row whose ID isn't a text as that of a box without an endpoint. Endpoints that the list lacks count as exited, by the planner and by owners.

Change: an endpoint has not exited by a list in which the row of its ID has no known state, or the row of its box is invalid and has no ID. Its runs then end with their leases.

Open: a row of which neither the box nor the ID can be read is left out of the list as before.

--- a/fleet.go
+++ b/fleet.go
@@ -34,6 +34,35 @@
 	Problem string
 }
 
+// LiveEndpoints says which endpoints a list of boxes shows, or may show, on boxes that are up.
+type LiveEndpoints struct {
+	ids map[string]bool
+	// unclearBoxes holds the boxes whose rows don't say which endpoint runs there, because they are invalid.
+	unclearBoxes map[string]bool
+}
+
+// NewLiveEndpoints returns the endpoints of a list of boxes. A row whose state can't be read doesn't show that its
+// endpoint has exited.
+func NewLiveEndpoints(boxes []Box) LiveEndpoints {
+	live := LiveEndpoints{ids: make(map[string]bool, len(boxes)), unclearBoxes: map[string]bool{}}
+	for _, box := range boxes {
+		switch {
+		case box.State != BoxUp && box.State != "":
+		case box.EndpointID != "":
+			live.ids[box.EndpointID] = true
+		case box.Problem != "":
+			live.unclearBoxes[box.Name] = true
+		}
+	}
+	return live
+}
+
+// MayInclude reports whether the endpoint with an ID may run, by the list. box is the name of the box on which it runs,
+// or empty if that isn't known.
+func (l LiveEndpoints) MayInclude(id, box string) bool {
+	return l.ids[id] || box != "" && l.unclearBoxes[box]
+}
+
 // Issuer identifies the node that gives an order on a box, and its fencing token.
 type Issuer struct {
 	Node  string
--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -102,11 +102,8 @@
 func (p *Planner) SetBoxes(requestedAt time.Time, listed []damsonwinch.Box) {
 	p.boxesRequestedAt = requestedAt
 	present := map[string]bool{}
-	p.upEndpoints = make(map[string]bool, len(listed))
+	p.liveEndpoints = damsonwinch.NewLiveEndpoints(listed)
 	for _, info := range listed {
-		if info.State == damsonwinch.BoxUp && info.EndpointID != "" {
-			p.upEndpoints[info.EndpointID] = true
-		}
 		if info.Name == "" {
 			continue // The row doesn't say which box it is about.
 		}
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -87,8 +87,8 @@
 	// boxesByCell holds the boxes of each cell in order of their names.
 	boxesByCell map[string][]*box
 	boxCounts   boxCounts
-	// upEndpoints holds the IDs of the endpoints on the boxes that the newest list shows as up.
-	upEndpoints map[string]bool
+	// liveEndpoints holds the endpoints that may run by the newest list of boxes.
+	liveEndpoints damsonwinch.LiveEndpoints
 	// cutOffZones are the zones whose boxes the owners of the cells can't reach.
 	cutOffZones map[string]bool
 	// evacuatedZones holds since when the operator has wanted no task to start in a zone.
--- a/pkg/boxplan/exited.go
+++ b/pkg/boxplan/exited.go
@@ -28,7 +28,7 @@
 	}
 	var exited []string
 	for _, reported := range c.report.Endpoints {
-		if p.boxesRequestedAt.After(c.reportedSince[reported.Endpoint]) && !p.upEndpoints[damsonwinch.ParseLife(reported.Endpoint).ID] {
+		if p.boxesRequestedAt.After(c.reportedSince[reported.Endpoint]) && !p.liveEndpoints.MayInclude(damsonwinch.ParseLife(reported.Endpoint).ID, reported.Box) {
 			exited = append(exited, reported.Endpoint)
 		}
 	}
--- a/pkg/boxplan/exited_test.go
+++ b/pkg/boxplan/exited_test.go
@@ -48,3 +48,24 @@
 	assert.Equal(t, len(f.planner.Directives("held").Exited), 0)
 	assert.Assert(t, !strings.Contains(strings.Join(f.planner.Summary(), ";"), "1 boxes"), "%q", f.planner.Summary())
 }
+
+// A row of the list of boxes whose state can't be read doesn't show that its endpoint has exited. The owner would give up
+// its runs and start them elsewhere, and one whose endpoint is only out of reach would run twice.
+func TestEndpointOnBoxOfUnknownStateHasNotExited(t *testing.T) {
+	f := newOneBoxFleet()
+	f.planner.SetReport(f.now, "held", wire.SyncReply{Known: true, Endpoints: []wire.EndpointReport{{Endpoint: "at-" + f.box.Name, Box: f.box.Name}}})
+	f.box.State, f.box.EndpointID = "", "at-"+f.box.Name
+	f.planner.SetBoxes(f.now.Add(time.Millisecond), []damsonwinch.Box{f.box})
+	f.planner.Plan(f.now.Add(2 * time.Millisecond))
+	assert.Equal(t, len(f.planner.Directives("held").Exited), 0)
+}
+
+// A row whose endpoint can't be read doesn't show that the box's endpoint has exited.
+func TestEndpointOnBoxWithUnreadableEndpointHasNotExited(t *testing.T) {
+	f := newOneBoxFleet()
+	f.planner.SetReport(f.now, "held", wire.SyncReply{Known: true, Endpoints: []wire.EndpointReport{{Endpoint: "at-" + f.box.Name, Box: f.box.Name}}})
+	f.box.EndpointID, f.box.Problem = "", "the id isn't a text"
+	f.planner.SetBoxes(f.now.Add(time.Millisecond), []damsonwinch.Box{f.box})
+	f.planner.Plan(f.now.Add(2 * time.Millisecond))
+	assert.Equal(t, len(f.planner.Directives("held").Exited), 0)
+}
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -192,18 +192,13 @@
 	c.beginEvent(now)
 	c.endpointsChanged()
 	defer c.finishEvent()
-	alive := make(map[string]bool, len(boxes))
-	for _, box := range boxes {
-		if box.State == damsonwinch.BoxUp {
-			alive[box.EndpointID] = true
-		}
-	}
+	live := damsonwinch.NewLiveEndpoints(boxes)
 	for _, e := range slices.Clone(c.sortedEndpoints) {
 		// The list takes seconds to read, and doesn't have an endpoint that started meanwhile.
 		if requestedAt.Before(e.knownSince) {
 			continue
 		}
-		if !alive[e.info.Life.ID] && !e.exited && !c.mayAnswer(e) && len(e.runs) > 0 {
+		if !live.MayInclude(e.info.Life.ID, e.info.Box) && !e.exited && !c.mayAnswer(e) && len(e.runs) > 0 {
 			c.markLostByReport(e, "the platform's list of boxes does not have it")
 		}
 	}
