Boxplan: a row that can't be read settles no order

A wave is reported as completed although a box has not been maintained (MIXED): a planner has taken over with the record of its maintenance, which the platform has never got, and a list shows the box with an odd state or an odd ID before the cell's owner has reported the life.

Cause: such a row counted as that of a box that isn't up, or as that of another life, so that the recorded order counted as carried out.

Change: the planner goes on with what the last list showed of the box.

Evidence: TestOddRowDoesNotCompleteInheritedMaintenance failed before, with the state and with the ID.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -108,6 +108,9 @@
 			continue // The row doesn't say which box it is about.
 		}
 		present[info.Name] = true
+		if isUnclear(info) {
+			continue // The box is planned with as the last list showed it.
+		}
 		b := p.boxes[info.Name]
 		if b == nil {
 			b = p.addBox(info.Name)
@@ -140,6 +143,12 @@
 	p.groupBoxesByCell()
 }
 
+// isUnclear reports whether the row of a box doesn't say whether an order on it has been carried out: its state can't be
+// read, or which endpoint runs there.
+func isUnclear(info damsonwinch.Box) bool {
+	return info.State == "" || info.State == damsonwinch.BoxUp && info.EndpointID == "" && info.Problem != ""
+}
+
 // addBox adds a box of which only the name is known, and returns it.
 func (p *Planner) addBox(name string) *box {
 	b := &box{info: damsonwinch.Box{Name: name}, refusedPools: map[string]bool{}}
--- a/pkg/boxplan/takeover_test.go
+++ b/pkg/boxplan/takeover_test.go
@@ -168,3 +168,29 @@
 	}
 	assert.Assert(t, accepted > 0, "the cell gets no box within 10 s")
 }
+
+// TestOddRowDoesNotCompleteInheritedMaintenance guards against a wave that is reported as completed although a box has not
+// been maintained: a list shows the box with a state or an endpoint that can't be read, while its life goes on.
+func TestOddRowDoesNotCompleteInheritedMaintenance(t *testing.T) {
+	for _, odd := range []func(box *damsonwinch.Box){
+		func(box *damsonwinch.Box) { box.State = "" },
+		func(box *damsonwinch.Box) { box.EndpointID = "" },
+	} {
+		f := newOneBoxFleet()
+		f.inheritMaintenance()
+		for number := range 20 {
+			f.now = f.now.Add(400 * time.Millisecond)
+			f.box.State, f.box.EndpointID, f.box.Problem = damsonwinch.BoxUp, "at-"+f.box.Name, ""
+			if number == 2 {
+				odd(&f.box)
+				f.box.Problem = "not a text"
+			}
+			f.planner.SetBoxes(f.now, []damsonwinch.Box{f.box})
+			if number > 3 {
+				f.report(1, true)
+			}
+			f.plan(100 * time.Millisecond)
+			assert.Assert(t, !f.planner.WaveRecord(1).Completed, "list %d: the box was never in maintenance", number)
+		}
+	}
+}
