--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
@@ -64,40 +63,36 @@
 
 // findInPool calls the owner of the cell that has a job of the pool that args names. The arguments don't say whether
 // the job is long-running. The call therefore goes to the cell that is determined by the job's ID, and then, if that
-// cell doesn't have the job, to the pool's cell for long-running jobs.
+// cell doesn't have the job or fails to reply, to the pool's cell for long-running jobs.
 func (r *Router) findInPool(ctx context.Context, m method, args wire.JobArgs, layout shard.Layout) wire.JobReply {
 	number, longRunning := layout.JobShard(args.Id), layout.LongRunningJobShard(args.Pool)
 	reply := r.route(ctx, m, argsForCell(args, args.Pool, number))
-	if reply.Outcome == wire.JobOutcomeNoSuchJob && longRunning != number {
-		return r.route(ctx, m, argsForCell(args, args.Pool, longRunning))
+	if longRunning == number || reply.Outcome != wire.JobOutcomeNoSuchJob && !isFailure(reply) {
+		return reply
 	}
-	return reply
+	return mergeReplies([]wire.JobReply{reply, r.route(ctx, m, argsForCell(args, args.Pool, longRunning))})
 }
 
-// Pending implements damsonwinch.JobService. It returns the sum over all cells of the pool, or the failure
-// of one cell if any has failed: a part of the sum would be taken for the whole.
+// Pending implements damsonwinch.JobService. It returns the sum over all cells of the pool and of the pools to which the
+// queue led before, where jobs may still wait, or the failure of one cell if any has failed: a part of the sum would be
+// taken for the whole.
 func (r *Router) Pending(ctx context.Context, args wire.JobArgs) wire.JobReply {
 	layout := r.deps.Cells.View().Layout
 	if !layout.Decided() {
 		return r.refuseUndecided(pendingMethod, args)
 	}
-	replies := make([]wire.JobReply, layout.Shards)
-	var group errgroup.Group
-	for number := range replies {
-		group.Go(func() error {
-			replies[number] = r.route(ctx, pendingMethod, argsForCell(args, args.Pool, number))
-			return nil
-		})
+	var calls []wire.JobArgs
+	for _, pool := range append([]string{args.Pool}, r.deps.Cells.FormerPools(args.Queue)...) {
+		for number := range layout.Shards {
+			calls = append(calls, argsForCell(args, pool, number))
+		}
 	}
-	// The functions always return nil. Failures are in the replies.
-	_ = group.Wait()
-	sum := replies[0]
-	for _, reply := range replies[1:] {
-		if sum.Outcome != wire.JobOutcomeFound {
-			break
+	sum := wire.JobReply{Outcome: wire.JobOutcomeFound}
+	for _, reply := range r.routeAll(ctx, pendingMethod, calls) {
+		if reply.Outcome != wire.JobOutcomeFound {
+			return reply
 		}
-		reply.Pending += sum.Pending
-		sum = reply
+		sum.Pending += reply.Pending
 	}
 	return sum
 }
