Node: the record of a job is bounded by what is unfinished

Cause: a job's record had a row for each task that was ever started. After some 14,500 tasks it was longer than the 262,144 bytes that the platform takes in a record; the store refused each append that held it, and the owner repeated the append without end.

Change: a job whose record has no room for a row for each of its tasks has what is done recorded as ranges, of whole rounds and of tasks of one round. A range is interrupted only by tasks that are not done, so the record is bounded by those. A task keeps its row as long as an attempt may run or its result isn't known. Finished rounds also leave the owner's memory. What a later owner concludes from a row (attempts, failures, checkpoints, crashes, lapsed attempts) matters only for tasks that have one.

The limit comes from the new setting store_record_bytes (platform.record_bytes), 262,144 if it isn't given. In the simulations of pkg/cell owners that write rows and owners that write ranges follow each other.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -126,6 +126,9 @@
 	if options.CrashRules == (crash.Rules{}) {
 		options.CrashRules = crash.DefaultRules()
 	}
+	if options.MaxRecordBytes == 0 {
+		options.MaxRecordBytes = DefaultMaxRecordBytes
+	}
 	allowances := quota.NewAllowances()
 	return &Cell{
 		options: options, token: token,
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -26,11 +26,18 @@
 	lines := []string{fmt.Sprintf("job %s of queue %s is %s (recorded as %s); priority %d, accepted at %d ms, should be done by %d ms",
 		id, j.queue, j.state, j.recordedState, j.priority, j.acceptedMs, j.deadlineMs)}
 	lines = append(lines, c.explainShare(j)...)
+	settled := 0
 	for _, r := range j.rounds {
+		if r.settled {
+			settled++
+		}
 		for _, p := range r.phases {
 			lines = append(lines, c.explainPhase(p)...)
 		}
 	}
+	if settled > 0 {
+		lines = append(lines, fmt.Sprintf("all tasks of %d other rounds are done", settled))
+	}
 	return lines
 }
 
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -67,6 +67,8 @@
 	// specRecorded is set when the stream holds the job's specification or an append with it is
 	// being built or in flight.
 	specRecorded bool
+	// totalTasks is the number of tasks in all rounds.
+	totalTasks int
 }
 
 // ended reports whether the job's final state has been decided.
@@ -82,6 +84,9 @@
 	phases []*phase
 	// unfinishedPhases is the number of phases that are not done.
 	unfinishedPhases int
+	// settled is set once all tasks are done and nothing of them can run:
+	// then phases is empty.
+	settled bool
 }
 
 // phase is a set of identical tasks in a round. It can start when the phases that it depends on are
--- a/pkg/cell/load.go
+++ b/pkg/cell/load.go
@@ -7,6 +7,7 @@
 
 	"damsonwinch"
 	"damsonwinch/pkg/cellrecord"
+	jobs "damsonwinch/pkg/job"
 	"damsonwinch/pkg/wire"
 )
 
@@ -77,6 +78,7 @@
 	j.queue, j.spec, j.acceptedMs, j.deadlineMs = accepted.Queue, accepted.Spec, accepted.AcceptedMs, accepted.DueMs
 	j.priority, j.maxAttempts, j.specRecorded = accepted.Priority, accepted.MostAttempts, true
 	j.overShare = accepted.OverShare
+	j.totalTasks = jobs.TotalTasks(j.spec)
 	c.estimateJob(j)
 	if err := c.restoreTasks(j, saved); err != nil {
 		return err
--- a/pkg/cell/options.go
+++ b/pkg/cell/options.go
@@ -39,6 +39,15 @@
 	// MaxEvacuationAge is how long ago the operator's evacuations must have been known in full for a
 	// task to start. With 0 there is no limit.
 	MaxEvacuationAge time.Duration
+	// MaxRecordBytes is the length of the longest record that the store takes, with its key. 0 stands for
+	// DefaultMaxRecordBytes.
+	MaxRecordBytes int
+	// RangesOnly has the done tasks of all jobs recorded as ranges, also of those whose records have room for a row for
+	// each task. Earlier versions can't read ranges.
+	RangesOnly bool
 	// EndedJobRetention is how long a job can still be queried after it has ended.
 	EndedJobRetention time.Duration
 }
+
+// DefaultMaxRecordBytes is the limit of a record on the users' platform so far.
+const DefaultMaxRecordBytes = 262_144
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -13,39 +13,60 @@
 // jobRecords returns the records that hold the present state of a job. It writes the specification
 // once, and deletes it when the job has ended and nothing of it can run.
 func (c *Cell) jobRecords(j *job) []damsonwinch.Record {
+	state := c.encodeState(j)
 	var records []damsonwinch.Record
-	if !j.specRecorded && (!j.ended() || j.runCount > 0) {
+	if !j.specRecorded && j.needsSpec() {
 		// An owner that takes over an ended job must know which of the job's runs may still exist.
 		j.specRecorded = true
-		records = append(records, cellrecord.EncodeSpec(j.id, wire.AcceptedJob{
-			Queue: j.queue, Customer: j.customer, AcceptedMs: j.acceptedMs, Priority: j.priority, MostAttempts: j.maxAttempts, DueMs: j.deadlineMs, Spec: j.spec, OverShare: j.overShare,
-		}))
+		records = append(records, cellrecord.EncodeSpec(j.id, j.acceptedJob()))
 	}
-	if j.ended() && j.specRecorded && j.runCount == 0 {
+	if j.specRecorded && !j.needsSpec() {
 		// Nothing of the job can run any more.
 		j.specRecorded = false
 		records = append(records, cellrecord.DeleteSpec(j.id))
 	}
+	return append(records, state)
+}
+
+// acceptedJob returns the job as it was submitted.
+func (j *job) acceptedJob() wire.AcceptedJob {
+	return wire.AcceptedJob{
+		Queue: j.queue, Customer: j.customer, AcceptedMs: j.acceptedMs, Priority: j.priority, MostAttempts: j.maxAttempts, DueMs: j.deadlineMs, Spec: j.spec, OverShare: j.overShare,
+	}
+}
+
+// needsSpec reports whether a later owner needs the job's specification: the job goes on, or runs of it may exist.
+func (j *job) needsSpec() bool {
+	return !j.ended() || j.runCount > 0
+}
+
+// encodeState returns the record of the changing part of a job.
+func (c *Cell) encodeState(j *job) damsonwinch.Record {
 	record := wire.JobRecord{State: j.state, EndedMs: j.endedMs, Unsubmitted: j.unsubmitted}
-	if !j.specRecorded {
+	if j.needsSpec() {
+		c.settleRounds(j)
+		c.writeLapsed(j, c.writeTasks(j, &record), &record)
+	} else {
 		record.Customer = j.customer
 	}
-	if !j.ended() || j.runCount > 0 {
-		c.writeLapsed(j, writeTasks(j, &record), &record)
-	}
-	return append(records, cellrecord.EncodeJob(j.id, record))
+	return cellrecord.EncodeJob(j.id, record)
 }
 
 // writeTasks adds the started tasks to a job's record. It returns the row numbers of the tasks with
 // lapsed attempts.
-func writeTasks(j *job, record *wire.JobRecord) map[*task]int {
+func (c *Cell) writeTasks(j *job, record *wire.JobRecord) map[*task]int {
 	var rows map[*task]int
 	// One list serves for the runs of all tasks, since a record is written at each start.
 	var runs []cellrecord.Attempt
+	done := doneRanges{listsTasks: c.listsAllTasks(j)}
 	for _, r := range j.rounds {
+		if r.settled {
+			done.addRound(r)
+			continue
+		}
 		for _, p := range r.phases {
 			for _, t := range p.tasks {
-				if t.lastAttempt == 0 && !t.done {
+				if t.lastAttempt == 0 && !t.done || done.addTask(t) {
 					continue
 				}
 				recorded := t.recorded(runs[:0])
@@ -60,6 +81,10 @@
 			}
 		}
 	}
+	if !j.ended() {
+		// Nothing is started any more for a job that has ended.
+		done.write(record)
+	}
 	return rows
 }
 
@@ -82,6 +107,9 @@
 	if err != nil {
 		return fmt.Errorf("job %s: %w", j.id, err)
 	}
+	if err := c.restoreDone(j, record); err != nil {
+		return fmt.Errorf("job %s: %w", j.id, err)
+	}
 	tasks := make([]*task, len(rows))
 	for index, row := range rows {
 		if tasks[index], err = c.restoreTask(j, row); err != nil {
@@ -99,9 +127,7 @@
 	if saved.Round >= jobs.Rounds(j.spec) {
 		return nil, fmt.Errorf("reference to missing round %d of %d", saved.Round, jobs.Rounds(j.spec))
 	}
-	for len(j.rounds) <= saved.Round {
-		j.rounds = append(j.rounds, newRound(j, len(j.rounds)))
-	}
+	j.addRounds(saved.Round + 1)
 	t := c.findTask(damsonwinch.TaskID{Job: j.id, Round: saved.Round, Phase: saved.Phase, Index: saved.Index})
 	if t == nil {
 		return nil, fmt.Errorf("no task with round, phase and index %v", []int{saved.Round, saved.Phase, saved.Index})
@@ -113,9 +139,8 @@
 	for _, attempt := range saved.Runs {
 		c.addRun(&run{task: t, attempt: attempt.Number, endpoint: c.ensureEndpoint(attempt.Life), state: runUnverified, startedAt: c.now, inherited: true, speedPercent: fillerspeed.MinPercent})
 	}
-	if saved.Done && !t.done {
-		t.done = true
-		t.phase.unfinishedTasks--
+	if saved.Done {
+		t.restoreDone()
 	}
 	c.restoreCrashes(t, saved.Crashes)
 	return t, nil
--- a/pkg/cell/record_test.go
+++ b/pkg/cell/record_test.go
@@ -21,6 +21,11 @@
 		"missing endpoint":      {`{"state":"running","tasks":[[0,0,1,1,0,0,1,1]],"endpoints":["e"]}`, "endpoint 1 of 1"},
 		"missing task":          {`{"state":"running","tasks":[[0,0,7,1,0,0]]}`, "no task"},
 		"missing round":         {`{"state":"running","tasks":[[1000000000,0,0,1,0,0]]}`, "round 1000000000 of 1"},
+		"range too long":        {`{"state":"running","tasks":[[0,0,1,2]]}`, "no task with round, phase and index [0 1 0]"},
+		"range of no round":     {`{"state":"running","tasks":[[1,0,0,1]]}`, "round 1 of 1"},
+		"too many rounds":       {`{"state":"running","tasks":[[0,2]]}`, "invalid range of 2 rounds"},
+		"task after a range":    {`{"state":"running","tasks":[[0,0,0,1],[0,0,1,1,0,0]]}`, "row 1: invalid row with 6 columns"},
+		"task of a done round":  {`{"state":"running","tasks":[[0,0,1,1,0,0],[0,1]]}`, "no task"},
 		"checkpoint of no task": {`{"state":"running","saved":[{"row":3,"checkpoint":"x"}]}`, "checkpoint for row 3"},
 		"no specification":      {``, "no specification"},
 	} {
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -56,6 +56,8 @@
 	if w.operator != nil && !w.mutation.staleEvacuations {
 		options.MaxEvacuationAge = simMaxEvacuationAge
 	}
+	// Owners that record done tasks as rows and as ranges follow each other.
+	options.RangesOnly = (w.seed+uint64(o.token))%2 == 0
 	o.cell = cell.New(options, o.token)
 	w.owners = append(w.owners, o)
 	w.logf("owner %s claims the cell with token %d", o.name, o.token)
@@ -232,7 +234,7 @@
 	if w.mutation.dropRuns {
 		commit.Records = editJobRecords(commit.Records, func(job *wire.JobRecord) {
 			for i := range job.Tasks {
-				job.Tasks[i] = job.Tasks[i][:columnsBeforeRuns]
+				job.Tasks[i] = job.Tasks[i][:min(columnsBeforeRuns, len(job.Tasks[i]))]
 			}
 		})
 	}
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -59,6 +59,7 @@
 // world is a simulation of owners, a store, endpoints and clients on a fake clock and a fake
 // network. Everything that happens follows from its seed.
 type world struct {
+	seed     uint64
 	random   *rand.Rand
 	now      time.Time
 	events   eventqueue.Queue
@@ -150,7 +151,7 @@
 
 func newWorld(seed uint64, m mutation) *world {
 	w := &world{
-		random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000), mutation: m,
+		seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000), mutation: m,
 		streams: []*simStream{newSimStream()}, streamDown: map[int]bool{}, behaviours: map[string]taskBehaviour{}, faultsOn: true, cuts: map[string]bool{},
 		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond,
 	}
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -69,6 +69,7 @@
 	}
 	queue := c.queues[args.Queue]
 	j.priority, j.maxAttempts = queue.Priority, queue.MaxAttempts
+	j.totalTasks = jobs.TotalTasks(j.spec)
 	c.setDeadline(j)
 	return j
 }
--- a/pkg/cellrecord/tasks.go
+++ b/pkg/cellrecord/tasks.go
@@ -24,6 +24,10 @@
 	columnRuns
 )
 
+// MaxTaskBytes is an upper bound of the bytes that a task that is not done takes in its job's record, with two attempts, two
+// lapsed ones, a history of crashes, a checkpoint of 32 bytes and a range of done tasks before it.
+const MaxTaskBytes = 320
+
 // runColumns is the number of columns for each attempt that may be running.
 const runColumns = 2
 
@@ -95,10 +99,11 @@
 	return len(record.Endpoints) - 1
 }
 
-// Tasks returns the tasks and the lapsed attempts of a job's record.
+// Tasks returns the tasks that have rows of their own and the lapsed attempts of a job's record.
 func Tasks(record wire.JobRecord) ([]Task, []LapsedAttempt, error) {
-	tasks := make([]Task, len(record.Tasks))
-	for index, row := range record.Tasks {
+	rows := taskRows(record)
+	tasks := make([]Task, len(rows))
+	for index, row := range rows {
 		t, err := decodeTask(row, record.Endpoints)
 		if err != nil {
 			return nil, nil, fmt.Errorf("row %d: %w", index, err)
--- a/pkg/cellrecord/tasks_test.go
+++ b/pkg/cellrecord/tasks_test.go
@@ -45,3 +45,26 @@
 		assert.Assert(t, len(record.Key) <= 255 && kind == cellrecord.Workload, "%q", record.Key)
 	}
 }
+
+// TestDoneWorkIsRestoredFromItsRanges guards against ranges that are read as single tasks or shift the rows of those: a new
+// owner could start a task again that is done.
+func TestDoneWorkIsRestoredFromItsRanges(t *testing.T) {
+	task := cellrecord.Task{Round: 7, Phase: 1, Index: 2, LastAttempt: 3, Checkpoint: "c"}
+	rounds := []cellrecord.RoundRange{{First: 0, Count: 7}, {First: 8, Count: 1}}
+	ranges := []cellrecord.TaskRange{{Round: 7, Count: 6}, {Round: 9, Phase: 1, Index: 2, Count: 3}}
+	var record wire.JobRecord
+	cellrecord.AddTask(&record, task)
+	for _, done := range rounds {
+		cellrecord.AddDoneRounds(&record, done)
+	}
+	for _, done := range ranges {
+		cellrecord.AddDoneTasks(&record, done)
+	}
+	restored, _, err := cellrecord.Tasks(record)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, restored, []cellrecord.Task{task})
+	restoredRounds, restoredRanges, err := cellrecord.Done(record)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, restoredRounds, rounds)
+	assert.DeepEqual(t, restoredRanges, ranges)
+}
--- a/pkg/job/check.go
+++ b/pkg/job/check.go
@@ -63,6 +63,15 @@
 	return nil
 }
 
+// TotalTasks returns the number of tasks in all rounds of a job.
+func TotalTasks(spec wire.JobSpec) int {
+	count := 0
+	for _, phase := range spec.Phases {
+		count += phase.Count
+	}
+	return Rounds(spec) * count
+}
+
 // IsLongRunning reports whether a job has tasks that run until the job is cancelled.
 func IsLongRunning(spec wire.JobSpec) bool {
 	for _, phase := range spec.Phases {
--- a/pkg/process/node.go
+++ b/pkg/process/node.go
@@ -140,6 +140,7 @@
 			MaxLease: milliseconds(bounds.LeaseMostMs), RenewalGrace: renewalGrace, MaxStartDelay: maxStartDelay, MaxStopTime: milliseconds(bounds.StopMs), RestoreTime: milliseconds(bounds.RestoreMs), MinCommitInterval: minCommitInterval,
 			PollWait: pollWait, IdlePollInterval: idlePollInterval, PollRetryInterval: pollRetryInterval, EndedJobRetention: time.Duration(bounds.KeepEndedS) * time.Second,
 			BoxLeadTime: seconds(bounds.MoveS) + boxplan.FirstTaskDelay, MaxEvacuationAge: maxEvacuationAge(bounds),
+			MaxRecordBytes: config.StoreRecordBytes,
 		},
 		BoxPlanOptions: boxplan.Options{
 			MoveTime: seconds(bounds.MoveS), MaintainTime: seconds(bounds.MaintainS), ScaleDownDelay: scaleDownDelay, TakeoverDelay: milliseconds(bounds.HolderMs),
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -707,7 +707,11 @@
 	// phase; the index of the task in its phase; the highest attempt that may have
 	// been started; the number of failed attempts; 1 if the task is done, else 0; and
 	// then, for each attempt that may be running, its number and the index of its
-	// endpoint in endpoints.
+	// endpoint in endpoints. After these rows, rows with fewer columns stand for work
+	// that is done. Two columns, the first round and the number of rounds, stand for
+	// whole rounds. Four columns, the round, phase and index of the first task and
+	// the number of tasks, stand for tasks of one round in the order of phases and
+	// indexes.
 	Tasks [][]int `json:"tasks,omitempty,omitzero"`
 
 	// Whether the job was cancelled before a submission of it arrived. Clients are
