Node: a record that is longer than the store takes stops one job at most

Clients saw nothing of a service recorded or started any more once the record of a single job was longer than the store takes in a record: other jobs stood still and later ones were refused.

Cause: no part of the node knew the limit. The owner appended the record, the store refused the whole append with the records of all other jobs in it, and the owner repeated it without end.

Refused at submission are jobs whose specification is longer than a record, and those whose long-running tasks and largest gang need more than half of that room. What can't be known beforehand is the length of checkpoints: a job whose record is too long nevertheless fails with the line "job failed" and both sizes. The record of an ended job has no checkpoints and no ranges, so that it is always short enough.

--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -147,8 +147,8 @@
 		if j == nil {
 			continue
 		}
-		sent.states[j] = j.state
 		records = append(records, c.jobRecords(j)...)
+		sent.states[j] = j.state
 	}
 	if len(sent.queries) > 0 && len(records) == 0 {
 		records = append(records, cellrecord.Confirmation())
--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -88,6 +88,9 @@
 	if c.now.Before(t.notBefore) {
 		return fmt.Sprintf("endpoints have refused it %d times in a row; it is tried again in %d ms", t.refusals, t.notBefore.Sub(c.now).Milliseconds())
 	}
+	if c.awaitsRecord(t) {
+		return fmt.Sprintf("the record of its job has no room for more than the %d started tasks that are not done", t.phase.job().recordedRows+t.phase.job().plannedRows)
+	}
 	if c.mustWait(t) {
 		return fmt.Sprintf("%d attempts at endpoints out of reach may have failed", t.lapsedAttempts)
 	}
--- a/pkg/cell/gang.go
+++ b/pkg/cell/gang.go
@@ -16,6 +16,9 @@
 		// Runs of some members have not ended yet.
 		return
 	}
+	if len(p.ready) > 0 && p.ready[0].lastAttempt == 0 && !c.recordHolds(p.round, len(p.ready)) {
+		return
+	}
 	if !c.withinQuota(p, len(p.ready)) {
 		return
 	}
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -69,6 +69,11 @@
 	specRecorded bool
 	// totalTasks is the number of tasks in all rounds.
 	totalTasks int
+	// recordedRows and recordBytes are the number of single tasks in the job's newest record and its length. plannedRows is the
+	// number of tasks that were planned for the first time since.
+	recordedRows int
+	recordBytes  int
+	plannedRows  int
 }
 
 // ended reports whether the job's final state has been decided.
@@ -84,8 +89,9 @@
 	phases []*phase
 	// unfinishedPhases is the number of phases that are not done.
 	unfinishedPhases int
-	// settled is set once all tasks are done and nothing of them can run:
+	// begun is set once a start has been planned. settled is set once all tasks are done and nothing of them can run:
 	// then phases is empty.
+	begun   bool
 	settled bool
 }
 
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -14,6 +14,10 @@
 // once, and deletes it when the job has ended and nothing of it can run.
 func (c *Cell) jobRecords(j *job) []damsonwinch.Record {
 	state := c.encodeState(j)
+	if len(state.Value) > c.maxValueBytes(j) && !j.ended() {
+		c.failOversized(j, len(state.Value))
+		state = c.encodeState(j)
+	}
 	var records []damsonwinch.Record
 	if !j.specRecorded && j.needsSpec() {
 		// An owner that takes over an ended job must know which of the job's runs may still exist.
@@ -49,7 +53,9 @@
 	} else {
 		record.Customer = j.customer
 	}
-	return cellrecord.EncodeJob(j.id, record)
+	encoded := cellrecord.EncodeJob(j.id, record)
+	j.recordBytes = len(encoded.Value)
+	return encoded
 }
 
 // writeTasks adds the started tasks to a job's record. It returns the row numbers of the tasks with
@@ -81,6 +87,7 @@
 			}
 		}
 	}
+	j.recordedRows, j.plannedRows = len(record.Tasks), 0
 	if !j.ended() {
 		// Nothing is started any more for a job that has ended.
 		done.write(record)
@@ -92,7 +99,10 @@
 func (t *task) recorded(runs []cellrecord.Attempt) cellrecord.Task {
 	recorded := cellrecord.Task{
 		Round: t.phase.round.number, Phase: t.phase.number, Index: t.index,
-		LastAttempt: t.lastAttempt, FailedAttempts: t.failedAttempts, Done: t.done, Checkpoint: t.checkpoint, Crashes: t.crashes, Runs: runs,
+		LastAttempt: t.lastAttempt, FailedAttempts: t.failedAttempts, Done: t.done, Crashes: t.crashes, Runs: runs,
+	}
+	if !t.phase.job().ended() {
+		recorded.Checkpoint = t.checkpoint
 	}
 	for _, r := range t.runs {
 		recorded.Runs = append(recorded.Runs, cellrecord.Attempt{Number: r.attempt, Life: r.endpoint.info.Life})
@@ -119,6 +129,12 @@
 	for _, attempt := range lapsed {
 		c.restoreLapsed(tasks[attempt.Row], attempt.Attempt)
 	}
+	for _, t := range tasks {
+		// Settled tasks leave the record when it is written next.
+		if !t.settled() {
+			j.recordedRows++
+		}
+	}
 	return nil
 }
 
@@ -132,7 +148,7 @@
 	if t == nil {
 		return nil, fmt.Errorf("no task with round, phase and index %v", []int{saved.Round, saved.Phase, saved.Index})
 	}
-	j.placed = true
+	j.placed, t.phase.round.begun = true, true
 	j.begun = j.begun || saved.Done || saved.FailedAttempts > 0
 	t.lastAttempt, t.failedAttempts = saved.LastAttempt, saved.FailedAttempts
 	t.saveCheckpoint(saved.Checkpoint)
--- a/pkg/cell/record_done.go
+++ b/pkg/cell/record_done.go
@@ -127,7 +127,7 @@
 	}
 	j.addRounds(done.First)
 	for range done.Count {
-		j.rounds = append(j.rounds, &round{job: j, number: len(j.rounds), settled: true})
+		j.rounds = append(j.rounds, &round{job: j, number: len(j.rounds), settled: true, begun: true})
 	}
 	j.placed, j.begun = true, true
 	return nil
@@ -146,6 +146,7 @@
 			return fmt.Errorf("no task with round, phase and index %v", []int{id.Round, id.Phase, id.Index})
 		}
 		t.restoreDone()
+		t.phase.round.begun = true
 		id.Index++
 		if id.Index == len(t.phase.tasks) {
 			id.Phase, id.Index = id.Phase+1, 0
--- a/pkg/cell/record_trial_test.go
+++ b/pkg/cell/record_trial_test.go
@@ -174,3 +174,12 @@
 	state, _ := r.cell.Show(wire.JobArgs{Id: id, Queue: "queue"})
 	return state
 }
+
+// running returns the number of tasks that run.
+func (r *recordTrial) running() int {
+	count := 0
+	for _, runs := range r.runs {
+		count += len(runs)
+	}
+	return count
+}
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -93,7 +93,10 @@
 		c.startProbation(r)
 	}
 	c.addExtraStarts(t, 1)
-	t.phase.job().placed = true
+	t.phase.job().placed, t.phase.round.begun = true, true
+	if t.lastAttempt == 1 {
+		t.phase.job().plannedRows++
+	}
 	if t.lastAttempt > 1 {
 		c.stats.Reruns++
 	}
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -34,6 +34,11 @@
 		return
 	}
 	j := c.newJob(args)
+	if err := c.checkRecords(j); err != nil {
+		c.logJob("job refused", j, err.Error())
+		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeInvalid, Reason: err.Error()})
+		return
+	}
 	j.extendClientWait(now, args.WaitMs)
 	c.classify(j)
 	c.countArrival(j)
--- a/pkg/cellrecord/tasks_test.go
+++ b/pkg/cellrecord/tasks_test.go
@@ -1,6 +1,7 @@
 package cellrecord_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -68,3 +69,28 @@
 	assert.DeepEqual(t, restoredRounds, rounds)
 	assert.DeepEqual(t, restoredRanges, ranges)
 }
+
+// TestTaskFitsIntoItsShareOfARecord guards against records that become longer than the store takes although their jobs have
+// no more started tasks than are allowed.
+func TestTaskFitsIntoItsShareOfARecord(t *testing.T) {
+	var record wire.JobRecord
+	life := func(number int) damsonwinch.Life {
+		return damsonwinch.Life{ID: fmt.Sprintf("endpoint-%06d", number), StartedUnixMs: 1_700_000_000_000 + number}
+	}
+	const tasks = 800
+	for index := range tasks {
+		row := cellrecord.AddTask(&record, cellrecord.Task{
+			Round: 999_999, Phase: 255, Index: 19_000 + index, LastAttempt: 9999, FailedAttempts: 99, Checkpoint: strings.Repeat("c", 32),
+			Runs:    []cellrecord.Attempt{{Number: 9998, Life: life(2 * index)}, {Number: 9999, Life: life(2*index + 1)}},
+			Crashes: crash.History{Losses: 99, CertainLosses: 99, SimilarLosses: 99, MinAge: 99 * time.Second, MaxAge: 99 * time.Second, Weight: 99, ExtraStarts: 99},
+		})
+		cellrecord.AddLapsed(&record, cellrecord.LapsedAttempt{Row: row, Attempt: cellrecord.Attempt{Number: 9996, Life: life(2 * index)}})
+		cellrecord.AddLapsed(&record, cellrecord.LapsedAttempt{Row: row, Attempt: cellrecord.Attempt{Number: 9997, Life: life(2*index + 1)}})
+	}
+	for range tasks {
+		cellrecord.AddDoneTasks(&record, cellrecord.TaskRange{Round: 999_999, Phase: 255, Index: 19_999, Count: 19_999})
+	}
+	size := len(cellrecord.EncodeJob("job", record).Value) / tasks
+	t.Logf("%d bytes a task", size)
+	assert.Assert(t, size <= cellrecord.MaxTaskBytes)
+}
--- a/pkg/job/check.go
+++ b/pkg/job/check.go
@@ -72,6 +72,21 @@
 	return Rounds(spec) * count
 }
 
+// TasksTogether returns how many tasks of a job must be able to run at the same time: all long-running tasks of all
+// rounds, which don't end by themselves, and beside them the largest gang or a single task.
+func TasksTogether(spec wire.JobSpec) int {
+	longRunning, largest := 0, 1
+	for _, phase := range spec.Phases {
+		if phase.Lasting {
+			longRunning += phase.Count
+		}
+		if phase.Gang {
+			largest = max(largest, phase.Count)
+		}
+	}
+	return Rounds(spec)*longRunning + largest
+}
+
 // IsLongRunning reports whether a job has tasks that run until the job is cancelled.
 func IsLongRunning(spec wire.JobSpec) bool {
 	for _, phase := range spec.Phases {
--- a/pkg/settings/settings.gen.go
+++ b/pkg/settings/settings.gen.go
@@ -338,8 +338,9 @@
 	// split. From 65536 to 1073741824; the default is 2097152.
 	StoreCallBytes int `json:"store_call_bytes,omitempty,omitzero"`
 
-	// Largest number of bytes that the log takes in one record, with its key. From
-	// 16384 to 1073741824; the default is 262144.
+	// Largest number of bytes that the log takes in one record, with its key. Jobs
+	// whose records would be longer are refused. From 16384 to 1073741824; the
+	// default is 262144.
 	StoreRecordBytes int `json:"store_record_bytes,omitempty,omitzero"`
 
 	// Availability zone of the node.
