--- a/pkg/cell/explain.go
+++ b/pkg/cell/explain.go
@@ -26,11 +26,18 @@
 	lines := []string{fmt.Sprintf("job %s of queue %s is %s (recorded as %s); priority %d, accepted at %d ms, should be done by %d ms",
 		id, j.queue, j.state, j.recordedState, j.priority, j.acceptedMs, j.deadlineMs)}
 	lines = append(lines, c.explainShare(j)...)
+	settled := 0
 	for _, r := range j.rounds {
+		if r.settled {
+			settled++
+		}
 		for _, p := range r.phases {
 			lines = append(lines, c.explainPhase(p)...)
 		}
 	}
+	if settled > 0 {
+		lines = append(lines, fmt.Sprintf("all tasks of %d other rounds are done", settled))
+	}
 	return lines
 }
 
@@ -81,6 +88,9 @@
 	if c.now.Before(t.notBefore) {
 		return fmt.Sprintf("endpoints have refused it %d times in a row; it is tried again in %d ms", t.refusals, t.notBefore.Sub(c.now).Milliseconds())
 	}
+	if c.awaitsRecord(t) {
+		return fmt.Sprintf("the record of its job has no room for more than the %d started tasks that are not done", t.phase.job().recordedRows+t.phase.job().plannedRows)
+	}
 	if c.mustWait(t) {
 		return fmt.Sprintf("%d attempts at endpoints out of reach may have failed", t.lapsedAttempts)
 	}
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -67,6 +67,13 @@
 	// specRecorded is set when the stream holds the job's specification or an append with it is
 	// being built or in flight.
 	specRecorded bool
+	// totalTasks is the number of tasks in all rounds.
+	totalTasks int
+	// recordedRows and recordBytes are the number of single tasks in the job's newest record and its length. plannedRows is the
+	// number of tasks that were planned for the first time since.
+	recordedRows int
+	recordBytes  int
+	plannedRows  int
 }
 
 // ended reports whether the job's final state has been decided.
@@ -82,6 +89,10 @@
 	phases []*phase
 	// unfinishedPhases is the number of phases that are not done.
 	unfinishedPhases int
+	// begun is set once a start has been planned. settled is set once all tasks are done and nothing of them can run:
+	// then phases is empty.
+	begun   bool
+	settled bool
 }
 
 // phase is a set of identical tasks in a round. It can start when the phases that it depends on are
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -28,6 +28,11 @@
 		return
 	}
 	j := c.newJob(args)
+	if err := c.checkRecords(j); err != nil {
+		c.logJob("job refused", j, err.Error())
+		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeInvalid, Reason: err.Error()})
+		return
+	}
 	j.extendClientWait(now, args.WaitMs)
 	c.classify(j)
 	c.countArrival(j)
@@ -75,6 +80,7 @@
 	}
 	queue := c.queues[args.Queue]
 	j.priority, j.maxAttempts = queue.Priority, queue.MaxAttempts
+	j.totalTasks = jobs.TotalTasks(j.spec)
 	c.setDeadline(j)
 	return j
 }
