Cell: calls that wait for a silent store are refused

An owner kept each GET of an unknown job, and each call for the number of pending jobs, for as long as the store was down. Their clients got 504 at their own time limit, and nothing bounded how many such calls an owner held.

Cause: these calls are answered after an append, and were dropped only with the append or the owner.

--- a/pkg/cell/absent.go
+++ b/pkg/cell/absent.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"damsonwinch/pkg/shard"
@@ -15,14 +16,33 @@
 // pendingQuery is a call that is answered once the store has confirmed that this owner is the present one.
 type pendingQuery struct {
 	callID int
+	// until is when the call is refused because the store has not confirmed it.
+	until time.Time
 	// answer returns the reply by what is recorded when the store has confirmed it.
 	answer func() wire.JobReply
 }
 
 // replyOnceCurrent answers a call once an append that begins after this event is in the stream: the store accepts
-// appends of the present owner only, which knows all accepted jobs.
-func (c *Cell) replyOnceCurrent(callID int, answer func() wire.JobReply) {
-	c.commits.queries = append(c.commits.queries, pendingQuery{callID: callID, answer: answer})
+// appends of the present owner only, which knows all accepted jobs. The client waits for waitMs milliseconds from now, or
+// doesn't say how long it waits if waitMs is 0.
+func (c *Cell) replyOnceCurrent(callID, waitMs int, answer func() wire.JobReply) {
+	c.commits.queries = append(c.commits.queries, pendingQuery{callID: callID, until: refusalTime(c.now, waitMs), answer: answer})
+}
+
+// refuseOldQueries refuses the calls that wait for a store that is down, once their clients stop waiting. Otherwise they
+// would be kept until the store is back.
+func (c *Cell) refuseOldQueries() {
+	refuse := func(query pendingQuery) bool {
+		if c.now.Before(query.until) {
+			return false
+		}
+		c.reply(query.callID, wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "the store has not answered", RetryAfterMs: int(retryAfter.Milliseconds())})
+		return true
+	}
+	c.commits.queries = slices.DeleteFunc(c.commits.queries, refuse)
+	if sent := c.commits.inFlight; sent != nil {
+		sent.queries = slices.DeleteFunc(sent.queries, refuse)
+	}
 }
 
 // stateReply returns the reply to a call that asks for the state of a job.
@@ -36,7 +56,7 @@
 // denyCancel replies to a cancellation that there is no such job for the client, once that is confirmed.
 func (c *Cell) denyCancel(args wire.JobArgs, callID int) {
 	c.noteAbsent("cancel", args)
-	c.replyOnceCurrent(callID, func() wire.JobReply {
+	c.replyOnceCurrent(callID, args.WaitMs, func() wire.JobReply {
 		if _, found := c.Show(args); found {
 			return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "the job was submitted meanwhile", RetryAfterMs: int(retryAfter.Milliseconds())}
 		}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -206,6 +206,7 @@
 	c.checkProbations()
 	c.baselineExits.Observe(now, c.countExposed())
 	c.refuseUnrecordedJobs()
+	c.refuseOldQueries()
 	c.deferPhases()
 	for _, e := range c.sortedEndpoints {
 		c.continueWithdrawal(e)
@@ -300,7 +301,7 @@
 		return
 	}
 	c.noteAbsent("query", args)
-	c.replyOnceCurrent(callID, func() wire.JobReply { return c.stateReply(args) })
+	c.replyOnceCurrent(callID, args.WaitMs, func() wire.JobReply { return c.stateReply(args) })
 }
 
 // maxPendingAge is how old the users allow the number of pending jobs to be.
@@ -316,7 +317,7 @@
 		c.reply(callID, count())
 		return
 	}
-	c.replyOnceCurrent(callID, count)
+	c.replyOnceCurrent(callID, 0, count)
 }
 
 // Show returns the recorded state of a job. A job that is recorded as queued is shown as running
--- a/pkg/cell/outage.go
+++ b/pkg/cell/outage.go
@@ -52,18 +52,22 @@
 }
 
 // extendClientWait notes that a client waits for the reply to its submission for waitMs
-// milliseconds from now. If waitMs is 0 the client does not say how long, and maxUnrecordedWait is
-// assumed.
+// milliseconds from now.
 func (j *job) extendClientWait(now time.Time, waitMs int) {
-	until := now.Add(maxUnrecordedWait)
-	if waitMs > 0 {
-		until = now.Add(time.Duration(waitMs)*time.Millisecond - replyMargin)
-	}
-	if until.After(j.clientWaitsUntil) {
+	if until := refusalTime(now, waitMs); until.After(j.clientWaitsUntil) {
 		j.clientWaitsUntil = until
 	}
 }
 
+// refusalTime returns when a call has to be refused so that the client, which waits for waitMs milliseconds from now,
+// gets the reply. If waitMs is 0 the client does not say how long, and maxUnrecordedWait is assumed.
+func refusalTime(now time.Time, waitMs int) time.Time {
+	if waitMs > 0 {
+		return now.Add(time.Duration(waitMs)*time.Millisecond - replyMargin)
+	}
+	return now.Add(maxUnrecordedWait)
+}
+
 // refuseJob refuses a job that was never recorded and undoes everything that followed from its
 // submission.
 func (c *Cell) refuseJob(j *job, reason string) {
