Intake: a call on a long-running job costs no append

Since "no such job" is confirmed by the store, each GET and DELETE of a long-running job whose ID belongs to another shard waited for an append of that shard's cell, which never has the job, and left a line "no such job" there. While the store was away such a GET could time out.

Cause: the cell of the ID is asked first, and confirmed that it has no such job before the cell for long-running jobs was asked.

Change: where a job may be in two cells both are asked tentatively first. An owner answers a tentative call at once by what it knows, records nothing and writes no line. Only if neither has the job are they asked again, for an answer that holds.

Tests of pkg/intake, owner and node pass, and those of pkg/process on pools and long-running jobs.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -295,7 +295,8 @@
 
 // Query answers a client's call that asks for the state of a job. The reply with the given call ID becomes an
 // effect at once if the job is found. That there is no such job is said only once the store has confirmed that
-// this owner is the present one: a former owner doesn't know the jobs that its successor has accepted.
+// this owner is the present one: a former owner doesn't know the jobs that its successor has accepted. A tentative call
+// is answered at once.
 func (c *Cell) Query(now time.Time, args wire.JobArgs, callID int) {
 	c.beginEvent(now)
 	defer c.finishEvent()
@@ -303,6 +304,10 @@
 		c.reply(callID, reply)
 		return
 	}
+	if args.Tentative {
+		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob})
+		return
+	}
 	c.noteAbsent("query", args)
 	c.replyOnceCurrent(callID, args.WaitMs, func() wire.JobReply { return c.stateReply(args) })
 }
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -217,7 +217,7 @@
 // jobArgs returns the arguments of a call about a job, as the customer that the command names would
 // make it, or as any client would if the queue is public.
 func (s *script) jobArgs(d *datadriven.TestData) wire.JobArgs {
-	args := wire.JobArgs{Queue: "queue", Id: arg(s.t, d, "id"), Public: !d.HasArg("customer")}
+	args := wire.JobArgs{Queue: "queue", Id: arg(s.t, d, "id"), Public: !d.HasArg("customer"), Tentative: d.HasArg("tentative")}
 	if !args.Public {
 		args.Customer = arg(s.t, d, "customer")
 	}
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -101,12 +101,16 @@
 }
 
 // Cancel ends a job at a client's request. The reply with the given call ID becomes an effect once
-// the end is in the stream. That a job does not exist is recorded, too: see cancelUnsubmitted.
+// the end is in the stream. That a job does not exist is recorded, too, unless the call is tentative: see
+// cancelUnsubmitted.
 func (c *Cell) Cancel(now time.Time, args wire.JobArgs, callID int) {
 	c.beginEvent(now)
 	defer c.finishEvent()
 	j, exists := c.jobs[args.Id]
 	switch {
+	case args.Tentative && (!exists || j.unsubmitted || !j.visibleTo(args)):
+		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob})
+		return
 	case !exists:
 		c.cancelUnsubmitted(args, callID)
 		return
--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -62,15 +62,30 @@
 }
 
 // findInPool calls the owner of the cell that has a job of the pool that args names. The arguments don't say whether
-// the job is long-running. The call therefore goes to the cell that is determined by the job's ID, and then, if that
-// cell doesn't have the job or fails to reply, to the pool's cell for long-running jobs.
+// the job is long-running, so there may be two such cells. The owners reply tentatively at first: that the cell of a
+// job's ID doesn't have a long-running job is no reason for an append.
 func (r *Router) findInPool(ctx context.Context, m method, args wire.JobArgs, layout shard.Layout) wire.JobReply {
 	number, longRunning := layout.JobShard(args.Id), layout.LongRunningJobShard(args.Pool)
-	reply := r.route(ctx, m, argsForCell(args, args.Pool, number))
-	if longRunning == number || reply.Outcome != wire.JobOutcomeNoSuchJob && !isFailure(reply) {
+	if number == longRunning {
+		return r.route(ctx, m, argsForCell(args, args.Pool, number))
+	}
+	tentative := args
+	tentative.Tentative = true
+	reply := r.findInCells(ctx, m, tentative, number, longRunning)
+	if reply.Outcome != wire.JobOutcomeNoSuchJob {
+		return reply
+	}
+	return r.findInCells(ctx, m, args, number, longRunning)
+}
+
+// findInCells calls the owner of the first cell of a pool, and then, if that cell doesn't have the job or fails to reply,
+// that of the second one. The cells are given by the numbers of their shards.
+func (r *Router) findInCells(ctx context.Context, m method, args wire.JobArgs, first, second int) wire.JobReply {
+	reply := r.route(ctx, m, argsForCell(args, args.Pool, first))
+	if reply.Outcome != wire.JobOutcomeNoSuchJob && !isFailure(reply) {
 		return reply
 	}
-	return mergeReplies([]wire.JobReply{reply, r.route(ctx, m, argsForCell(args, args.Pool, longRunning))})
+	return mergeReplies([]wire.JobReply{reply, r.route(ctx, m, argsForCell(args, args.Pool, second))})
 }
 
 // Pending implements damsonwinch.JobService. It returns the sum over all cells of the pool and of the pools to which the
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -653,6 +653,10 @@
 	// Job to submit; missing in other calls.
 	Spec *JobSpec `json:"spec,omitempty,omitzero"`
 
+	// Whether the owner replies at once, by what it knows, that it has no such job.
+	// The caller then asks another cell, and denies no job by the reply.
+	Tentative bool `json:"tentative,omitempty,omitzero"`
+
 	// How long the caller waits for the reply, in milliseconds; 0 if it does not say.
 	WaitMs int `json:"wait_ms,omitempty,omitzero"`
 }
