Boxplan: recorded maintenance counts only once it is accepted

Cause: the planner records an order before it sends it. The next planner found the box with another life, and couldn't tell by the record whether the order had ended the earlier one or the box had restarted by itself; it took the former for granted.

Change: maintenance is recorded again once the platform has accepted it. An inherited order without that mark is due again unless a list has shown the box in maintenance.

TestInheritedMaintenanceOfAnEarlierLifeStaysDone now loads an accepted order, which is what it is about.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -93,8 +93,8 @@
 	// lifeExited says that a list has shown the box not up, so that the life which the order ends
 	// is over. A later life may have the same ID.
 	lifeExited bool
-	// lifeSeen says that the owner has reported that life, and maintenanceSeen that a list has shown the box in maintenance.
-	lifeSeen, maintenanceSeen bool
+	// maintenanceSeen says that a list has shown the box in maintenance.
+	maintenanceSeen bool
 }
 
 // SetBoxes sets the boxes to those of a list of the platform. The list was requested at requestedAt
@@ -311,11 +311,12 @@
 }
 
 // HandleOrderResult handles the platform's response to an order, received at now. A nil err means that
-// the platform has accepted the order.
-func (p *Planner) HandleOrderResult(now time.Time, order Order, err error) {
+// the platform has accepted the order. It reports whether the order has to be recorded as accepted, so that a
+// later planner can tell maintenance from a restart of the box.
+func (p *Planner) HandleOrderResult(now time.Time, order Order, err error) bool {
 	b := p.boxes[order.Box]
 	if b == nil || b.issued == nil || b.issued.Order != order {
-		return
+		return false
 	}
 	o := b.issued
 	o.inFlight = false
@@ -341,6 +342,7 @@
 		// idempotent, so issueDueOrders repeats it until the platform answers.
 		o.outcomeUnknown, o.unansweredAt = true, now
 	}
+	return err == nil && order.Wave > 0
 }
 
 // revertOrder forgets an order that had no effect. A box that is due for maintenance is due again.
@@ -357,6 +359,14 @@
 	return &shard.Placement{Pool: o.Pool, Life: o.Life, Shard: o.Shard, PreviousShard: o.PreviousShard}
 }
 
+// Record returns the record of an order that is decided at now.
+func (o Order) Record(now time.Time) wire.OrderRecord {
+	return wire.OrderRecord{
+		Box: o.Box, Pool: o.Pool, Wave: o.Wave, AtMs: int(now.UnixMilli()), Endpoint: o.Life.String(), Cause: o.Cause,
+		Placement: &wire.PlacementRecord{Shard: o.Shard, Before: o.PreviousShard},
+	}
+}
+
 // PlacementFromRecord returns the placement that a recorded order gives to its box; nil if the record
 // has none.
 func PlacementFromRecord(record wire.OrderRecord) *shard.Placement {
@@ -381,9 +391,9 @@
 		order.Shard, order.PreviousShard = b.placement.Shard, b.placement.PreviousShard
 	}
 	b.inheritedAt = time.UnixMilli(int64(record.AtMs))
-	// The record doesn't say whether the order was carried out. The order is repeated unless a
-	// list of boxes shows that it was.
+	// Unless the record says that the order was accepted, it is repeated until the platform accepts it or a list of
+	// boxes shows that it was carried out.
 	b.issued = &issuedOrder{
-		Order: order, updatedAt: b.inheritedAt, inherited: true, outcomeUnknown: true,
+		Order: order, updatedAt: b.inheritedAt, inherited: true, accepted: record.Accepted, outcomeUnknown: true,
 	}
 }
--- a/pkg/boxplan/lives_test.go
+++ b/pkg/boxplan/lives_test.go
@@ -50,11 +50,12 @@
 	return f.planner.Plan(f.now)
 }
 
-// inheritMaintenance gives the planner a wave for the box, and an earlier planner's order to maintain it for the wave.
-func (f *oneBoxFleet) inheritMaintenance() {
+// inheritMaintenance gives the planner a wave for the box, and an earlier planner's order to maintain it for the wave,
+// which that planner knew to be accepted or not.
+func (f *oneBoxFleet) inheritMaintenance(accepted bool) {
 	f.planner.LoadWave(f.now, wire.WaveRecord{Wave: 1, BegunMs: int(f.now.UnixMilli()), Done: []string{f.box.Name}})
 	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: 60 * time.Second, Boxes: []string{f.box.Name}})
-	f.planner.LoadOrder(wire.OrderRecord{Box: f.box.Name, Wave: 1, AtMs: int(f.now.UnixMilli()), Endpoint: damsonwinch.Life{ID: "at-" + f.box.Name, StartedUnixMs: 1}.String()})
+	f.planner.LoadOrder(wire.OrderRecord{Box: f.box.Name, Wave: 1, AtMs: int(f.now.UnixMilli()), Accepted: accepted, Endpoint: damsonwinch.Life{ID: "at-" + f.box.Name, StartedUnixMs: 1}.String()})
 }
 
 // maintain adds a wave for the box, plans until the maintenance is ordered, accepts the order as the
--- a/pkg/boxplan/sim_world_test.go
+++ b/pkg/boxplan/sim_world_test.go
@@ -223,10 +223,7 @@
 
 // recordOrder records an order and then sends it.
 func (w *simWorld) recordOrder(order boxplan.Order) {
-	record := wire.OrderRecord{
-		Box: order.Box, Pool: order.Pool, Wave: order.Wave, AtMs: int(w.now.UnixMilli()), Endpoint: order.Life.String(), Cause: order.Cause,
-		Placement: &wire.PlacementRecord{Shard: order.Shard, Before: order.PreviousShard},
-	}
+	record := order.Record(w.now)
 	wave := w.planner.WaveRecord(w.platform.wave.Number)
 	w.afterUnlessLost(w.between(10*time.Millisecond, 50*time.Millisecond), func() {
 		w.records[order.Box] = record
@@ -238,7 +235,13 @@
 // receiveOrder has the platform receive an order and the planner its answer.
 func (w *simWorld) receiveOrder(order boxplan.Order) {
 	answer := func(delay time.Duration, err error) {
-		w.afterUnlessLost(delay, func() { w.planner.HandleOrderResult(w.now, order, err) })
+		w.afterUnlessLost(delay, func() {
+			if w.planner.HandleOrderResult(w.now, order, err) {
+				record := order.Record(w.now)
+				record.Accepted = true
+				w.records[order.Box] = record
+			}
+		})
 	}
 	switch {
 	case w.faults.chance(w, w.faults.refusedOrders) || !w.platform.take():
--- a/pkg/boxplan/takeover_test.go
+++ b/pkg/boxplan/takeover_test.go
@@ -96,7 +96,7 @@
 // takeover of the planner: the recorded order has been carried out, and the later life that is in use has the same ID.
 func TestInheritedMaintenanceOfAnEarlierLifeStaysDone(t *testing.T) {
 	f := newOneBoxFleet()
-	f.inheritMaintenance()
+	f.inheritMaintenance(true)
 	f.list(damsonwinch.BoxUp)
 	f.report(2, false)
 	f.plan(100 * time.Millisecond)
@@ -105,12 +105,27 @@
 	assert.DeepEqual(t, f.planner.WaveRecord(1).Done, []string{f.box.Name})
 }
 
+// TestBoxThatCrashesBeforeARecordedOrderIsSentIsDue guards against a wave that is reported as completed although a box has
+// not been maintained: the earlier planner has recorded the order and not sent it, and the box has restarted by itself
+// before its owner reports to the next planner.
+func TestBoxThatCrashesBeforeARecordedOrderIsSentIsDue(t *testing.T) {
+	f := newOneBoxFleet()
+	f.inheritMaintenance(false)
+	f.list(damsonwinch.BoxUp)
+	f.report(2, false)
+	f.plan(100 * time.Millisecond)
+	f.list(damsonwinch.BoxUp)
+	f.plan(time.Second)
+	assert.Assert(t, !f.planner.WaveRecord(1).Completed, "the box was never in maintenance")
+	assert.Equal(t, len(f.planner.WaveRecord(1).Done), 0)
+}
+
 // TestBoxThatCrashesBeforeInheritedMaintenanceIsDue guards against a wave that is reported as completed although a box has
 // not been maintained: the life for which an earlier planner recorded the order was still up, and the box crashed and came
 // back before the order was repeated.
 func TestBoxThatCrashesBeforeInheritedMaintenanceIsDue(t *testing.T) {
 	f := newOneBoxFleet()
-	f.inheritMaintenance()
+	f.inheritMaintenance(false)
 	step := func(state damsonwinch.BoxState, startedUnixMs int, withdrawn bool) {
 		f.now = f.now.Add(400 * time.Millisecond)
 		f.list(state)
@@ -177,7 +192,7 @@
 		func(box *damsonwinch.Box) { box.EndpointID = "" },
 	} {
 		f := newOneBoxFleet()
-		f.inheritMaintenance()
+		f.inheritMaintenance(false)
 		for number := range 20 {
 			f.now = f.now.Add(400 * time.Millisecond)
 			f.box.State, f.box.EndpointID, f.box.Problem = damsonwinch.BoxUp, "at-"+f.box.Name, ""
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -37,7 +37,6 @@
 		if o.inherited && o.unansweredAt.IsZero() {
 			o.unansweredAt = p.now
 		}
-		o.lifeSeen = o.lifeSeen || b.report != nil && b.life.MayBeSame(o.Life)
 		switch {
 		case o.inherited && p.isOnLaterLife(b):
 			p.settleInheritedOrder(b)
@@ -61,10 +60,11 @@
 	p.revertOrder(b, b.issued.Order)
 }
 
-// settleInheritedOrder ends an order of an earlier planner on a box whose life at that time is over. If the life that its
-// maintenance was to end has been reported and no maintenance seen since, the box has restarted by itself and is due again.
+// settleInheritedOrder ends an order of an earlier planner on a box whose life at that time is over. If the platform isn't
+// known to have accepted its maintenance, and no maintenance was seen, the box may have restarted by itself and is due
+// again. The platform accepts an order for a box that it has maintained in the wave before, and does nothing.
 func (p *Planner) settleInheritedOrder(b *box) {
-	if o := b.issued; o.Pool == "" && o.lifeSeen && !o.maintenanceSeen {
+	if o := b.issued; o.Pool == "" && !o.accepted && !o.maintenanceSeen {
 		p.revertOrder(b, o.Order)
 		return
 	}
--- a/pkg/cell/sim_fleet_test.go
+++ b/pkg/cell/sim_fleet_test.go
@@ -208,10 +208,7 @@
 		if planner != f.planner {
 			return
 		}
-		f.records[order.Box] = wire.OrderRecord{
-			Box: order.Box, Pool: order.Pool, Wave: order.Wave, AtMs: int(decidedAt.UnixMilli()), Endpoint: order.Life.String(), Cause: order.Cause,
-			Placement: &wire.PlacementRecord{Shard: order.Shard, Before: order.PreviousShard},
-		}
+		f.records[order.Box] = order.Record(decidedAt)
 		w.after(delay-fleetRecordTime, func() { f.receiveOrder(planner, order) })
 	})
 }
--- a/pkg/planner/orders.go
+++ b/pkg/planner/orders.go
@@ -63,7 +63,10 @@
 	if m.err != nil {
 		p.deps.Logger.WithError(m.err).WithFields(fields).Warn("order on box not carried out")
 	}
-	p.boxPlan.HandleOrderResult(now, m.order, m.err)
+	if p.boxPlan.HandleOrderResult(now, m.order, m.err) {
+		p.queueAcceptance(m.order, now)
+		p.flush()
+	}
 	if errors.Is(m.err, damsonwinch.ErrStaleToken) {
 		p.deps.Logger.Warn("planning lost: a newer planner has ordered")
 		p.cancel()
--- a/pkg/planner/records.go
+++ b/pkg/planner/records.go
@@ -50,16 +50,20 @@
 // queueOrder queues the records of an order, decided at now, and of the progress of its wave for the next
 // append. The order is sent to the platform once they have been appended.
 func (p *Planner) queueOrder(order boxplan.Order, now time.Time) {
-	p.queueRecord(orderPrefix+order.Box, wire.OrderRecord{
-		Box: order.Box, Pool: order.Pool, Wave: order.Wave, AtMs: int(now.UnixMilli()), Endpoint: order.Life.String(), Cause: order.Cause,
-		Placement: &wire.PlacementRecord{Shard: order.Shard, Before: order.PreviousShard},
-	})
+	p.queueRecord(orderPrefix+order.Box, order.Record(now))
 	if order.Wave > 0 {
 		p.queueWave(p.boxPlan.WaveRecord(order.Wave))
 	}
 	p.pendingOrders = append(p.pendingOrders, order)
 }
 
+// queueAcceptance queues the record of an order that the platform has accepted at now for the next append.
+func (p *Planner) queueAcceptance(order boxplan.Order, now time.Time) {
+	record := order.Record(now)
+	record.Accepted = true
+	p.queueRecord(orderPrefix+order.Box, record)
+}
+
 // queueWave queues the record of a wave's progress for the next append.
 func (p *Planner) queueWave(wave wire.WaveRecord) {
 	p.queueRecord(wavePrefix+strconv.Itoa(wave.Wave), wave)
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -950,7 +950,11 @@
 // OrderRecord is an order that the fleet planner is about to give for a box. It is
 // a record of the planner's stream, under the name of the box.
 type OrderRecord struct {
-	// When the order was decided, in milliseconds since 1970.
+	// Whether the platform has accepted the order. Only maintenance is recorded again
+	// once it is accepted.
+	Accepted bool `json:"accepted,omitempty,omitzero"`
+
+	// When the order was decided, or accepted, in milliseconds since 1970.
 	AtMs int `json:"at_ms"`
 
 	// Name of the box.
