--- a/pkg/boxplan/kept_boxes_test.go
+++ b/pkg/boxplan/kept_boxes_test.go
@@ -167,29 +167,22 @@
 	f.add("short", 6, 0)
 	f.add("held", 1, 0)
 	f.add("off", 1, 1)
-	short, held := shard.CellName("short", 0), shard.CellName("held", 0)
+	short := shard.CellName("short", 0)
 	idle := f.shortReport(0)
-	plan := func(after time.Duration, shortReport, heldReport wire.SyncReply) {
-		f.now = f.now.Add(after)
-		f.planner.SetBoxes(f.now, f.boxes)
-		f.planner.SetReport(f.now, short, shortReport)
-		f.planner.SetReport(f.now, held, heldReport)
-		f.handleAll(f.planner.Plan(f.now), damsonwinch.ErrRefused)
-	}
 	withoutWork := wire.SyncReply{Known: true, Endpoints: f.reports("held", 0)}
 	backlog := f.backlog("held", 100)
 	needy := idle
 	needy.MissingBoxes = 1
-	plan(time.Minute, needy, withoutWork)
+	f.planBothRefused(time.Minute, needy, withoutWork)
 	assert.Assert(t, len(f.planner.IssuedOrders()) == 1, "a box is ordered for the cell")
-	plan(100*time.Millisecond, idle, backlog)
+	f.planBothRefused(100*time.Millisecond, idle, backlog)
 	leaving := f.planner.Directives(short).WithdrawUrgently
 	assert.Assert(t, len(leaving) > 0, "boxes are on their way to the backlog's cell")
 	needy.Endpoints = slices.Clone(idle.Endpoints)
 	for i := range needy.Endpoints {
 		needy.Endpoints[i].Usable = !slices.Contains(leaving, needy.Endpoints[i].Endpoint)
 	}
-	plan(400*time.Millisecond, needy, backlog)
+	f.planBothRefused(400*time.Millisecond, needy, backlog)
 	assert.Equal(t, len(f.planner.Directives(short).WithdrawUrgently), len(leaving)-1, "one box is kept")
 }
 
--- a/pkg/boxplan/lives_test.go
+++ b/pkg/boxplan/lives_test.go
@@ -58,6 +58,15 @@
 	f.planner.LoadOrder(wire.OrderRecord{Box: f.box.Name, Wave: 1, AtMs: int(f.now.UnixMilli()), Accepted: accepted, Endpoint: damsonwinch.Life{ID: "at-" + f.box.Name, StartedUnixMs: 1}.String()})
 }
 
+// showLaterLife shows the box with a later life than the one whose order was inherited, and plans twice.
+func (f *oneBoxFleet) showLaterLife() {
+	f.list(damsonwinch.BoxUp)
+	f.report(2, false)
+	f.plan(100 * time.Millisecond)
+	f.list(damsonwinch.BoxUp)
+	f.plan(time.Second)
+}
+
 // maintain adds a wave for the box, plans until the maintenance is ordered, accepts the order as the
 // platform does, and returns it. The life that the order ends started at startedUnixMs.
 func (f *oneBoxFleet) maintain(t *testing.T, wave, startedUnixMs int) boxplan.Order {
--- a/pkg/boxplan/sharded_fleet_test.go
+++ b/pkg/boxplan/sharded_fleet_test.go
@@ -113,3 +113,19 @@
 		f.planner.HandleOrderResult(f.now, order, answer)
 	}
 }
+
+// planBothRefused lets time pass, plans by reports of the first cells of the pools short and held, and has the platform refuse
+// all orders.
+func (f *shardedFleet) planBothRefused(after time.Duration, shortReport, heldReport wire.SyncReply) {
+	f.now = f.now.Add(after)
+	f.planner.SetBoxes(f.now, f.boxes)
+	f.planner.SetReport(f.now, shard.CellName("short", 0), shortReport)
+	f.planner.SetReport(f.now, shard.CellName("held", 0), heldReport)
+	f.handleAll(f.planner.Plan(f.now), damsonwinch.ErrRefused)
+}
+
+// inheritMove gives the planner an earlier planner's order, recorded some time ago, to move a box to a pool.
+func (f *shardedFleet) inheritMove(box damsonwinch.Box, pool string, age time.Duration) {
+	recordedAt := int(f.now.Add(-age).UnixMilli())
+	f.planner.LoadOrder(wire.OrderRecord{Box: box.Name, Pool: pool, AtMs: recordedAt, Endpoint: box.EndpointID, Placement: &wire.PlacementRecord{}})
+}
--- a/pkg/boxplan/takeover_test.go
+++ b/pkg/boxplan/takeover_test.go
@@ -18,7 +18,7 @@
 	f.add("short", 2, 0)
 	own := f.boxes[0]
 	f.withdrawn[own.EndpointID] = true
-	f.planner.LoadOrder(wire.OrderRecord{Box: own.Name, Pool: "off", AtMs: int(f.now.UnixMilli()), Endpoint: own.EndpointID, Placement: &wire.PlacementRecord{}})
+	f.inheritMove(own, "off", 0)
 	assert.Assert(t, f.isRestoredWhileRefused(), "the box isn't kept in 20 s: %v", f.planner.Summary())
 }
 
@@ -30,7 +30,7 @@
 	f.add("held", 1, 0)
 	f.add("off", 1, 1)
 	moving := &f.boxes[0]
-	f.planner.LoadOrder(wire.OrderRecord{Box: moving.Name, Pool: "held", AtMs: int(f.now.UnixMilli()), Endpoint: moving.EndpointID, Placement: &wire.PlacementRecord{}})
+	f.inheritMove(*moving, "held", 0)
 	moving.State, moving.EndpointID = damsonwinch.BoxMoving, ""
 	f.now = f.now.Add(200 * time.Millisecond)
 	f.planner.SetBoxes(f.now, f.boxes)
@@ -62,7 +62,7 @@
 	f.add("short", 3, 0)
 	f.add("held", 2, 0)
 	own := f.boxes[0]
-	f.planner.LoadOrder(wire.OrderRecord{Box: own.Name, Pool: "held", AtMs: int(f.now.Add(-time.Hour).UnixMilli()), Endpoint: own.EndpointID, Placement: &wire.PlacementRecord{}})
+	f.inheritMove(own, "held", time.Hour)
 	f.withdrawn[own.EndpointID] = true
 	for range 50 {
 		f.planner.SetReport(f.now, shard.CellName("held", 0), wire.SyncReply{Known: true, TaskMs: 1000, SlackMs: 1200, Endpoints: f.reports("held", 1)})
@@ -81,7 +81,7 @@
 	f.add("held", 1, 0)
 	f.add("off", 1, 1)
 	own := f.boxes[0]
-	f.planner.LoadOrder(wire.OrderRecord{Box: own.Name, Pool: "held", AtMs: int(f.now.Add(-time.Hour).UnixMilli()), Endpoint: own.EndpointID, Placement: &wire.PlacementRecord{}})
+	f.inheritMove(own, "held", time.Hour)
 	ordered := 0
 	for range 80 {
 		f.now = f.now.Add(100 * time.Millisecond)
@@ -97,11 +97,7 @@
 func TestInheritedMaintenanceOfAnEarlierLifeStaysDone(t *testing.T) {
 	f := newOneBoxFleet()
 	f.inheritMaintenance(true)
-	f.list(damsonwinch.BoxUp)
-	f.report(2, false)
-	f.plan(100 * time.Millisecond)
-	f.list(damsonwinch.BoxUp)
-	f.plan(time.Second)
+	f.showLaterLife()
 	assert.DeepEqual(t, f.planner.WaveRecord(1).Done, []string{f.box.Name})
 }
 
@@ -111,11 +107,7 @@
 func TestBoxThatCrashesBeforeARecordedOrderIsSentIsDue(t *testing.T) {
 	f := newOneBoxFleet()
 	f.inheritMaintenance(false)
-	f.list(damsonwinch.BoxUp)
-	f.report(2, false)
-	f.plan(100 * time.Millisecond)
-	f.list(damsonwinch.BoxUp)
-	f.plan(time.Second)
+	f.showLaterLife()
 	assert.Assert(t, !f.planner.WaveRecord(1).Completed, "the box was never in maintenance")
 	assert.Equal(t, len(f.planner.WaveRecord(1).Done), 0)
 }
--- a/pkg/boxplan/unlisted_boxes_test.go
+++ b/pkg/boxplan/unlisted_boxes_test.go
@@ -26,27 +26,20 @@
 	f := newShardedFleet()
 	f.add("short", 6, 0)
 	f.add("held", 1, 0)
-	short, held := shard.CellName("short", 0), shard.CellName("held", 0)
-	plan := func(after time.Duration, shortReport, heldReport wire.SyncReply) {
-		f.now = f.now.Add(after)
-		f.planner.SetBoxes(f.now, f.boxes)
-		f.planner.SetReport(f.now, short, shortReport)
-		f.planner.SetReport(f.now, held, heldReport)
-		f.handleAll(f.planner.Plan(f.now), damsonwinch.ErrRefused)
-	}
+	short := shard.CellName("short", 0)
 	idle := wire.SyncReply{Known: true, Endpoints: f.reports("held", 0)}
 	backlog := f.backlog("held", 100)
-	plan(time.Minute, f.shortReport(0), backlog)
+	f.planBothRefused(time.Minute, f.shortReport(0), backlog)
 	setAll(f.withdrawn, f.planner.Directives(short).WithdrawUrgently)
 	withdrawn := len(f.withdrawn)
 	assert.Assert(t, withdrawn >= 2, "%d boxes are on their way to the backlog's cell", withdrawn)
-	plan(100*time.Millisecond, f.shortReport(0), backlog)
+	f.planBothRefused(100*time.Millisecond, f.shortReport(0), backlog)
 	assert.Equal(t, len(f.planner.IssuedOrders()), withdrawn)
 
 	stalled := f.shortReport(0)
 	stalled.LateCpu, stalled.StalledCpu = 6*scriptMilliCPU, 6*scriptMilliCPU
 	for range 5 {
-		plan(100*time.Millisecond, stalled, idle)
+		f.planBothRefused(100*time.Millisecond, stalled, idle)
 	}
 	assert.Assert(t, len(f.planner.Directives(short).Restore) >= withdrawn-1, "the other cell needs one box at most")
 }
