--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -24,6 +24,7 @@
 	"checkpoints": longCheckpoints,
 	"renamed":     renamed,
 	"sent-again":  sentAgain,
+	"stale-start": staleStart,
 }
 
 func main() {
--- a/review/scene/scene.go
+++ b/review/scene/scene.go
@@ -30,6 +30,8 @@
 	// workers is nil if the workers of the platform's stand-in are used.
 	workers *workers
 	nodes   []*node
+	// proxied starts a proxy in front of the store for a node and returns its address, if it isn't nil.
+	proxied func(*node) (string, error)
 	// trouble is false for the same course of events without the disruption.
 	trouble bool
 	folder  string
@@ -73,6 +75,11 @@
 		if s.workers != nil {
 			n.config.Boxes = s.workers.list.Addr
 		}
+		if s.proxied != nil {
+			if n.config.Store, err = s.proxied(n); err != nil {
+				return err
+			}
+		}
 		s.nodes = append(s.nodes, n)
 		if err := n.start(true); err != nil {
 			return err
--- a/review/scene/worker_calls.go
+++ b/review/scene/worker_calls.go
@@ -61,6 +61,7 @@
 		if status == http.StatusOK && r.URL.Path == "/hold" {
 			w.awaitEnd(time.Duration(body.WaitMs) * time.Millisecond)
 			reply["running"], reply["finished"] = w.listRuns(), slices.Clone(w.ends)
+			w.addBirth(reply)
 		}
 		reply["clock_ms"] = w.clockMs()
 		answer(rw, status, reply)
@@ -72,7 +73,7 @@
 
 // awaitEnd waits for an end. The caller holds the lock, which is released meanwhile.
 func (w *worker) awaitEnd(limit time.Duration) {
-	for begun := w.fleet.clock.Now(); len(w.ends) == 0 && w.fleet.clock.Since(begun) < limit && !w.fleet.closed; {
+	for begun := w.fleet.clock.Now(); len(w.ends) == 0 && w.fleet.clock.Since(begun) < limit && !w.fleet.closed && !w.dead; {
 		w.fleet.mutex.Unlock()
 		w.fleet.clock.Sleep(endCheckInterval)
 		w.fleet.mutex.Lock()
@@ -117,7 +118,7 @@
 	w.fleet.clock.AfterFunc(delay, func() {
 		w.fleet.mutex.Lock()
 		defer w.fleet.mutex.Unlock()
-		if !w.fleet.closed {
+		if !w.fleet.closed && !w.dead {
 			do()
 		}
 	})
--- a/review/scene/worker_runs.go
+++ b/review/scene/worker_runs.go
@@ -56,7 +56,7 @@
 	if err := json.Unmarshal([]byte(body.Spec), &work); err != nil {
 		return http.StatusBadRequest, ""
 	}
-	log := &runLog{task: body.Task, attempt: body.Attempt, worker: w.id, from: w.fleet.clock.Now(), need: need}
+	log := &runLog{task: body.Task, attempt: body.Attempt, token: body.Token, worker: w.id, born: w.born, from: w.fleet.clock.Now(), need: need}
 	w.fleet.logs = append(w.fleet.logs, log)
 	r := &workerRun{w: w, log: log, work: work, resumedMs: savedWork(body.Checkpoint)}
 	w.runs[runKey(body.Task, body.Attempt)] = r
@@ -119,4 +119,7 @@
 	log.to, log.how = w.fleet.clock.Now(), how
 	w.lastEnd++
 	w.ends = append(w.ends, []any{w.lastEnd, log.task, log.attempt, how, saved})
+	if w.fleet.onEnd != nil {
+		w.fleet.onEnd(log)
+	}
 }
--- a/review/scene/workers.go
+++ b/review/scene/workers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +42,9 @@
 type runLog struct {
 	task    string
 	attempt int
+	token   int
 	worker  string
+	born    time.Time // Of the worker.
 	from    time.Time
 	to      time.Time // Zero while it runs.
 	how     string
@@ -56,11 +59,16 @@
 	list     *http.Server
 	// checkpointBytes is the length of each checkpoint.
 	checkpointBytes int
-	mutex           sync.Mutex // Guards all below, and the workers.
+	mutex           sync.Mutex     // Guards all below, and the workers.
+	servers         []*http.Server // All that were started.
 	all             []*worker
 	jobs            map[string]jobBody // What clients have sent, by job.
 	logs            []*runLog
 	closed          bool
+	// reusesIDs is set if workers say when they were born, since they start again under their IDs.
+	reusesIDs bool
+	// onEnd is called with each run that has ended, if it isn't nil. The lock is held.
+	onEnd func(*runLog)
 }
 
 // worker is one life of a worker.
@@ -73,6 +81,7 @@
 	cpu, mem int
 	server   *http.Server
 	born     time.Time
+	dead     bool
 	seq      int
 	token    int
 	// lease is when everything here is killed, by the worker's clock.
@@ -104,12 +113,20 @@
 		return nil, err
 	}
 	server := &http.Server{Addr: listener.Addr().String(), Handler: handler, ReadHeaderTimeout: time.Second}
+	f.run(server, listener)
+	return server, nil
+}
+
+// run serves until the server or the workers are closed.
+func (f *workers) run(server *http.Server, listener net.Listener) {
+	f.mutex.Lock()
+	f.servers = append(f.servers, server)
+	f.mutex.Unlock()
 	f.group.Go(func() error {
 		// Serve always returns an error, and the only expected one is that the server was closed.
 		_ = server.Serve(listener)
 		return nil
 	})
-	return server, nil
 }
 
 // answer sends a response. A caller that has gone needs none.
@@ -123,13 +140,18 @@
 	_, _ = w.Write(text)
 }
 
-// machines answers with the list of machines, which are all up.
+// machines answers with the list of machines, which are up unless their workers have crashed.
 func (f *workers) machines(w http.ResponseWriter, _ *http.Request) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	rows := []any{}
 	for _, x := range f.all {
-		rows = append(rows, map[string]any{"machine": x.machine, "pool": x.service, "state": "up", "zone": "zone", "labels": []string{"a", x.rack}, "capacity": x.capacity(), "id": x.id})
+		row := map[string]any{"machine": x.machine, "pool": x.service, "state": "up", "zone": "zone", "labels": []string{"a", x.rack}, "capacity": x.capacity(), "id": x.id}
+		if x.dead {
+			row["state"] = "down"
+			delete(row, "id")
+		}
+		rows = append(rows, row)
 	}
 	answer(w, http.StatusOK, map[string]any{"machines": rows, "next_token": ""})
 }
@@ -164,15 +186,23 @@
 // register writes the worker's entry to the store. The caller holds the lock.
 func (w *worker) register() {
 	w.seq++
-	text, err := json.Marshal(map[string]any{
+	entry := map[string]any{
 		"service": w.service, "address": w.server.Addr, "zone": "zone", "version": "1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": w.seq,
 		"machine": w.machine, "capacity": w.capacity(), "labels": []string{"a", w.rack},
-	})
-	if err == nil {
+	}
+	w.addBirth(entry)
+	if text, err := json.Marshal(entry); err == nil {
 		w.fleet.platform.PutRegistration(w.id, string(text))
 	}
 }
 
+// addBirth adds to what a worker says when it was started, if workers say that.
+func (w *worker) addBirth(said map[string]any) {
+	if w.fleet.reusesIDs {
+		said["born"] = w.born.UnixMilli()
+	}
+}
+
 // heartbeat is the time between two entries of a worker.
 const heartbeat = 1500 * time.Millisecond
 
@@ -186,7 +216,9 @@
 			return nil
 		}
 		for _, w := range f.all {
-			w.register()
+			if !w.dead {
+				w.register()
+			}
 		}
 		f.mutex.Unlock()
 	}
@@ -196,10 +228,7 @@
 func (f *workers) close() error {
 	f.mutex.Lock()
 	f.closed = true
-	servers := []*http.Server{f.list}
-	for _, w := range f.all {
-		servers = append(servers, w.server)
-	}
+	servers := slices.Clone(f.servers)
 	f.mutex.Unlock()
 	for _, server := range servers {
 		// Close fails only for listeners that are closed already.
