--- a/review/scene/stale_start.go
+++ b/review/scene/stale_start.go
@@ -20,6 +20,8 @@
 	claimAge = 4 * time.Second
 	// maxFreeze bounds the freeze of the owner.
 	maxFreeze = 1900 * time.Millisecond
+	// staleWorkers is the number of workers: one of eight is within the share .14 that may be down.
+	staleWorkers = 8
 	// staleWorkMs is the work of each task.
 	staleWorkMs = 1500
 	// Rounds are played until the rule is broken, or one of these is reached.
@@ -72,7 +74,7 @@
 	freeze := &freezer{scene: s, frozen: make(chan *node, 1)}
 	freeze.job.Store(new(string))
 	s.proxied = freeze.startProxy
-	if err := errors.Join(f.add(queue.Pool, 3, workerCPU, workerMemoryMB), s.startNodes(3, queue)); err != nil {
+	if err := errors.Join(f.add(queue.Pool, staleWorkers, workerCPU, workerMemoryMB), s.startNodes(3, queue)); err != nil {
 		return "", err
 	}
 	f.onEnd = func(log *runLog) {
