Send case 5's job again seconds after its 2xx, and list case 6's runs

Case 5 sent the job again 1.1 s after the 200, while its claim said 2.5 s; it is 2.6 s now. Case 6's record lists each run.

--- a/review/scene/checkpoints.go
+++ b/review/scene/checkpoints.go
@@ -57,6 +57,7 @@
 		return "", fmt.Errorf("%w: the job was answered with %d", errSetup, status)
 	}
 	state := s.awaitState(tendersPath+tendersJob, 60*time.Second)
+	f.noteRuns(s)
 	all, failed := f.countEnds("failed")
 	_, done := f.countEnds("done")
 	s.note("%d steps of %d tasks: %d runs, of which %d ended done and %d failed; the job is shown as %s", steps, width, all, done, failed, state)
--- a/review/scene/sent_again.go
+++ b/review/scene/sent_again.go
@@ -49,7 +49,7 @@
 			return "", err
 		}
 	}
-	s.clock.Sleep(500 * time.Millisecond)
+	s.clock.Sleep(2 * time.Second)
 	if !s.waitUntil(10*time.Second, restarted.isReady) {
 		return "", fmt.Errorf("%w: %s is not ready again", errSetup, restarted.config.Node)
 	}
--- a/review/scene/workers.go
+++ b/review/scene/workers.go
@@ -248,3 +248,16 @@
 	}
 	return len(f.logs), ended
 }
+
+// noteRuns notes all runs.
+func (f *workers) noteRuns(s *scene) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, log := range f.logs {
+		ended := "still runs"
+		if !log.to.IsZero() {
+			ended = fmt.Sprintf("%s at %.3f s", log.how, log.to.Sub(s.begunAt).Seconds())
+		}
+		s.note("run of %s, attempt %d, on %s from %.3f s: %s", log.task, log.attempt, log.worker, log.from.Sub(s.begunAt).Seconds(), ended)
+	}
+}
