Log starts whose record was late to be confirmed

An owner that is frozen with the answer to its append on the way sends the append's starts when it wakes. The logs didn't say how old such a start is.

Change: an append that is answered more than 250 ms after it was sent logs each of its starts with the age of the decision.

--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -165,6 +166,7 @@
 		return
 	}
 	c.ConfirmOwnership(sent.sentAt)
+	c.logLateStarts(sent)
 	if now.Sub(sent.sentAt) > maxStartAge {
 		// This owner was paused, or the store was slow: another owner may have taken over
 		// meanwhile.
@@ -179,6 +181,20 @@
 // that was paused for long must not send what it decided before the pause.
 const maxStartAge = 2 * time.Second
 
+// lateAppendAge is the age of an append from which its starts are logged as late.
+const lateAppendAge = 250 * time.Millisecond
+
+// logLateStarts logs that starts have waited long for their record. Another owner may have made other decisions meanwhile.
+func (c *Cell) logLateStarts(sent *sentCommit) {
+	age := c.now.Sub(sent.sentAt)
+	if age <= lateAppendAge {
+		return
+	}
+	for _, r := range sent.starts {
+		c.logRun("start recorded late", r, fmt.Sprintf("decided %d ms ago", age.Milliseconds()))
+	}
+}
+
 // finishCommit does what had to wait for the append: it sends starts and replies, makes withdrawals
 // effective, and allows results to be acknowledged.
 func (c *Cell) finishCommit(sent *sentCommit) {
