Know a job by its address and ID, whatever its queue and its pool are called

Cause: whether there is such a job was decided by the cell of the service to which the route leads now, and by what the receiving node remembered of former pools, under the name of the queue, since its process was started. The client knows its job by host, prefix and ID. That outlives the route's name, its service and every process.

Change: what must be agreed on is in the cells' records, written under the fences that they have. A cell opens an address (a hash of host and prefix) before it accepts the first job of it: the router asks the cells of all other pools that would have had the job, and each records, before it answers, that it accepts no jobs of that address by older configurations. Each records first and then looks, so two pools can't both accept. Pools that hold other jobs of the address are asked before each submission until they hold none. A node that hasn't read the configuration, or was frozen with an old one, is refused by the record; a node that was just started needs no memory. The counts of pending jobs ask the other pools while an address isn't settled. The memory of former pools in pkg/node, by names and for a fixed time, is gone. Entries without jobs are forgotten after the retention of ended jobs. Versions side by side: earlier ones pass over the new record, and jobs that they have recorded without an address count as jobs of their queue's address, or of any.

Cost in calm: one round of calls for the first job of an address in each cell, none after that.

--- a/configuration.go
+++ b/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"damsonwinch/pkg/addressbook"
 	"damsonwinch/pkg/wire"
 )
 
@@ -42,6 +43,11 @@
 	Public bool
 }
 
+// Address returns what clients know the queue by, as far as jobs are concerned: its name and its pool may change.
+func (q Queue) Address() string {
+	return addressbook.Address(q.Host, q.PathPrefix)
+}
+
 // Pool is a service and the boxes that run its tasks.
 type Pool struct {
 	Name string
--- a/pkg/cell/absent.go
+++ b/pkg/cell/absent.go
@@ -75,7 +75,7 @@
 		return
 	}
 	j := &job{id: args.Id, queue: args.Queue, customer: args.Customer, state: wire.JobStateCancelled, endedMs: int(c.now.UnixMilli()), unsubmitted: true}
-	c.jobs[j.id] = j
+	c.addJob(j)
 	c.unsubmittedJobs++
 	c.markDirty(j)
 	c.replyOnceRecorded(j, callID, wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob})
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -92,6 +92,7 @@
 	confirmedAt time.Time
 	evacuations evacuations
 	commits     commits
+	addresses   addresses
 	// answerTimes holds how long endpoints take to answer, and calls how many calls stay unanswered.
 	answerTimes responsiveness.AnswerTimes
 	calls       responsiveness.Calls
@@ -138,6 +139,7 @@
 		commits:     newCommits(),
 		workload:    workload.Queues{},
 		crashQueues: crash.NewQueues(),
+		addresses:   newAddresses(),
 		quota:       allowances,
 		quotaWaits:  quota.NewWaits(allowances),
 	}
@@ -217,6 +219,7 @@
 	c.leaveEvacuatedZones()
 	c.reserveForLongRunning()
 	c.forgetEndedJobs()
+	c.forgetAddresses()
 	c.logQuotaWaits()
 	c.logShares()
 	c.logLongWaits()
@@ -269,12 +272,12 @@
 	}
 }
 
-// Pending returns the number of a queue's recorded jobs that have not ended and of which no task is
+// Pending returns the number of the recorded jobs of a call's queue that have not ended and of which no task is
 // known to have started.
-func (c *Cell) Pending(queue string) int {
+func (c *Cell) Pending(args wire.JobArgs) int {
 	count := 0
 	for _, j := range c.activeJobs {
-		if j.queue == queue && j.recorded && !j.begun && !j.ended() {
+		if j.isSubmittedTo(args) && j.recorded && !j.begun && !j.ended() {
 			count++
 		}
 	}
@@ -309,6 +312,10 @@
 		return
 	}
 	c.noteAbsent("query", args)
+	if args.Closing {
+		c.closeAddress(args, callID)
+		return
+	}
 	c.replyOnceCurrent(callID, args.WaitMs, func() wire.JobReply { return c.stateReply(args) })
 }
 
@@ -317,10 +324,12 @@
 
 // CountPending answers a client's call that asks for the number of a queue's pending jobs. The reply with the given
 // call ID becomes an effect at once, unless this owner may have been replaced more than maxPendingAge ago.
-func (c *Cell) CountPending(now time.Time, queue string, callID int) {
+func (c *Cell) CountPending(now time.Time, args wire.JobArgs, callID int) {
 	c.beginEvent(now)
 	defer c.finishEvent()
-	count := func() wire.JobReply { return wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: c.Pending(queue)} }
+	count := func() wire.JobReply {
+		return wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: c.Pending(args), Settled: c.isSettled(args.Address)}
+	}
 	if now.Sub(c.confirmedAt) <= maxPendingAge {
 		c.reply(callID, count())
 		return
--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -103,7 +103,7 @@
 // confirm.
 func (c *Cell) hasUnrecordedChanges() bool {
 	w := &c.commits
-	return len(w.dirtyJobs) > 0 || len(w.deletedKeys) > 0 || len(w.queries) > 0 || len(w.endpointRecords) > 0 || len(w.ackEndpoints) > 0 || w.allowancesDirty
+	return len(w.dirtyJobs) > 0 || len(w.deletedKeys) > 0 || len(w.queries) > 0 || len(w.endpointRecords) > 0 || len(w.ackEndpoints) > 0 || w.allowancesDirty || c.addresses.book.HasChanged()
 }
 
 // flush begins the next append, unless there is nothing to append, an append is in flight, or the
@@ -136,6 +136,8 @@
 func (c *Cell) buildRecords(sent *sentCommit) []damsonwinch.Record {
 	w := &c.commits
 	records := append(w.endpointRecords, c.workloadRecords()...)
+	// A job counts only together with the entry of its address, so that is recorded before it.
+	records = append(records, c.addressRecords()...)
 	if w.allowancesDirty {
 		records = append(records, c.allowancesRecord(sent))
 	}
--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -16,6 +16,8 @@
 type job struct {
 	id    string
 	queue string
+	// address is where the job was submitted, or empty if that isn't known.
+	address string
 	// customer is the customer whose key the submission carried, or empty if it carried none.
 	customer string
 	spec     wire.JobSpec
--- a/pkg/cell/load.go
+++ b/pkg/cell/load.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -52,6 +53,8 @@
 		return c.loadEndpointRecord(record, damsonwinch.ParseLife(subject))
 	case cellrecord.Workload:
 		return c.loadWorkload(record)
+	case cellrecord.Address:
+		return c.loadAddress(record, subject)
 	}
 	return c.loadJob(record, specs)
 }
@@ -63,11 +66,12 @@
 		return err
 	}
 	j := &job{id: record.Key, customer: saved.Customer, endedMs: saved.EndedMs, state: saved.State, recordedState: saved.State, recorded: true, unsubmitted: saved.Unsubmitted}
-	c.jobs[j.id] = j
+	accepted, hasSpec := specs[record.Key]
+	j.address = cmp.Or(accepted.Address, saved.Address)
+	c.addJob(j)
 	if j.unsubmitted {
 		c.unsubmittedJobs++
 	}
-	accepted, hasSpec := specs[record.Key]
 	if !hasSpec {
 		if !j.ended() {
 			return fmt.Errorf("job %s has a record and no specification", j.id)
--- a/pkg/cell/outage.go
+++ b/pkg/cell/outage.go
@@ -95,6 +95,6 @@
 		return true
 	})
 	delete(c.commits.dirtyJobs, j.id)
-	delete(c.jobs, j.id)
+	c.removeJob(j)
 	c.activeJobs = slices.DeleteFunc(c.activeJobs, func(other *job) bool { return other == j })
 }
--- a/pkg/cell/record.go
+++ b/pkg/cell/record.go
@@ -35,7 +35,7 @@
 // acceptedJob returns the job as it was submitted.
 func (j *job) acceptedJob() wire.AcceptedJob {
 	return wire.AcceptedJob{
-		Queue: j.queue, Customer: j.customer, AcceptedMs: j.acceptedMs, Priority: j.priority, MostAttempts: j.maxAttempts, DueMs: j.deadlineMs, Spec: j.spec, OverShare: j.overShare,
+		Queue: j.queue, Address: j.address, Customer: j.customer, AcceptedMs: j.acceptedMs, Priority: j.priority, MostAttempts: j.maxAttempts, DueMs: j.deadlineMs, Spec: j.spec, OverShare: j.overShare,
 	}
 }
 
@@ -51,7 +51,7 @@
 		c.settleRounds(j)
 		c.writeLapsed(j, c.writeTasks(j, &record), &record)
 	} else {
-		record.Customer = j.customer
+		record.Customer, record.Address = j.customer, j.address
 	}
 	encoded := cellrecord.EncodeJob(j.id, record)
 	j.recordBytes = len(encoded.Value)
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -170,7 +170,7 @@
 	case "wake":
 		return fmt.Sprintf("in %d ms\n", s.cell.NextTick().Sub(s.now).Milliseconds())
 	case "pending":
-		return fmt.Sprintf("%d\n", s.cell.Pending("queue"))
+		return fmt.Sprintf("%d\n", s.cell.Pending(wire.JobArgs{Queue: "queue"}))
 	case "show":
 		state, visible := s.cell.Show(s.jobArgs(d))
 		return fmt.Sprintf("%q %v\n", state, visible)
--- a/pkg/cell/snapshot.go
+++ b/pkg/cell/snapshot.go
@@ -35,6 +35,7 @@
 	}
 	c.workloadRecordedAt = time.Time{}
 	records = append(records, c.workloadRecords()...)
+	records = append(records, c.encodeAddresses(c.addresses.book.Addresses())...)
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		if j := c.jobs[id]; c.mayBeStored(j) {
 			records = append(records, c.copyJob(j)...)
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -27,6 +27,9 @@
 		c.refuseCancelled(existing, callID)
 		return
 	}
+	if !c.checkAddress(args, callID) {
+		return
+	}
 	j := c.newJob(args)
 	if err := c.checkRecords(j); err != nil {
 		c.logJob("job refused", j, err.Error())
@@ -40,7 +43,7 @@
 		return
 	}
 	c.chargeShare(j)
-	c.jobs[j.id] = j
+	c.addJob(j)
 	c.activeJobs = append(c.activeJobs, j)
 	c.stats.JobsAccepted++
 	c.markDirty(j)
@@ -75,7 +78,7 @@
 // newJob returns the job that a client has submitted. It has no rounds yet.
 func (c *Cell) newJob(args wire.JobArgs) *job {
 	j := &job{
-		id: args.Id, queue: args.Queue, customer: args.Customer, spec: *args.Spec, acceptedMs: args.ReceivedMs,
+		id: args.Id, queue: args.Queue, address: args.Address, customer: args.Customer, spec: *args.Spec, acceptedMs: args.ReceivedMs,
 		state: wire.JobStateQueued, recordedState: wire.JobStateQueued,
 	}
 	queue := c.queues[args.Queue]
@@ -156,9 +159,9 @@
 	clear(c.activeJobs[len(keep):])
 	c.activeJobs = keep
 	limit := int(c.now.Add(-c.options.EndedJobRetention).UnixMilli())
-	for id, j := range c.jobs {
+	for _, j := range c.jobs {
 		if j.ended() && j.runCount == 0 && j.recordedState == j.state && j.endedMs < limit {
-			delete(c.jobs, id)
+			c.removeJob(j)
 			c.deleteRecord(j)
 			if j.unsubmitted {
 				c.unsubmittedJobs--
--- a/pkg/cellrecord/encode.go
+++ b/pkg/cellrecord/encode.go
@@ -34,6 +34,11 @@
 	return damsonwinch.Record{Key: workloadKey(queue), Value: encode(statistics)}
 }
 
+// EncodeAddress returns the record of an address.
+func EncodeAddress(address string, record wire.AddressRecord) damsonwinch.Record {
+	return damsonwinch.Record{Key: addressKey(address), Value: encode(record)}
+}
+
 // Decode decodes the value of a record into the struct that value points to.
 func Decode(record damsonwinch.Record, value any) error {
 	if err := json.Unmarshal(record.Value, value); err != nil {
--- a/pkg/cellrecord/keys.go
+++ b/pkg/cellrecord/keys.go
@@ -25,20 +25,28 @@
 	Allowances
 	// Workload holds the statistics of a queue.
 	Workload
+	// Address holds what is known of an address at which clients submit jobs.
+	Address
 )
 
 const (
 	specSuffix     = "/spec"
 	endpointPrefix = "endpoint/"
 	workloadPrefix = "learned/"
-	allowancesKey  = "allowances"
+	// addressPrefix begins the key of an address's record, which ends like that of a specification: versions that don't
+	// know the record pass over a specification without a job.
+	addressPrefix = "address/"
+	allowancesKey = "allowances"
 	// confirmationKey is the key of a record that never exists.
 	confirmationKey = "confirmation"
 )
 
 // ParseKey returns the kind of the record with the given key, and what it is about: the ID of a job,
-// the life of an endpoint, or the name of a queue or its hash.
+// the life of an endpoint, an address, or the name of a queue or its hash.
 func ParseKey(key string) (Kind, string) {
+	if address, isAddress := strings.CutPrefix(key, addressPrefix); isAddress {
+		return Address, strings.TrimSuffix(address, specSuffix)
+	}
 	if id, isSpec := strings.CutSuffix(key, specSuffix); isSpec {
 		return Spec, id
 	}
@@ -73,6 +81,16 @@
 	return workloadPrefix + queue
 }
 
+// addressKey returns the key of the record of an address.
+func addressKey(address string) string {
+	return addressPrefix + address + specSuffix
+}
+
+// DeleteAddress returns the record that deletes what is recorded about an address.
+func DeleteAddress(address string) damsonwinch.Record {
+	return damsonwinch.Record{Key: addressKey(address)}
+}
+
 // DeleteSpec returns the record that deletes the specification of a job.
 func DeleteSpec(jobID string) damsonwinch.Record {
 	return damsonwinch.Record{Key: jobID + specSuffix}
--- a/pkg/intake/jobs.go
+++ b/pkg/intake/jobs.go
@@ -21,17 +21,15 @@
 }
 
 // Submit implements damsonwinch.JobService. It sends a long-running job to the pool's cell for long-running
-// jobs, and any other job to the cell that is determined by the job's ID. A job that a former pool of the queue has
-// accepted isn't submitted again.
+// jobs, and any other job to the cell that is determined by the job's ID. A job that another pool has accepted isn't
+// accepted again.
 func (r *Router) Submit(ctx context.Context, args wire.JobArgs) wire.JobReply {
-	layout := r.deps.Cells.View().Layout
-	if !layout.Decided() {
+	view := r.deps.Cells.View()
+	if !view.Layout.Decided() {
 		return r.refuseUndecided(submitMethod, args)
 	}
-	if reply, settled := r.confirmInFormerPools(ctx, args, layout); settled {
-		return reply
-	}
-	return r.route(ctx, submitMethod, argsForCell(args, args.Pool, submissionShard(args, args.Pool, layout)))
+	args.Address = submissionAddress(args)
+	return r.submit(ctx, argsForCell(args, args.Pool, submissionShard(args, args.Pool, view.Layout)), view)
 }
 
 // Show implements damsonwinch.JobService. It calls the owner of the cell that has the job.
@@ -88,26 +86,40 @@
 	return mergeReplies([]wire.JobReply{reply, r.route(ctx, m, argsForCell(args, args.Pool, second))})
 }
 
-// Pending implements damsonwinch.JobService. It returns the sum over all cells of the pool and of the pools to which the
-// queue led before, where jobs may still wait, or the failure of one cell if any has failed: a part of the sum would be
-// taken for the whole.
+// Pending implements damsonwinch.JobService. It returns the sum over all cells of the pool, and of all other pools if jobs
+// may still wait there, or the failure of one cell if any has failed: a part of the sum would be taken for the whole.
 func (r *Router) Pending(ctx context.Context, args wire.JobArgs) wire.JobReply {
-	layout := r.deps.Cells.View().Layout
-	if !layout.Decided() {
+	view := r.deps.Cells.View()
+	if !view.Layout.Decided() {
 		return r.refuseUndecided(pendingMethod, args)
 	}
+	sum := r.sumPending(ctx, args, view.Layout, args.Pool)
+	if sum.Outcome != wire.JobOutcomeFound || sum.Settled || args.Address == "" {
+		return sum
+	}
+	others := r.sumPending(ctx, args, view.Layout, otherPools(args, view)...)
+	if others.Outcome != wire.JobOutcomeFound {
+		return others
+	}
+	return wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: sum.Pending + others.Pending}
+}
+
+// sumPending returns the sum of the pending jobs over all cells of some pools, or the failure of one cell if any has failed.
+// The sum is settled if no other pool holds jobs, by all of these cells.
+func (r *Router) sumPending(ctx context.Context, args wire.JobArgs, layout shard.Layout, pools ...string) wire.JobReply {
 	var calls []wire.JobArgs
-	for _, pool := range append([]string{args.Pool}, r.deps.Cells.FormerPools(args.Queue)...) {
+	for _, pool := range pools {
 		for number := range layout.Shards {
 			calls = append(calls, argsForCell(args, pool, number))
 		}
 	}
-	sum := wire.JobReply{Outcome: wire.JobOutcomeFound}
+	sum := wire.JobReply{Outcome: wire.JobOutcomeFound, Settled: true}
 	for _, reply := range r.routeAll(ctx, pendingMethod, calls) {
 		if reply.Outcome != wire.JobOutcomeFound {
 			return reply
 		}
 		sum.Pending += reply.Pending
+		sum.Settled = sum.Settled && reply.Settled
 	}
 	return sum
 }
--- a/pkg/intake/jobs_test.go
+++ b/pkg/intake/jobs_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,17 +13,22 @@
 	logrustest "github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
+	"damsonwinch/pkg/addressbook"
 	"damsonwinch/pkg/metrics"
 	"damsonwinch/pkg/ownership"
 	"damsonwinch/pkg/shard"
 	"damsonwinch/pkg/wire"
 )
 
-// fakeOwner is an owner of a cell that only stores which jobs were submitted and not cancelled. It counts the calls that
-// ask for jobs or cancel them.
+// fakeOwner is an owner of a cell that only stores which jobs were submitted and not cancelled, and what it knows of
+// addresses. It counts the calls that ask for jobs or cancel them.
 type fakeOwner struct {
+	mutex   sync.Mutex // Guards book and jobs in calls that are made at the same time.
+	book    *addressbook.Book
 	jobs    map[string]bool
 	pending wire.JobReply
+	// losesReply is set if the reply to the next submission is lost.
+	losesReply bool
 	// failure is the reply to each call that asks for a job or cancels one, unless it is the zero value.
 	failure wire.JobReply
 	lookups atomic.Int64
@@ -31,6 +37,24 @@
 }
 
 func (o *fakeOwner) Submit(_ context.Context, args wire.JobArgs) wire.JobReply {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.losesReply {
+		o.losesReply = false
+		return wire.JobReply{Outcome: wire.JobOutcomeUnknown, Reason: "lost"}
+	}
+	if args.Address != "" && !o.jobs[args.Id] {
+		entry := o.book.Entry(args.Address)
+		submission := addressbook.Submission{Address: args.Address, Version: args.ConfigVersion, Asked: args.Asked, AskedAll: args.AskedAll, Holding: args.Holding}
+		switch o.book.Submit(time.Time{}, submission) {
+		case addressbook.Refuse:
+			return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "closed", RetryAfterMs: 500}
+		case addressbook.AskAll:
+			return wire.JobReply{Outcome: wire.JobOutcomeUnsettled}
+		case addressbook.AskFormer:
+			return wire.JobReply{Outcome: wire.JobOutcomeUnsettled, Former: entry.Former, OpenedBy: entry.OpenedBy}
+		}
+	}
 	o.jobs[args.Id] = true
 	return wire.JobReply{Outcome: wire.JobOutcomeAccepted}
 }
@@ -41,10 +65,15 @@
 	if o.failure.Outcome != "" {
 		return o.failure
 	}
-	if !o.jobs[args.Id] {
-		return wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.jobs[args.Id] {
+		return wire.JobReply{Outcome: wire.JobOutcomeFound, State: wire.JobStateRunning}
+	}
+	if args.Closing && !o.book.Close(time.Time{}, args.Address, args.ConfigVersion) {
+		return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "open by a newer configuration", RetryAfterMs: 500}
 	}
-	return wire.JobReply{Outcome: wire.JobOutcomeFound, State: wire.JobStateRunning}
+	return wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob, HoldsNone: args.Closing && len(o.jobs) == 0}
 }
 
 func (o *fakeOwner) Cancel(_ context.Context, args wire.JobArgs) wire.JobReply {
@@ -71,8 +100,6 @@
 	waitReason string
 	// misdirected is the refusal of a call whose queue leads elsewhere, if it is not the zero value.
 	misdirected wire.JobReply
-	// formerPools are the pools to which the queue led before.
-	formerPools []string
 }
 
 func (c *fakeCells) LocalOwner(cell string) (CellOwner, bool) {
@@ -94,8 +121,6 @@
 	return wire.JobReply{}, true
 }
 
-func (c *fakeCells) FormerPools(string) []string { return c.formerPools }
-
 func (c *fakeCells) CheckPool(context.Context, wire.JobArgs) (wire.JobReply, bool) {
 	return c.misdirected, c.misdirected.Outcome == ""
 }
@@ -106,7 +131,7 @@
 	c := &fakeCells{layout: shard.New(shards, pools), owners: map[string]*fakeOwner{}}
 	for _, pool := range pools {
 		for number, cell := range c.layout.CellNames(pool) {
-			c.owners[cell] = &fakeOwner{jobs: map[string]bool{}, pending: wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: 1 + number}}
+			c.owners[cell] = &fakeOwner{book: addressbook.New(), jobs: map[string]bool{}, pending: wire.JobReply{Outcome: wire.JobOutcomeFound, Pending: 1 + number}}
 		}
 	}
 	return c
@@ -120,7 +145,7 @@
 
 // submitArgs returns the arguments with which a client submits a job of one task.
 func submitArgs(id string, longRunning bool) wire.JobArgs {
-	return wire.JobArgs{Queue: "queue", Pool: "pool", Id: id, Spec: &wire.JobSpec{Phases: []wire.Phase{{Count: 1, Lasting: longRunning}}}}
+	return wire.JobArgs{Queue: "queue", Address: "address", ConfigVersion: 1, Pool: "pool", Id: id, Spec: &wire.JobSpec{Phases: []wire.Phase{{Count: 1, Lasting: longRunning}}}}
 }
 
 // Show and Cancel find a job in its cell, although their calls don't say whether the job is long-running.
--- a/pkg/intake/other_pools_test.go
+++ b/pkg/intake/other_pools_test.go
@@ -69,9 +69,12 @@
 	cells := newFakeCells(1, "other")
 	router := newTestRouter(cells)
 	router.Submit(t.Context(), submitArgs("a1", false))
+	opened := cells.owners["other"].lookups.Load()
+	assert.Equal(t, opened, int64(1), "the first job of an address is sought in all pools")
+	router.Submit(t.Context(), submitArgs("a1", false))
 	router.Show(t.Context(), callArgs("a1", "pool"))
 	router.Cancel(t.Context(), callArgs("a1", "pool"))
-	assert.Equal(t, cells.owners["other"].lookups.Load(), int64(0))
+	assert.Equal(t, cells.owners["other"].lookups.Load(), opened)
 }
 
 // TestPublicCallSeesNoJobOfACustomerInAnotherPool guards against a call without a key that finds the jobs of all
--- a/pkg/intake/router.go
+++ b/pkg/intake/router.go
@@ -51,9 +51,6 @@
 	// node, by the pool to which this node's configuration leads the call's queue. If not, it returns a refusal
 	// that stands in for the acceptance of a job and for the reply that there is no such job.
 	CheckPool(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool)
-	// FormerPools returns the pools to which a queue led by earlier configurations of this node, as far as
-	// clients may still send jobs again that these pools have accepted. The present pool isn't among them.
-	FormerPools(queue string) []string
 	// MemberReply returns the reply to another node's request for the members of the group of nodes.
 	MemberReply(args wire.MembersArgs) wire.MembersReply
 	// DirectoryReply returns the reply to another node's request for the endpoints of some cells.
@@ -139,7 +136,7 @@
 		reply, mayHaveEffect := r.attempt(ctx, m, args)
 		outcomeUnknown = outcomeUnknown || mayHaveEffect
 		if !isFailure(reply) {
-			return reply
+			return unlessUnsettledAfter(outcomeUnknown, reply)
 		}
 		if ctx.Err() != nil || isFinalRefusal(reply) || r.deps.Clock.Now().Sub(startedAt) > maxRetryTime(outcomeUnknown) {
 			return r.giveUp(m, args, reply, outcomeUnknown, startedAt)
@@ -151,6 +148,15 @@
 	}
 }
 
+// unlessUnsettledAfter returns the reply to a call, or that its outcome is unknown if an owner can't accept a job yet that an
+// earlier attempt may have submitted: should the job be refused in the end, that attempt might still be carried out.
+func unlessUnsettledAfter(outcomeUnknown bool, reply wire.JobReply) wire.JobReply {
+	if outcomeUnknown && reply.Outcome == wire.JobOutcomeUnsettled {
+		return wire.JobReply{Outcome: wire.JobOutcomeUnknown, Reason: "an earlier attempt may have submitted the job"}
+	}
+	return reply
+}
+
 // remainingMs returns the time until a call's deadline in milliseconds, at least 1, or 0 if it has none.
 func remainingMs(ctx context.Context, now time.Time) int {
 	deadline, bounded := ctx.Deadline()
--- a/pkg/node/access.go
+++ b/pkg/node/access.go
@@ -23,8 +23,6 @@
 	publicQueues map[string]bool
 	// pools holds the name of the pool to which each queue leads, by queue.
 	pools map[string]string
-	// formerPools holds the pools to which queues led by earlier configurations, by queue.
-	formerPools map[string][]formerPool
 	// replaced is closed once the rules of a newer version are in force.
 	replaced chan struct{}
 }
@@ -85,8 +83,8 @@
 // the queue, unless the caller's configuration is newer: another pool accepts the queue's jobs now.
 //
 // A lookup in another pool than the queue's by a newer configuration waits up to maxVersionWait for that configuration.
-// From then on this node refuses the submissions of nodes with the older one, so that a job that is not found here can
-// be accepted in the queue's new pool.
+// From then on this node refuses the submissions of nodes with the older one, so that a job that is not found here isn't
+// accepted here later. A closing lookup needs no wait: the cell records that it accepts no such submissions.
 func (n *Node) CheckPool(ctx context.Context, args wire.JobArgs) (wire.JobReply, bool) {
 	rules := n.accessRules.Load()
 	if rules == nil {
@@ -96,7 +94,7 @@
 	if args.Spec != nil {
 		return rules.checkSubmission(args, called)
 	}
-	isLookup := args.Pool != "" && called != args.Pool
+	isLookup := args.Pool != "" && called != args.Pool && !args.Closing
 	if !isLookup || args.ConfigVersion <= rules.version || rules.pools[args.Queue] == args.Pool {
 		return wire.JobReply{}, true
 	}
--- a/pkg/node/access_test.go
+++ b/pkg/node/access_test.go
@@ -73,3 +73,11 @@
 		assert.Equal(t, admitted, arrives)
 	}
 }
+
+// TestClosingLookupNeedsNoConfiguration guards against a new job that is refused because the owner of another pool's cell
+// has no word of the configuration yet: the cell records that it accepts no jobs by older ones.
+func TestClosingLookupNeedsNoConfiguration(t *testing.T) {
+	n := newRulesNode(newRules(t, 1, "former"), clockwork.NewFakeClock())
+	_, admitted := n.CheckPool(t.Context(), wire.JobArgs{Queue: "queue", Pool: "present", Cell: "former", ConfigVersion: 2, Closing: true})
+	assert.Assert(t, admitted)
+}
--- a/pkg/node/operator.go
+++ b/pkg/node/operator.go
@@ -99,14 +99,9 @@
 
 // replaceAccessRules puts rules in force and wakes the calls that wait for them.
 func (n *Node) replaceAccessRules(rules *accessRules) {
-	previous := n.accessRules.Load()
-	if previous == nil {
-		n.accessRules.Store(rules)
-		return
+	if previous := n.accessRules.Swap(rules); previous != nil {
+		close(previous.replaced)
 	}
-	rules.formerPools = rememberFormerPools(previous, rules, n.deps.Clock.Now(), n.options.CellOptions.EndedJobRetention)
-	n.accessRules.Store(rules)
-	close(previous.replaced)
 }
 
 // rejectsOverload reports whether the endpoints of a cell reject tasks that exceed their free capacity. It returns
--- a/pkg/owner/messages.go
+++ b/pkg/owner/messages.go
@@ -212,7 +212,7 @@
 func (m jobQuery) apply(o *Owner, now time.Time) {
 	callID := o.registerCall(m.reply)
 	if m.args.Id == "" {
-		o.cell.CountPending(now, m.args.Queue, callID)
+		o.cell.CountPending(now, m.args, callID)
 		return
 	}
 	o.cell.Query(now, m.args, callID)
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -9,6 +9,9 @@
 	// When the job's first submission arrived, in milliseconds since 1970.
 	AcceptedMs int `json:"accepted_ms"`
 
+	// Address at which the job was submitted; empty if it is not known.
+	Address string `json:"address,omitempty,omitzero"`
+
 	// Customer whose key the submission had; empty for a job of a public queue.
 	Customer string `json:"customer,omitempty,omitzero"`
 
@@ -32,6 +35,21 @@
 	Spec JobSpec `json:"spec"`
 }
 
+// AddressRecord is what a cell knows of an address at which clients submit jobs.
+// It is a record of the cell's stream.
+type AddressRecord struct {
+	// Version of the configuration by which another pool has opened the address; 0 if
+	// none has. The cell accepts jobs by no older one.
+	ClosedBelow int `json:"closed_below,omitempty,omitzero"`
+
+	// Other pools that hold jobs of the address.
+	Former []string `json:"former,omitempty,omitzero"`
+
+	// Version of the configuration by which the address was opened in the cell; 0 if
+	// it was not.
+	OpenedBy int `json:"opened_by,omitempty,omitzero"`
+}
+
 // AllottedRecord holds the limits of each cell for one customer. It is a record of
 // the planner's stream, which is appended before any cell is sent a higher
 // allowance.
@@ -622,9 +640,24 @@
 // JobArgs is a client's call on a job or a queue, as it is passed to the owner of
 // a cell.
 type JobArgs struct {
+	// Where clients submit jobs of the queue and of this kind, as text without
+	// further meaning; empty if the calling node does not tell.
+	Address string `json:"address,omitempty,omitzero"`
+
+	// Pools that have answered that they do not have the submitted job and have
+	// closed its address.
+	Asked []string `json:"asked,omitempty,omitzero"`
+
+	// Whether these are all other pools.
+	AskedAll bool `json:"asked_all,omitempty,omitzero"`
+
 	// Cell whose owner is called; empty until it is chosen.
 	Cell string `json:"cell,omitempty,omitzero"`
 
+	// Whether the cell, if it does not have the job, accepts no more jobs of the
+	// address by older configurations than the call's.
+	Closing bool `json:"closing,omitempty,omitzero"`
+
 	// Version of the configuration by which the calling node chose the cell.
 	ConfigVersion int `json:"config_version,omitempty,omitzero"`
 
@@ -632,6 +665,9 @@
 	// queue.
 	Customer string `json:"customer,omitempty,omitzero"`
 
+	// Those of them that hold other jobs of the address.
+	Holding []string `json:"holding,omitempty,omitzero"`
+
 	// ID of the job; empty for a call about the queue.
 	Id string `json:"id,omitempty,omitzero"`
 
@@ -672,11 +708,15 @@
 const JobOutcomeUnauthorized JobOutcome = "unauthorized"
 const JobOutcomeUnknown JobOutcome = "unknown"
 const JobOutcomeUnknownQueue JobOutcome = "unknown_queue"
+const JobOutcomeUnsettled JobOutcome = "unsettled"
 
 // JobRecord is the changing part of a job. It is a record of the cell's stream,
 // under the job's ID. Because it is written each time a task starts or ends, its
 // rows have no field names, which saves space.
 type JobRecord struct {
+	// Address of a job that has ended; empty if it is not known.
+	Address string `json:"address,omitempty,omitzero"`
+
 	// Tasks under which endpoints were lost. The columns are: the index of the task's
 	// row in tasks; the number of losses; the number of losses at which the task
 	// certainly ran; the number of the last losses in a row at which the task may
@@ -725,6 +765,17 @@
 
 // JobReply is the reply to a call on a job or a queue.
 type JobReply struct {
+	// Pools that have to be asked for the job, if its outcome is unsettled; empty for
+	// all other pools.
+	Former []string `json:"former,omitempty,omitzero"`
+
+	// Whether the cell holds no job of the address, in the reply to a closing call.
+	HoldsNone bool `json:"holds_none,omitempty,omitzero"`
+
+	// Version of the configuration by which the address was opened in the cell, if
+	// these pools are named.
+	OpenedBy int `json:"opened_by,omitempty,omitzero"`
+
 	// Result of the call.
 	Outcome JobOutcome `json:"outcome"`
 
@@ -739,6 +790,10 @@
 	// advice.
 	RetryAfterMs int `json:"retry_after_ms,omitempty,omitzero"`
 
+	// Whether no other pool holds jobs of the address, in the reply to a call that
+	// counts pending jobs.
+	Settled bool `json:"settled,omitempty,omitzero"`
+
 	// State of the job, if the call asked for it.
 	State JobState `json:"state,omitempty,omitzero"`
 }
