Lead addresses from pool to pool in the soak

Change: every other configuration swaps the pools of the two addresses, and two of four give the queues other names.

--- a/pkg/soak/faults_test.go
+++ b/pkg/soak/faults_test.go
@@ -148,12 +148,19 @@
 	return nil
 }
 
-// changeConfiguration puts a configuration into force with another limit on attempts.
+// changeConfiguration puts a configuration into force with another limit on attempts, which leads each address to the pool
+// of the other one and back by turns. Every other time the queues have other names.
 func (p *faultPlayer) changeConfiguration() error {
 	p.configuration++
 	queues := slices.Clone(p.cluster.queues)
 	for number := range queues {
 		queues[number].MaxAttempts += p.configuration % 2
+		if p.configuration%2 == 1 {
+			queues[number].Pool = p.cluster.queues[len(queues)-1-number].Pool
+		}
+		if p.configuration%4 > 1 {
+			queues[number].Name += "-renamed"
+		}
 	}
 	return p.cluster.platform.PutConfiguration(1+p.configuration, queues...)
 }
