Match a submitted job in other pools by its address and its customer

A closing call found a job of another address with the same ID, so that the client's own job would have been said to be accepted and never run; and it didn't find a customer's job once its address had become public, so that the job would have run twice. Both by reading, neither seen in a play. Change: a closing call matches the address; a job that isn't shown to the client is refused, as a submission in its own pool is. TestJobOfAnotherCustomerOrAddressIsNotTheClients has a row for each; the rows that the former code would fail are the public one at address a (no such job) and those at address b (found), by reading.

--- a/pkg/cell/address.go
+++ b/pkg/cell/address.go
@@ -71,20 +71,33 @@
 	return false
 }
 
-// closeAddress answers a call of a node whose configuration leads an address to another pool, about a job that this cell
-// doesn't have. The reply is sent once it is recorded that this cell accepts no jobs of the address by older
-// configurations.
+// closeAddress answers a call of a node whose configuration leads an address to another pool, about a job that a client
+// submits there. Unless this cell has the job, the reply is sent once it is recorded that this cell accepts no jobs of the
+// address by older configurations.
 func (c *Cell) closeAddress(args wire.JobArgs, callID int) {
+	if reply := c.closingReply(args); reply.Outcome != wire.JobOutcomeNoSuchJob {
+		c.reply(callID, reply)
+		return
+	}
 	if !c.addresses.book.Close(c.now, args.Address, args.ConfigVersion) {
 		reason := fmt.Sprintf("a newer configuration than %d leads the address here", args.ConfigVersion)
 		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: reason, RetryAfterMs: int(retryAfter.Milliseconds())})
 		return
 	}
-	c.replyOnceCurrent(callID, args.WaitMs, func() wire.JobReply {
-		reply := c.stateReply(args)
-		reply.HoldsNone = reply.Outcome == wire.JobOutcomeNoSuchJob && !c.mayHoldJobsOf(args.Address)
-		return reply
-	})
+	c.replyOnceCurrent(callID, args.WaitMs, func() wire.JobReply { return c.closingReply(args) })
+}
+
+// closingReply returns the reply to a closing call by what is recorded. A job of the same ID that was submitted at another
+// address is another job.
+func (c *Cell) closingReply(args wire.JobArgs) wire.JobReply {
+	j, exists := c.jobs[args.Id]
+	switch {
+	case !exists || !j.recorded || j.unsubmitted || j.address != "" && j.address != args.Address:
+		return wire.JobReply{Outcome: wire.JobOutcomeNoSuchJob, HoldsNone: !c.mayHoldJobsOf(args.Address)}
+	case !j.visibleTo(args):
+		return takenReply()
+	}
+	return wire.JobReply{Outcome: wire.JobOutcomeFound, State: j.recordedState}
 }
 
 // mayHoldJobsOf reports whether the cell may have a job of an address. The address of a job isn't known if an earlier
--- a/pkg/cell/address_test.go
+++ b/pkg/cell/address_test.go
@@ -189,3 +189,27 @@
 	c.pass(2*retention + 40*time.Second)
 	assert.Equal(t, count(), 0)
 }
+
+// TestJobOfAnotherCustomerOrAddressIsNotTheClients guards against a job that never runs because another one has its ID, and
+// against one that runs twice because its address has become public.
+func TestJobOfAnotherCustomerOrAddressIsNotTheClients(t *testing.T) {
+	c := newAddressCell(t)
+	c.submit(wire.JobArgs{Id: "a1", Address: "a", ConfigVersion: 1, AskedAll: true, Customer: "first"})
+	for _, row := range []struct {
+		address, customer string
+		public            bool
+		outcome           wire.JobOutcome
+	}{
+		{address: "a", customer: "first", outcome: wire.JobOutcomeFound},
+		{address: "a", public: true, outcome: wire.JobOutcomeFound},
+		{address: "a", customer: "second", outcome: wire.JobOutcomeRefused},
+		{address: "b", customer: "first", outcome: wire.JobOutcomeNoSuchJob},
+		{address: "b", public: true, outcome: wire.JobOutcomeNoSuchJob},
+	} {
+		c.callID++
+		args := wire.JobArgs{Queue: "queue", Pool: "other", Cell: "pool", Id: "a1", Address: row.address, ConfigVersion: 2, Closing: true, Customer: row.customer, Public: row.public}
+		c.cell.Query(c.now, args, c.callID)
+		c.pass(300 * time.Millisecond)
+		assert.Equal(t, c.replies[c.callID].Outcome, row.outcome, "%+v", row)
+	}
+}
--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -303,6 +303,10 @@
 func (c *Cell) Query(now time.Time, args wire.JobArgs, callID int) {
 	c.beginEvent(now)
 	defer c.finishEvent()
+	if args.Closing {
+		c.closeAddress(args, callID)
+		return
+	}
 	if reply := c.stateReply(args); reply.Outcome == wire.JobOutcomeFound {
 		c.reply(callID, reply)
 		return
@@ -312,10 +316,6 @@
 		return
 	}
 	c.noteAbsent("query", args)
-	if args.Closing {
-		c.closeAddress(args, callID)
-		return
-	}
 	c.replyOnceCurrent(callID, args.WaitMs, func() wire.JobReply { return c.stateReply(args) })
 }
 
--- a/pkg/cell/submit.go
+++ b/pkg/cell/submit.go
@@ -58,13 +58,18 @@
 func (c *Cell) submitAgain(j *job, args wire.JobArgs, callID int) {
 	if !j.visibleTo(args) {
 		c.logJob("job refused", j, "another customer has a job of this ID")
-		c.reply(callID, wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "not taken", RetryAfterMs: int(retryAfter.Milliseconds())})
+		c.reply(callID, takenReply())
 		return
 	}
 	j.extendClientWait(c.now, args.WaitMs)
 	c.replyOnceRecorded(j, callID, wire.JobReply{Outcome: wire.JobOutcomeAccepted})
 }
 
+// takenReply returns the refusal of a job whose ID another customer has taken. It doesn't reveal that.
+func takenReply() wire.JobReply {
+	return wire.JobReply{Outcome: wire.JobOutcomeRefused, Reason: "not taken", RetryAfterMs: int(retryAfter.Milliseconds())}
+}
+
 // countArrival counts a job in the statistics of its queue. A refused job counts once, at its first
 // submission: if it did not count, the planner would give no boxes for what a full cell refuses.
 func (c *Cell) countArrival(j *job) {
--- a/pkg/intake/sent_again.go
+++ b/pkg/intake/sent_again.go
@@ -71,7 +71,7 @@
 	var calls []wire.JobArgs
 	for _, pool := range args.Asked {
 		lookup := argsForCell(args, pool, submissionShard(args, pool, layout))
-		lookup.Spec, lookup.Public, lookup.Closing, lookup.Asked, lookup.ConfigVersion = nil, false, true, nil, version
+		lookup.Spec, lookup.Closing, lookup.Asked, lookup.ConfigVersion = nil, true, nil, version
 		calls = append(calls, lookup)
 	}
 	return calls
