Apply what a call returns only to the life that was called

A start or stop that was meant for the former life was refused, "another life answers", after the run had been assigned to the later one. findRun finds the run there, and Started and Stopped marked the run's endpoint, the later life, as lost; its runs started elsewhere while it worked on. Since calls are bound to lives, that refusal is the usual answer to a call that waits for its connection while the endpoint restarts.

Now a reply, a refusal or an error of a start, stop or speed request counts for the life that was called. For a run that has been assigned to a later life since, a refusal shows that it hasn't begun, and nothing else: neither an exit, a back-off, an answered call nor a confirmed stop of the later life. Every refusal says that the request wasn't carried out, and a bound connection can't have led to the later life; an accepted start is still decided by the later life's next poll.

--- a/pkg/cell/filler_speed.go
+++ b/pkg/cell/filler_speed.go
@@ -45,11 +45,11 @@
 	return worst
 }
 
-// SpeedSet handles the reply to a SpeedChange, or the error that it failed with.
+// SpeedSet handles the reply to a SpeedChange that was sent to life, or the error that it failed with.
 func (c *Cell) SpeedSet(now time.Time, life damsonwinch.Life, id damsonwinch.Run, err error) {
 	c.beginEvent(now)
 	r := c.findRun(life, id)
-	if r == nil || err == nil {
+	if r == nil || !r.isOn(life) || err == nil {
 		return
 	}
 	c.logRun("speed not set", r, err.Error())
--- a/pkg/cell/lives.go
+++ b/pkg/cell/lives.go
@@ -110,8 +110,8 @@
 	c.removeFromEndpoint(r)
 	r.endpoint = later
 	c.addToEndpoint(r)
-	// Only the earlier life has confirmed the stop.
-	r.stopConfirmed = false
+	// Only the earlier life has confirmed the stop and the speed.
+	r.stopConfirmed, r.speedPercent = false, fullPercent
 	c.markDirty(r.task.phase.job())
 }
 
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -203,12 +203,13 @@
 	c.effects.Stops = append(c.effects.Stops, Stop{Endpoint: r.endpoint.info, Request: damsonwinch.StopRequest{Run: r.id(), Token: c.token}})
 }
 
-// Stopped handles the reply to a stop request, or the error that the request failed with.
+// Stopped handles the reply to a stop request that was sent to life, or the error that the request failed with.
 func (c *Cell) Stopped(now time.Time, life damsonwinch.Life, id damsonwinch.Run, err error) {
 	c.beginEvent(now)
 	defer c.finishEvent()
 	r := c.findRun(life, id)
-	if r == nil {
+	if r == nil || !r.isOn(life) {
+		// A later life, to which the run has been assigned, gets a stop of its own.
 		return
 	}
 	switch {
@@ -246,6 +247,12 @@
 	}
 }
 
+// isOn reports whether the run is assigned to the given life. What a call to another life returns says nothing of the life
+// to which the run has been assigned since.
+func (r *run) isOn(life damsonwinch.Life) bool {
+	return r.endpoint.info.Life == life
+}
+
 // findRun returns the run that was requested of the given life, or nil. Meanwhile the run may have
 // been assigned to a later life with the same ID.
 func (c *Cell) findRun(life damsonwinch.Life, id damsonwinch.Run) *run {
--- a/pkg/cell/start_reply.go
+++ b/pkg/cell/start_reply.go
@@ -7,7 +7,8 @@
 	"damsonwinch"
 )
 
-// Started handles the reply to a start request, or the error that the request failed with.
+// Started handles the reply to a start request that was sent to life, or the error that the request failed with. Meanwhile
+// the run may have been assigned to a later life.
 func (c *Cell) Started(now time.Time, life damsonwinch.Life, id damsonwinch.Run, err error) {
 	c.beginEvent(now)
 	defer c.finishEvent()
@@ -15,28 +16,24 @@
 	if r == nil || r.state != runRequested && !r.startOverdue {
 		return
 	}
-	switch {
-	case errors.Is(err, damsonwinch.ErrOtherLife):
-		c.addressAnswered(r.endpoint)
-	case err == nil, isStartRefusal(err):
-		c.endpointAnswered(r.endpoint)
-		c.observeAnswer(r.endpoint, now.Sub(r.startedAt))
+	if called := c.endpoints[life]; called != nil {
+		c.noteStartAnswer(called, now.Sub(r.startedAt), err)
 	}
 	if r.startOverdue {
 		r.startOverdue = false
-		c.overdueStartReturned(r, err)
+		c.overdueStartReturned(life, r, err)
 		return
 	}
 	switch {
 	case errors.Is(err, damsonwinch.ErrNotSent):
-		c.startNotSent(r, err)
+		c.startNotSent(life, r, err)
 	case err == nil:
 		c.startAccepted(r)
 		if r.stopping {
 			c.stop(r, "requested before it began")
 		}
 	case isStartRefusal(err):
-		c.startRefused(r, err)
+		c.startRefused(life, r, err)
 	default:
 		r.state = runUncertain
 		c.logRun("start unanswered", r, err.Error())
@@ -50,15 +47,26 @@
 	}
 }
 
+// noteStartAnswer notes what the reply to a start request, or its error, says of the endpoint that was called.
+func (c *Cell) noteStartAnswer(called *endpoint, took time.Duration, err error) {
+	switch {
+	case errors.Is(err, damsonwinch.ErrOtherLife):
+		c.addressAnswered(called)
+	case err == nil, isStartRefusal(err):
+		c.endpointAnswered(called)
+		c.observeAnswer(called, took)
+	}
+}
+
 // overdueStartReturned handles the reply to a start request that came after the usual time, or the error that the
 // request failed with. A poll may have shown meanwhile that the run exists.
-func (c *Cell) overdueStartReturned(r *run, err error) {
+func (c *Cell) overdueStartReturned(life damsonwinch.Life, r *run, err error) {
 	if r.state != runUncertain {
 		return
 	}
 	switch {
 	case errors.Is(err, damsonwinch.ErrNotSent):
-		c.startNotSent(r, err)
+		c.startNotSent(life, r, err)
 	case err == nil:
 		c.startAccepted(r)
 		switch {
@@ -69,7 +77,7 @@
 			r.stopping, r.keepIfListed = false, false
 		}
 	case isStartRefusal(err) && !r.stopping:
-		c.startRefused(r, err)
+		c.startRefused(life, r, err)
 	case !r.stopping && (!r.task.phase.spec.Lasting || r.task.phase.spec.Gang):
 		// Neither the start nor a poll has been answered.
 		c.stopUnanswered(r)
@@ -102,12 +110,16 @@
 	return false
 }
 
-// startRefused removes a run that its endpoint has refused to start.
-func (c *Cell) startRefused(r *run, err error) {
+// startRefused removes a run that life has refused to start.
+func (c *Cell) startRefused(life damsonwinch.Life, r *run, err error) {
 	c.stats.StartsRefused++
 	c.addExtraStarts(r.task, -1)
 	c.logRun("start refused", r, err.Error())
 	defer c.stopGang(r.task.phase, "a member of its gang was refused")
+	if !r.isOn(life) {
+		c.requeueUnstarted(r)
+		return
+	}
 	switch {
 	case errors.Is(err, damsonwinch.ErrOtherLife):
 		c.requeueUnstarted(r)
@@ -128,12 +140,14 @@
 	c.requeueUnstarted(r)
 }
 
-// startNotSent removes a run whose start request has certainly not reached its endpoint.
-func (c *Cell) startNotSent(r *run, err error) {
+// startNotSent removes a run whose start request has certainly not reached life.
+func (c *Cell) startNotSent(life damsonwinch.Life, r *run, err error) {
 	c.logRun("start not sent", r, err.Error())
 	c.addExtraStarts(r.task, -1)
-	c.requestPoll(r.endpoint)
-	r.endpoint.backoffUntil = c.now.Add(endpointBackoff)
+	if r.isOn(life) {
+		c.requestPoll(r.endpoint)
+		r.endpoint.backoffUntil = c.now.Add(endpointBackoff)
+	}
 	c.requeueUnstarted(r)
 	c.stopGang(r.task.phase, "a member of its gang could not be started")
 }
