Test that pending jobs of other addresses aren't counted

The tests of jobs in former pools had no pool with jobs of another address. With isSubmittedTo returning true, the new test fails (3 jobs in place of 2).

--- a/pkg/cell/address_test.go
+++ b/pkg/cell/address_test.go
@@ -213,3 +213,19 @@
 		assert.Equal(t, c.replies[c.callID].Outcome, row.outcome, "%+v", row)
 	}
 }
+
+// TestPendingLeavesOutJobsOfOtherAddresses guards against a number of pending jobs that includes those of another address
+// which a former pool holds, under the same name of a queue.
+func TestPendingLeavesOutJobsOfOtherAddresses(t *testing.T) {
+	c := newAddressCell(t)
+	for id, address := range map[string]string{"a1": "a", "a2": "a", "b1": "b"} {
+		args := wire.JobArgs{Id: id, Address: address, ConfigVersion: 2, Asked: []string{"other"}, AskedAll: true}
+		assert.Equal(t, c.submit(args).Outcome, wire.JobOutcomeAccepted)
+	}
+	for range 2 {
+		assert.Equal(t, c.cell.Pending(wire.JobArgs{Queue: "renamed", Address: "a"}), 2)
+		assert.Equal(t, c.cell.Pending(wire.JobArgs{Queue: "queue", Address: "b"}), 1)
+		assert.Equal(t, c.cell.Pending(wire.JobArgs{Queue: "queue", Address: "unused"}), 0)
+		c.takeOver()
+	}
+}
