Log and count replies to polls from another life

A later life under an ID may receive a poll that was meant for the earlier one. It then discards its results up to a number that isn't its own, and nothing showed that.

The owner now logs such a reply with both lives, the number acknowledged and whether leases were renewed, and counts it in polls_other_life and, if a number above 0 was acknowledged, in polls_other_life_acked. The reply to a connection's identification says so (PollReply.IdentifiedOnly) and acknowledges nothing. Replies that changed nothing are logged once for each pair of lives.

go test ./platform ./pkg/owner and the scripts and tests of lives in pkg/cell pass.

--- a/endpoint.go
+++ b/endpoint.go
@@ -183,6 +183,9 @@
 	// Truncated reports whether the endpoint may hold more results: a reply lists only the first ones. A run
 	// that a truncated reply doesn't list may have ended.
 	Truncated bool
+	// IdentifiedOnly reports whether another life than the one that was polled has only been identified: it has not received
+	// the request, and has renewed no lease and discarded no result because of it.
+	IdentifiedOnly bool
 }
 
 // Errors with which an endpoint refuses a request. After each of them it has done nothing.
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -109,6 +109,10 @@
 	// RunsLost counts those runs.
 	EndpointsLost int
 	RunsLost      int
+	// OtherLifeReplies counts replies to polls that came from another life than the polled one. OtherLifeAcks counts those
+	// whose polls acknowledged results to that other life.
+	OtherLifeReplies int
+	OtherLifeAcks    int
 	// QuotaWaits counts how often a customer began to wait for its allowance.
 	QuotaWaits int
 	// JobsOverShare counts jobs that were beyond their customers' shares when they were accepted.
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -24,6 +24,8 @@
 	lastSentAt   time.Time
 	// renewedAt is when the last poll was sent that renews the leases.
 	renewedAt time.Time
+	// loggedOtherLife is the life that was last logged as having answered a poll of this one.
+	loggedOtherLife damsonwinch.Life
 }
 
 // sentPoll is a poll that has not been answered yet.
@@ -33,6 +35,9 @@
 	sentAt time.Time
 	// maxWait is how long the endpoint may hold the poll until a run ends.
 	maxWait time.Duration
+	// ackedSequence is the number of results that the poll acknowledges, and renewsLeases whether it renews the leases.
+	ackedSequence int
+	renewsLeases  bool
 	// overdue is set once the poll has been sent again.
 	overdue bool
 }
@@ -127,6 +132,7 @@
 		e.polls.renewedAt = c.now
 		request.LeaseUntilMs = e.leases.Extend(c.now, c.options.MaxLease)
 	}
+	sent.ackedSequence, sent.renewsLeases = request.AckedSequence, request.LeaseUntilMs > 0
 	c.stats.Polls++
 	c.effects.Polls = append(c.effects.Polls, Poll{Endpoint: e.info, Request: request, Number: sent.number})
 }
@@ -162,7 +168,13 @@
 	c.placementDue = true
 	c.schedulePoll(e)
 	sent := e.polls.take(number)
-	if sent == nil || e.exited && !c.survivedReport(e, sent, reply, err) {
+	if sent == nil {
+		return
+	}
+	if err == nil {
+		c.checkReplyingLife(e, sent, reply)
+	}
+	if e.exited && !c.survivedReport(e, sent, reply, err) {
 		return
 	}
 	if err != nil {
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -320,7 +320,7 @@
 // answerPoll answers the poll of an endpoint. The argument running lists runs as run:percent:load,
 // of which percent and load may be left out, and the argument ended lists results as
 // sequence:run:ending:checkpoint, of which the checkpoint may be left out. With the argument truncated there may be more
-// of them. The endpoint's clock is 5 s ahead of the time since the scenario began.
+// of them, and with identified-only the reply is to the identification of the connection. The endpoint's clock is 5 s ahead of the time since the scenario began.
 func (s *script) answerPoll(d *datadriven.TestData) string {
 	at := arg(s.t, d, "at")
 	sent, exists := s.polls[at]
@@ -328,7 +328,7 @@
 		return "no look is on its way to " + at + "\n"
 	}
 	delete(s.polls, at)
-	reply := damsonwinch.PollReply{StartedUnixMs: intArg(s.t, d, "born", sent.Endpoint.Life.StartedUnixMs), ClockMs: s.clockMs(), Truncated: d.HasArg("truncated")}
+	reply := damsonwinch.PollReply{StartedUnixMs: intArg(s.t, d, "born", sent.Endpoint.Life.StartedUnixMs), ClockMs: s.clockMs(), Truncated: d.HasArg("truncated"), IdentifiedOnly: d.HasArg("identified-only")}
 	for _, text := range listArg(s.t, d, "running") {
 		parts := strings.Split(text+":0:0", ":")
 		percent, _ := strconv.Atoi(parts[1])
@@ -457,7 +457,7 @@
 	switch message {
 	case "job accepted", "endpoint listed", "endpoint attached":
 		return false
-	case "task given up", "long-running task waits":
+	case "task given up", "long-running task waits", "poll answered by another life":
 		return true
 	}
 	return strings.HasPrefix(message, "job ") || strings.HasPrefix(message, "zone ") || strings.HasPrefix(message, "endpoint ")
--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -247,7 +247,9 @@
 	}
 	e.misaddressed = !life.MayBeSame(e.info.Life)
 	defer func() { e.misaddressed = false }()
-	return e.poll(request)
+	reply, err := e.poll(request)
+	reply.IdentifiedOnly = !e.receives(life)
+	return reply, err
 }
 
 // poll answers a poll at once. holdPoll and sendPoll delay the reply where the endpoint would hold
--- a/pkg/owner/counters.go
+++ b/pkg/owner/counters.go
@@ -27,6 +27,8 @@
 	{"runs_lapsed", func(s cell.Stats) int { return s.RunsLapsed }},
 	{"runs_lost", func(s cell.Stats) int { return s.RunsLost }},
 	{"endpoints_lost", func(s cell.Stats) int { return s.EndpointsLost }},
+	{"polls_other_life", func(s cell.Stats) int { return s.OtherLifeReplies }},
+	{"polls_other_life_acked", func(s cell.Stats) int { return s.OtherLifeAcks }},
 	{"endpoints_ejected", func(s cell.Stats) int { return s.Ejections }},
 	{"endpoints_suspected", func(s cell.Stats) int { return s.Suspicions }},
 }
