Log and count results that an owner has missed

A life numbers its results from 1 without gaps and discards only what was acknowledged. If somebody else acknowledged results, the owner skipped the gap in silence.

A reply whose new results don't follow the last one applied is now logged (results are missing) and counted in result_gaps. A gap before the first result counts only if the endpoint became known longer than RenewalGrace after the takeover and was not removed and listed again: otherwise an earlier owner, or this one, may have acknowledged it.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -117,8 +117,10 @@
 	refusalsAreCommon bool
 	// lastSync is what is known of the newest call of the fleet planner.
 	lastSync lastSync
-	effects  Effects
-	stats    Stats
+	// resultGaps finds results that endpoints have discarded too early.
+	resultGaps resultGaps
+	effects    Effects
+	stats      Stats
 }
 
 // New returns an empty cell for the owner with the given fencing token. Load must come before any
--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -113,6 +113,8 @@
 	// whose polls acknowledged results to that other life.
 	OtherLifeReplies int
 	OtherLifeAcks    int
+	// ResultGaps counts replies to polls that lack results which this owner has not applied.
+	ResultGaps int
 	// QuotaWaits counts how often a customer began to wait for its allowance.
 	QuotaWaits int
 	// JobsOverShare counts jobs that were beyond their customers' shares when they were accepted.
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -142,6 +142,9 @@
 	c.beginEvent(now)
 	c.endpointsChanged()
 	defer c.finishEvent()
+	if c.resultGaps.endpointsSetAt.IsZero() {
+		c.resultGaps.endpointsSetAt = now
+	}
 	present := make(map[damsonwinch.Life]bool, len(listed))
 	for _, info := range listed {
 		present[info.Life] = true
@@ -178,6 +181,7 @@
 			return false
 		}
 		c.forgetLapsed(e)
+		c.resultGaps.addSwept(e)
 		delete(c.endpoints, e.info.Life)
 		e.zone.byFreeCores.Remove(&e.coreEntry)
 		c.deleteEndpointRecord(e)
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -244,6 +244,7 @@
 // numbers.
 func (c *Cell) applyResults(e *endpoint, results []damsonwinch.RunResult) {
 	slices.SortFunc(results, func(a, b damsonwinch.RunResult) int { return a.Sequence - b.Sequence })
+	c.checkResultGaps(e, results)
 	for _, result := range results {
 		if result.Sequence <= e.appliedSequence {
 			continue
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -180,6 +180,7 @@
 	for _, line := range effects.LogLines {
 		w.late.logged(line)
 		w.fleet.logged(o, line)
+		w.rules.checkLogged(o, line)
 		if line.Message == "run lost" || strings.HasPrefix(line.Message, "job failed") {
 			w.logf("%s: %s %s %s: %s", o.name, line.Message, line.Task, line.Job, line.Reason)
 		}
--- a/pkg/cell/sim_rules_test.go
+++ b/pkg/cell/sim_rules_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/cell"
 	"damsonwinch/pkg/wire"
 )
 
@@ -80,6 +81,14 @@
 	return nil
 }
 
+// checkLogged checks that no owner misses results in a simulation without a mutation: results are acknowledged only once they
+// are recorded, and to the life that has sent them.
+func (r *rules) checkLogged(o *simOwner, line cell.LogLine) {
+	if line.Message == "results are missing" && r.world.mutation == (mutation{}) {
+		r.fail("GAP: %s: %s %s", o.name, line.Endpoint, line.Reason)
+	}
+}
+
 // checkStart checks a start that an endpoint carries out.
 func (r *rules) checkStart(e *simEndpoint, request damsonwinch.StartRequest) {
 	r.startCount++
--- a/pkg/owner/counters.go
+++ b/pkg/owner/counters.go
@@ -29,6 +29,7 @@
 	{"endpoints_lost", func(s cell.Stats) int { return s.EndpointsLost }},
 	{"polls_other_life", func(s cell.Stats) int { return s.OtherLifeReplies }},
 	{"polls_other_life_acked", func(s cell.Stats) int { return s.OtherLifeAcks }},
+	{"result_gaps", func(s cell.Stats) int { return s.ResultGaps }},
 	{"endpoints_ejected", func(s cell.Stats) int { return s.Ejections }},
 	{"endpoints_suspected", func(s cell.Stats) int { return s.Suspicions }},
 }
