Log and count results of runs that had been given up

The result of a run that its owner had taken for ended was applied or ignored in silence, so that a task that ran twice left no trace.

Each such result now has a line (late result) with its ending, whether the task was done before and how many other attempts exist; for endings other than done it is a debug line. results_late_done counts those that ended as done, results_late_done_again those whose tasks were done already. With the first reply of an inherited endpoint the result of a done task may be one that the earlier owner has applied; it is a debug line and isn't counted.

--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -115,6 +115,10 @@
 	OtherLifeAcks    int
 	// ResultGaps counts replies to polls that lack results which this owner has not applied.
 	ResultGaps int
+	// LateDone counts results that say done of runs that had been given up. LateDoneAgain counts those whose tasks were done
+	// already: the tasks ran twice.
+	LateDone      int
+	LateDoneAgain int
 	// QuotaWaits counts how often a customer began to wait for its allowance.
 	QuotaWaits int
 	// JobsOverShare counts jobs that were beyond their customers' shares when they were accepted.
--- a/pkg/cell/results.go
+++ b/pkg/cell/results.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"slices"
 
 	"damsonwinch"
@@ -42,6 +43,7 @@
 // applied after an earlier poll or by an earlier owner, or the run's lease was taken to have expired.
 func (c *Cell) applyLateResult(e *endpoint, t *task, result damsonwinch.RunResult) {
 	wasLapsed := c.resolveLapsed(e, result)
+	c.observeLateResult(e, t, result, wasLapsed)
 	if t.phase.spec.Lasting {
 		return
 	}
@@ -53,6 +55,24 @@
 	}
 }
 
+// observeLateResult counts and logs a late result. A done task whose result arrives with the first reply of an inherited
+// endpoint may be done by that result: the earlier owner has applied it and not acknowledged it.
+func (c *Cell) observeLateResult(e *endpoint, t *task, result damsonwinch.RunResult, wasLapsed bool) {
+	mayBeApplied := t.done && !wasLapsed && !e.attached && !c.isFirstOwner(e)
+	isDone := result.Ending == damsonwinch.EndedDone
+	if isDone && !mayBeApplied {
+		c.stats.LateDone++
+		if t.done {
+			c.stats.LateDoneAgain++
+		}
+	}
+	c.effects.LogLines = append(c.effects.LogLines, LogLine{
+		Message: "late result", Job: t.phase.job().id, Task: t.id().String(), Endpoint: e.info.Life.String(), Debug: !isDone || mayBeApplied,
+		Reason: fmt.Sprintf("attempt %d of %d ended as %.20s, number %d; lease taken for expired %t, task done before %t, other attempts %d, may have been applied by an earlier owner %t",
+			result.Attempt, t.lastAttempt, result.Ending, result.Sequence, wasLapsed, t.done, len(t.runs), mayBeApplied),
+	})
+}
+
 // attemptFailed counts a failed attempt and makes its task ready for the next one.
 func (c *Cell) attemptFailed(t *task, r *run) {
 	t.avoid = r.endpoint.info.Life
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -457,7 +457,7 @@
 	switch message {
 	case "job accepted", "endpoint listed", "endpoint attached":
 		return false
-	case "task given up", "long-running task waits", "poll answered by another life", "results are missing":
+	case "task given up", "long-running task waits", "poll answered by another life", "results are missing", "late result":
 		return true
 	}
 	return strings.HasPrefix(message, "job ") || strings.HasPrefix(message, "zone ") || strings.HasPrefix(message, "endpoint ")
--- a/pkg/owner/counters.go
+++ b/pkg/owner/counters.go
@@ -30,6 +30,8 @@
 	{"polls_other_life", func(s cell.Stats) int { return s.OtherLifeReplies }},
 	{"polls_other_life_acked", func(s cell.Stats) int { return s.OtherLifeAcks }},
 	{"result_gaps", func(s cell.Stats) int { return s.ResultGaps }},
+	{"results_late_done", func(s cell.Stats) int { return s.LateDone }},
+	{"results_late_done_again", func(s cell.Stats) int { return s.LateDoneAgain }},
 	{"endpoints_ejected", func(s cell.Stats) int { return s.Ejections }},
 	{"endpoints_suspected", func(s cell.Stats) int { return s.Suspicions }},
 }
