Log when an endpoint that was lost by a list of boxes last answered

An endpoint that a list of boxes lacks is taken for exited, and its runs start elsewhere. Nothing showed how old the endpoint's last answer was, nor that a later answer proved the exit false.

The line "endpoint lost" now says how long ago the endpoint last answered, and "endpoint had not exited" comes before it is used again. endpoints_lost_falsely counts the latter.

--- a/pkg/cell/effects.go
+++ b/pkg/cell/effects.go
@@ -109,6 +109,8 @@
 	// RunsLost counts those runs.
 	EndpointsLost int
 	RunsLost      int
+	// FalseExits counts endpoint lives that have answered after a list of boxes showed that they had exited.
+	FalseExits int
 	// OtherLifeReplies counts replies to polls that came from another life than the polled one. OtherLifeAcks counts those
 	// whose polls acknowledged results to that other life.
 	OtherLifeReplies int
--- a/pkg/cell/lives.go
+++ b/pkg/cell/lives.go
@@ -123,7 +123,7 @@
 		return
 	}
 	e.exitReported, e.exitStep = true, c.step
-	c.markLostKeeping(e, reason, func(r *run) bool {
+	c.markLostKeeping(e, reason+"; "+c.lastAnswer(e), func(r *run) bool {
 		return e.info.Life.StartedUnixMs != 0 && (r.state != runConfirmed || e.silent && r.listedAfterStep >= e.silentStep)
 	})
 }
--- a/pkg/cell/reported_exit.go
+++ b/pkg/cell/reported_exit.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"damsonwinch"
@@ -60,6 +61,16 @@
 	if !e.info.Life.WithStarted(reply.StartedUnixMs).MayBeSame(e.info.Life) || c.superseded(e) {
 		return false
 	}
+	c.stats.FalseExits++
+	c.logEndpoint("endpoint had not exited", e, "a list of boxes lacked it; before this answer, "+c.lastAnswer(e))
 	e.exited, e.exitReported, e.silent = false, false, true
 	return true
 }
+
+// lastAnswer says for log lines how long ago an endpoint last answered a call of this owner.
+func (c *Cell) lastAnswer(e *endpoint) string {
+	if e.lastAnsweredAt.IsZero() {
+		return "it has not answered this owner"
+	}
+	return fmt.Sprintf("it last answered %d ms ago", c.now.Sub(e.lastAnsweredAt).Milliseconds())
+}
--- a/pkg/cell/reported_exit_test.go
+++ b/pkg/cell/reported_exit_test.go
@@ -111,4 +111,5 @@
 	l.runFor(5 * time.Second)
 	assert.DeepEqual(t, l.stopped, []damsonwinch.Run{first})
 	assert.Equal(t, l.starts, 2, "the task runs again")
+	assert.Equal(t, l.cell.Stats().FalseExits, 1, "the answer shows that the report was wrong")
 }
--- a/pkg/owner/counters.go
+++ b/pkg/owner/counters.go
@@ -27,6 +27,7 @@
 	{"runs_lapsed", func(s cell.Stats) int { return s.RunsLapsed }},
 	{"runs_lost", func(s cell.Stats) int { return s.RunsLost }},
 	{"endpoints_lost", func(s cell.Stats) int { return s.EndpointsLost }},
+	{"endpoints_lost_falsely", func(s cell.Stats) int { return s.FalseExits }},
 	{"polls_other_life", func(s cell.Stats) int { return s.OtherLifeReplies }},
 	{"polls_other_life_acked", func(s cell.Stats) int { return s.OtherLifeAcks }},
 	{"result_gaps", func(s cell.Stats) int { return s.ResultGaps }},
