Don't believe a list of boxes that was requested before an endpoint's last answer

Callers could see a task run twice: its owner took the endpoint for exited and started the task elsewhere, while the endpoint, cut off, went on with it.

Cause: an owner that can't reach an endpoint goes by the platform's list of boxes, and compared the time of the list's request only with when the endpoint had become known. A list that was requested while the box was down between two lives, and read slowly, was believed if the endpoint fell silent before it arrived, although it had answered polls meanwhile. Endpoints that report when they started are a new life then, known later than the list; for those that don't, both lives are the same endpoint. It also holds for a list that lags behind, as far as it lags behind the last answer.

An owner requests a list each time a poll of a silent endpoint fails, so an endpoint that has exited is still recognized by the next one.

--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -75,6 +75,9 @@
 	// lastAnsweredAt is when the endpoint last answered a call, not counting replies that were
 	// handled before the owner had caught up after a pause.
 	lastAnsweredAt time.Time
+	// aliveAt is when the endpoint became known or, if that was later, when the owner last handled an answer
+	// of it. An older list of boxes doesn't show that it has exited.
+	aliveAt time.Time
 	// probation is the run that is on probation on the endpoint, and reservedFor the task that is
 	// to be started on probation there next. Nothing else starts there meanwhile.
 	probation   *run
@@ -126,7 +129,7 @@
 		return known
 	}
 	e := &endpoint{
-		info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now,
+		info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, aliveAt: c.now, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now,
 		leases: leasebound.Unknown(c.now, c.options.RenewalGrace, c.options.MaxLease),
 	}
 	e.coreEntry.Value = e
@@ -191,7 +194,8 @@
 
 // SetBoxes handles the platform's list of boxes, which was requested at requestedAt. The list
 // distinguishes endpoints that have exited from those that merely can't be reached. The former are
-// marked as lost.
+// marked as lost, unless they have answered since the request: the box may have been down when the platform
+// read its row, before the program started again.
 func (c *Cell) SetBoxes(now, requestedAt time.Time, boxes []damsonwinch.Box) {
 	c.beginEvent(now)
 	c.endpointsChanged()
@@ -199,7 +203,7 @@
 	live := damsonwinch.NewLiveEndpoints(boxes)
 	for _, e := range slices.Clone(c.sortedEndpoints) {
 		// The list takes seconds to read, and doesn't have an endpoint that started meanwhile.
-		if requestedAt.Before(e.knownSince) {
+		if requestedAt.Before(e.aliveAt) {
 			continue
 		}
 		if !live.MayInclude(e.info.Life.ID, e.info.Box) && !e.exited && !c.mayAnswer(e) && len(e.runs) > 0 {
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -393,13 +393,15 @@
 	s.cell.SetCustomers(s.now, s.lastAllowance, customers)
 }
 
-// setBoxes passes the platform's list of boxes to the cell.
+// setBoxes passes the platform's list of boxes to the cell. The list was requested as many milliseconds ago as the
+// argument age says.
 func (s *script) setBoxes(d *datadriven.TestData) {
 	var boxes []damsonwinch.Box
 	for _, id := range listArg(s.t, d, "up") {
 		boxes = append(boxes, damsonwinch.Box{Name: "box-" + id, State: damsonwinch.BoxUp, EndpointID: id})
 	}
-	s.cell.SetBoxes(s.now, s.now, boxes)
+	requestedAt := s.now.Add(-time.Duration(intArg(s.t, d, "age", 0)) * time.Millisecond)
+	s.cell.SetBoxes(s.now, requestedAt, boxes)
 }
 
 // collectEffects takes the cell's effects. It keeps the polls, the append and the last call for
