Ignore the planner's list of boxes for an endpoint that has answered since its request

Callers could see a task run twice: its owner took the endpoint for exited by the word of the planner and started the task elsewhere, while the endpoint, cut off, went on with it.

Cause: the planner reports an endpoint as gone if its newest list of boxes, requested after the endpoint was first in a report, lacks it. The owner believed that as soon as the endpoint didn't answer, however many polls it had answered since the list was requested. For an endpoint that doesn't report when it started, the box may have been down then, between two lives; a list that lags behind does the same to any endpoint.

Fix: an owner numbers its reports (SyncReply.report_number). When the planner requests a list, it notes for each cell the newest report that it has, and sends its number and the owner's token with the endpoints that the list lacks (SyncArgs.boxes_after_report, boxes_after_token). The owner ignores them for an endpoint that has answered since it made that report. This is an order of cause and effect, so no clocks are compared. Reports of another owner show nothing: an endpoint counts as answering when its owner takes over. A planner of an earlier version names no report; its word counts once the endpoint hasn't answered for 2 s.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -101,6 +101,7 @@
 // and shows the boxes at some moment after that.
 func (p *Planner) SetBoxes(requestedAt time.Time, listed []damsonwinch.Box) {
 	p.boxesRequestedAt = requestedAt
+	p.noteListReports()
 	present := map[string]bool{}
 	p.liveEndpoints = damsonwinch.NewLiveEndpoints(listed)
 	for _, info := range listed {
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -64,8 +64,10 @@
 	WithdrawUrgently []string
 	// Restore lists withdrawn endpoints that may be used again.
 	Restore []string
-	// Exited lists endpoints that have certainly exited.
-	Exited []string
+	// Exited lists endpoints that have exited by the newest list of boxes, unless they have answered the owner since the
+	// report BoxesAfter: the newest one that the planner had when it requested the list.
+	Exited     []string
+	BoxesAfter ReportID
 	// DueForMaintenance lists endpoints whose boxes are still to be maintained in a wave: a
 	// long-running task that starts there will have to move again.
 	DueForMaintenance []string
@@ -224,7 +226,7 @@
 		}
 	}
 	if c := p.cells[cellName]; c != nil {
-		directives.Exited = p.exitedEndpoints(c)
+		directives.Exited, directives.BoxesAfter = p.exitedEndpoints(c), c.boxesAfter
 		if !p.hasList() {
 			directives.Restore = p.restoreUnlisted(c)
 		}
--- a/pkg/boxplan/demand.go
+++ b/pkg/boxplan/demand.go
@@ -72,6 +72,9 @@
 	reportFollows time.Time
 	// reportedSince is when the endpoints of the report were first reported.
 	reportedSince map[string]time.Time
+	// reportAtRequest is the newest report that there was at the newest request for the list of boxes, and boxesAfter the
+	// one at the request for the newest list.
+	reportAtRequest, boxesAfter ReportID
 	// reportIsNew says that the demand hasn't been computed from the report yet.
 	reportIsNew bool
 	// required is how many boxes the cell should have now.
--- a/pkg/boxplan/exited.go
+++ b/pkg/boxplan/exited.go
@@ -6,6 +6,26 @@
 	"damsonwinch"
 )
 
+// ReportID identifies a report of a cell's owner.
+type ReportID struct {
+	// Token is the owner's fencing token, and Number the report's number among those of the owner.
+	Token, Number int
+}
+
+// NoteBoxListRequest notes that the list of boxes of the next call of SetBoxes is being requested.
+func (p *Planner) NoteBoxListRequest() {
+	for _, c := range p.cells {
+		c.reportAtRequest = ReportID{Token: c.report.Token, Number: c.report.ReportNumber}
+	}
+}
+
+// noteListReports notes, for each cell, the newest report that there was when the newest list of boxes was requested.
+func (p *Planner) noteListReports() {
+	for _, c := range p.cells {
+		c.boxesAfter = c.reportAtRequest
+	}
+}
+
 // updateReportedSince notes since when the endpoints of the cell's newest report have been reported.
 func (c *cell) updateReportedSince() {
 	since := make(map[string]time.Time, len(c.report.Endpoints))
--- a/pkg/boxplan/exited_test.go
+++ b/pkg/boxplan/exited_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"damsonwinch"
+	"damsonwinch/pkg/boxplan"
 	"damsonwinch/pkg/wire"
 )
 
@@ -37,6 +38,29 @@
 	assert.Equal(t, len(f.planner.Directives("held").Exited), 3)
 }
 
+// TestExitsComeWithTheReportBeforeTheirList guards against a task that runs twice: the owner would take an endpoint for
+// exited that has answered since the list of boxes was requested.
+func TestExitsComeWithTheReportBeforeTheirList(t *testing.T) {
+	f := newOneBoxFleet()
+	report := func(number int) {
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.planner.SetReport(f.now, "held", wire.SyncReply{Known: true, Token: 7, ReportNumber: number, Endpoints: []wire.EndpointReport{{Endpoint: "removed", Box: "removed"}}})
+		f.planner.Plan(f.now)
+	}
+	report(1)
+	f.planner.NoteBoxListRequest()
+	requestedAt := f.now.Add(time.Millisecond)
+	report(2)
+	f.planner.SetBoxes(requestedAt, []damsonwinch.Box{f.box})
+	report(3)
+	f.planner.NoteBoxListRequest()
+	directives := f.planner.Directives("held")
+	assert.DeepEqual(t, directives.Exited, []string{"removed"})
+	assert.Equal(t, directives.BoxesAfter, boxplan.ReportID{Token: 7, Number: 1}, "the list of a later request hasn't arrived")
+	f.planner.SetBoxes(f.now.Add(time.Millisecond), []damsonwinch.Box{f.box})
+	assert.Equal(t, f.planner.Directives("held").BoxesAfter, boxplan.ReportID{Token: 7, Number: 3})
+}
+
 // An endpoint whose row in the list doesn't say on which box it runs is alive, and its row is no box to plan with.
 func TestEndpointOnBoxWithoutNameHasNotExited(t *testing.T) {
 	f := newOneBoxFleet()
--- a/pkg/boxplan/sim_world_test.go
+++ b/pkg/boxplan/sim_world_test.go
@@ -205,6 +205,7 @@
 func (w *simWorld) requestList() {
 	requestedAt := w.now
 	w.listInFlight, w.listRequestedAt = true, w.now
+	w.planner.NoteBoxListRequest()
 	if w.faults.chance(w, w.faults.lostLists) {
 		w.afterUnlessLost(simCallTimeout, func() { w.listInFlight = false })
 		return
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -76,8 +76,10 @@
 	// handled before the owner had caught up after a pause.
 	lastAnsweredAt time.Time
 	// aliveAt is when the endpoint became known or, if that was later, when the owner last handled an answer
-	// of it. An older list of boxes doesn't show that it has exited.
-	aliveAt time.Time
+	// of it. An older list of boxes doesn't show that it has exited. reportsBefore is the number of reports to the
+	// planner that the owner had made by then.
+	aliveAt       time.Time
+	reportsBefore int
 	// probation is the run that is on probation on the endpoint, and reservedFor the task that is
 	// to be started on probation there next. Nothing else starts there meanwhile.
 	probation   *run
@@ -129,7 +131,7 @@
 		return known
 	}
 	e := &endpoint{
-		info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, aliveAt: c.now, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now,
+		info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, aliveAt: c.now, reportsBefore: c.lastSync.number, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now,
 		leases: leasebound.Unknown(c.now, c.options.RenewalGrace, c.options.MaxLease),
 	}
 	e.coreEntry.Value = e
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -63,6 +63,8 @@
 	c.reportCustomers(&report)
 	report.Arrivals = c.shares.Report(now)
 	c.reportEvacuatedZones(&report)
+	c.lastSync.number++
+	report.ReportNumber = c.lastSync.number
 	c.lastSync.reportedAt, c.lastSync.spreadBoxes, c.lastSync.missingBoxes = now, report.Spread, report.MissingBoxes
 	return report
 }
@@ -158,7 +160,7 @@
 	}
 	c.applyAllowances(args)
 	c.applyArrivals(now, args)
-	c.forEachLife(args.Gone, c.reportedExited)
+	c.forEachLife(args.Gone, func(e *endpoint) { c.reportedExited(e, args) })
 	c.forEachLife(args.Withdraw, func(e *endpoint) { e.withdrawal.requested = true })
 	c.forEachLife(args.Hurry, func(e *endpoint) { e.withdrawal.requested, e.withdrawal.urgent = true, true })
 	c.forEachLife(args.Due, func(e *endpoint) { e.maintenanceDue = true })
--- a/pkg/cell/reported_exit.go
+++ b/pkg/cell/reported_exit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/wire"
 )
 
 // reportedExitPollInterval is the time between two polls of an endpoint whose exit is known only from a
@@ -13,19 +14,32 @@
 // seconds.
 const reportedExitPollInterval = 2 * time.Second
 
+// maxUnnumberedListAge is the time without an answer of an endpoint after which the list of a planner that names no report
+// counts as newer than the last answer. Such planners, of earlier versions, request a list each 0.4 s.
+const maxUnnumberedListAge = 2 * time.Second
+
 // reportedExited handles the planner's report that an endpoint has exited: a list of boxes doesn't have
 // it. An endpoint that answers lives, whatever the list says, so it is polled first. The planner repeats
 // its report while it has the endpoint in the cell's report.
-func (c *Cell) reportedExited(e *endpoint) {
+func (c *Cell) reportedExited(e *endpoint, args wire.SyncArgs) {
 	switch {
 	case e.exited:
 	case c.mayAnswer(e):
 		c.requestPoll(e)
-	default:
+	case c.listFollowsAnswer(e, args):
 		c.markLostByReport(e, "the fleet planner has seen its box without it")
 	}
 }
 
+// listFollowsAnswer reports whether the planner requested its list of boxes after the endpoint had last answered this owner:
+// it already had a report that this owner made after the answer. The clocks of the two nodes can't be compared.
+func (c *Cell) listFollowsAnswer(e *endpoint, args wire.SyncArgs) bool {
+	if args.BoxesAfterToken == 0 {
+		return c.now.Sub(e.aliveAt) >= maxUnnumberedListAge
+	}
+	return args.BoxesAfterToken == c.token && args.BoxesAfterReport > e.reportsBefore
+}
+
 // mayAnswer reports whether a poll will show whether an endpoint has exited: it has answered the last one,
 // or is registered and hasn't been polled by this owner. The boxes of withdrawn endpoints have been moved
 // or maintained.
--- a/pkg/cell/reported_exit_test.go
+++ b/pkg/cell/reported_exit_test.go
@@ -79,14 +79,21 @@
 	}
 }
 
-// reportExit has the planner report, for a while, that the endpoint has exited.
+// reportExit has the planner report, for a while, that the endpoint has exited. Each list of boxes was requested once the
+// planner had the report before.
 func (l *loneEndpoint) reportExit() {
 	for range 10 {
-		l.cell.ApplySync(l.now, wire.SyncArgs{Token: 1, Gone: []string{reportedLife.String()}})
+		l.reportExitByList(l.cell.Report(l.now).ReportNumber, 1)
 		l.runFor(100 * time.Millisecond)
 	}
 }
 
+// reportExitByList has the planner report that the endpoint has exited, by a list of boxes that it requested when its
+// newest report on the cell was the given one of the owner with the given token.
+func (l *loneEndpoint) reportExitByList(number, ownerToken int) {
+	l.cell.ApplySync(l.now, wire.SyncArgs{Token: 1, Gone: []string{reportedLife.String()}, BoxesAfterReport: number, BoxesAfterToken: ownerToken})
+}
+
 // TestAnsweringEndpointIsNotTakenForExited guards against a task that runs twice because a list of
 // boxes lacks an endpoint that lives, and answers.
 func TestAnsweringEndpointIsNotTakenForExited(t *testing.T) {
@@ -113,3 +120,69 @@
 	assert.Equal(t, l.starts, 2, "the task runs again")
 	assert.Equal(t, l.cell.Stats().FalseExits, 1, "the answer shows that the report was wrong")
 }
+
+// TestListRequestedBeforeTheLastAnswerShowsNoExit guards against a task that runs twice: the planner requested its list of
+// boxes while the box was down between two lives, and the endpoint has answered since and is cut off now.
+func TestListRequestedBeforeTheLastAnswerShowsNoExit(t *testing.T) {
+	l := newLoneEndpoint(t)
+	before := l.cell.Report(l.now).ReportNumber
+	l.runFor(600 * time.Millisecond)
+	l.reachable = false
+	l.runFor(700 * time.Millisecond)
+	for range 10 {
+		l.reportExitByList(before, 1)
+		l.reportExitByList(before+1, 2)
+		l.runFor(100 * time.Millisecond)
+	}
+	assert.Equal(t, l.cell.Stats().RunsLost, 0, "the endpoint has answered since the first report, and the other is of another owner")
+	l.reportExitByList(l.cell.Report(l.now).ReportNumber, 1)
+	assert.Equal(t, l.cell.Stats().RunsLost, 1, "the endpoint hasn't answered since the second report")
+}
+
+// TestExitByAPlannerThatNamesNoReportCountsOnceItMustBeNewer guards against a task that runs twice because of an old list
+// of boxes, and against one that waits until its lease has expired, while a node of an earlier version plans.
+func TestExitByAPlannerThatNamesNoReportCountsOnceItMustBeNewer(t *testing.T) {
+	l := newLoneEndpoint(t)
+	l.reachable = false
+	for range 15 {
+		l.reportExitByList(0, 0)
+		l.runFor(100 * time.Millisecond)
+	}
+	assert.Equal(t, l.cell.Stats().RunsLost, 0, "the list may have been requested before the last answer")
+	for range 15 {
+		l.reportExitByList(0, 0)
+		l.runFor(100 * time.Millisecond)
+	}
+	assert.Equal(t, l.cell.Stats().RunsLost, 1)
+}
+
+// TestExitedEndpointIsRecognizedByTheNextList guards against tasks that wait for the planner longer than before it named
+// the report that it had before each list: an endpoint that has exited is lost to its owner with the next list, which comes
+// each 400 ms, and the next call, which comes each 100 ms.
+func TestExitedEndpointIsRecognizedByTheNextList(t *testing.T) {
+	for exitsAfter := time.Duration(0); exitsAfter < 400*time.Millisecond; exitsAfter += 50 * time.Millisecond {
+		l := newLoneEndpoint(t)
+		reportNumber, listedAfter, listed := 0, 0, true
+		waited := time.Duration(0)
+		for at := time.Duration(0); l.cell.Stats().RunsLost == 0; at += 50 * time.Millisecond {
+			if at == 800*time.Millisecond+exitsAfter {
+				l.reachable = false
+			}
+			if at%(400*time.Millisecond) == 0 {
+				listedAfter, listed = reportNumber, l.reachable
+			}
+			if at%(100*time.Millisecond) == 0 {
+				if !listed {
+					l.reportExitByList(listedAfter, 1)
+				}
+				reportNumber = l.cell.Report(l.now).ReportNumber
+			}
+			l.runFor(50 * time.Millisecond)
+			if !l.reachable {
+				waited += 50 * time.Millisecond
+			}
+			assert.Assert(t, waited <= 600*time.Millisecond, "exits %v after a list", exitsAfter)
+		}
+		t.Logf("exits %v after a list: lost after %v", exitsAfter, waited)
+	}
+}
--- a/pkg/cell/sim_fleet_test.go
+++ b/pkg/cell/sim_fleet_test.go
@@ -221,6 +221,7 @@
 	}
 	f.listing = true
 	requestedAt, planner := w.now, f.planner
+	planner.NoteBoxListRequest()
 	w.after(w.randomDuration(5*time.Millisecond, 50*time.Millisecond), func() {
 		if f.end.controlAway() {
 			return
@@ -242,6 +243,7 @@
 	directives := planner.Directives("pool")
 	args := wire.SyncArgs{
 		Withdraw: directives.Withdraw, Hurry: directives.WithdrawUrgently, Restore: directives.Restore, Gone: directives.Exited, Due: directives.DueForMaintenance,
+		BoxesAfterToken: directives.BoxesAfter.Token, BoxesAfterReport: directives.BoxesAfter.Number,
 	}
 	f.syncing = true
 	ended := false
--- a/pkg/planner/planner.go
+++ b/pkg/planner/planner.go
@@ -314,6 +314,7 @@
 	now := p.deps.Clock.Now()
 	if !p.boxListInFlight && now.Sub(p.boxesRequestedAt) >= boxListInterval {
 		p.boxListInFlight, p.boxesRequestedAt = true, now
+		p.boxPlan.NoteBoxListRequest()
 		p.requestBoxList(now)
 	}
 	if !p.layout.Decided() {
--- a/pkg/planner/sync.go
+++ b/pkg/planner/sync.go
@@ -29,6 +29,7 @@
 	update := p.allocator.NextUpdate(cell)
 	args := wire.SyncArgs{
 		Cell: cell, Token: p.options.Token, Withdraw: directives.Withdraw, Hurry: directives.WithdrawUrgently, Restore: directives.Restore, Gone: directives.Exited, Due: directives.DueForMaintenance,
+		BoxesAfterToken: directives.BoxesAfter.Token, BoxesAfterReport: directives.BoxesAfter.Number,
 		CellToken: update.OwnerToken, AllowanceNumber: update.Number, ConfigVersion: update.ConfigVersion, Allowances: update.Allowances,
 	}
 	if p.arrivals.InEffect() {
--- a/pkg/wire/wire.gen.go
+++ b/pkg/wire/wire.gen.go
@@ -1369,6 +1369,14 @@
 	// with at most half of their weight in the whole fleet are left out.
 	Arrivals []CustomerArrivals `json:"arrivals,omitempty,omitzero"`
 
+	// Number of that report; 0 if the owner doesn't number its reports.
+	BoxesAfterReport int `json:"boxes_after_report,omitempty,omitzero"`
+
+	// Fencing token of the owner that made the newest report on the cell that the
+	// planner had when it requested this list of boxes. It is 0 in calls of planners
+	// that don't tell.
+	BoxesAfterToken int `json:"boxes_after_token,omitempty,omitzero"`
+
 	// Name of the cell.
 	Cell string `json:"cell"`
 
@@ -1386,8 +1394,9 @@
 	// that is started there must move once more.
 	Due []string `json:"due,omitempty,omitzero"`
 
-	// Endpoints that have certainly exited, according to a list of boxes that was
-	// requested after the cell had reported them.
+	// Endpoints that have exited according to a list of boxes that was requested
+	// after the cell had reported them, unless they have answered the owner since its
+	// report boxes_after_report.
 	Gone []string `json:"gone,omitempty,omitzero"`
 
 	// Endpoints to withdraw urgently: their tasks should be stopped and run
@@ -1461,6 +1470,9 @@
 	// trend, in thousandths of a core.
 	OfferedCpu int `json:"offered_cpu,omitempty,omitzero"`
 
+	// Number of this report among those of the same owner, from 1.
+	ReportNumber int `json:"report_number,omitempty,omitzero"`
+
 	// CPU that short tasks use, in thousandths of a core. It counts tasks that were
 	// started while their jobs could still be done in time, but none on endpoints
 	// that do not answer.
