Simulate the users' rule on ends that are acknowledged after another start

Callers would see a task run twice if an owner takes an endpoint for exited that is only cut off: the endpoint finishes the run, and its result is acknowledged after the cut. The users' rule counts an end as done that is taken note of at the time of a later start or afterwards, unless the endpoint's lease has lapsed in between. The simulation's rule counted only ends that had been acknowledged before the start.

The new check notes each start and each end as done. When an owner acknowledges such an end, it fails if the task has started since the end and no lease of that life has lapsed since. The rule that there was stays as it is.

--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -22,7 +22,9 @@
 	token int
 	// leaseUntilMs is when the lease of all runs expires, on the endpoint's clock.
 	leaseUntilMs int
-	runs         map[damsonwinch.Run]*simRun
+	// lapses counts how often a lease was renewed that had lapsed.
+	lapses int
+	runs   map[damsonwinch.Run]*simRun
 	// lastAttempts holds, by task, the highest attempt that was stopped or has ended here. The
 	// endpoint starts only later ones.
 	lastAttempts map[damsonwinch.TaskID]int
@@ -182,6 +184,9 @@
 // beyond the longest lease from now.
 func (e *simEndpoint) renewLease(untilMs int) {
 	untilMs = min(untilMs, e.clockMs()+int(e.world.maxLease.Milliseconds()))
+	if e.leasesLapsed() && untilMs > e.leaseUntilMs {
+		e.lapses++
+	}
 	if untilMs > e.leaseUntilMs {
 		e.leaseUntilMs = untilMs
 		e.world.after(time.Duration(float64(untilMs-e.clockMs())/e.clockRate)*time.Millisecond+time.Millisecond, e.expireLease)
--- a/pkg/cell/sim_rules_test.go
+++ b/pkg/cell/sim_rules_test.go
@@ -43,6 +43,7 @@
 	// crashes endpoints.
 	givenUp    map[string]bool
 	startCount int
+	lateAcks   *lateAcks
 }
 
 const (
@@ -56,11 +57,13 @@
 )
 
 func newRules(w *world) *rules {
-	return &rules{
+	r := &rules{
 		world: w, activeRuns: map[damsonwinch.TaskID]int{}, done: map[damsonwinch.TaskID]bool{},
 		ackedAt: map[damsonwinch.TaskID]time.Time{}, ackedFailures: map[damsonwinch.TaskID]int{}, failureAckedAt: map[damsonwinch.TaskID]time.Time{},
 		crashCounts: map[damsonwinch.TaskID]int{}, startsAfterCrashes: map[damsonwinch.TaskID]int{}, lossCounts: map[damsonwinch.TaskID]int{}, givenUp: map[string]bool{},
 	}
+	r.lateAcks = newLateAcks(r)
+	return r
 }
 
 // fail notes that a rule is violated, unless one was violated before. The simulation stops then.
@@ -92,6 +95,7 @@
 // checkStart checks a start that an endpoint carries out.
 func (r *rules) checkStart(e *simEndpoint, request damsonwinch.StartRequest) {
 	r.startCount++
+	r.lateAcks.started(request.Task)
 	r.world.logf("start %s attempt %d on %s by token %d", request.Task, request.Attempt, e.info.Life, request.Token)
 	c := r.clientOf(request.Task.Job)
 	if c == nil || request.Spec != c.spec.Text {
@@ -159,14 +163,16 @@
 	r.world.logf("%s attempt %d on %s ends as %s", task, run.request.Attempt, e.info.Life, ending)
 	r.activeRuns[task]--
 	if ending == damsonwinch.EndedDone {
+		r.lateAcks.ended(e, run.request.Run)
 		r.done[task] = true
 	}
 }
 
 // resultAcked notes that an owner has acknowledged a result.
-func (r *rules) resultAcked(_ *simEndpoint, result damsonwinch.RunResult) {
+func (r *rules) resultAcked(e *simEndpoint, result damsonwinch.RunResult) {
 	switch result.Ending {
 	case damsonwinch.EndedDone:
+		r.lateAcks.acked(e, result.Run)
 		if _, seen := r.ackedAt[result.Task]; !seen {
 			r.ackedAt[result.Task] = r.world.now
 		}
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -53,6 +53,7 @@
 	hideUnseenRuns    bool // Reports don't count what runs in an evacuated zone while some endpoints don't answer.
 	keepLostRuns      bool // Owners never take the leases of unreachable endpoints for expired, and get no lists of boxes.
 	requestListsLate  bool // Lists of boxes count as requested when they arrive.
+	listsLackCutOff   bool // Lists of boxes lack the endpoints that an owner is cut off from.
 	mixUpSpecs        bool // Records hold the text of the first job for each job.
 	mixUpCheckpoints  bool // Records assign each checkpoint to the next task of its job.
 }
@@ -265,13 +266,18 @@
 func (w *world) boxList() []damsonwinch.Box {
 	var boxes []damsonwinch.Box
 	for _, e := range w.endpoints {
-		if !e.exited {
+		if !e.exited && !(w.mutation.listsLackCutOff && w.isCutOff(e)) {
 			boxes = append(boxes, damsonwinch.Box{Name: e.info.Box, State: damsonwinch.BoxUp, EndpointID: e.info.Life.ID})
 		}
 	}
 	return boxes
 }
 
+// isCutOff reports whether an owner is cut off from an endpoint.
+func (w *world) isCutOff(e *simEndpoint) bool {
+	return slices.ContainsFunc(w.owners, func(o *simOwner) bool { return w.cuts[o.name+e.info.Box] })
+}
+
 // simStream is a stream of the store. It holds the newest record of each key.
 type simStream struct {
 	newest map[string][]byte
