Let simulated calls wait until the next life of their endpoint is up

A later life that worked was marked as lost because a start for the earlier one was refused; its tasks then ran twice.

There a call to a box that is down failed or was connected within 0.2 s, a poll that met a later life was held like any other, and the registration of a life took up to 1.5 s. So no such refusal came after the later life had begun to work. A real call waits for its connection until it times out, and the identification of a connection is answered at once.

Now calls wait as long as the node's calls of their kind, and a later life answers at once.

--- a/pkg/cell/sim_faults_test.go
+++ b/pkg/cell/sim_faults_test.go
@@ -149,13 +149,17 @@
 	w.after(w.randomDuration(500*time.Millisecond, 6*time.Second), func() { delete(w.cuts, owner+box) })
 }
 
-// crashBox ends the life on a box. A new one starts up to two seconds later.
+// crashBox ends the life on a box. A new one starts up to two seconds later, or much sooner with quick restarts.
 func (w *world) crashBox(box string) {
 	for _, e := range w.endpoints {
 		if e.info.Box == box && !e.exited {
 			w.logf("%s on %s crashes", e.info.Life, box)
 			e.exit()
-			w.after(w.randomDuration(100*time.Millisecond, 2*time.Second), func() { w.addEndpoint(box) })
+			downTime := w.randomDuration(100*time.Millisecond, 2*time.Second)
+			if w.quickRestarts {
+				downTime = w.randomDuration(0, nodeCallTimeout)
+			}
+			w.after(downTime, func() { w.addEndpoint(box) })
 		}
 	}
 }
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -340,7 +340,7 @@
 		}
 		o.callLife(e, handle, done)
 	case w.sharedIDs:
-		o.callSharedID(id, handle, done)
+		o.callSharedID(id, timeout, handle, done)
 	case w.mixed != nil:
 		w.mixed.callExited(e, done)
 	case w.resetsOnExit:
@@ -353,20 +353,21 @@
 // callTimeout is how long a call waits for its reply.
 const callTimeout = 200 * time.Millisecond
 
-// callSharedID sends a request to an ID whose newest life has exited. It is answered only if a new
-// life starts while the call still waits for its connection.
-func (o *simOwner) callSharedID(id string, handle func(e *simEndpoint) func() error, done func(err error)) {
+// callSharedID sends a request to an ID whose newest life has exited. The call waits for its connection until it times
+// out, and is answered if a new life has started when it next tries. Calls that were sent later may be answered before it.
+func (o *simOwner) callSharedID(id string, timeout time.Duration, handle func(e *simEndpoint) func() error, done func(err error)) {
 	w := o.world
 	if w.resetsOnExit {
 		w.after(3*time.Millisecond, func() { done(damsonwinch.ErrNotSent) })
 		return
 	}
-	w.after(w.randomDuration(time.Millisecond, callTimeout), func() {
+	connectsAfter := w.randomDuration(time.Millisecond, timeout)
+	w.after(connectsAfter, func() {
 		if e := w.newestLife(id); !e.exited {
 			o.callLife(e, handle, done)
 			return
 		}
-		done(errNoReply)
+		w.after(timeout-connectsAfter, func() { done(errNoReply) })
 	})
 }
 
@@ -447,12 +448,14 @@
 		reply = pollReply
 		return func() error { return err }
 	}, func(err error) {
-		if w.promptPolls && err == nil && len(reply.Finished) == 0 && request.MaxWait > 0 {
+		// A later life answers the identification of the connection at once.
+		held := err == nil && len(reply.Finished) == 0 && request.MaxWait > 0 && receiver.receives(poll.Endpoint.Life)
+		if held && w.promptPolls {
 			o.holdPoll(poll, request, receiver)
 			return
 		}
 		wait := time.Duration(0)
-		if err == nil && len(reply.Finished) == 0 {
+		if held {
 			// The endpoint holds the poll for MaxWait, and then sends what was true before that.
 			wait = request.MaxWait
 		}
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -117,7 +117,10 @@
 	late *lateRequests
 	// sharedIDs gives all lives on a box the same ID.
 	sharedIDs bool
-	startedAt time.Time
+	// quickRestarts makes boxes that crash start their next life while calls to the one before may still wait for their
+	// connections, and register it soon after.
+	quickRestarts bool
+	startedAt     time.Time
 	// requestDelayed is set while a request is handled long after it was sent.
 	requestDelayed bool
 	// disturbedAt is when the last fault was present in simulations without mixed faults.
@@ -218,7 +221,7 @@
 	}
 	delay := time.Duration(0)
 	if w.sharedIDs && w.now.After(w.startedAt) {
-		delay = w.randomDuration(0, maxRegistrationDelay)
+		delay = w.randomDuration(0, w.maxRegistrationDelay())
 	}
 	w.endpoints = append(w.endpoints, &simEndpoint{
 		world: w, registrationDelay: delay, clockRate: 0.98 + 0.04*w.random.Float64(), startedAt: w.now, runs: map[damsonwinch.Run]*simRun{}, lastAttempts: map[damsonwinch.TaskID]int{},
