Confirm a withdrawal only by its own record

Callers would see a box ordered away although nothing in the stream says that its endpoint is withdrawn. If the planner gives a box back before the withdrawal is recorded, as by a call that arrives late, the confirmation of that record still marked the endpoint: the next withdrawal was reported as recorded before it was, and an owner that took over in between would start tasks on a box that is about to be moved. Until then the endpoint wasn't polled while idle, although it was in use.

Cause: the append in flight keeps a pointer to the endpoint and sets `recorded` when it is stored, whatever the endpoint's withdrawal stands for by then. Now a restored endpoint is dropped from the appends that would confirm it.

Script withdraw-restored-early: on the former code the endpoint isn't polled after 2.1 s, and `withdrawn` lists it right after the second withdrawal, before a commit. With the change it is polled, and listed after the commit that holds the record.

--- a/pkg/cell/commit.go
+++ b/pkg/cell/commit.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// dropWithdrawal makes the appends that hold a withdrawal of the endpoint confirm nothing. A later withdrawal is
+// confirmed by its own record.
+func (w *commits) dropWithdrawal(e *endpoint) {
+	isDropped := func(other *endpoint) bool { return other == e }
+	w.withdrawals = slices.DeleteFunc(w.withdrawals, isDropped)
+	if w.inFlight != nil {
+		w.inFlight.withdrawals = slices.DeleteFunc(w.inFlight.withdrawals, isDropped)
+	}
+}
+
 // hasUnrecordedChanges reports whether anything has changed that the next append has to record or
 // confirm.
 func (c *Cell) hasUnrecordedChanges() bool {
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -159,6 +159,14 @@
 			lives = append(lives, reported.Endpoint)
 		}
 		return strings.Join(lives, " ") + "\n"
+	case "withdrawn":
+		var lives []string
+		for _, reported := range s.cell.Report(s.now).Endpoints {
+			if reported.Withdrawn {
+				lives = append(lives, reported.Endpoint)
+			}
+		}
+		return "reported as withdrawn: " + strings.Join(lives, " ") + "\n"
 	case "report-zones":
 		report := s.cell.Report(s.now)
 		lines := ""
--- a/pkg/cell/withdrawal.go
+++ b/pkg/cell/withdrawal.go
@@ -107,6 +107,7 @@
 		return
 	}
 	e.withdrawn, e.withdrawal = false, withdrawal{}
+	c.commits.dropWithdrawal(e)
 	c.commits.endpointRecords = append(c.commits.endpointRecords, cellrecord.DeleteEndpoint(e.info.Life))
 	c.logEndpoint("endpoint restored", e, "the fleet planner does not need its box")
 }
