Keep permits by the endpoint's life

A task was started on a later life of an endpoint with the ticket that the advice service had granted for the earlier one under the same ID. The later life refuses it (409, `ticket`); the start is lost, and is charged. And a later life of another kind stayed barred by the decision on the earlier one. Permits and decisions were kept by ID, though a ticket holds at one life of the worker only.

They are now kept by life, and a reply counts for the lives that were asked about. If the service has decided for another life by then, the start is refused as before, and the permit is asked for again. Endpoints that don't say when they started are known by their IDs, as before.

--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -18,13 +18,23 @@
 	maxPermitCalls = 6
 )
 
-// PermitRequest is a call to the advice service for permits to run a phase on endpoints, which are
-// given by their IDs. The owner passes the reply to Advised.
+// PermitRequest is a call to the advice service for permits to run a phase on endpoints. The service knows
+// them by their IDs; its tickets hold for the lives that have these IDs now. The owner passes the reply to
+// Advised.
 type PermitRequest struct {
-	Job       string
-	Round     int
-	Phase     int
-	Endpoints []string
+	Job   string
+	Round int
+	Phase int
+	Lives []damsonwinch.Life
+}
+
+// EndpointIDs returns the IDs of the endpoints.
+func (r PermitRequest) EndpointIDs() []string {
+	ids := make([]string, 0, len(r.Lives))
+	for _, life := range r.Lives {
+		ids = append(ids, life.ID)
+	}
+	return ids
 }
 
 // needsPermit reports whether the phase may run only where the advice service permits it.
@@ -35,12 +45,12 @@
 // hasPermit reports whether a phase has a permit for an endpoint that is valid for long enough, or
 // needs none.
 func (c *Cell) hasPermit(p *phase, e *endpoint) bool {
-	return !c.needsPermit(p) || p.permits.Valid(c.now, e.info.Life.ID)
+	return !c.needsPermit(p) || p.permits.Valid(c.now, e.info.Life)
 }
 
 // mayGetPermit reports whether a phase needs no permit for an endpoint, or can have one when it starts there.
 func (c *Cell) mayGetPermit(p *phase, e *endpoint) bool {
-	return !c.needsPermit(p) || p.permits.Permitted(e.info.Life.ID)
+	return !c.needsPermit(p) || p.permits.Permitted(e.info.Life)
 }
 
 // requestPermits requests permits for endpoints that could take the phase's tasks and for which it
@@ -57,7 +67,7 @@
 	slices.SortStableFunc(candidates, func(x, y *endpoint) int { return c.score(t, y) - c.score(t, x) })
 	request := PermitRequest{Job: p.job().id, Round: p.round.number, Phase: p.number}
 	for _, e := range candidates[:min(len(candidates), maxEndpointsPerCall)] {
-		request.Endpoints = append(request.Endpoints, e.info.Life.ID)
+		request.Lives = append(request.Lives, e.info.Life)
 	}
 	p.permits.Asked(c.now)
 	c.permitCalls++
@@ -71,13 +81,13 @@
 	p := t.phase
 	var now, later []*endpoint
 	for _, e := range c.sortedEndpoints {
-		switch id := e.info.Life.ID; {
-		case p.permits.Refused(id):
+		switch life := e.info.Life; {
+		case p.permits.Refused(life):
 		case c.canHost(t, e):
 			if !c.hasPermit(p, e) {
 				now = append(now, e)
 			}
-		case p.spec.Lasting && !p.permits.Permitted(id) && c.fitsBesideLongRunning(t, e):
+		case p.spec.Lasting && !p.permits.Permitted(life) && c.fitsBesideLongRunning(t, e):
 			later = append(later, e)
 		}
 	}
@@ -103,5 +113,5 @@
 		c.logJob("no advice", t.phase.job(), err.Error())
 		return
 	}
-	t.phase.permits.Answered(request.Endpoints, permits, sentAt.Add(valid))
+	t.phase.permits.Answered(request.Lives, permits, sentAt.Add(valid))
 }
--- a/pkg/cell/reservation_test.go
+++ b/pkg/cell/reservation_test.go
@@ -87,7 +87,7 @@
 	}
 	for _, request := range effects.PermitRequests {
 		var permits []damsonwinch.Permit
-		for _, id := range request.Endpoints {
+		for _, id := range request.EndpointIDs() {
 			if !c.faults.denied[id] {
 				permits = append(permits, damsonwinch.Permit{EndpointID: id, Ticket: "ticket-" + id})
 			}
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -168,7 +168,7 @@
 	c.stats.Starts++
 	c.effects.Starts = append(c.effects.Starts, Start{Endpoint: r.endpoint.info, Request: damsonwinch.StartRequest{
 		Run: r.id(), Spec: r.task.phase.job().spec.Text, Token: c.token, LeaseUntilMs: leaseUntilMs, Checkpoint: r.task.checkpoint,
-		Ticket: r.task.phase.permits.Ticket(r.endpoint.info.Life.ID),
+		Ticket: r.task.phase.permits.Ticket(r.endpoint.info.Life),
 	}})
 }
 
--- a/pkg/cell/script_test.go
+++ b/pkg/cell/script_test.go
@@ -446,7 +446,7 @@
 	}
 	for _, request := range effects.PermitRequests {
 		s.permitRequest = request
-		lines = append(lines, fmt.Sprintf("ask for advice on %s.%d.%d: %s", request.Job, request.Round, request.Phase, strings.Join(request.Endpoints, " ")))
+		lines = append(lines, fmt.Sprintf("ask for advice on %s.%d.%d: %s", request.Job, request.Round, request.Phase, strings.Join(request.EndpointIDs(), " ")))
 	}
 	if effects.ListBoxes {
 		lines = append(lines, "ask for the list of boxes")
--- a/pkg/cell/start_reply.go
+++ b/pkg/cell/start_reply.go
@@ -131,7 +131,7 @@
 		r.endpoint.refusals.add(c.now)
 	}
 	if errors.Is(err, damsonwinch.ErrInvalidTicket) {
-		r.task.phase.permits.Drop(r.endpoint.info.Life.ID)
+		r.task.phase.permits.Drop(r.endpoint.info.Life)
 		c.requeueUnstarted(r)
 		return
 	}
--- a/pkg/owner/effects.go
+++ b/pkg/owner/effects.go
@@ -148,7 +148,7 @@
 	o.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
 		defer cancel()
-		permits, validFor, err := o.deps.Advisor.Advise(ctx, request.Job, request.Round, request.Phase, request.Endpoints)
+		permits, validFor, err := o.deps.Advisor.Advise(ctx, request.Job, request.Round, request.Phase, request.EndpointIDs())
 		o.send(advised{request: request, sentAt: sentAt, permits: permits, validFor: validFor, err: err})
 		return nil
 	})
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -20,21 +20,22 @@
 type Permits struct {
 	inFlight    bool
 	requestedAt time.Time
-	// decisions holds, by endpoint ID, whether the phase may run there. A decision does not change.
-	decisions map[string]bool
-	granted   map[string]grant
+	// decisions holds, by the endpoint's life, whether the phase may run there. A decision does not change while
+	// that life goes on; a later one may be of another kind.
+	decisions map[damsonwinch.Life]bool
+	granted   map[damsonwinch.Life]grant
 }
 
-// grant allows a phase to start on an endpoint until a time. Start requests have to carry the
+// grant allows a phase to start on one life of an endpoint until a time. Start requests have to carry the
 // ticket.
 type grant struct {
 	ticket string
 	until  time.Time
 }
 
-// Valid reports whether there is a permit for an endpoint that stays valid for more than margin.
-func (p *Permits) Valid(now time.Time, endpointID string) bool {
-	held, ok := p.granted[endpointID]
+// Valid reports whether there is a permit for a life that stays valid for more than margin.
+func (p *Permits) Valid(now time.Time, life damsonwinch.Life) bool {
+	held, ok := p.granted[life]
 	return ok && now.Add(margin).Before(held.until)
 }
 
@@ -44,16 +45,16 @@
 	return !p.inFlight && now.Sub(p.requestedAt) >= retryInterval
 }
 
-// Refused reports whether the service has decided that the phase may not run on an endpoint.
-func (p *Permits) Refused(endpointID string) bool {
-	permitted, decided := p.decisions[endpointID]
+// Refused reports whether the service has decided that the phase may not run on a life of an endpoint.
+func (p *Permits) Refused(life damsonwinch.Life) bool {
+	permitted, decided := p.decisions[life]
 	return decided && !permitted
 }
 
-// Permitted reports whether the service has decided that the phase may run on an endpoint, even if the permit
-// is no longer valid. The decision does not change, so a new permit can be had.
-func (p *Permits) Permitted(endpointID string) bool {
-	return p.decisions[endpointID]
+// Permitted reports whether the service has decided that the phase may run on a life of an endpoint, even if
+// the permit is no longer valid. The decision does not change, so a new permit can be had.
+func (p *Permits) Permitted(life damsonwinch.Life) bool {
+	return p.decisions[life]
 }
 
 // Asked notes that a call has been made.
@@ -66,30 +67,33 @@
 	p.inFlight = false
 }
 
-// Answered notes the reply to the call in flight, which was about the given endpoints. The permits
-// are valid until the given time.
-func (p *Permits) Answered(endpointIDs []string, permits []damsonwinch.Permit, until time.Time) {
+// Answered notes the reply to the call in flight, which was about the given lives. The service knows only their
+// IDs. The permits are valid until the given time.
+func (p *Permits) Answered(lives []damsonwinch.Life, permits []damsonwinch.Permit, until time.Time) {
 	// Another call, about other endpoints, may follow at once.
 	p.inFlight, p.requestedAt = false, time.Time{}
 	if p.decisions == nil {
-		p.decisions, p.granted = map[string]bool{}, map[string]grant{}
-	}
-	for _, id := range endpointIDs {
-		p.decisions[id] = false
+		p.decisions, p.granted = map[damsonwinch.Life]bool{}, map[damsonwinch.Life]grant{}
 	}
+	tickets := make(map[string]string, len(permits))
 	for _, permit := range permits {
-		p.decisions[permit.EndpointID] = true
-		p.granted[permit.EndpointID] = grant{ticket: permit.Ticket, until: until}
+		tickets[permit.EndpointID] = permit.Ticket
+	}
+	for _, life := range lives {
+		ticket, permitted := tickets[life.ID]
+		p.decisions[life] = permitted
+		if permitted {
+			p.granted[life] = grant{ticket: ticket, until: until}
+		}
 	}
 }
 
-// Ticket returns the ticket that a start request to the endpoint has to carry. It is empty if there is
-// no permit.
-func (p *Permits) Ticket(endpointID string) string {
-	return p.granted[endpointID].ticket
+// Ticket returns the ticket that a start request to a life has to carry. It is empty if there is no permit.
+func (p *Permits) Ticket(life damsonwinch.Life) string {
+	return p.granted[life].ticket
 }
 
-// Drop forgets the permit for an endpoint that has refused its ticket.
-func (p *Permits) Drop(endpointID string) {
-	delete(p.granted, endpointID)
+// Drop forgets the permit for a life that has refused its ticket.
+func (p *Permits) Drop(life damsonwinch.Life) {
+	delete(p.granted, life)
 }
