Acknowledge results only to lives that the registry lists for the cell

A task of one cell could be started again after its run had ended as done and the end had been acknowledged, by the owner of another cell. When a box changes its cell and the endpoint there starts again under its ID, the former cell's owner learns of the new life by a poll that was meant for the earlier one. If a run may have moved there, it goes on to poll that life, took its results for those of jobs that are long forgotten and acknowledged them, and stopped its runs as stray ones. The other cell's owner then found its runs neither running nor ended.

Cause: a life that has the ID of one of the cell's endpoints was taken for one of the cell's. Now nothing is acknowledged to a life before the registry has listed it for the cell, and only runs of the cell's own jobs are stopped there. Results are listed until they are acknowledged, so the wait (1.5 s at most for a life of this cell) loses none; meanwhile the life is polled each PollRetryInterval, since it holds no poll.

Script lives-elsewhere: the former code stops `other.0.0.1` and acknowledges 1 end. With the change it does neither until the life is listed.

--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -17,8 +17,10 @@
 	zone *zone
 	// knownSince is when the endpoint became known to this owner. It had started by then.
 	knownSince time.Time
-	// listed is set while the registry lists the endpoint.
-	listed bool
+	// listed is set while the registry lists the endpoint for this cell, and everListed once it has done so. A later
+	// life under the ID of one of the cell's endpoints may belong to another cell.
+	listed     bool
+	everListed bool
 	// pollDue is set while the endpoint is in Cell.pollDue.
 	pollDue bool
 	// coreEntry is the endpoint's place in its zone's index of free cores.
@@ -160,7 +162,7 @@
 		if !e.listed && !e.exited {
 			c.logEndpoint("endpoint listed", e, "box "+info.Box+" at "+info.Address)
 		}
-		e.info, e.listed = info, true
+		e.info, e.listed, e.everListed = info, true, true
 		c.updateZone(e)
 	}
 	for _, e := range c.sortedEndpoints {
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -91,9 +91,9 @@
 		}
 	case e.polls.waiting != nil, e.polls.immediate != nil:
 		// A poll that is replaced before it times out would never show that the endpoint is silent.
-	case e.appliedSequence > e.recordedSequence:
+	case e.appliedSequence > e.recordedSequence, e.appliedSequence > 0 && !e.everListed:
 		// The endpoint would not hold a poll but answer at once with the same results, which can't
-		// be acknowledged before they are recorded. While the store is unavailable the leases still
+		// be acknowledged before they are recorded and the endpoint is listed. While the store is unavailable the leases still
 		// have to be renewed.
 		if e.polls.immediate == nil && since >= c.options.PollRetryInterval {
 			c.sendPoll(e, 0)
@@ -123,9 +123,10 @@
 		e.pollWanted = false
 	}
 	request := damsonwinch.PollRequest{Token: c.token, AckedSequence: e.recordedSequence, MaxWait: maxWait}
-	if e.silent {
+	if e.silent || !e.everListed {
 		// If a later life answers under the same ID, it would take the number for one of its own
-		// and discard its first results.
+		// and discard its first results. An endpoint that isn't listed may have results for another
+		// cell's owner.
 		request.AckedSequence = 0
 	}
 	if e.attached && !e.silent && !e.exited && c.mayRenewLeases() && !c.skipsRenewal(e) {
@@ -263,7 +264,9 @@
 		r := e.runs[progress.Run]
 		if r == nil {
 			e.strayRuns++
-			c.stopStray(e, progress.Run)
+			if e.everListed || c.jobs[progress.Task.Job] != nil {
+				c.stopStray(e, progress.Run)
+			}
 			continue
 		}
 		r.lastListedStep = c.step
