Log the last answer of an endpoint also while its owner was held up

lastAnsweredAt leaves out replies that are handled before the owner has caught up, so that the line "endpoint lost" named too old an answer. It goes by aliveAt, the time by which lists of boxes are judged.

--- a/pkg/cell/reported_exit.go
+++ b/pkg/cell/reported_exit.go
@@ -83,8 +83,8 @@
 
 // lastAnswer says for log lines how long ago an endpoint last answered a call of this owner.
 func (c *Cell) lastAnswer(e *endpoint) string {
-	if e.lastAnsweredAt.IsZero() {
+	if e.polls.answeredStep == 0 {
 		return "it has not answered this owner"
 	}
-	return fmt.Sprintf("it last answered %d ms ago", c.now.Sub(e.lastAnsweredAt).Milliseconds())
+	return fmt.Sprintf("it last answered %d ms ago", c.now.Sub(e.aliveAt).Milliseconds())
 }
