Hold at most a third of a cell's endpoints for probes

Cause: an endpoint that has been ejected gets one short task at a time until a task is done. The limit on ejections counts those whose 2 to 8 s have not passed, and not those that are probed. Where a third of the jobs takes 12 times as long as expected, sound endpoints are ejected as slow, a third at a time, and each is then probed with a task that takes up to 30 s: in the end every endpoint runs a single task.

Endpoints that are held by a probe now count together with ejected and suspected ones. Beyond a third of the usable endpoints those whose probes have been running for longest are used again. If they are bad they are ejected again, and for longer.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -206,6 +206,7 @@
 	c.expireLeases()
 	c.checkUnanswered()
 	c.limitSuspected()
+	c.limitProbed()
 	c.resendStops()
 	c.updateOverdue()
 	c.updateObstructions()
--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"damsonwinch"
@@ -40,8 +41,8 @@
 	// consecutiveEjections counts the ejections since the last task that was done.
 	consecutiveEjections int
 	ejectedUntil         time.Time
-	// probing is set after an ejection, until a task is done: the endpoint gets one short task at a
-	// time.
+	// probing is set after an ejection, until a task is done or too many endpoints are excluded: the
+	// endpoint gets one short task at a time.
 	probing bool
 	// progressSamples holds recent samples of the progress of the endpoint's tasks.
 	progressSamples slowness.Samples
@@ -57,6 +58,45 @@
 	return !h.probing || e.countShortRuns() == 0
 }
 
+// limitProbed puts endpoints that are probed back into use while too many are excluded: ejected, suspected, or held by a
+// probe that has not ended. A task that takes long would hold its endpoint for as long. The one whose probe has been
+// running for longest comes first.
+func (c *Cell) limitProbed() {
+	held := c.heldByProbes()
+	excluded, usable := c.countExcluded()
+	for len(held) > 0 && !mayBeExcluded(excluded+len(held), usable) {
+		e := held[0]
+		held = held[1:]
+		e.health.probing = false
+		c.placementDue = true
+		c.logEndpoint("endpoint used although unhealthy", e, "too few others are left")
+	}
+}
+
+// heldByProbes returns the usable endpoints that get no work only because a short task probes them, the one whose probe
+// has been running for longest first.
+func (c *Cell) heldByProbes() []*endpoint {
+	var held []*endpoint
+	for _, e := range c.sortedEndpoints {
+		if e.usable() && !e.suspected && !c.now.Before(e.health.ejectedUntil) && !c.healthAllows(e) {
+			held = append(held, e)
+		}
+	}
+	slices.SortStableFunc(held, func(a, b *endpoint) int { return a.firstShortStart().Compare(b.firstShortStart()) })
+	return held
+}
+
+// firstShortStart returns when the oldest run on the endpoint that is not long-running was started, or the zero time if
+// there is none.
+func (e *endpoint) firstShortStart() time.Time {
+	for _, r := range e.runsByStart {
+		if !r.task.phase.spec.Lasting {
+			return r.startedAt
+		}
+	}
+	return time.Time{}
+}
+
 // countShortRuns returns the number of runs that are not long-running.
 func (e *endpoint) countShortRuns() int {
 	count := 0
