Bound the time for which a probe holds its endpoint

Callers saw jobs wait beside an endpoint that had room for them, for as long as another job's task took there. Cause: after an ejection an endpoint gets one short task until a task is done, however long that one takes.

A probe that has made progress for 5 s shows that the endpoint neither fails its tasks at once nor hangs, so that the endpoint is used like any other; if it is slow, it is ejected again. TestProbeThatTakesLongHoldsItsEndpointForABoundedTime fails without the change.

--- a/pkg/cell/health.go
+++ b/pkg/cell/health.go
@@ -25,6 +25,9 @@
 	// minEjectionBase is the number of endpoints that maxEjectedPercent is taken of in smaller
 	// cells, so that one of two endpoints may be ejected.
 	minEjectionBase = 3
+	// maxProbeTime is how long a task that makes progress may hold an endpoint as its only short task. Most of the
+	// users' tasks take less.
+	maxProbeTime = 5 * time.Second
 	// stallTime is how long none of an endpoint's tasks may have made progress before the endpoint
 	// counts as stalled. The time to restore a checkpoint is added to it.
 	stallTime = 1200 * time.Millisecond
@@ -41,8 +44,8 @@
 	// consecutiveEjections counts the ejections since the last task that was done.
 	consecutiveEjections int
 	ejectedUntil         time.Time
-	// probing is set after an ejection, until a task is done or too many endpoints are excluded: the
-	// endpoint gets one short task at a time.
+	// probing is set after an ejection, until a task is done or limitProbed ends it: the endpoint gets
+	// one short task at a time.
 	probing bool
 	// progressSamples holds recent samples of the progress of the endpoint's tasks.
 	progressSamples slowness.Samples
@@ -58,23 +61,35 @@
 	return !h.probing || e.countShortRuns() == 0
 }
 
-// limitProbed puts endpoints that are probed back into use while too many are excluded: ejected, suspected, or held by a
-// probe that has not ended. A task that takes long would hold its endpoint for as long. The one whose probe has been
-// running for longest comes first.
+// limitProbed puts endpoints back into use that are held by a probe which has not ended: those whose tasks have made
+// progress for maxProbeTime and, while too many are excluded, those that have been held for longest. A task that takes
+// long would hold its endpoint for as long.
 func (c *Cell) limitProbed() {
 	held := c.heldByProbes()
 	excluded, usable := c.countExcluded()
-	for len(held) > 0 && !mayBeExcluded(excluded+len(held), usable) {
-		e := held[0]
-		held = held[1:]
-		e.health.probing = false
-		c.placementDue = true
-		c.logEndpoint("endpoint used although unhealthy", e, "too few others are left")
+	excluded += len(held)
+	for _, e := range held {
+		switch {
+		case !mayBeExcluded(excluded, usable):
+			c.endProbing(e, "too few others are left")
+		case c.now.Sub(e.heldSince()) >= maxProbeTime && !c.isStalled(e):
+			c.endProbing(e, "its tasks make progress")
+		default:
+			continue
+		}
+		excluded--
 	}
 }
 
-// heldByProbes returns the usable endpoints that get no work only because a short task probes them, the one whose probe
-// has been running for longest first.
+// endProbing lets an endpoint get work like any other, although no task has been done there since its ejection.
+func (c *Cell) endProbing(e *endpoint, reason string) {
+	e.health.probing = false
+	c.placementDue = true
+	c.logEndpoint("endpoint used although unhealthy", e, reason)
+}
+
+// heldByProbes returns the usable endpoints that get no work only because a short task probes them, the one that has
+// been held for longest first.
 func (c *Cell) heldByProbes() []*endpoint {
 	var held []*endpoint
 	for _, e := range c.sortedEndpoints {
@@ -82,19 +97,19 @@
 			held = append(held, e)
 		}
 	}
-	slices.SortStableFunc(held, func(a, b *endpoint) int { return a.firstShortStart().Compare(b.firstShortStart()) })
+	slices.SortStableFunc(held, func(a, b *endpoint) int { return a.heldSince().Compare(b.heldSince()) })
 	return held
 }
 
-// firstShortStart returns when the oldest run on the endpoint that is not long-running was started, or the zero time if
-// there is none.
-func (e *endpoint) firstShortStart() time.Time {
+// heldSince returns since when a short task has been the only one that an endpoint gets: since its start, or the end of
+// the ejection if that was later.
+func (e *endpoint) heldSince() time.Time {
 	for _, r := range e.runsByStart {
-		if !r.task.phase.spec.Lasting {
+		if !r.task.phase.spec.Lasting && r.startedAt.After(e.health.ejectedUntil) {
 			return r.startedAt
 		}
 	}
-	return time.Time{}
+	return e.health.ejectedUntil
 }
 
 // countShortRuns returns the number of runs that are not long-running.
--- a/pkg/cell/probing_share_test.go
+++ b/pkg/cell/probing_share_test.go
@@ -70,3 +70,14 @@
 	c.runFor(time.Second)
 	assert.Assert(t, !c.hasStarted("waits", 28), "%v", c.cell.Explain("waits"))
 }
+
+// TestProbeThatTakesLongHoldsItsEndpointForABoundedTime guards against an endpoint that gets no other short task for as
+// long as the one takes with which it is probed.
+func TestProbeThatTakesLongHoldsItsEndpointForABoundedTime(t *testing.T) {
+	c := newProbedCell(t, "a", "b")
+	c.submitTo("b", "waits")
+	c.runFor(3 * time.Second)
+	assert.Assert(t, !c.hasStarted("waits", 0), "b is probed")
+	c.runFor(2 * time.Second)
+	assert.Assert(t, c.hasStarted("waits", 0), "%v", c.cell.Explain("waits"))
+}
