Simulate owners that are killed after the first reply of a later life

No simulation killed an owner just between the first reply of a later life and the record of what follows from it, restarted an endpoint several times in a row, or did both at once: the situations in which a run could be recorded on one life and exist on another, unknown to the next owner. TestRulesHoldWhenOwnersAreKilledBesideRestarts does.

--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -461,11 +461,19 @@
 		}
 		w.after(wait, func() {
 			w.late.resultsReturned(o, reply)
-			o.whenRunning(func() { o.cell.Polled(o.now(), poll.Endpoint.Life, poll.Number, reply, err) })
+			o.handlePollReply(poll, reply, err)
 		})
 	})
 }
 
+// handlePollReply passes the reply to a poll, or its error, to the cell.
+func (o *simOwner) handlePollReply(poll cell.Poll, reply damsonwinch.PollReply, err error) {
+	o.whenRunning(func() {
+		o.cell.Polled(o.now(), poll.Endpoint.Life, poll.Number, reply, err)
+		o.world.restartFaults.polled(o, poll.Endpoint.Life, reply, err)
+	})
+}
+
 // holdPoll holds a poll at its endpoint until a run ends, MaxWait has passed or the endpoint exits.
 func (o *simOwner) holdPoll(poll cell.Poll, request damsonwinch.PollRequest, e *simEndpoint) {
 	w := o.world
@@ -485,7 +493,7 @@
 		}
 		w.after(delay, func() {
 			w.late.resultsReturned(o, reply)
-			o.whenRunning(func() { o.cell.Polled(o.now(), poll.Endpoint.Life, poll.Number, reply, err) })
+			o.handlePollReply(poll, reply, err)
 		})
 	}
 	answer := func() { respond(w.randomDuration(time.Millisecond, 10*time.Millisecond), nil) }
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -120,6 +120,8 @@
 	// quickRestarts makes boxes that crash start their next life while calls to the one before may still wait for their
 	// connections, and register it soon after.
 	quickRestarts bool
+	// restartFaults restarts endpoints beside takeovers. It is nil in most simulations.
+	restartFaults *restartFaults
 	startedAt     time.Time
 	// requestDelayed is set while a request is handled long after it was sent.
 	requestDelayed bool
