Send a recorded order only for the life that it was decided for

Users would see tasks of a sound box end by a move or an upkeep, against `may_miss` too: the planner withdraws an endpoint, records the order on its box and sends it once that is stored, seconds later while the store is slow. If the endpoint exits in the meantime, the order ended the next life on the box, which its owner hadn't withdrawn and had given tasks. Repeats of an order were checked for that, its first sending was not.

Now the plan is asked once the order is recorded: it is sent while the life is on the box and its owner reports it as withdrawn. If not, it counts as refused by the platform, which ends it on a box in use, and the box is due again. An inherited order on a box that isn't up is sent as before.

--- a/pkg/boxplan/lives_test.go
+++ b/pkg/boxplan/lives_test.go
@@ -67,9 +67,16 @@
 	f.plan(time.Second)
 }
 
-// maintain adds a wave for the box, plans until the maintenance is ordered, accepts the order as the
-// platform does, and returns it. The life that the order ends started at startedUnixMs.
+// maintain orders maintenance of the box, accepts the order as the platform does, and returns it.
 func (f *oneBoxFleet) maintain(t *testing.T, wave, startedUnixMs int) boxplan.Order {
+	order := f.orderMaintenance(t, wave, startedUnixMs)
+	f.planner.HandleOrderResult(f.now, order, nil)
+	return order
+}
+
+// orderMaintenance adds a wave for the box, plans until the maintenance is ordered, and returns the order. The life that it
+// ends started at startedUnixMs.
+func (f *oneBoxFleet) orderMaintenance(t *testing.T, wave, startedUnixMs int) boxplan.Order {
 	f.planner.SetWave(f.now, damsonwinch.Wave{Number: wave, MaxDown: 1, Duration: 10 * time.Second, Boxes: []string{f.box.Name}})
 	f.list(damsonwinch.BoxUp)
 	f.report(startedUnixMs, false)
@@ -82,7 +89,6 @@
 		}
 	}
 	assert.Equal(t, len(orders), 1, "wave %d", wave)
-	f.planner.HandleOrderResult(f.now, orders[0], nil)
 	return orders[0]
 }
 
@@ -129,3 +135,40 @@
 	assert.Equal(t, len(orders), 0, "%v", orders)
 	assert.DeepEqual(t, f.planner.Directives("held").Withdraw, []string{damsonwinch.Life{ID: "at-" + f.box.Name, StartedUnixMs: 2}.String()})
 }
+
+// TestRecordedOrderIsNotSentForALaterLife guards against an order that ends a life with tasks: the life that was withdrawn
+// for it has exited while the store was slow to record it.
+func TestRecordedOrderIsNotSentForALaterLife(t *testing.T) {
+	for name, restart := range map[string]func(f *oneBoxFleet){
+		"reported": func(f *oneBoxFleet) {
+			f.report(2, false)
+		},
+		"listed as down": func(f *oneBoxFleet) {
+			f.list(damsonwinch.BoxDown)
+			f.plan(100 * time.Millisecond)
+			f.list(damsonwinch.BoxUp)
+			f.report(2, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newOneBoxFleet()
+			order := f.orderMaintenance(t, 1, 1)
+			assert.Assert(t, f.planner.HandleRecorded(order), "the life goes on")
+			restart(f)
+			f.plan(100 * time.Millisecond)
+			assert.Assert(t, !f.planner.HandleRecorded(order))
+			assert.Equal(t, f.maintain(t, 1, 2).Life.StartedUnixMs, 2, "the later life is withdrawn before the box is maintained")
+		})
+	}
+}
+
+// TestInheritedOrderIsSentWhileTheBoxIsDown guards against a move or maintenance that nobody completes: the box may be down
+// because of the order that an earlier planner has sent, and which its successor repeats.
+func TestInheritedOrderIsSentWhileTheBoxIsDown(t *testing.T) {
+	f := newOneBoxFleet()
+	f.inheritMaintenance(false)
+	f.list(damsonwinch.BoxMaintenance)
+	orders := f.plan(time.Minute)
+	assert.Equal(t, len(orders), 1)
+	assert.Assert(t, f.planner.HandleRecorded(orders[0]))
+}
--- a/pkg/boxplan/sim_world_test.go
+++ b/pkg/boxplan/sim_world_test.go
@@ -222,13 +222,16 @@
 	})
 }
 
-// recordOrder records an order and then sends it.
+// recordOrder records an order and then sends it, if it may still be sent.
 func (w *simWorld) recordOrder(order boxplan.Order) {
 	record := order.Record(w.now)
 	wave := w.planner.WaveRecord(w.platform.wave.Number)
 	w.afterUnlessLost(w.between(10*time.Millisecond, 50*time.Millisecond), func() {
 		w.records[order.Box] = record
 		w.waveRecord = wave
+		if !w.planner.HandleRecorded(order) {
+			return
+		}
 		w.after(w.between(2*time.Millisecond, 20*time.Millisecond), func() { w.receiveOrder(order) })
 	})
 }
--- a/pkg/planner/orders.go
+++ b/pkg/planner/orders.go
@@ -39,6 +39,15 @@
 	p.rowProblems = found
 }
 
+// sendRecorded sends an order that has been recorded, unless the life that it ends has exited meanwhile.
+func (p *Planner) sendRecorded(order boxplan.Order) {
+	if !p.boxPlan.HandleRecorded(order) {
+		p.deps.Logger.WithFields(logrus.Fields{"box": order.Box, "pool": order.Pool, "wave": order.Wave, "endpoint": order.Life.String()}).Warn("order on box not sent: the endpoint has exited while it was recorded")
+		return
+	}
+	p.sendOrder(order)
+}
+
 // sendOrder sends the platform an order that has been recorded.
 func (p *Planner) sendOrder(order boxplan.Order) {
 	p.deps.Logger.WithFields(logrus.Fields{"box": order.Box, "pool": order.Pool, "wave": order.Wave, "why": order.Cause}).Info("order on box")
--- a/pkg/planner/records.go
+++ b/pkg/planner/records.go
@@ -95,8 +95,8 @@
 	})
 }
 
-// handleAppended handles the result of an append. It sends the orders and the raised allowances whose
-// records have been appended. If the append has failed, it returns the error, which stops the planner.
+// handleAppended handles the result of an append. It sends the raised allowances whose records have been appended, and
+// of the orders those that may still be sent. If the append has failed, it returns the error, which stops the planner.
 func (p *Planner) handleAppended(m appended) error {
 	p.appendInFlight = false
 	if m.err != nil {
@@ -105,7 +105,7 @@
 	p.allocator.MarkRecorded(m.customers)
 	p.sendAllowances()
 	for _, order := range m.orders {
-		p.sendOrder(order)
+		p.sendRecorded(order)
 	}
 	p.flush()
 	return nil
