Don't hold calls that an earlier life left unanswered against a later one

Callers' work could have passed over a sound endpoint for seconds after it had restarted under its ID. A run that is assigned to the later life kept the times of the start and the stops that were sent to the earlier one. resendStops and doubtStarts counted those as calls that the later life had left unanswered, so that it could be suspected, and the later life got its stop only once the time to repeat the earlier one's had passed.

A run now notes to which life its start and its last stop were sent. A stop is sent to a later life at once, and only what was sent to a life counts against it.

--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -51,6 +51,10 @@
 	stopSentAt    time.Time
 	stopsSent     int
 	stopConfirmed bool
+	// startSentTo and stopSentTo are the lives to which the start and the last stop were sent, or empty. The run may have
+	// been assigned to a later life since.
+	startSentTo damsonwinch.Life
+	stopSentTo  damsonwinch.Life
 	// percent is how much of the task is done, in percent, as last listed by the endpoint.
 	percent int
 	// startedAt is when the run was planned or, once its start was requested, when the request was
@@ -163,7 +167,7 @@
 	}
 	r.state = runRequested
 	c.logStart(r)
-	r.startedAt = c.now
+	r.startedAt, r.startSentTo = c.now, r.endpoint.info.Life
 	leaseUntilMs := r.endpoint.leases.Extend(c.now, c.options.MaxStartDelay)
 	c.stats.Starts++
 	c.effects.Starts = append(c.effects.Starts, Start{Endpoint: r.endpoint.info, Request: damsonwinch.StartRequest{
@@ -198,6 +202,9 @@
 
 // sendStop sends a stop request for a run.
 func (c *Cell) sendStop(r *run) {
+	if !r.isOn(r.stopSentTo) {
+		r.stopSentTo, r.stopsSent = r.endpoint.info.Life, 0
+	}
 	r.stopSentAt = c.now
 	r.stopsSent++
 	c.effects.Stops = append(c.effects.Stops, Stop{Endpoint: r.endpoint.info, Request: damsonwinch.StopRequest{Run: r.id(), Token: c.token}})
@@ -228,18 +235,20 @@
 // stopResendInterval is the longest time after which an unanswered stop request is sent again.
 const stopResendInterval = 400 * time.Millisecond
 
-// resendStops sends stop requests again that have not been answered.
+// resendStops sends stop requests again that have not been answered, and to a later life to which a run has been assigned
+// since.
 func (c *Cell) resendStops() {
 	for _, e := range c.sortedEndpoints {
 		for _, r := range e.runsByStart {
 			if !r.stopping || r.stopConfirmed || r.state == runPending || r.state == runRequested || r.state == runUnverified {
 				continue
 			}
-			if dueAt := r.stopSentAt.Add(c.stopResendDelay(r)); c.now.Before(dueAt) {
+			sentHere := r.isOn(r.stopSentTo)
+			if dueAt := r.stopSentAt.Add(c.stopResendDelay(r)); sentHere && c.now.Before(dueAt) {
 				c.checkCallsAt(dueAt)
 				continue
 			}
-			if !r.stopSentAt.IsZero() {
+			if sentHere {
 				c.observeUnanswered(e)
 			}
 			c.sendStop(r)
--- a/pkg/cell/unanswered.go
+++ b/pkg/cell/unanswered.go
@@ -188,7 +188,9 @@
 			continue
 		}
 		r.state, r.startOverdue, r.listedAfterStep = runUncertain, true, c.step
-		c.observeUnanswered(e)
+		if r.isOn(r.startSentTo) {
+			c.observeUnanswered(e)
+		}
 		c.logRun("start overdue", r, "")
 		c.requestPoll(e)
 		if r.stopping {
