Tell ejected endpoints from probed ones in explanations

Both were shown as "are unhealthy", so that "12 endpoints are unhealthy, 6 endpoints lack CPU, 1 endpoints are unhealthy" did not say which limit was exceeded: that of ejections was kept, and twelve endpoints were probed.

--- a/pkg/cell/obstacle_test.go
+++ b/pkg/cell/obstacle_test.go
@@ -88,7 +88,7 @@
 			c.faults.losses["b"] = 2
 			c.runFor(20 * time.Second)
 		}, end: func(c *crowdedCell) { c.faults.losses["b"] = 0 }, endsWithin: 2 * time.Second},
-		{name: "probed with a short task", explained: "are unhealthy", wants: 1, arrange: (*crowdedCell).ejectBesideShortRun, end: func(c *crowdedCell) {
+		{name: "probed with a short task", explained: "are unhealthy and probed with another task", wants: 1, arrange: (*crowdedCell).ejectBesideShortRun, end: func(c *crowdedCell) {
 			c.finishOldest("b", damsonwinch.EndedDone)
 		}, endsWithin: 100 * time.Millisecond},
 		{name: "refuses starts as unhealthy", wants: 1, arrange: func(c *crowdedCell) {
