Number polls across all endpoints of a cell

A task could run twice: the reply to an old poll was taken for the reply to a new one, and a run that had started in between counted as missing. The registry may drop a live endpoint for a moment. If it is idle, the owner removes it and adds it anew once it is listed again, and the new one numbered its polls from 1. A reply to a poll that was in flight all the while was matched by its number alone. It takes an endpoint that was listed shortly before, so that both numbers are small, and a reply that is late by up to the poll's timeout of 0.5 s.

Cause: a number that identifies a call only among those to one object in memory, while the reply is looked up by the endpoint's life. Now the cell numbers all its polls.

TestReplyToAPollBeforeAnEndpointWasListedAgainIsIgnored: a second start before the change, one start with it.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -42,6 +42,9 @@
 	// openPhases holds the phases with tasks that are ready to start, the most urgent first.
 	openPhases []*phase
 	endpoints  map[damsonwinch.Life]*endpoint
+	// lastPollNumber is the number of the last poll sent. Polls are numbered across all endpoints, since an endpoint
+	// may be removed and listed again while a poll is in flight.
+	lastPollNumber int
 	// sortedEndpoints holds the endpoints sorted by life, so that choices do not depend on the
 	// iteration order of a map.
 	sortedEndpoints []*endpoint
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -12,10 +12,8 @@
 // each kind: waiting, which the endpoint may hold until a run ends, and immediate, which it answers
 // at once.
 type polls struct {
-	// lastNumber is the number of the last poll sent.
-	lastNumber int
-	waiting    *sentPoll
-	immediate  *sentPoll
+	waiting   *sentPoll
+	immediate *sentPoll
 	// overdue holds polls that were not answered in time and have been sent again. Their replies still
 	// count.
 	overdue []*sentPoll
@@ -113,9 +111,9 @@
 // sendPoll sends a poll that the endpoint may hold for up to maxWait, and renews the leases there
 // if this owner may do so.
 func (c *Cell) sendPoll(e *endpoint, maxWait time.Duration) {
-	e.polls.lastNumber++
+	c.lastPollNumber++
 	e.polls.lastSentAt = c.now
-	sent := &sentPoll{number: e.polls.lastNumber, step: c.step, sentAt: c.now, maxWait: maxWait}
+	sent := &sentPoll{number: c.lastPollNumber, step: c.step, sentAt: c.now, maxWait: maxWait}
 	if maxWait > 0 {
 		e.polls.waiting = sent
 	} else {
