Test that a task isn't given up for runs that never began

Each time an owner was killed or replaced after it had recorded the run and before the run began, the endpoint restarted, and the next owner counted the loss.

--- a/pkg/cell/sim_restarts_takeovers_test.go
+++ b/pkg/cell/sim_restarts_takeovers_test.go
@@ -1,6 +1,7 @@
 package cell_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -116,3 +117,15 @@
 	})
 	assert.Assert(t, killed > 0, "no owner was killed after a reply of a later life")
 }
+
+// givenUpUnstartedSeeds are seeds in which a task is given up, and its job shown as failed, though most or all of the runs
+// that were lost under it had never begun: their owner was killed before it requested them.
+var givenUpUnstartedSeeds = []uint64{1126, 80020, 81927}
+
+// TestTaskIsNotGivenUpForRunsThatNeverBegan guards against a sound job that fails because endpoints were lost for which an
+// earlier owner had recorded runs that were never started there.
+func TestTaskIsNotGivenUpForRunsThatNeverBegan(t *testing.T) {
+	for _, seed := range givenUpUnstartedSeeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { checkSeeds(t, []uint64{seed}, simulateRestartsBesideTakeovers) })
+	}
+}
