--- a/pkg/cell/sim_restarts_takeovers_test.go
+++ b/pkg/cell/sim_restarts_takeovers_test.go
@@ -128,4 +128,6 @@
 	for _, seed := range givenUpUnstartedSeeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { checkSeeds(t, []uint64{seed}, simulateRestartsBesideTakeovers) })
 	}
+	// Two starts that were recorded and not sent count as extra starts, after three losses.
+	t.Run("501493, quick restarts", func(t *testing.T) { checkSeeds(t, []uint64{501493}, simulateQuickRestarts) })
 }
