--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -133,7 +133,7 @@
 		return known
 	}
 	e := &endpoint{
-		info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, aliveAt: c.now, reportsBefore: c.lastSync.number, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now,
+		info: damsonwinch.Endpoint{Life: life}, knownSince: c.now, aliveAt: c.now, reportsBefore: c.lastSync.reportNumber, runs: map[damsonwinch.Run]*run{}, lastBusy: c.now,
 		leases: leasebound.Unknown(c.now, c.options.RenewalGrace, c.options.MaxLease),
 	}
 	e.coreEntry.Value = e
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -91,8 +91,8 @@
 		// A poll that is replaced before it times out would never show that the endpoint is silent.
 	case e.appliedSequence > e.recordedSequence, e.appliedSequence > 0 && !e.everListed:
 		// The endpoint would not hold a poll but answer at once with the same results, which can't
-		// be acknowledged before they are recorded and the endpoint is listed. While the store is unavailable the leases still
-		// have to be renewed.
+		// be acknowledged before they are recorded and the endpoint is listed. While the store is
+		// unavailable the leases still have to be renewed.
 		if e.polls.immediate == nil && since >= c.options.PollRetryInterval {
 			c.sendPoll(e, 0)
 		}
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -63,8 +63,8 @@
 	c.reportCustomers(&report)
 	report.Arrivals = c.shares.Report(now)
 	c.reportEvacuatedZones(&report)
-	c.lastSync.number++
-	report.ReportNumber = c.lastSync.number
+	c.lastSync.reportNumber++
+	report.ReportNumber = c.lastSync.reportNumber
 	c.lastSync.reportedAt, c.lastSync.spreadBoxes, c.lastSync.missingBoxes = now, report.Spread, report.MissingBoxes
 	return report
 }
--- a/pkg/cell/wait_reasons.go
+++ b/pkg/cell/wait_reasons.go
@@ -110,8 +110,8 @@
 	// calledAt is when the planner last called, and reportedAt when the cell last reported to it; zero if it
 	// has not.
 	calledAt, reportedAt time.Time
-	// number is the number of the last report.
-	number int
+	// reportNumber is the number of the last report.
+	reportNumber int
 	// spreadBoxes and missingBoxes are the boxes for long-running tasks in the last report.
 	spreadBoxes, missingBoxes int
 }
--- a/pkg/cell/zone.go
+++ b/pkg/cell/zone.go
@@ -71,7 +71,7 @@
 // endpointAnswered notes that a call has been answered by this life of the endpoint.
 func (c *Cell) endpointAnswered(e *endpoint) {
 	c.addressAnswered(e)
-	e.aliveAt, e.reportsBefore = c.now, c.lastSync.number
+	e.aliveAt, e.reportsBefore = c.now, c.lastSync.reportNumber
 	if c.pauses.CaughtUp(c.now) {
 		e.lastAnsweredAt = c.now
 	}
