Count missing results only after the first one that an owner has applied

The line "results are missing" and its counter came up for results that an earlier owner had applied: an owner took itself for the first one of an endpoint that became known more than RenewalGrace after it had the list of endpoints. Which results of a life an earlier owner has applied isn't known, so a gap before the first one that this owner applies no longer counts; a poll that acknowledges results to another life has its own line and counter. The memory of removed lives is no longer needed.

--- a/pkg/cell/cell.go
+++ b/pkg/cell/cell.go
@@ -120,10 +120,8 @@
 	refusalsAreCommon bool
 	// lastSync is what is known of the newest call of the fleet planner.
 	lastSync lastSync
-	// resultGaps finds results that endpoints have discarded too early.
-	resultGaps resultGaps
-	effects    Effects
-	stats      Stats
+	effects  Effects
+	stats    Stats
 }
 
 // New returns an empty cell for the owner with the given fencing token. Load must come before any
--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -149,9 +149,6 @@
 	c.beginEvent(now)
 	c.endpointsChanged()
 	defer c.finishEvent()
-	if c.resultGaps.endpointsSetAt.IsZero() {
-		c.resultGaps.endpointsSetAt = now
-	}
 	present := make(map[damsonwinch.Life]bool, len(listed))
 	for _, info := range listed {
 		present[info.Life] = true
@@ -188,7 +185,6 @@
 			return false
 		}
 		c.forgetLapsed(e)
-		c.resultGaps.addSwept(e)
 		delete(c.endpoints, e.info.Life)
 		e.zone.byFreeCores.Remove(&e.coreEntry)
 		c.deleteEndpointRecord(e)
--- a/pkg/cell/results.go
+++ b/pkg/cell/results.go
@@ -55,10 +55,10 @@
 	}
 }
 
-// observeLateResult counts and logs a late result. A done task whose result arrives with the first reply of an inherited
-// endpoint may be done by that result: the earlier owner has applied it and not acknowledged it.
+// observeLateResult counts and logs a late result. A done task whose result arrives with the first reply of an endpoint may be
+// done by that result: an earlier owner has applied it and not acknowledged it.
 func (c *Cell) observeLateResult(e *endpoint, t *task, result damsonwinch.RunResult, wasLapsed bool) {
-	mayBeApplied := t.done && !wasLapsed && !e.attached && !c.isFirstOwner(e)
+	mayBeApplied := t.done && !wasLapsed && !e.attached
 	isDone := result.Ending == damsonwinch.EndedDone
 	if isDone && !mayBeApplied {
 		c.stats.LateDone++
