--- a/pkg/planner/orders.go
+++ b/pkg/planner/orders.go
@@ -39,10 +39,10 @@
 	p.rowProblems = found
 }
 
-// sendRecorded sends an order that has been recorded, unless the life that it ends has exited meanwhile.
+// sendRecorded sends an order that has been recorded, unless the life that it ends has exited or is in use again.
 func (p *Planner) sendRecorded(order boxplan.Order) {
 	if !p.boxPlan.HandleRecorded(order) {
-		p.deps.Logger.WithFields(logrus.Fields{"box": order.Box, "pool": order.Pool, "wave": order.Wave, "endpoint": order.Life.String()}).Warn("order on box not sent: the endpoint has exited while it was recorded")
+		p.deps.Logger.WithFields(logrus.Fields{"box": order.Box, "pool": order.Pool, "wave": order.Wave, "endpoint": order.Life.String()}).Warn("order on box not sent: the endpoint has exited or is in use again since it was decided")
 		return
 	}
 	p.sendOrder(order)
