review: case 11, tasks of a renamed route with advice never start again under a new owner

Shown: a route with advice is removed and added under another name, its owner is restarted, and the runs of a job that lasts fail: each start lacks its ticket and is rejected, for 25 s.

--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Removes a route with advice, adds it under another name, and restarts the machine that keeps its jobs.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Needs the build of the deploy file and review/build-3.sh.
+cd "$(dirname "$0")/../.." || exit 2
+for program in target/dw-node target/review-3/platform3; do
+  [ -x "$program" ] || { echo "$program is missing"; exit 2; }
+done
+exec target/review-3/platform3 renamed-route review/11/record.txt
