--- a/review/platform3/job.go
+++ b/review/platform3/job.go
@@ -9,6 +9,9 @@
 // maxAttempts is the max_attempts of all routes.
 const maxAttempts = 4
 
+// leastMemoryMB is the memory that a task asks for if its job says nothing.
+const leastMemoryMB = 256
+
 // job is a job that a client sends: one step of some tasks.
 type job struct {
 	id    string
@@ -18,6 +21,9 @@
 	lasts bool
 	label string
 	work  work
+	// serves says that the tasks have a target for their tail, and each needs a worker of its own. fills says that they fill.
+	serves, fills bool
+	memoryMB      int
 }
 
 func (j job) path() string {
@@ -30,14 +36,20 @@
 	if err != nil {
 		return false
 	}
-	phase := map[string]any{"count": j.count, "cpu": j.cpu, "mem_mb": 256, "estimated_ms": max(j.work.Ms, 500)}
+	phase := map[string]any{"count": j.count, "cpu": j.cpu, "mem_mb": max(j.memoryMB, leastMemoryMB), "estimated_ms": max(j.work.Ms, 200)}
 	if j.lasts {
 		phase["long_running"] = true
 	}
 	if j.label != "" {
 		phase["constraints"] = j.label
 	}
-	d.addJob(j.id, []jobPhase{{cpu: j.cpu, lasts: j.lasts, advised: j.route.advised}})
+	if j.serves {
+		phase["target_ms"], phase["anti_affinity"], phase["image"] = targetTailMs, 1, "serve-1"
+	}
+	if j.fills {
+		phase["fills"], phase["image"] = true, "fill-1"
+	}
+	d.addJob(j.id, []jobPhase{{cpu: j.cpu, lasts: j.lasts, advised: j.route.advised, serves: j.serves, fills: j.fills}})
 	for range 20 {
 		status, _ := d.do(n, http.MethodPost, j.route.host, j.path(), map[string]any{"spec": string(spec), "phases": []any{phase}})
 		d.record("client: POST %s to %s: %d", j.path(), n.name, status)
--- a/review/platform3/platform.go
+++ b/review/platform3/platform.go
@@ -41,6 +41,7 @@
 type jobPhase struct {
 	cpu            int
 	lasts, advised bool
+	serves, fills  bool
 }
 
 // taskCounts counts what has become of a task.
--- a/review/platform3/worker.go
+++ b/review/platform3/worker.go
@@ -38,6 +38,12 @@
 	cpu     int
 	began   time.Time
 	lasts   bool
+	phase   jobPhase
+	// left is the work that was left at since, in the time that it takes at full pace.
+	left  time.Duration
+	since time.Time
+	pace  int
+	turn  int
 }
 
 // worker is one life of a worker.
@@ -58,6 +64,7 @@
 	barred  map[string]int // By task, the highest attempt that has ended or was stopped.
 	ends    [][]any
 	lastEnd int
+	tails   tails
 }
 
 func (p *platform) newWorker(m *machine, id string) (*worker, error) {
@@ -66,7 +73,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.handler(w.start))
 	mux.HandleFunc("POST /run-stop", w.handler(w.stop))
-	mux.HandleFunc("POST /pace", w.handler(func(workerCall) (int, string) { return http.StatusOK, "" }))
+	mux.HandleFunc("POST /pace", w.handler(w.setPace))
 	mux.HandleFunc("POST /hold", w.hold)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -78,6 +85,7 @@
 		return nil
 	})
 	p.group.Go(w.beat)
+	p.group.Go(w.watch)
 	return w, nil
 }
 
@@ -132,6 +140,7 @@
 	LastSeen   int    `json:"last_seen"`
 	WaitMs     int    `json:"wait_ms"`
 	Ticket     string `json:"ticket"`
+	Percent    int    `json:"percent"`
 }
 
 // admit decodes a call and checks its instance and its fencing token. If it returns true the caller holds the lock.
@@ -195,7 +204,7 @@
 		return status, reason
 	}
 	w.extend(call.DeadlineMs)
-	r := &taskRun{task: call.Task, attempt: call.Attempt, cpu: phase.cpu, began: w.p.clock.Now(), lasts: phase.lasts}
+	r := &taskRun{task: call.Task, attempt: call.Attempt, cpu: phase.cpu, began: w.p.clock.Now(), lasts: phase.lasts, phase: phase, since: w.p.clock.Now(), pace: fullPace}
 	w.runs[call.Task] = r
 	var what work
 	// A spec of another form stands for a run that lasts until it is stopped.
@@ -204,7 +213,8 @@
 	case w.p.failuresLeft(call.Task, what.Failures):
 		w.endAfter(r, time.Duration(what.FailMs)*time.Millisecond, "failed")
 	case what.Ms > 0:
-		w.endAfter(r, time.Duration(what.Ms)*time.Millisecond, "done")
+		r.left = time.Duration(what.Ms) * time.Millisecond
+		w.work(r)
 	}
 	return status, reason
 }
@@ -298,7 +308,7 @@
 	}
 	running := [][]any{}
 	for _, run := range w.runs {
-		running = append(running, []any{run.task, run.attempt, "", run.percent(w.p.clock.Now()), run.cpu})
+		running = append(running, []any{run.task, run.attempt, "", run.percent(w.p.clock.Now()), w.figure(run)})
 	}
 	ends := slices.Clone(w.ends[:min(len(w.ends), listedEnds)])
 	w.mutex.Unlock()
@@ -308,6 +318,14 @@
 	writeJSON(rw, http.StatusOK, map[string]any{"clock_ms": w.clockMs(), "running": running, "finished": ends})
 }
 
+// figure returns the fifth entry of a row of "running". The caller holds the lock.
+func (w *worker) figure(r *taskRun) int {
+	if r.phase.serves {
+		return w.reportedTail()
+	}
+	return r.cpu * r.pace / fullPace
+}
+
 // percent returns how much of a run is done. One that lasts is at work after a short start.
 func (r *taskRun) percent(now time.Time) int {
 	if r.lasts {
