Review 3: nodes of the stand-in get ports that no connection takes

A node sometimes couldn't listen, since a connection had taken its port, and the case ended with 2 (could not run). Shown by the node's log with KEEP=1: address already in use.

--- a/review/platform3/deployment.go
+++ b/review/platform3/deployment.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -105,13 +106,24 @@
 	return nil
 }
 
+// Ports of nodes are below those that the kernel gives to connections, one of which could otherwise take a port before its
+// node listens there.
+const (
+	lowestNodePort = 20_000
+	nodePorts      = 12_000
+)
+
 // freeAddress returns an address with a port that is free now.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var failed error
+	for range 20 {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowestNodePort+rand.IntN(nodePorts)))
+		if err == nil {
+			return listener.Addr().String(), listener.Close()
+		}
+		failed = err
 	}
-	return listener.Addr().String(), listener.Close()
+	return "", failed
 }
 
 // writeSettings writes a node's settings as the platform fills them in by the template of the deploy file.
