--- a/review/platform3/main.go
+++ b/review/platform3/main.go
@@ -32,6 +32,7 @@
 	"many-advised":  {nodes: 2, pools: map[string]int{"svc-a": 9}, play: playManyAdvised},
 	"renamed-route": {nodes: 2, pools: map[string]int{"svc-a": 4}, play: playRenamedRoute},
 	"short-fillers": {nodes: 2, pools: map[string]int{"svc-a": 2}, play: playShortFillers},
+	"paused-filler": {nodes: 2, pools: map[string]int{"svc-a": 4}, play: playPausedFiller},
 	"pending":       {nodes: 2, pools: map[string]int{"svc-a": 4, "svc-b": 4}, play: playPending},
 }
 
--- a/review/platform3/pace.go
+++ b/review/platform3/pace.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"net/http"
 	"slices"
 	"time"
@@ -9,7 +10,7 @@
 // What tasks that fill do to the tail of a task that serves on the same worker.
 const (
 	quietTailMs  = 40 // The tail with nothing beside it.
-	fillTailMs   = 80 // What each task that fills adds to it at its full pace.
+	fillTailMs   = 80 // What each task that fills adds to it at its full pace, if its spec says nothing.
 	fullPace     = 100
 	paceTime     = 100 * time.Millisecond
 	sampleTime   = 50 * time.Millisecond
@@ -69,7 +70,7 @@
 	for _, r := range w.runs {
 		serves = serves || r.phase.serves
 		if r.phase.fills {
-			tail += fillTailMs * r.pace / fullPace
+			tail += cmp.Or(r.what.TailMs, fillTailMs) * r.pace / fullPace
 		}
 	}
 	if !serves {
--- a/review/platform3/platform.go
+++ b/review/platform3/platform.go
@@ -33,7 +33,16 @@
 	worker                        *worker
 }
 
+// oddMachine is the only machine that has the label oddLabel.
+const (
+	oddMachine = "m-00"
+	oddLabel   = "c"
+)
+
 func (m *machine) labels() []string {
+	if m.name == oddMachine {
+		return []string{oddLabel, m.rack}
+	}
 	return []string{"a", m.rack}
 }
 
--- a/review/platform3/worker.go
+++ b/review/platform3/worker.go
@@ -29,6 +29,8 @@
 	// Failures is how many runs of each task fail, each after FailMs, before one does its work.
 	Failures int `json:"failures,omitempty"`
 	FailMs   int `json:"fail_ms,omitempty"`
+	// TailMs is what a task that fills adds at full pace to the tail of one that serves beside it.
+	TailMs int `json:"tail_ms,omitempty"`
 }
 
 // taskRun is a run of a task.
@@ -39,6 +41,7 @@
 	began   time.Time
 	lasts   bool
 	phase   jobPhase
+	what    work
 	// left is the work that was left at since, in the time that it takes at full pace.
 	left  time.Duration
 	since time.Time
@@ -206,14 +209,13 @@
 	w.extend(call.DeadlineMs)
 	r := &taskRun{task: call.Task, attempt: call.Attempt, cpu: phase.cpu, began: w.p.clock.Now(), lasts: phase.lasts, phase: phase, since: w.p.clock.Now(), pace: fullPace}
 	w.runs[call.Task] = r
-	var what work
 	// A spec of another form stands for a run that lasts until it is stopped.
-	_ = json.Unmarshal([]byte(call.Spec), &what)
+	_ = json.Unmarshal([]byte(call.Spec), &r.what)
 	switch {
-	case w.p.failuresLeft(call.Task, what.Failures):
-		w.endAfter(r, time.Duration(what.FailMs)*time.Millisecond, "failed")
-	case what.Ms > 0:
-		r.left = time.Duration(what.Ms) * time.Millisecond
+	case w.p.failuresLeft(call.Task, r.what.Failures):
+		w.endAfter(r, time.Duration(r.what.FailMs)*time.Millisecond, "failed")
+	case r.what.Ms > 0:
+		r.left = time.Duration(r.what.Ms) * time.Millisecond
 		w.work(r)
 	}
 	return status, reason
@@ -331,5 +333,6 @@
 	if r.lasts {
 		return min(100, int(now.Sub(r.began).Milliseconds()/5))
 	}
-	return min(99, int(now.Sub(r.began).Milliseconds()/50))
+	r.settle(now)
+	return 99 - int(99*r.left.Milliseconds())/max(r.what.Ms, 1)
 }
