--- a/review/platform3/job.go
+++ b/review/platform3/job.go
@@ -46,6 +46,9 @@
 	if j.serves {
 		phase["target_ms"], phase["anti_affinity"], phase["image"] = targetTailMs, 1, "serve-1"
 	}
+	if j.work.SaveBytes > 0 {
+		phase["checkpointing"] = true
+	}
 	if j.fills {
 		phase["fills"], phase["image"] = true, "fill-1"
 	}
