--- a/review/platform3/checkpoint.go
+++ b/review/platform3/checkpoint.go
@@ -27,8 +27,9 @@
 
 // Figures of playCheckpoints.
 const (
-	savingTasks = 100
-	savingMs    = 7000
+	savingSteps = 3
+	savingTasks = 32
+	savingMs    = 5200
 	longSave    = 4000
 	shortSave   = 16
 )
@@ -39,7 +40,7 @@
 	if d.configure(3, []string{"svc-a"}, plain) != nil || !d.warmUp(plain) {
 		return exitNotRun
 	}
-	j := job{id: jobID(7, 1), route: plain, count: savingTasks, cpu: 1000, work: work{Ms: savingMs, SaveBytes: shortSave}}
+	j := job{id: jobID(7, 1), route: plain, steps: savingSteps, count: savingTasks, cpu: 1000, work: work{Ms: savingMs, SaveBytes: shortSave}}
 	if trouble {
 		j.work.SaveBytes = longSave
 	}
