--- a/review/platform3/job.go
+++ b/review/platform3/job.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
 	"time"
 )
 
@@ -13,7 +12,7 @@
 // leastMemoryMB is the memory that a task asks for if its job says nothing.
 const leastMemoryMB = 256
 
-// job is a job that a client sends: one step of some tasks, or several alike of which none waits for another.
+// job is a job that a client sends: one step of some tasks.
 type job struct {
 	id    string
 	route route
@@ -25,7 +24,6 @@
 	// serves says that the tasks have a target for their tail, and each needs a worker of its own. fills says that they fill.
 	serves, fills bool
 	memoryMB      int
-	steps         int
 }
 
 func (j job) path() string {
@@ -48,16 +46,12 @@
 	if j.serves {
 		phase["target_ms"], phase["anti_affinity"], phase["image"] = targetTailMs, 1, "serve-1"
 	}
-	if j.work.SaveBytes > 0 {
-		phase["checkpointing"] = true
-	}
 	if j.fills {
 		phase["fills"], phase["image"] = true, "fill-1"
 	}
-	steps := max(j.steps, 1)
-	d.addJob(j.id, slices.Repeat([]jobPhase{{cpu: j.cpu, lasts: j.lasts, advised: j.route.advised, serves: j.serves, fills: j.fills}}, steps))
+	d.addJob(j.id, []jobPhase{{cpu: j.cpu, lasts: j.lasts, advised: j.route.advised, serves: j.serves, fills: j.fills}})
 	for range 20 {
-		status, _ := d.do(n, http.MethodPost, j.route.host, j.path(), map[string]any{"spec": string(spec), "phases": slices.Repeat([]any{phase}, steps)})
+		status, _ := d.do(n, http.MethodPost, j.route.host, j.path(), map[string]any{"spec": string(spec), "phases": []any{phase}})
 		d.record("client: POST %s to %s: %d", j.path(), n.name, status)
 		if status == http.StatusOK {
 			return true
--- a/review/platform3/main.go
+++ b/review/platform3/main.go
@@ -33,7 +33,6 @@
 	"renamed-route": {nodes: 2, pools: map[string]int{"svc-a": 4}, play: playRenamedRoute},
 	"short-fillers": {nodes: 2, pools: map[string]int{"svc-a": 2}, play: playShortFillers},
 	"paused-filler": {nodes: 2, pools: map[string]int{"svc-a": 4}, play: playPausedFiller},
-	"checkpoints":   {nodes: 2, pools: map[string]int{"svc-a": 9}, play: playCheckpoints},
 	"pending":       {nodes: 2, pools: map[string]int{"svc-a": 4, "svc-b": 4}, play: playPending},
 }
 
--- a/review/platform3/worker.go
+++ b/review/platform3/worker.go
@@ -31,8 +31,6 @@
 	FailMs   int `json:"fail_ms,omitempty"`
 	// TailMs is what a task that fills adds at full pace to the tail of one that serves beside it.
 	TailMs int `json:"tail_ms,omitempty"`
-	// SaveBytes is the length of the checkpoints of a task, or 0 if it makes none.
-	SaveBytes int `json:"save_bytes,omitempty"`
 }
 
 // taskRun is a run of a task.
@@ -249,7 +247,7 @@
 	delete(w.runs, r.task)
 	w.barred[r.task] = max(w.barred[r.task], r.attempt)
 	w.lastEnd++
-	w.ends = append(w.ends, []any{w.lastEnd, r.task, r.attempt, how, r.saved(w.p.clock.Now())})
+	w.ends = append(w.ends, []any{w.lastEnd, r.task, r.attempt, how, ""})
 	w.p.noteEnd(r.task, how)
 	w.p.record("worker %s: run %s attempt %d ends %s", w.id, r.task, r.attempt, how)
 	w.changed.Broadcast()
@@ -312,7 +310,7 @@
 	}
 	running := [][]any{}
 	for _, run := range w.runs {
-		running = append(running, []any{run.task, run.attempt, run.saved(w.p.clock.Now()), run.percent(w.p.clock.Now()), w.figure(run)})
+		running = append(running, []any{run.task, run.attempt, "", run.percent(w.p.clock.Now()), w.figure(run)})
 	}
 	ends := slices.Clone(w.ends[:min(len(w.ends), listedEnds)])
 	w.mutex.Unlock()
