--- a/review/platform3/main.go
+++ b/review/platform3/main.go
@@ -33,6 +33,7 @@
 	"renamed-route": {nodes: 2, pools: map[string]int{"svc-a": 4}, play: playRenamedRoute},
 	"short-fillers": {nodes: 2, pools: map[string]int{"svc-a": 2}, play: playShortFillers},
 	"paused-filler": {nodes: 2, pools: map[string]int{"svc-a": 4}, play: playPausedFiller},
+	"never-begun":   {nodes: 3, pools: map[string]int{"svc-a": 8}, play: playNeverBegun},
 	"pending":       {nodes: 2, pools: map[string]int{"svc-a": 4, "svc-b": 4}, play: playPending},
 }
 
--- a/review/platform3/store.go
+++ b/review/platform3/store.go
@@ -58,6 +58,9 @@
 	groups     map[string]*memberGroup
 	// lastAppend holds, by producer, the node that has appended last.
 	lastAppend map[string]int
+	// watch is told the node and the records of each append that has been carried out, or is nil. If it returns true the append
+	// is never answered.
+	watch func(node int, records []keyedRecord) bool
 }
 
 func newStore(clock clockwork.Clock) *store {
@@ -170,6 +173,12 @@
 		p.add(record)
 	}
 	s.changed.Broadcast()
+	if s.watch != nil && s.watch(node, records) {
+		s.mutex.Unlock()
+		<-r.Context().Done()
+		s.mutex.Lock()
+		return
+	}
 	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end": len(p.records)})
 }
 
