Give up recorded orders that are too old to be carried out

Operators could see, after a takeover of the planner, a box go to a cell that needs none, or more boxes in maintenance than a wave allows.

Cause: an order that a planner takes back stays recorded. The next planner repeats recorded orders on withdrawn lives, also where the life has been withdrawn since for another reason.

A record older than 30 s that isn't known to be accepted, on a box that is up, is therefore of an order that was given up: it ends, and the present need decides. 30 s are twice the time in which the platform may carry out a call late.

TestOldMaintenanceOnAWithdrawnLifeIsNotRepeated is new and failed before ("the wave's only box down is in maintenance").

Not covered: an order taken back less than 30 s before the takeover.

--- a/pkg/boxplan/takeover_test.go
+++ b/pkg/boxplan/takeover_test.go
@@ -72,6 +72,22 @@
 	}
 }
 
+// TestOldMaintenanceOnAWithdrawnLifeIsNotRepeated guards against more boxes in maintenance than a wave allows: an earlier
+// planner has taken back the maintenance of a box, whose life has been withdrawn since for another reason.
+func TestOldMaintenanceOnAWithdrawnLifeIsNotRepeated(t *testing.T) {
+	f := newShardedFleet()
+	f.add("short", 3, 0)
+	kept, maintained := f.boxes[0], &f.boxes[1]
+	f.planner.LoadWave(f.now, wire.WaveRecord{Wave: 1, BegunMs: int(f.now.Add(-time.Minute).UnixMilli()), Done: []string{maintained.Name}})
+	f.planner.SetWave(f.now, damsonwinch.Wave{Number: 1, MaxDown: 1, Duration: time.Hour, Boxes: []string{kept.Name, maintained.Name}})
+	f.planner.LoadOrder(wire.OrderRecord{Box: kept.Name, Wave: 1, AtMs: int(f.now.Add(-50 * time.Second).UnixMilli()), Endpoint: kept.EndpointID})
+	f.withdrawn[kept.EndpointID] = true
+	maintained.State, maintained.EndpointID = damsonwinch.BoxMaintenance, ""
+	for range 20 {
+		assert.Equal(t, len(f.planShort(100*time.Millisecond, 0)), 0, "the wave's only box down is in maintenance")
+	}
+}
+
 // TestOldRecordOnABoxOfACellWithoutReportsIsNotWaitedFor guards against a long-running task that waits, after a takeover of
 // the planner, for as long as another cell has no owner: an order that was taken back long ago has a box of that cell
 // count for the task's cell, beside a powered-off box.
--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -24,8 +24,14 @@
 // maxOrderDelay is how long after an unanswered call with an order the platform may still carry it out.
 const maxOrderDelay = 15 * time.Second
 
-// dropObsoleteOrders ends the orders that must not be repeated: those of an earlier planner on later lives than theirs or
-// on powered-off boxes, for which the present need decides, and those on lives that may be in use and have had no effect.
+// outdatedAge is the age from which a recorded order that isn't known to be accepted has certainly been given up. Each call
+// with it was recorded, with its time, before it was sent. Twice maxOrderDelay leaves as long again for appends and for
+// differences between the clocks of nodes.
+const outdatedAge = 2 * maxOrderDelay
+
+// dropObsoleteOrders ends the orders that must not be repeated: those of an earlier planner that are outdated, on later
+// lives than theirs or on powered-off boxes, for which the present need decides, and those on lives that may be in use and
+// have had no effect.
 // The owner of a cell forgets that a life is withdrawn once the registry hasn't listed it for a while, and an earlier
 // planner may have taken back what it had recorded.
 func (p *Planner) dropObsoleteOrders() {
@@ -42,7 +48,7 @@
 			p.settleInheritedOrder(b)
 		case o.inherited && p.mayStayPoweredOff(b):
 			b.issued = nil
-		case p.mayBeInUse(b) && p.hadNoEffect(b):
+		case p.mayBeInUse(b) && p.hadNoEffect(b), p.isOutdated(b):
 			p.revertOrder(b, o.Order)
 		}
 	}
@@ -84,6 +90,14 @@
 	return b.issued.Wave == 0 && b.info.State == damsonwinch.BoxUp && p.isPoweredOff(b.info.Pool) && p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay
 }
 
+// isOutdated reports whether the earlier planner has taken back a recorded order on a box that is up, without a record of
+// that: it had last sent the order so long ago that no call can be carried out any more. The life may have been withdrawn for
+// another reason since.
+func (p *Planner) isOutdated(b *box) bool {
+	o := b.issued
+	return o.inherited && o.sentAt.IsZero() && b.info.State == damsonwinch.BoxUp && p.now.Sub(b.inheritedAt) > outdatedAge
+}
+
 // hadNoEffect reports whether the issued order on a box that is up can be given up: the platform has refused it, or the
 // owner has reported the life and it is a recorded move or can't be carried out late any more. An earlier planner, too,
 // has repeated an order only on a withdrawn life. Maintenance that may yet begin counts in its wave.
