Try a refused task on all endpoints before any a second time

Callers saw a task wait for good beside idle endpoints that would accept it, and a long-running task that all endpoints refuse wait without a box being asked for.

Cause: a task knew only the endpoint that refused it last. Of equal endpoints the first by ID was chosen, so the first two took turns. An endpoint's own refusals count for 4 s, twice a task's back-off: two endpoints were forgotten in time for their next turns. The choice of an endpoint to reserve, and the two for a probation, ignored refusals.

Change: a task remembers the endpoints that have refused it since its last accepted start. All choices put them last, in turn. Once a long-running task has been refused for 2 s, the endpoints that refused it for their health or capacity aren't counted on for its phase. Refusals of an invalid task ask for no box. No record or message has changed.

TestNoBoxIsAskedForWhereATaskIsInvalid passed before. Without the memory for boxes, the choice of a reservation or that of a probation, one of them fails.

--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -180,6 +180,10 @@
 	// time of the next start.
 	refusals  int
 	notBefore time.Time
+	// refusedBy holds the endpoints that have refused the task since its last start that was accepted, the one that did
+	// so last at the end. refusedSince is when the first of these refusals came.
+	refusedBy    []taskRefusal
+	refusedSince time.Time
 	// avoid is the endpoint to avoid at the next start, usually the one where the task failed last.
 	avoid damsonwinch.Life
 }
--- a/pkg/cell/missing_boxes.go
+++ b/pkg/cell/missing_boxes.go
@@ -57,10 +57,11 @@
 		}
 	}
 	slices.SortStableFunc(hosts, func(a, b *endpoint) int { return costs[a] - costs[b] })
+	refused := c.refusingEndpoints(waiting)
 	boxes := make([]*boxneed.Box, 0, len(hosts))
 	for _, e := range hosts {
 		b := c.hostingBox(e, waiting)
-		b.Barred = c.barredPhases(e, waiting)
+		b.Barred = c.barredPhases(e, waiting, refused)
 		boxes = append(boxes, b)
 	}
 	return hosts, boxes
@@ -85,14 +86,34 @@
 	return b
 }
 
-// barredPhases returns the phases whose tasks may not run on an endpoint because it lacks their label, or because
-// the advice service doesn't permit it.
-func (c *Cell) barredPhases(e *endpoint, waiting *waitingPhases) map[*boxneed.Phase]bool {
+// barredPhases returns the phases whose tasks may not run on an endpoint because it lacks their label, because the advice
+// service doesn't permit it, or because it has refused one of them.
+func (c *Cell) barredPhases(e *endpoint, waiting *waitingPhases, refused map[*phase]map[damsonwinch.Life]bool) map[*boxneed.Phase]bool {
 	barred := map[*boxneed.Phase]bool{}
 	for p, row := range waiting.byPhase {
-		if !c.mayEverRun(p, e) {
+		if !c.mayEverRun(p, e) || refused[p][e.info.Life] {
 			barred[row] = true
 		}
 	}
 	return barred
 }
+
+// refusingEndpoints returns, by phase, the endpoints that aren't counted on because they have refused a task that has been
+// refused for long. An endpoint's own refusals may be forgotten before its next turn.
+func (c *Cell) refusingEndpoints(waiting *waitingPhases) map[*phase]map[damsonwinch.Life]bool {
+	refused := map[*phase]map[damsonwinch.Life]bool{}
+	for p := range waiting.byPhase {
+		for _, t := range p.ready {
+			if !c.isRefusedForLong(t) {
+				continue
+			}
+			if refused[p] == nil {
+				refused[p] = map[damsonwinch.Life]bool{}
+			}
+			for _, refusal := range t.refusedBy {
+				refused[p][refusal.life] = refused[p][refusal.life] || refusal.byState
+			}
+		}
+	}
+	return refused
+}
--- a/pkg/cell/place.go
+++ b/pkg/cell/place.go
@@ -144,8 +144,11 @@
 // capacity: for the preferred rack, for the endpoint that the task should avoid, and for one where
 // a task has just failed, among others.
 const (
-	scoreRack          = 1_000_000
-	scoreAvoid         = -4_000_000
+	scoreRack  = 1_000_000
+	scoreAvoid = -4_000_000
+	// scoreRefused counts once for an endpoint that has refused the task before all others that have, and once more
+	// for each that did so earlier. All others are tried first, and the refusing ones in turn.
+	scoreRefused       = -10_000_000
 	scoreRecentFailure = -2_000_000
 	// scoreCold lets an endpoint that is still slow warm up with the work for which the others have
 	// no capacity.
@@ -168,7 +171,7 @@
 
 // preference rates an endpoint for a task without considering its free capacity.
 func (c *Cell) preference(t *task, e *endpoint) int {
-	score := 0
+	score := t.refusalScore(e)
 	if rack := t.phase.spec.Rack; rack != "" && slices.Contains(e.info.Labels, rack) {
 		score += scoreRack
 	}
--- a/pkg/cell/probation.go
+++ b/pkg/cell/probation.go
@@ -103,12 +103,12 @@
 }
 
 // chooseProbationEndpoint returns the endpoint for a task's probation, or nil if none can start the
-// task. Of several it takes the one whose crash would lose the least.
+// task. Of several it takes the one whose crash would lose the least, and first those that haven't refused the task.
 func (c *Cell) chooseProbationEndpoint(t *task) *endpoint {
 	var choice choice
 	for _, e := range c.sortedEndpoints {
 		if c.noRecentStart(e) && c.canStart(t, e) {
-			choice.offer(e, -e.weightAtRisk())
+			choice.offer(e, t.refusalScore(e)-e.weightAtRisk())
 		}
 	}
 	return choice.best
@@ -180,7 +180,7 @@
 	var choice choice
 	for _, e := range c.sortedEndpoints {
 		if e.probation == nil && e.reservedFor == nil && len(e.reservedTasks) == 0 && c.mayHostProbation(t, e) && c.fitsWithoutShortRuns(t, e) {
-			choice.offer(e, -e.weightAtRisk())
+			choice.offer(e, t.refusalScore(e)-e.weightAtRisk())
 		}
 	}
 	if choice.best != nil {
--- a/pkg/cell/reservation.go
+++ b/pkg/cell/reservation.go
@@ -35,25 +35,29 @@
 }
 
 // reserveFor reserves an endpoint for a long-running task: preferably one that is reserved for others
-// already, else the one where short tasks end soonest. It returns false if none can take the task.
+// already, else the one where short tasks end soonest. Those that have refused the task come last, in turn. It returns
+// false if none can take the task.
 func (c *Cell) reserveFor(t *task) bool {
+	var choice choice
 	for _, e := range c.reservedEndpoints {
-		if c.canReserve(t, e) {
-			e.reserve(t)
-			return true
+		if score := t.refusalScore(e); (choice.best == nil || score > choice.score) && c.canReserve(t, e) {
+			choice.best, choice.score = e, score
 		}
 	}
-	var choice choice
-	for _, e := range c.sortedEndpoints {
-		if len(e.reservedTasks) == 0 && e.reservedFor == nil && e.probation == nil && c.canReserve(t, e) {
-			choice.offer(e, -c.shortRunsEndMs(e))
+	if choice.best == nil || choice.score < 0 {
+		for _, e := range c.sortedEndpoints {
+			if len(e.reservedTasks) == 0 && e.reservedFor == nil && e.probation == nil && c.canReserve(t, e) {
+				choice.offer(e, t.refusalScore(e)-c.shortRunsEndMs(e))
+			}
 		}
 	}
 	if choice.best == nil {
 		return false
 	}
+	if !slices.Contains(c.reservedEndpoints, choice.best) {
+		c.reservedEndpoints = append(c.reservedEndpoints, choice.best)
+	}
 	choice.best.reserve(t)
-	c.reservedEndpoints = append(c.reservedEndpoints, choice.best)
 	return true
 }
 
--- a/pkg/cell/start_backoff.go
+++ b/pkg/cell/start_backoff.go
@@ -1,6 +1,11 @@
 package cell
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"damsonwinch"
+)
 
 const (
 	// minRefusals is the number of starts in a row that an endpoint must have refused to count as one that
@@ -37,6 +42,35 @@
 	t.refusals++
 }
 
+// taskRefusal is the newest refusal of a task by an endpoint.
+type taskRefusal struct {
+	life damsonwinch.Life
+	// byState says that the endpoint's health or capacity was the reason: a further box may accept the task.
+	byState bool
+}
+
+// noteRefusedBy notes that an endpoint has refused a task, because of its health or capacity or not.
+func (c *Cell) noteRefusedBy(t *task, life damsonwinch.Life, byState bool) {
+	if len(t.refusedBy) == 0 {
+		t.refusedSince = c.now
+	}
+	t.refusedBy = slices.DeleteFunc(t.refusedBy, func(other taskRefusal) bool {
+		return other.life == life || c.endpoints[other.life] == nil
+	})
+	t.refusedBy = append(t.refusedBy, taskRefusal{life: life, byState: byState})
+}
+
+// refusalScore returns the part of an endpoint's score that is due to its refusals of a task.
+func (t *task) refusalScore(e *endpoint) int {
+	place := slices.IndexFunc(t.refusedBy, func(refusal taskRefusal) bool { return refusal.life == e.info.Life })
+	return scoreRefused * (1 + place)
+}
+
+// isRefusedForLong reports whether endpoints have refused a task, and it has not started, for maxObstruction.
+func (c *Cell) isRefusedForLong(t *task) bool {
+	return len(t.refusedBy) > 0 && c.now.Sub(t.refusedSince) >= maxObstruction
+}
+
 // Bounds of the backoff after a refused start. The first one is short, since another endpoint may
 // soon accept the task. The last one is about as long as it takes to notice that the endpoints'
 // program has been replaced.
--- a/pkg/cell/start_reply.go
+++ b/pkg/cell/start_reply.go
@@ -98,7 +98,7 @@
 // confirm notes that a run exists: its endpoint has accepted or listed it.
 func (c *Cell) confirm(r *run) {
 	r.state, r.listedAfterStep, r.confirmedAt = runConfirmed, c.step, c.now
-	r.endpoint.refusals = refusals{}
+	r.endpoint.refusals, r.task.refusedBy = refusals{}, nil
 	c.slowNewFiller(r)
 }
 
@@ -115,6 +115,11 @@
 	return false
 }
 
+// isStateRefusal reports whether an endpoint has refused a start because of its health or capacity.
+func isStateRefusal(err error) bool {
+	return errors.Is(err, damsonwinch.ErrNoCapacity) || errors.Is(err, damsonwinch.ErrUnhealthy)
+}
+
 // startRefused removes a run that life has refused to start.
 func (c *Cell) startRefused(life damsonwinch.Life, r *run, err error) {
 	c.stats.StartsRefused++
@@ -131,7 +136,7 @@
 		c.requeueUnstarted(r)
 		c.markLost(r.endpoint, "another life answers at its address")
 		return
-	case errors.Is(err, damsonwinch.ErrNoCapacity), errors.Is(err, damsonwinch.ErrUnhealthy):
+	case isStateRefusal(err):
 		// The endpoint's free capacity or health differs from what the cell knows of it.
 		r.endpoint.backoffUntil = c.now.Add(endpointBackoff)
 		r.endpoint.refusals.add(c.now)
@@ -142,6 +147,7 @@
 		return
 	}
 	r.task.avoid = r.endpoint.info.Life
+	c.noteRefusedBy(r.task, r.endpoint.info.Life, isStateRefusal(err))
 	c.backOffTask(r.task)
 	c.requeueUnstarted(r)
 }
