Say of a planner's list without a report number that it names none

What operators would have seen: a run that was removed because a planner of an earlier version named its endpoint as exited, with "list requested after report 0 to the planner", as if the owner had made no report.

Cause: such planners send no number, and the line printed it all the same.

Change: the line says that the planner names no report.

--- a/pkg/cell/reported_exit.go
+++ b/pkg/cell/reported_exit.go
@@ -28,7 +28,7 @@
 		c.requestPoll(e)
 	case c.listFollowsAnswer(e, args):
 		c.markLostByReport(e, "the fleet planner has seen its box without it", removal{
-			reason: removedByPlanner, source: fmt.Sprintf("list requested after report %d to the planner", args.BoxesAfterReport),
+			reason: removedByPlanner, source: plannerListSource(args),
 		})
 	}
 }
@@ -42,6 +42,14 @@
 	return args.BoxesAfterToken == c.token && args.BoxesAfterReport > e.reportsBefore
 }
 
+// plannerListSource describes the list of boxes of the planner as the source of a removal.
+func plannerListSource(args wire.SyncArgs) string {
+	if args.BoxesAfterToken == 0 {
+		return "list of a planner that names no report"
+	}
+	return fmt.Sprintf("list requested after report %d to the planner", args.BoxesAfterReport)
+}
+
 // mayAnswer reports whether a poll will show whether an endpoint has exited: it has answered the last one,
 // or is registered and hasn't been polled by this owner. The boxes of withdrawn endpoints have been moved
 // or maintained.
