Don't take a run for one that nobody expects because a reply was overtaken

Cause: an owner has up to two polls of an endpoint in flight. The endpoint answers the later one, then a run ends and it answers the held one; if the replies arrive the other way round, the older list still has the run whose result has just been applied. The order in which polls were sent doesn't show the order in which they were answered.

Change: a run whose result was applied after a poll was sent isn't expected in the reply to that poll. The steps of applied results are kept as long as an older poll is in flight.

TestReplyThatWasOvertakenStopsNoEndedRun fails before: 'assertion failed: 2 (int) != 1 (int): the run has ended'.

--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -48,6 +48,9 @@
 	runsByStart []*run
 	// used is the capacity that runs occupy.
 	used damsonwinch.Resources
+	// endedAtStep holds, by run, the step at which its result was applied, as long as polls are in flight that were sent
+	// before that.
+	endedAtStep map[damsonwinch.Run]int
 	// strayRuns is the number of runs in the last poll's reply that the cell doesn't know. The
 	// capacity that they use until they have ended isn't known.
 	strayRuns int
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -203,7 +203,8 @@
 	e.leases.SampleClock(c.now, reply.ClockMs)
 	c.endProbation(e, sent.sentAt)
 	c.applyResults(e, reply.Finished)
-	c.updateListedRuns(e, reply.Running)
+	c.updateListedRuns(e, reply.Running, sent.step)
+	e.forgetEnded()
 	if !reply.Truncated {
 		c.forgetLapsed(e)
 		c.removeUnlistedRuns(e, sent)
@@ -250,17 +251,21 @@
 			continue
 		}
 		e.appliedSequence = result.Sequence
+		e.noteEnded(result.Run, c.step)
 		c.commits.ackEndpoints = append(c.commits.ackEndpoints, e)
 		c.applyResult(e, result)
 	}
 }
 
-// updateListedRuns updates the runs that an endpoint has listed. It stops those that the cell doesn't expect
-// there.
-func (c *Cell) updateListedRuns(e *endpoint, listed []damsonwinch.RunProgress) {
+// updateListedRuns updates the runs that an endpoint has listed in its reply to a poll that was sent at sentStep. It stops
+// those that the cell doesn't expect there.
+func (c *Cell) updateListedRuns(e *endpoint, listed []damsonwinch.RunProgress, sentStep int) {
 	e.strayRuns = 0
 	for _, progress := range listed {
 		r := e.runs[progress.Run]
+		if r == nil && e.endedSince(progress.Run, sentStep) {
+			continue
+		}
 		if r == nil {
 			e.strayRuns++
 			if e.everListed || c.jobs[progress.Task.Job] != nil {
--- a/pkg/cell/poll_numbers_test.go
+++ b/pkg/cell/poll_numbers_test.go
@@ -18,6 +18,7 @@
 	info   damsonwinch.Endpoint
 	polls  []cell.Poll
 	starts []cell.Start
+	stops  []cell.Stop
 }
 
 func newHeldPolls(t *testing.T) *heldPolls {
@@ -45,6 +46,7 @@
 	for range 4 {
 		effects := h.cell.TakeEffects()
 		h.polls = append(h.polls, effects.Polls...)
+		h.stops = append(h.stops, effects.Stops...)
 		if effects.Commit != nil {
 			h.cell.Committed(h.now, effects.Commit.Number)
 		}
@@ -55,6 +57,13 @@
 	}
 }
 
+// tick lets time pass and ticks the cell once.
+func (h *heldPolls) tick(duration time.Duration) {
+	h.now = h.now.Add(duration)
+	h.cell.Tick(h.now)
+	h.collect()
+}
+
 // answer answers a poll with the given runs.
 func (h *heldPolls) answer(poll cell.Poll, running ...damsonwinch.RunProgress) {
 	h.cell.Polled(h.now, poll.Endpoint.Life, poll.Number, damsonwinch.PollReply{ClockMs: int(h.now.UnixMilli()), Running: running}, nil)
@@ -80,8 +89,37 @@
 	h.wait(t, time.Second)
 
 	h.answer(old)
-	h.now = h.now.Add(100 * time.Millisecond)
-	h.cell.Tick(h.now)
-	h.collect()
+	h.tick(100 * time.Millisecond)
 	assert.Equal(t, len(h.starts), 1, "the run goes on")
 }
+
+// TestReplyThatWasOvertakenStopsNoEndedRun guards against a run that counts as one which nobody expects, although it has ended:
+// the reply to a later poll, which the endpoint answered before, still lists it. The endpoint then got no work for a while.
+func TestReplyThatWasOvertakenStopsNoEndedRun(t *testing.T) {
+	h := newHeldPolls(t)
+	h.cell.SetEndpoints(h.now, []damsonwinch.Endpoint{h.info})
+	h.answer(h.wait(t, time.Second))
+	spec := simSpec(wire.Phase{Count: 1, Cpu: 1000, EstimateMs: 300})
+	for callID, id := range []string{"ends", "cancelled"} {
+		h.cell.Submit(h.now, wire.JobArgs{Queue: "queue", Id: id, Spec: &spec, ReceivedMs: int(h.now.UnixMilli())}, callID)
+	}
+	held := h.wait(t, time.Second)
+	h.tick(20 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 2)
+	ends, cancelled := h.starts[0].Request.Run, h.starts[1].Request.Run
+	h.cell.Cancel(h.now, wire.JobArgs{Queue: "queue", Id: "cancelled"}, 2)
+	h.collect()
+	assert.Equal(t, len(h.stops), 1)
+	h.cell.Stopped(h.now, h.info.Life, cancelled, nil)
+	later := h.wait(t, time.Second)
+
+	h.cell.Polled(h.now, h.info.Life, held.Number, damsonwinch.PollReply{
+		ClockMs: int(h.now.UnixMilli()), Finished: []damsonwinch.RunResult{{Run: ends, Sequence: 1, Ending: damsonwinch.EndedDone}},
+	}, nil)
+	h.answer(later, damsonwinch.RunProgress{Run: ends}, damsonwinch.RunProgress{Run: cancelled})
+	h.collect()
+	assert.Equal(t, len(h.stops), 1, "the run has ended")
+	h.cell.Submit(h.now, wire.JobArgs{Queue: "queue", Id: "next", Spec: &spec, ReceivedMs: int(h.now.UnixMilli())}, 3)
+	h.tick(20 * time.Millisecond)
+	assert.Equal(t, len(h.starts), 3, "the endpoint takes work")
+}
