Let phases of the same urgency take turns at the advice service

Callers saw jobs that never started on a queue with advice, while others of the same priority started again and again: of 16 jobs of two long-running tasks that end 0.5 s after each start, with calls of 0.49 s and permits of 3 s, 8 did not start in 40 s and the others had 110 to 120 runs each. A short job that came to 24 such jobs, or to 4 jobs repeated each 0.3 s, was not done within 5 s.

Among phases of the same priority permits were asked for the one with the earliest deadline, again each time its permits had expired. A long-running or repeated job keeps its early deadline for good.

Phases of a class (the same priority; in time, deferred or late) now take turns. Those that have had none come in the order of their deadlines, the others and the rounds of repeated jobs in the order of their last turns and for at most every second call. The rule is in pkg/permit (Turns). Held starts, more urgent classes, unused permits and jobs over their shares go as before.

--- a/pkg/cell/job.go
+++ b/pkg/cell/job.go
@@ -250,6 +250,7 @@
 	p.ready = append(p.ready, t)
 	if !p.open {
 		p.open = true
+		p.permits.Await(c.now, p.round.number > 0)
 		p.setLateTime()
 		c.insertOpenPhase(p)
 	}
--- a/pkg/cell/permits.go
+++ b/pkg/cell/permits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"damsonwinch"
+	"damsonwinch/pkg/permit"
 )
 
 // Limits of the calls for permits.
@@ -38,8 +39,8 @@
 // node has its turn: until then endpoints may be taken, and phases may need permits more urgently or not any more.
 type permitCalls struct {
 	turn permitTurn
-	// renewed is set if the last call was for a phase whose former permits have expired without use.
-	renewed bool
+	// turns decides for which phase the next one is.
+	turns permit.Turns
 	// heldStarts are recorded starts whose permits have expired meanwhile. They are sent once there are new ones.
 	heldStarts []*run
 }
@@ -108,7 +109,8 @@
 		c.permitCalls.turn = permitTurnIdle
 		return PermitRequest{}, false
 	}
-	c.permitCalls.turn, c.permitCalls.renewed = permitTurnTaken, p.permits.Unused()
+	c.permitCalls.turn = permitTurnTaken
+	c.permitCalls.turns.Take(&p.permits)
 	request := c.composePermitRequest(p)
 	p.permits.Asked(now)
 	c.stats.PermitCalls++
@@ -116,30 +118,70 @@
 }
 
 // choosePermitPhase returns the phase for which permits are asked for next, or nil. First come phases with starts that are
-// held back, then the most urgent one. Phases that have let their last permits expire, because there was no capacity or
-// they are gangs, get at most every second call, in turn: else a few of them could keep the service busy for good.
+// held back, then those of the most urgent class, in turn. Phases that have let their last permits expire, because there
+// was no capacity or they are gangs, take turns of their own.
 func (c *Cell) choosePermitPhase() *phase {
-	var urgent, unused *phase
 	for _, r := range c.permitCalls.heldStarts {
 		if c.wantsPermits(r.task.phase) {
 			return r.task.phase
 		}
 	}
-	for _, p := range slices.Concat(c.phasesInOrder()...) {
-		switch {
-		case urgent != nil && !p.permits.Unused(), !c.wantsPermits(p):
-		case !p.permits.Unused():
-			urgent = p
-		case unused == nil || p.permits.AskedBefore(&unused.permits):
-			unused = p
+	var urgent, unused *phase
+	for _, class := range c.permitClasses() {
+		if urgent == nil {
+			urgent = c.chooseInClass(class)
+		}
+		for _, p := range class {
+			if p.permits.Unused() && (unused == nil || p.permits.TurnBefore(&unused.permits)) && c.wantsPermits(p) {
+				unused = p
+			}
 		}
 	}
-	if urgent == nil || unused != nil && !c.permitCalls.renewed {
+	if urgent == nil || unused != nil && c.permitCalls.turns.UnusedNext() {
 		return unused
 	}
 	return urgent
 }
 
+// permitClasses returns the open phases in classes, the most urgent one first. The phases of a class have the same priority
+// and are alike in time, deferred or late; they take turns. Phases of jobs over their customers' shares keep their ranks.
+func (c *Cell) permitClasses() [][]*phase {
+	var classes [][]*phase
+	for _, phases := range c.phasesInOrder() {
+		for at, p := range phases {
+			if at > 0 && !p.job().overShare && p.job().priority == phases[at-1].job().priority {
+				last := len(classes) - 1
+				classes[last] = append(classes[last], p)
+				continue
+			}
+			classes = append(classes, []*phase{p})
+		}
+	}
+	return classes
+}
+
+// chooseInClass returns the phase of a class for which permits are asked for next, apart from those that have let their
+// last permits expire, or nil. Those that have had no turn are in order of their deadlines, the others in order of their
+// last turns.
+func (c *Cell) chooseInClass(class []*phase) *phase {
+	var first, repeated *phase
+	for _, p := range class {
+		switch {
+		case p.permits.Unused():
+		case !p.permits.HadTurn():
+			if first == nil && c.wantsPermits(p) {
+				first = p
+			}
+		case (repeated == nil || p.permits.TurnBefore(&repeated.permits)) && c.wantsPermits(p):
+			repeated = p
+		}
+	}
+	if first == nil || repeated != nil && c.permitCalls.turns.RepeatNext() {
+		return repeated
+	}
+	return first
+}
+
 // composePermitRequest returns a call for a phase. It names the endpoints of starts that are held back, and of those that
 // could take the phase's tasks the best ones. It names no more than are needed, unless the further ones cost less time
 // than another call would.
--- a/pkg/cell/reservation_test.go
+++ b/pkg/cell/reservation_test.go
@@ -66,7 +66,11 @@
 
 // submit submits a job of one phase.
 func (c *crowdedCell) submit(queue, id string, phase wire.Phase) {
-	spec := simSpec(phase)
+	c.submitSpec(queue, id, simSpec(phase))
+}
+
+// submitSpec submits a job.
+func (c *crowdedCell) submitSpec(queue, id string, spec wire.JobSpec) {
 	c.calls++
 	c.cell.Submit(c.now, wire.JobArgs{Queue: queue, Id: id, Public: true, Spec: &spec, ReceivedMs: int(c.now.UnixMilli())}, c.calls)
 }
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -23,7 +23,10 @@
 // that it has received. The zero value holds none.
 type Permits struct {
 	inFlight bool
-	askedAt  time.Time
+	// turnAt is when the last call was made, or when the phase began to wait for the first one. hadTurn is set once there
+	// has been a call, or if the phase repeats another one.
+	turnAt  time.Time
+	hadTurn bool
 	// unused is set from when a call has brought permits until one of them is used.
 	unused bool
 	// askAfter is the time of the next call at the earliest.
@@ -61,9 +64,23 @@
 	p.unused = false
 }
 
-// AskedBefore reports whether the last call was made before that for another phase.
-func (p *Permits) AskedBefore(other *Permits) bool {
-	return p.askedAt.Before(other.askedAt)
+// Await notes that the phase waits for a call from now on, unless there has been one. repeats says whether it repeats an
+// earlier phase: otherwise each repetition would go before other work as if it were new.
+func (p *Permits) Await(now time.Time, repeats bool) {
+	if p.turnAt.IsZero() {
+		p.turnAt, p.hadTurn = now, repeats
+	}
+}
+
+// HadTurn reports whether a call has been made for the phase, or it repeats another one.
+func (p *Permits) HadTurn() bool {
+	return p.hadTurn
+}
+
+// TurnBefore reports whether the phase has waited for longer than another one: since its last call, or since it began to
+// wait for the first one.
+func (p *Permits) TurnBefore(other *Permits) bool {
+	return p.turnAt.Before(other.turnAt)
 }
 
 // MayAsk reports whether a call may be made: none is in flight, the last one was not one that failed less than
@@ -86,7 +103,7 @@
 
 // Asked notes that a call has been made.
 func (p *Permits) Asked(now time.Time) {
-	p.inFlight, p.askedAt, p.askAfter = true, now, now.Add(retryInterval)
+	p.inFlight, p.turnAt, p.hadTurn, p.askAfter = true, now, true, now.Add(retryInterval)
 }
 
 // Failed notes that the call in flight has failed.
