Check the runs that owners remove against the endpoints of the simulation

A task runs twice only if its next attempt begins while a run that its owner has wrongly removed still goes on, which takes bad luck. The removal itself was not checked.

After each event of the newest owner the simulations of pkg/cell now compare the runs in the cell's state with those before it. A run that is gone must not go on at an endpoint that has not exited, nor begin there later by a start of that owner or an earlier one. A violation, REMOVED, names the log lines of the event. The simulation goes on until its end, so that the tests that expect TWICE without a mechanism still find it; REMOVED is reported if no other rule was violated. A run that moves to a later life of its endpoint must not run on the earlier one.

The rule is violated with leases that expire early, without fencing, and with lists of boxes that lack endpoints which the owner can't reach (TestRemovalRuleDetectsDisabledMechanisms).

--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -115,6 +115,7 @@
 		return damsonwinch.ErrNoCapacity
 	}
 	e.world.rules.checkStart(e, request)
+	e.world.removals.checkStart(e, request)
 	e.world.checkpoints.checkStart(request)
 	e.world.rules.checkEvacuation(e, request)
 	r := &simRun{request: request, need: need, startedAt: e.world.now, ending: damsonwinch.EndedDone}
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -185,6 +185,7 @@
 			w.logf("%s: %s %s %s: %s", o.name, line.Message, line.Task, line.Job, line.Reason)
 		}
 	}
+	w.removals.check(o, effects.LogLines)
 	for _, reply := range effects.Replies {
 		if call := o.pendingCalls[reply.CallID]; call != nil {
 			delete(o.pendingCalls, reply.CallID)
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -131,6 +131,8 @@
 	restarts *restartRule
 	// checkpoints checks the checkpoints with which runs are started.
 	checkpoints *checkpointRule
+	// removals checks the runs that the newest owner removes.
+	removals *removalRule
 	// faultsOn is set while faults may occur.
 	faultsOn bool
 	// boxMilliCPU is the CPU of each box. In some simulations there is little.
@@ -163,7 +165,7 @@
 		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond,
 	}
 	w.rules, w.restarts, w.startedAt = newRules(w), newRestartRule(w), w.now
-	w.checkpoints = newCheckpointRule(w)
+	w.checkpoints, w.removals = newCheckpointRule(w), newRemovalRule(w)
 	w.boxMilliCPU = 5000 + 1000*w.random.IntN(5)
 	return w
 }
@@ -209,6 +211,7 @@
 		action()
 	}
 	w.now = until
+	w.removals.report()
 }
 
 // addEndpoint starts a new life on a box. In simulations with shared IDs the registry lists it only
