Simulate endpoints that are cut off within a second of their start

The simulations of pkg/cell made each call by itself. They left out what nodes do with connections: a new one is identified before a call is sent on it, a call on a reused one that the endpoint has closed is sent a second time, and a call that was never written to a connection says so.

Owners tick when the next call is overdue, as nodes do. A poll's reply now counts for the copy of the request that is answered.

--- a/pkg/cell/sim_endpoint_test.go
+++ b/pkg/cell/sim_endpoint_test.go
@@ -59,7 +59,7 @@
 
 // clockMs returns the time on the endpoint's monotonic clock in milliseconds.
 func (e *simEndpoint) clockMs() int {
-	return 1000 + int(float64(e.world.now.Sub(e.startedAt).Milliseconds())*e.clockRate)
+	return e.world.firstClockMs + int(float64(e.world.now.Sub(e.startedAt).Milliseconds())*e.clockRate)
 }
 
 // reportedStartMs returns the start time that the endpoint reports in replies to polls.
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -159,7 +159,7 @@
 			o.moveCell()
 		}
 		next := 50 * time.Millisecond
-		if o.world.late != nil {
+		if o.world.late != nil || o.world.connections != nil {
 			next = min(next, max(time.Millisecond, o.cell.NextTick().Sub(o.now())))
 		}
 		o.world.after(next, o.tick)
@@ -326,22 +326,24 @@
 	o.world.after(time.Millisecond, func() { o.whenRunning(action) })
 }
 
-// call sends a request to the endpoint with the given ID. handle handles the request there and
+// call sends a request to the endpoint with the ID of the given life. handle handles the request there and
 // returns a function that returns the reply's error. done is called with that error once the reply
 // arrives, or with the error of the call. Requests and replies may get lost, and a request may be
 // handled seconds after its call has timed out. timeout is the timeout of the node's calls of this
 // kind, which only simulations of late requests use.
-func (o *simOwner) call(id string, timeout time.Duration, handle func(e *simEndpoint) func() error, done func(err error)) {
+func (o *simOwner) call(life damsonwinch.Life, timeout time.Duration, handle func(e *simEndpoint) func() error, done func(err error)) {
 	w := o.world
-	e := w.newestLife(id)
+	e := w.newestLife(life.ID)
 	switch {
+	case w.connections != nil:
+		w.connections.call(o, life, timeout, handle, done)
 	case e != nil && !e.exited:
 		if w.late != nil && w.late.intercept(e, timeout, handle, done) {
 			return
 		}
 		o.callLife(e, handle, done)
 	case w.sharedIDs:
-		o.callSharedID(id, timeout, handle, done)
+		o.callSharedID(life.ID, timeout, handle, done)
 	case w.mixed != nil:
 		w.mixed.callExited(e, done)
 	case w.resetsOnExit:
@@ -414,7 +416,7 @@
 // sendStart sends a start request and passes the reply to the cell.
 func (o *simOwner) sendStart(start cell.Start) {
 	o.world.late.startSent(o, start)
-	o.call(start.Endpoint.Life.ID, nodeCallTimeout, func(e *simEndpoint) func() error {
+	o.call(start.Endpoint.Life, nodeCallTimeout, func(e *simEndpoint) func() error {
 		err := e.startAddressedTo(start.Endpoint.Life, start.Request)
 		return func() error { return err }
 	}, func(err error) {
@@ -425,7 +427,7 @@
 
 // sendStop sends a stop request and passes the reply to the cell.
 func (o *simOwner) sendStop(stop cell.Stop) {
-	o.call(stop.Endpoint.Life.ID, nodeCallTimeout, func(e *simEndpoint) func() error {
+	o.call(stop.Endpoint.Life, nodeCallTimeout, func(e *simEndpoint) func() error {
 		err := e.stopAddressedTo(stop.Endpoint.Life, stop.Request)
 		return func() error { return err }
 	}, func(err error) {
@@ -443,11 +445,12 @@
 	}
 	var reply damsonwinch.PollReply
 	var receiver *simEndpoint
-	o.call(poll.Endpoint.Life.ID, request.MaxWait+nodeCallTimeout, func(e *simEndpoint) func() error {
-		receiver = e
+	o.call(poll.Endpoint.Life, request.MaxWait+nodeCallTimeout, func(e *simEndpoint) func() error {
 		pollReply, err := e.pollAddressedTo(poll.Endpoint.Life, request)
-		reply = pollReply
-		return func() error { return err }
+		return func() error {
+			receiver, reply = e, pollReply
+			return err
+		}
 	}, func(err error) {
 		// A later life answers the identification of the connection at once.
 		held := err == nil && len(reply.Finished) == 0 && request.MaxWait > 0 && receiver.receives(poll.Endpoint.Life)
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -120,6 +120,10 @@
 	// quickRestarts makes boxes that crash start their next life while calls to the one before may still wait for their
 	// connections, and register it soon after.
 	quickRestarts bool
+	// firstClockMs is what the clock of an endpoint shows when it starts.
+	firstClockMs int
+	// connections are the connections of owners to endpoints. They are nil in most simulations, in which each call stands alone.
+	connections *simConnections
 	// restartFaults restarts endpoints beside takeovers. It is nil in most simulations.
 	restartFaults *restartFaults
 	startedAt     time.Time
@@ -162,7 +166,7 @@
 	w := &world{
 		seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000), mutation: m,
 		streams: []*simStream{newSimStream()}, streamDown: map[int]bool{}, behaviours: map[string]taskBehaviour{}, faultsOn: true, cuts: map[string]bool{},
-		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond,
+		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond, firstClockMs: 1000,
 	}
 	w.rules, w.restarts, w.startedAt = newRules(w), newRestartRule(w), w.now
 	w.checkpoints, w.removals = newCheckpointRule(w), newRemovalRule(w)
