--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -120,6 +120,10 @@
 	// quickRestarts makes boxes that crash start their next life while calls to the one before may still wait for their
 	// connections, and register it soon after.
 	quickRestarts bool
+	// firstClockMs is what the clock of an endpoint shows when it starts.
+	firstClockMs int
+	// connections are the connections of owners to endpoints. They are nil in most simulations, in which each call stands alone.
+	connections *simConnections
 	// restartFaults restarts endpoints beside takeovers. It is nil in most simulations.
 	restartFaults *restartFaults
 	startedAt     time.Time
@@ -131,6 +135,8 @@
 	restarts *restartRule
 	// checkpoints checks the checkpoints with which runs are started.
 	checkpoints *checkpointRule
+	// removals checks the runs that the newest owner removes.
+	removals *removalRule
 	// faultsOn is set while faults may occur.
 	faultsOn bool
 	// boxMilliCPU is the CPU of each box. In some simulations there is little.
@@ -160,10 +166,10 @@
 	w := &world{
 		seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_700_000_000_000), mutation: m,
 		streams: []*simStream{newSimStream()}, streamDown: map[int]bool{}, behaviours: map[string]taskBehaviour{}, faultsOn: true, cuts: map[string]bool{},
-		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond,
+		boxCount: defaultBoxes, maxLease: simMaxLease, maxTaskTime: 1500 * time.Millisecond, firstClockMs: 1000,
 	}
 	w.rules, w.restarts, w.startedAt = newRules(w), newRestartRule(w), w.now
-	w.checkpoints = newCheckpointRule(w)
+	w.checkpoints, w.removals = newCheckpointRule(w), newRemovalRule(w)
 	w.boxMilliCPU = 5000 + 1000*w.random.IntN(5)
 	return w
 }
@@ -209,6 +215,7 @@
 		action()
 	}
 	w.now = until
+	w.removals.report()
 }
 
 // addEndpoint starts a new life on a box. In simulations with shared IDs the registry lists it only
