Don't take an endpoint that has just started for lost by a list of boxes

Users could see: a task runs twice. Its endpoint restarts and is cut off from the cell's owner within a second. The owner asks for the list of boxes as soon as a poll fails; if the list doesn't have the endpoint yet, its runs are lost at once and their tasks start elsewhere, while they go on there for as long as their lease.

Cause: a list that was requested after an endpoint's last answer was believed (SetBoxes; listFollowsAnswer for the planner's). That a list requested after a life is known has the life holds only if lists never lag behind. The boxes of the simulation and of the stand-in never lagged. Whether those of the users' platform do isn't known.

Change: a list counts against an endpoint only if its own clock showed 2 s or more when the list was requested, or, for the planner's, when the owner made the report that preceded the list. The clock starts anew with each life, so it shows the age of the endpoint to an owner that has just taken over, too. Older endpoints are lost as fast as before. An endpoint that has not shown its clock to this owner is treated as before. A young one that has really exited is lost with a list that is requested later, or once another life answers.

The simulation of young lives can delay lists. The planner's path failed before in TestPlannersListThatMayLackAYoungEndpointShowsNoExit.

--- a/pkg/cell/endpoint.go
+++ b/pkg/cell/endpoint.go
@@ -194,10 +194,21 @@
 	})
 }
 
+// maxListLag is how long after the start of an endpoint the platform's lists of boxes may lack it, with a second for the value
+// at which its clock starts. How far the lists of the users' platform lag isn't known.
+const maxListLag = 2 * time.Second
+
+// isYoung reports whether lists of boxes that are requested at the given time may lack the endpoint because it has just
+// started. Its clock, which starts anew with each life, shows its age to any owner.
+func (e *endpoint) isYoung(at time.Time) bool {
+	clockMs, known := e.leases.ClockAt(at)
+	return known && clockMs < int(maxListLag.Milliseconds())
+}
+
 // SetBoxes handles the platform's list of boxes, which was requested at requestedAt. The list
 // distinguishes endpoints that have exited from those that merely can't be reached. The former are
 // marked as lost, unless they have answered since the request: the box may have been down when the platform
-// read its row, before the program started again.
+// read its row, before the program started again. The list doesn't count either for an endpoint that had just started.
 func (c *Cell) SetBoxes(now, requestedAt time.Time, boxes []damsonwinch.Box) {
 	c.beginEvent(now)
 	c.endpointsChanged()
@@ -205,7 +216,7 @@
 	live := damsonwinch.NewLiveEndpoints(boxes)
 	for _, e := range slices.Clone(c.sortedEndpoints) {
 		// The list takes seconds to read, and doesn't have an endpoint that started meanwhile.
-		if requestedAt.Before(e.aliveAt) {
+		if requestedAt.Before(e.aliveAt) || e.isYoung(requestedAt) {
 			continue
 		}
 		if !live.MayInclude(e.info.Life.ID, e.info.Box) && !e.exited && !c.mayAnswer(e) && len(e.runs) > 0 {
--- a/pkg/cell/report.go
+++ b/pkg/cell/report.go
@@ -65,6 +65,7 @@
 	c.reportEvacuatedZones(&report)
 	c.lastSync.reportNumber++
 	report.ReportNumber = c.lastSync.reportNumber
+	c.passOverYoung()
 	c.lastSync.reportedAt, c.lastSync.spreadBoxes, c.lastSync.missingBoxes = now, report.Spread, report.MissingBoxes
 	return report
 }
--- a/pkg/cell/reported_exit.go
+++ b/pkg/cell/reported_exit.go
@@ -40,6 +40,16 @@
 	return args.BoxesAfterToken == c.token && args.BoxesAfterReport > e.reportsBefore
 }
 
+// passOverYoung makes the lists not count that the planner requests before its next report, for endpoints that have just
+// started.
+func (c *Cell) passOverYoung() {
+	for _, e := range c.sortedEndpoints {
+		if e.isYoung(c.now) {
+			e.reportsBefore = c.lastSync.reportNumber
+		}
+	}
+}
+
 // mayAnswer reports whether a poll will show whether an endpoint has exited: it has answered the last one,
 // or is registered and hasn't been polled by this owner. The boxes of withdrawn endpoints have been moved
 // or maintained.
--- a/pkg/cell/reported_exit_test.go
+++ b/pkg/cell/reported_exit_test.go
@@ -23,7 +23,9 @@
 	running []damsonwinch.RunProgress
 	// reachable is set while the endpoint answers polls.
 	reachable bool
-	starts    int
+	// clockStart is when the endpoint's clock showed 0.
+	clockStart time.Time
+	starts     int
 	// records holds all records in the cell's stream.
 	records []damsonwinch.Record
 	// stopped holds the runs that the owner has stopped.
@@ -32,7 +34,7 @@
 
 // newLoneEndpoint returns a cell whose long-running task has been running for a second.
 func newLoneEndpoint(t *testing.T) *loneEndpoint {
-	l := &loneEndpoint{t: t, now: time.UnixMilli(1_700_000_000_000), cell: cell.New(simOptions(mutation{}), 1), reachable: true}
+	l := &loneEndpoint{t: t, now: time.UnixMilli(1_700_000_000_000), cell: cell.New(simOptions(mutation{}), 1), reachable: true, clockStart: time.UnixMilli(0)}
 	assert.NilError(t, l.cell.Load(l.now, nil))
 	l.cell.SetQueues(l.now, cell.NewQueueTable(1, simQueues))
 	l.cell.SetEndpoints(l.now, []damsonwinch.Endpoint{{Life: reportedLife, Address: "e1:1", Pool: "pool", Capacity: damsonwinch.Resources{MilliCPU: 4000, MemoryMB: 4000}}})
@@ -75,7 +77,7 @@
 		if !l.reachable {
 			err = errors.New("no answer in time")
 		}
-		l.cell.Polled(l.now, poll.Endpoint.Life, poll.Number, damsonwinch.PollReply{ClockMs: int(l.now.UnixMilli()), Running: l.running}, err)
+		l.cell.Polled(l.now, poll.Endpoint.Life, poll.Number, damsonwinch.PollReply{ClockMs: int(l.now.Sub(l.clockStart).Milliseconds()), Running: l.running}, err)
 	}
 }
 
@@ -139,6 +141,23 @@
 	assert.Equal(t, l.cell.Stats().RunsLost, 1, "the endpoint hasn't answered since the second report")
 }
 
+// TestPlannersListThatMayLackAYoungEndpointShowsNoExit guards against a task that runs twice: its endpoint has started within
+// the last second, the platform's lists of boxes don't have it yet, and it is cut off now.
+func TestPlannersListThatMayLackAYoungEndpointShowsNoExit(t *testing.T) {
+	l := newLoneEndpoint(t)
+	l.clockStart = l.now.Add(-time.Second)
+	l.runFor(400 * time.Millisecond)
+	l.reachable = false
+	for range 5 {
+		l.reportExitByList(l.cell.Report(l.now).ReportNumber, 1)
+		l.runFor(100 * time.Millisecond)
+	}
+	assert.Equal(t, l.cell.Stats().RunsLost, 0, "the clock of the endpoint shows less than 2 s")
+	l.runFor(200 * time.Millisecond)
+	l.reportExit()
+	assert.Equal(t, l.cell.Stats().RunsLost, 1, "lists have the endpoint now, if it has not exited")
+}
+
 // TestExitByAPlannerThatNamesNoReportCountsOnceItMustBeNewer guards against a task that runs twice because of an old list
 // of boxes, and against one that waits until its lease has expired, while a node of an earlier version plans.
 func TestExitByAPlannerThatNamesNoReportCountsOnceItMustBeNewer(t *testing.T) {
--- a/pkg/cell/sim_world_test.go
+++ b/pkg/cell/sim_world_test.go
@@ -120,6 +120,8 @@
 	// quickRestarts makes boxes that crash start their next life while calls to the one before may still wait for their
 	// connections, and register it soon after.
 	quickRestarts bool
+	// boxListLag is how long lists of boxes lack a life that has started after the beginning of the simulation.
+	boxListLag time.Duration
 	// firstClockMs is what the clock of an endpoint shows when it starts.
 	firstClockMs int
 	// connections are the connections of owners to endpoints. They are nil in most simulations, in which each call stands alone.
@@ -278,13 +280,18 @@
 func (w *world) boxList() []damsonwinch.Box {
 	var boxes []damsonwinch.Box
 	for _, e := range w.endpoints {
-		if !e.exited && !(w.mutation.listsLackCutOff && w.isCutOff(e)) {
+		if !e.exited && !(w.mutation.listsLackCutOff && w.isCutOff(e)) && !w.isMissingInLists(e) {
 			boxes = append(boxes, damsonwinch.Box{Name: e.info.Box, State: damsonwinch.BoxUp, EndpointID: e.info.Life.ID})
 		}
 	}
 	return boxes
 }
 
+// isMissingInLists reports whether lists of boxes lack a life that has just started.
+func (w *world) isMissingInLists(e *simEndpoint) bool {
+	return e.startedAt.After(w.startedAt) && w.now.Sub(e.startedAt) < w.boxListLag
+}
+
 // isCutOff reports whether an owner is cut off from an endpoint.
 func (w *world) isCutOff(e *simEndpoint) bool {
 	return slices.ContainsFunc(w.owners, func(o *simOwner) bool { return w.cuts[o.name+e.info.Box] })
--- a/pkg/cell/sim_young_lives_test.go
+++ b/pkg/cell/sim_young_lives_test.go
@@ -21,7 +21,13 @@
 // used soon after, and exit again or are cut off within a second, while long tasks run. Calls are made over connections that
 // are reused, closed and reset.
 func simulateYoungLives(seed uint64, m mutation) *world {
+	return simulateYoungLivesWithListLag(seed, m, 0)
+}
+
+// simulateYoungLivesWithListLag does the same with lists of boxes that lack a life for some time after its start.
+func simulateYoungLivesWithListLag(seed uint64, m mutation, lag time.Duration) *world {
 	w := newWorld(seed, m)
+	w.boxListLag = lag
 	w.boxCount, w.firstClockMs = youngLifeBoxes, 0
 	w.sharedIDs, w.quickRestarts, w.maxTaskTime, w.maxCompletionGap = true, true, 5*time.Second, 20*time.Second
 	w.resetsOnExit, w.promptPolls = seed%2 == 0, seed%3 != 0
@@ -98,3 +104,11 @@
 func TestRulesDetectCallsToEarlierLivesAmongYoungOnes(t *testing.T) {
 	expectViolation(t, "REMOVED", firstSeeds(999), mutation{unboundCalls: true}, simulateYoungLives)
 }
+
+// TestRulesHoldWhileListsLackYoungLives guards against a task that runs twice because a list of boxes that was requested after
+// its endpoint had last answered doesn't have the endpoint yet, which has just started and is cut off.
+func TestRulesHoldWhileListsLackYoungLives(t *testing.T) {
+	checkSeeds(t, testSeeds(60), func(seed uint64, m mutation) *world {
+		return simulateYoungLivesWithListLag(seed, m, time.Second)
+	})
+}
--- a/pkg/leasebound/leasebound.go
+++ b/pkg/leasebound/leasebound.go
@@ -34,6 +34,12 @@
 	l.clockMs, l.sampledAt = clockMs, now
 }
 
+// ClockAt estimates what the endpoint's clock shows at the given time, in milliseconds. The clock shows that or more. It returns
+// false if no reply has shown the clock.
+func (l *Leases) ClockAt(at time.Time) (clockMs int, known bool) {
+	return l.clockMs + int(at.Sub(l.sampledAt).Milliseconds()), !l.sampledAt.IsZero()
+}
+
 // Extend returns when a lease ends that lasts for the given time from now, in milliseconds on the
 // endpoint's clock. It assumes that the endpoint receives a request with that end.
 func (l *Leases) Extend(now time.Time, lease time.Duration) int {
