Try a refused gang on all endpoints, and a refused task outside its home zone

What callers saw, by tests of a review: a gang beside two endpoints that refuse it and five that accept it never ran (375 attempts of each member in 60 s, 34 before tasks remembered who refuses them); a short task whose home zone refuses it was never tried in another zone.

Cause: a member that was accepted forgot at once who had refused it, though it was stopped since another member was refused, and went there again in the next try. And an endpoint of the home zone was taken before all others, however often it had refused.

Change: the members of a gang forget once all of them have been accepted. The home zone is passed over when its best endpoint has refused the task.

--- a/pkg/cell/choose.go
+++ b/pkg/cell/choose.go
@@ -23,14 +23,14 @@
 }
 
 // chooseEndpoint returns the best endpoint for a task, or nil if none can start it. Endpoints of
-// the home zone of the task's job are preferred. If label isn't empty, only endpoints with that
-// label are considered.
+// the home zone of the task's job are preferred, but for those that have refused the task. If label
+// isn't empty, only endpoints with that label are considered.
 func (c *Cell) chooseEndpoint(t *task, label string) *endpoint {
 	if c.crashQueues.IsProne(t.phase.job().queue) {
 		return c.chooseLeastAtRisk(t, label)
 	}
 	if home := c.homeZone(t); home != nil {
-		if found := c.chooseInZones(home.asSlice, t, label); found != nil {
+		if found := c.chooseInZones(home.asSlice, t, label); found != nil && t.refusalScore(found) == 0 {
 			return found
 		}
 	}
--- a/pkg/cell/start_backoff.go
+++ b/pkg/cell/start_backoff.go
@@ -60,6 +60,28 @@
 	t.refusedBy = append(t.refusedBy, taskRefusal{life: life, byState: byState})
 }
 
+// forgetRefusals forgets which endpoints have refused a task, since one has accepted it. The members of a gang run only
+// together: one that was accepted is stopped if another one is refused, so theirs are forgotten once all have been accepted.
+func (t *task) forgetRefusals() {
+	if !t.phase.spec.Gang {
+		t.refusals, t.refusedBy = 0, nil
+		return
+	}
+	for _, member := range t.phase.tasks {
+		if !member.done && !slices.ContainsFunc(member.runs, (*run).isAccepted) {
+			return
+		}
+	}
+	for _, member := range t.phase.tasks {
+		member.refusals, member.refusedBy = 0, nil
+	}
+}
+
+// isAccepted reports whether an endpoint has accepted the run and it is not to be stopped.
+func (r *run) isAccepted() bool {
+	return r.state == runConfirmed && !r.stopping
+}
+
 // refusalScore returns the part of an endpoint's score that is due to its refusals of a task.
 func (t *task) refusalScore(e *endpoint) int {
 	place := slices.IndexFunc(t.refusedBy, func(refusal taskRefusal) bool { return refusal.life == e.info.Life })
--- a/pkg/cell/start_reply.go
+++ b/pkg/cell/start_reply.go
@@ -89,7 +89,6 @@
 func (c *Cell) startAccepted(r *run) {
 	c.confirm(r)
 	r.task.phase.job().begun = true
-	r.task.refusals = 0
 	if r.ticket != "" {
 		r.task.phase.permits.Accepted()
 	}
@@ -98,7 +97,8 @@
 // confirm notes that a run exists: its endpoint has accepted or listed it.
 func (c *Cell) confirm(r *run) {
 	r.state, r.listedAfterStep, r.confirmedAt = runConfirmed, c.step, c.now
-	r.endpoint.refusals, r.task.refusedBy = refusals{}, nil
+	r.endpoint.refusals = refusals{}
+	r.task.forgetRefusals()
 	c.slowNewFiller(r)
 }
 
