Wait for an outdated order until the earlier planner's last call can't be carried out

An order whose append took 30 s is sent and not answered; a planner that takes over 1 s later takes it for outdated by the time in its record and gives the endpoint back to its cell, although the platform may carry the order out for 14 s more.

Cause: the time in a record is when the order was decided, and not when it was sent.

Change: an old recorded order isn't repeated, as before, but it is ended only 15 s after the takeover.

--- a/pkg/boxplan/unaccepted.go
+++ b/pkg/boxplan/unaccepted.go
@@ -12,7 +12,7 @@
 func (p *Planner) mayRepeat(b *box) bool {
 	o := b.issued
 	return !o.accepted && !o.inFlight && p.now.Sub(o.sentAt) >= orderRetryDelay && (b.info.State == damsonwinch.BoxUp || o.inherited) &&
-		p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay && !p.mayBeInUse(b) && !p.isHeldInOutage(b)
+		p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay && !p.mayBeInUse(b) && !p.isHeldInOutage(b) && !p.isOutdated(b)
 }
 
 // mayBeInUse reports whether a life may run on a box that its cell's owner hasn't reported as withdrawn.
@@ -24,9 +24,10 @@
 // maxOrderDelay is how long after an unanswered call with an order the platform may still carry it out.
 const maxOrderDelay = 15 * time.Second
 
-// outdatedAge is the age from which a recorded order that isn't known to be accepted has certainly been given up. Each call
-// with it was recorded, with its time, before it was sent. Twice maxOrderDelay leaves as long again for appends and for
-// differences between the clocks of nodes.
+// outdatedAge is the age from which a recorded order of an earlier planner that isn't known to be accepted is not repeated. Each
+// call with it was recorded, with its time, before it was sent. Twice maxOrderDelay leaves as long again for appends and for
+// differences between the clocks of nodes. An append may take longer, so the earlier planner's last call, sent before this one
+// took over, may still be carried out for maxOrderDelay after that.
 const outdatedAge = 2 * maxOrderDelay
 
 // dropObsoleteOrders ends the orders that must not be repeated: those of an earlier planner that are outdated, on later
@@ -48,7 +49,7 @@
 			p.settleInheritedOrder(b)
 		case o.inherited && p.mayStayPoweredOff(b):
 			b.issued = nil
-		case p.mayBeInUse(b) && p.hadNoEffect(b), p.isOutdated(b):
+		case p.mayBeInUse(b) && p.hadNoEffect(b), p.isOutdated(b) && p.now.Sub(o.unansweredAt) > maxOrderDelay:
 			p.revertOrder(b, o.Order)
 		}
 	}
@@ -90,9 +91,8 @@
 	return b.issued.Wave == 0 && b.info.State == damsonwinch.BoxUp && p.isPoweredOff(b.info.Pool) && p.now.Sub(b.inheritedAt) >= p.options.TakeoverDelay
 }
 
-// isOutdated reports whether the earlier planner has taken back a recorded order on a box that is up, without a record of
-// that: it had last sent the order so long ago that no call can be carried out any more. The life may have been withdrawn for
-// another reason since.
+// isOutdated reports whether the earlier planner is taken to have given up a recorded order on a box that is up, without a
+// record of that: the order is old. The life may have been withdrawn for another reason since.
 func (p *Planner) isOutdated(b *box) bool {
 	o := b.issued
 	return o.inherited && o.sentAt.IsZero() && b.info.State == damsonwinch.BoxUp && p.now.Sub(b.inheritedAt) > outdatedAge
