Pass over another endpoint's answer from a former address

An endpoint that doesn't tell when it started is listed at another address and begins a run there; a poll that was sent to its former address is then answered by another endpoint, and the run counts as lost.

Cause: the answer was applied to the endpoint where it is now, and not to the address that was called.

Change: polls, starts and stops keep the address to which they were sent, and another endpoint's answer from a former one is passed over. For stops it is the address of the last one.

Scripts of pkg/cell pass.

--- a/pkg/cell/loss.go
+++ b/pkg/cell/loss.go
@@ -10,6 +10,14 @@
 	"damsonwinch/pkg/wire"
 )
 
+// otherLifeAnswered handles that another life has answered a call to this one that was sent to the given address. An endpoint
+// that is at another address by now may go on there.
+func (c *Cell) otherLifeAnswered(e *endpoint, address, source string) {
+	if address == e.info.Address {
+		c.markLost(e, source)
+	}
+}
+
 // markLost marks a life as exited, since another one has answered a call to it. source says which call. All its
 // runs are lost.
 func (c *Cell) markLost(e *endpoint, source string) {
--- a/pkg/cell/poll.go
+++ b/pkg/cell/poll.go
@@ -32,6 +32,8 @@
 	number int
 	step   int
 	sentAt time.Time
+	// address is where the poll was sent.
+	address string
 	// maxWait is how long the endpoint may hold the poll until a run ends.
 	maxWait time.Duration
 	// ackedSequence is the number of results that the poll acknowledges, and renewsLeases whether it renews the leases.
@@ -114,7 +116,7 @@
 func (c *Cell) sendPoll(e *endpoint, maxWait time.Duration) {
 	c.lastPollNumber++
 	e.polls.lastSentAt = c.now
-	sent := &sentPoll{number: c.lastPollNumber, step: c.step, sentAt: c.now, maxWait: maxWait}
+	sent := &sentPoll{number: c.lastPollNumber, step: c.step, sentAt: c.now, address: e.info.Address, maxWait: maxWait}
 	if maxWait > 0 {
 		e.polls.waiting = sent
 	} else {
@@ -223,7 +225,7 @@
 func (c *Cell) pollFailed(e *endpoint, sent *sentPoll, err error) {
 	switch {
 	case errors.Is(err, damsonwinch.ErrOtherLife):
-		c.markLost(e, c.pollSource(sent)+": "+err.Error())
+		c.otherLifeAnswered(e, sent.address, c.pollSource(sent)+": "+err.Error())
 	case errors.Is(err, damsonwinch.ErrStaleToken):
 		c.effects.OwnershipLost = true
 	case sent.overdue && sent.step < c.lastAnsweredStep(e.info.Life.ID):
--- a/pkg/cell/run.go
+++ b/pkg/cell/run.go
@@ -59,6 +59,9 @@
 	// been assigned to a later life since.
 	startSentTo damsonwinch.Life
 	stopSentTo  damsonwinch.Life
+	// startAddress and stopAddress are where they were sent.
+	startAddress string
+	stopAddress  string
 	// ticket is what the start request carried as the proof of its permit, or empty.
 	ticket string
 	// percent is how much of the task is done, in percent, as last listed by the endpoint.
@@ -200,7 +203,7 @@
 		c.markDirty(r.task.phase.job())
 	}
 	c.logStart(r)
-	r.startedAt, r.startSentTo = c.now, r.endpoint.info.Life
+	r.startedAt, r.startSentTo, r.startAddress = c.now, r.endpoint.info.Life, r.endpoint.info.Address
 	r.ticket = r.task.phase.permits.Ticket(r.endpoint.info.Life)
 	leaseUntilMs := r.endpoint.leases.Extend(c.now, c.options.MaxStartDelay)
 	c.stats.Starts++
@@ -271,7 +274,7 @@
 	if !r.isOn(r.stopSentTo) {
 		r.stopSentTo, r.stopsSent = r.endpoint.info.Life, 0
 	}
-	r.stopSentAt = c.now
+	r.stopSentAt, r.stopAddress = c.now, r.endpoint.info.Address
 	r.stopsSent++
 	c.effects.Stops = append(c.effects.Stops, Stop{Endpoint: r.endpoint.info, Request: damsonwinch.StopRequest{Run: r.id(), Token: c.token}})
 }
@@ -294,7 +297,7 @@
 		r.stopConfirmed, r.listedAfterStep = true, c.step
 		c.requestPoll(r.endpoint)
 	case errors.Is(err, damsonwinch.ErrOtherLife):
-		c.markLost(r.endpoint, fmt.Sprintf("reply to a stop of %s attempt %d: %v", id.Task, id.Attempt, err))
+		c.otherLifeAnswered(r.endpoint, r.stopAddress, fmt.Sprintf("reply to a stop of %s attempt %d: %v", id.Task, id.Attempt, err))
 	}
 }
 
--- a/pkg/cell/start_reply.go
+++ b/pkg/cell/start_reply.go
@@ -133,7 +133,7 @@
 	switch {
 	case errors.Is(err, damsonwinch.ErrOtherLife):
 		c.requeueUnstarted(r)
-		c.markLost(r.endpoint, fmt.Sprintf("reply to the start of %s attempt %d: %v", r.id().Task, r.attempt, err))
+		c.otherLifeAnswered(r.endpoint, r.startAddress, fmt.Sprintf("reply to the start of %s attempt %d: %v", r.id().Task, r.attempt, err))
 		return
 	case isStateRefusal(err):
 		// The endpoint's free capacity or health differs from what the cell knows of it.
