Take back moves of boxes that don't become empty beside stalled jobs

Cause: nothing takes a planned move back whose box doesn't become empty, except for long-running tasks of the receiver. An urgent withdrawal stops no run of a job that can't be in time any more, and the choice of a box follows its estimate only in the order of the boxes.

Change: a move that isn't for a wave and whose order isn't issued is taken back if its box isn't empty after 2 s, less than half of the box is in use, and nothing runs of late jobs of its own cell that could run; as many boxes as one task of each of these jobs needs. A box that the receiver needs for long-running tasks is moved all the same. With the same life the box isn't chosen again while its cell has such jobs or its estimate is over 2 s.

The script slow-move failed before at 2600 ms: "empty first-00 in a hurry" in addition to first-01.

--- a/pkg/boxplan/box.go
+++ b/pkg/boxplan/box.go
@@ -46,6 +46,8 @@
 	upSince time.Time
 	// keptAt is when the newest decision to move the box was taken back. Its cell uses it again soon.
 	keptAt time.Time
+	// slowLife is the life with which the box was last kept because it didn't become empty.
+	slowLife damsonwinch.Life
 	// maintenanceRefusedAt is when the box was last kept because the platform refused its maintenance.
 	maintenanceRefusedAt time.Time
 	// restoredAt is when the owner of the cell was last asked to use a withdrawn endpoint on the box again.
@@ -360,23 +362,6 @@
 	return &shard.Placement{Pool: o.Pool, Life: o.Life, Shard: o.Shard, PreviousShard: o.PreviousShard}
 }
 
-// Record returns the record of an order that is decided at now.
-func (o Order) Record(now time.Time) wire.OrderRecord {
-	return wire.OrderRecord{
-		Box: o.Box, Pool: o.Pool, Wave: o.Wave, AtMs: int(now.UnixMilli()), Endpoint: o.Life.String(), Cause: o.Cause,
-		Placement: &wire.PlacementRecord{Shard: o.Shard, Before: o.PreviousShard},
-	}
-}
-
-// PlacementFromRecord returns the placement that a recorded order gives to its box; nil if the record
-// has none.
-func PlacementFromRecord(record wire.OrderRecord) *shard.Placement {
-	if record.Placement == nil {
-		return nil
-	}
-	return &shard.Placement{Pool: record.Pool, Life: damsonwinch.ParseLife(record.Endpoint), Shard: record.Placement.Shard, PreviousShard: record.Placement.Before}
-}
-
 // LoadOrder takes over an order from the record of an earlier planner.
 func (p *Planner) LoadOrder(record wire.OrderRecord) {
 	b := p.boxes[record.Box]
--- a/pkg/boxplan/boxplan.go
+++ b/pkg/boxplan/boxplan.go
@@ -197,6 +197,7 @@
 	p.keepBoxesForLongRunning()
 	p.issueDueOrders()
 	p.replaceSlowMoves()
+	p.takeBackSlowMoves()
 	p.fillCells()
 	p.powerOffSurplus()
 	p.powerOffEvacuatedZones()
--- a/pkg/boxplan/moves.go
+++ b/pkg/boxplan/moves.go
@@ -144,9 +144,10 @@
 const cutOffZoneCost = 1_000_000
 
 // canEmptySoon reports whether a box is in use and can soon be empty because it has no long-running
-// tasks, and none of its cell needs it. A box in an evacuated zone isn't in use.
+// tasks, none of its cell needs it, and it isn't known to stay busy. A box in an evacuated zone isn't in use.
 func (p *Planner) canEmptySoon(b *box) bool {
-	return p.isAvailable(b) && !p.isEvacuated(b) && b.report != nil && b.report.Usable && b.report.Lasting == 0 && !b.report.NeededByLasting
+	isFree := b.report != nil && b.report.Usable && b.report.Lasting == 0 && !b.report.NeededByLasting
+	return isFree && p.isAvailable(b) && !p.isEvacuated(b) && !p.staysBusy(b)
 }
 
 // minRetained returns how many boxes a cell keeps when another one needs boxes. If the receiver lacks
--- a/pkg/boxplan/recorded_order.go
+++ b/pkg/boxplan/recorded_order.go
@@ -1,6 +1,12 @@
 package boxplan
 
-import "damsonwinch"
+import (
+	"time"
+
+	"damsonwinch"
+	"damsonwinch/pkg/shard"
+	"damsonwinch/pkg/wire"
+)
 
 // HandleRecorded handles that an order which Plan has returned is recorded, and reports whether it may be sent to the
 // platform. Recording takes seconds while the store is slow. If the life that the order ends has exited meanwhile, a
@@ -26,3 +32,20 @@
 	}
 	return !b.issued.lifeExited && b.life.MayBeSame(life)
 }
+
+// Record returns the record of an order that is decided at now.
+func (o Order) Record(now time.Time) wire.OrderRecord {
+	return wire.OrderRecord{
+		Box: o.Box, Pool: o.Pool, Wave: o.Wave, AtMs: int(now.UnixMilli()), Endpoint: o.Life.String(), Cause: o.Cause,
+		Placement: &wire.PlacementRecord{Shard: o.Shard, Before: o.PreviousShard},
+	}
+}
+
+// PlacementFromRecord returns the placement that a recorded order gives to its box; nil if the record
+// has none.
+func PlacementFromRecord(record wire.OrderRecord) *shard.Placement {
+	if record.Placement == nil {
+		return nil
+	}
+	return &shard.Placement{Pool: record.Pool, Life: damsonwinch.ParseLife(record.Endpoint), Shard: record.Placement.Shard, PreviousShard: record.Placement.Before}
+}
--- a/pkg/boxplan/script_test.go
+++ b/pkg/boxplan/script_test.go
@@ -34,9 +34,10 @@
 	// long-running tasks, by the name of the box.
 	emptyMs     map[string]int
 	longRunning map[string]int
-	// running holds the number of runs by the name of the box. withdrawn holds the boxes whose cells have
+	// running holds the number of runs, and usedCPU the CPU that they use, by the name of the box. withdrawn holds the boxes whose cells have
 	// recorded the withdrawal that the last plan asked for, and ordered the orders that are to be carried out.
 	running   map[string]int
+	usedCPU   map[string]int
 	withdrawn map[string]bool
 	ordered   []boxplan.Order
 	// evacuated holds the evacuated zones, and needed the boxes that long-running tasks need.
@@ -59,7 +60,7 @@
 //	  of these boxes
 //	reports: prints what is to be reported to the operator on the waves, and counts it as reported
 //	evacuate zones=(Z, ...): the operator evacuates these zones and no others
-//	run box=B tasks=N: a box has N runs
+//	run box=B tasks=N cores=C: a box has N runs that use C cores
 //	withdraw: the cells record the withdrawals that the last plan asked for
 //	accept: the platform accepts the orders so far, and has moved no box yet
 //	summary: prints the planner's lines on the cells
@@ -67,7 +68,7 @@
 //	plan at=MS: prints the orders and the withdrawals that the planner decides at that time
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		s := &script{t: t, emptyMs: map[string]int{}, longRunning: map[string]int{}, running: map[string]int{}, withdrawn: map[string]bool{}, now: time.Unix(1_000_000, 0)}
+		s := &script{t: t, emptyMs: map[string]int{}, longRunning: map[string]int{}, running: map[string]int{}, usedCPU: map[string]int{}, withdrawn: map[string]bool{}, now: time.Unix(1_000_000, 0)}
 		datadriven.RunTest(t, path, s.run)
 	})
 }
@@ -101,7 +102,7 @@
 	case "run":
 		var box string
 		d.ScanArgs(t, "box", &box)
-		s.running[box] = number(t, d, "tasks")
+		s.running[box], s.usedCPU[box] = number(t, d, "tasks"), number(t, d, "cores")*1000
 	case "withdraw":
 		s.withdraw()
 	case "carry-out":
@@ -187,7 +188,7 @@
 	shardNumber := number(s.t, d, "shard")
 	for _, b := range s.boxes {
 		if b.Pool == pool && s.layout.BoxShard(b.Name) == shardNumber {
-			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: !slices.Contains(s.evacuated, b.Zone) && !s.withdrawn[b.Name], EmptyMs: s.emptyMs[b.Name], Lasting: s.longRunning[b.Name], Runs: s.running[b.Name], Withdrawn: s.withdrawn[b.Name], NeededByLasting: slices.Contains(s.needed, b.Name)})
+			reply.Endpoints = append(reply.Endpoints, wire.EndpointReport{Endpoint: b.EndpointID, Box: b.Name, Usable: !slices.Contains(s.evacuated, b.Zone) && !s.withdrawn[b.Name], EmptyMs: s.emptyMs[b.Name], Lasting: s.longRunning[b.Name], Runs: s.running[b.Name], UsedCpu: s.usedCPU[b.Name], Withdrawn: s.withdrawn[b.Name], NeededByLasting: slices.Contains(s.needed, b.Name)})
 		}
 	}
 	s.planner.SetReport(s.now, shard.CellName(pool, shardNumber), reply)
