--- a/pkg/boxplan/slow_moves.go
+++ b/pkg/boxplan/slow_moves.go
@@ -10,8 +10,7 @@
 const slowMoveDelay = 2 * time.Second
 
 // takeBackSlowMoves has cells keep boxes that are to be moved, don't become empty, and are mostly unused meanwhile, as
-// many as the late jobs of which nothing runs need. Boxes of 16 cores were once being emptied for 19 s with a task of 3 cores
-// each, while nothing of some 30 late jobs of their pool ran.
+// many as the late jobs of which nothing runs need.
 func (p *Planner) takeBackSlowMoves() {
 	for _, name := range p.cellNames {
 		missing := p.stalledCPU(name)
