Simulations: one function that replaces the newest owner

Three simulations had the same lines that kill the owner and have another one claim the cell within a second.

--- a/pkg/cell/sim_faults_test.go
+++ b/pkg/cell/sim_faults_test.go
@@ -112,8 +112,7 @@
 	switch w.random.IntN(9) {
 	case 0:
 		w.logf("owner %s is killed", newest.name)
-		newest.exit("killed")
-		w.after(w.randomDuration(10*time.Millisecond, time.Second), func() { w.addOwner() })
+		w.replaceOwner()
 	case 1:
 		w.logf("owner %s is paused", newest.name)
 		newest.pausedUntil = w.now.Add(w.randomDuration(500*time.Millisecond, 4*time.Second))
--- a/pkg/cell/sim_owner_test.go
+++ b/pkg/cell/sim_owner_test.go
@@ -65,6 +65,12 @@
 	return o
 }
 
+// replaceOwner kills the newest owner. Another one claims the cell within a second.
+func (w *world) replaceOwner() {
+	w.owners[len(w.owners)-1].exit("killed")
+	w.after(w.randomDuration(10*time.Millisecond, time.Second), func() { w.addOwner() })
+}
+
 // takeOver raises the stream's epoch and loads the cell. It tries again until that succeeds.
 func (o *simOwner) takeOver() {
 	w := o.world
--- a/pkg/cell/sim_restart_cut_test.go
+++ b/pkg/cell/sim_restart_cut_test.go
@@ -53,10 +53,7 @@
 		}
 	}
 	if w.random.Float64() < 0.4 {
-		w.after(w.randomDuration(0, cutAfter+500*time.Millisecond), func() {
-			w.owners[len(w.owners)-1].exit("killed")
-			w.after(w.randomDuration(10*time.Millisecond, time.Second), func() { w.addOwner() })
-		})
+		w.after(w.randomDuration(0, cutAfter+500*time.Millisecond), w.replaceOwner)
 	}
 }
 
--- a/pkg/cell/sim_young_lives_test.go
+++ b/pkg/cell/sim_young_lives_test.go
@@ -64,10 +64,7 @@
 		}
 	}
 	if w.random.Float64() < 0.3 {
-		w.after(w.randomDuration(0, time.Second), func() {
-			w.owners[len(w.owners)-1].exit("killed")
-			w.after(w.randomDuration(10*time.Millisecond, time.Second), func() { w.addOwner() })
-		})
+		w.after(w.randomDuration(0, time.Second), w.replaceOwner)
 	}
 }
 
